--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# Each target works alone on a fresh clone: it makes its own virtual environment
+# from the pinned lock unless PYTHON names an interpreter that has everything.
+PYTHON ?= .venv/bin/python
+VENV_STAMP = .venv/installed
+export PYTHONPATH := $(CURDIR)/src
+
+ifeq ($(PYTHON),.venv/bin/python)
+ENVIRONMENT = $(VENV_STAMP)
+endif
+
+.PHONY: demo test check format fuzz
+
+$(VENV_STAMP): requirements.lock pyproject.toml
+	python3.11 -m venv .venv
+	.venv/bin/python -m pip install -q --no-deps setuptools==80.9.0
+	.venv/bin/python -m pip install -q --no-deps -r requirements.lock
+	.venv/bin/python -m pip install -q --no-deps --no-build-isolation -e .
+	touch $(VENV_STAMP)
+
+check: $(ENVIRONMENT)
+	$(PYTHON) -m ruff format --check src tests
+	$(PYTHON) -m ruff check src tests
+
+format: $(ENVIRONMENT)
+	$(PYTHON) -m ruff format src tests
+	$(PYTHON) -m ruff check --fix src tests
+
+test: $(ENVIRONMENT)
+	$(PYTHON) -m pytest
+
+demo: $(ENVIRONMENT)
+	$(PYTHON) -m quetzalpass.demo.main
+
+fuzz: $(ENVIRONMENT)
+	QUETZALPASS_FUZZ_PROFILE=long $(PYTHON) -m pytest tests/fuzz -s
--- /dev/null
+++ b/src/quetzalpass/__init__.py
@@ -0,0 +1,3 @@
+"""Serving of generations of unknown length on crowded model engines."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/quetzalpass/results/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered result codes and the typed failure that carries them."""
--- /dev/null
+++ b/tests/results/test_codes.py
@@ -0,0 +1,12 @@
+from quetzalpass.results import codes, failures
+
+
+class TestCodes:
+    def test_every_code_has_a_row(self):
+        assert set(codes.SPECS) == set(codes.Code)
+
+    def test_a_failure_can_narrow_the_execution_of_its_code(self):
+        failure = failures.Failure(
+            codes.Code.DEADLINE_EXCEEDED, "late", codes.Execution.NOT_RUN
+        )
+        assert failure.effective_execution() is codes.Execution.NOT_RUN
