--- /dev/null
+++ b/src/quetzalpass/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters that speak the protocols of backend servers."""
--- /dev/null
+++ b/src/quetzalpass/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' HTTP interface."""
--- /dev/null
+++ b/src/quetzalpass/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's command-line tool."""
--- /dev/null
+++ b/src/quetzalpass/control/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated control state: declared state, ledger of claims, fencing numbers."""
--- /dev/null
+++ b/src/quetzalpass/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon process: wiring of all parts."""
--- /dev/null
+++ b/src/quetzalpass/declarations/__init__.py
@@ -0,0 +1,1 @@
+"""Declared state: its schema, loading from YAML, checks and differences."""
--- /dev/null
+++ b/src/quetzalpass/declarations/schema.py
@@ -0,0 +1,303 @@
+"""Schema of a declaration: everything that operators declare, as one value.
+
+A declaration is written as a folder of YAML files, each holding some of the lists
+below. The lists of all files are joined, so that one file can hold the models and
+another the organisations. Durations and sizes carry their unit in the field name.
+"""
+
+import enum
+import hashlib
+
+import msgspec
+
+from quetzalpass import ids
+
+
+class ServiceState(enum.Enum):
+    """Whether a VM or a backend server takes new work."""
+
+    IN_SERVICE = "in_service"
+    LEAVING = "leaving"
+    OUT_OF_SERVICE = "out_of_service"
+
+
+class ServerKind(enum.Enum):
+    """Which adapter of the package ``backends`` talks to a backend server."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+class Strict(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Base of all declared values: immutable, unknown fields are errors."""
+
+
+class Adapter(Strict, frozen=True):
+    """A low-rank adapter of a model.
+
+    Attributes
+    ----------
+    name : AdapterName
+        Name that callers put behind the model name as ``model:adapter``.
+    size_mb : int
+        Size in the weight store, in megabytes.
+    """
+
+    name: ids.AdapterName
+    size_mb: int = 100
+
+
+class Model(Strict, frozen=True):
+    """A model that callers may ask for.
+
+    Attributes
+    ----------
+    name : ModelName
+        Name in callers' requests.
+    version : VersionName
+        Version that replicas should serve.
+    previous_version : VersionName or None
+        Version that replicas may still serve during a rollout.
+    size_mb : int
+        Size in the weight store, in megabytes.
+    adapters : tuple of Adapter
+        Adapters that may be loaded beside it.
+    minimum_ready : int
+        Ready replicas that a rollout or a drain order must leave.
+    context_tokens : int
+        Largest sum of prompt and output, in tokens.
+    default_class : ClassName or None
+        Class of requests that name none.
+    """
+
+    name: ids.ModelName
+    version: ids.VersionName
+    previous_version: ids.VersionName | None = None
+    size_mb: int = 10_000
+    adapters: tuple[Adapter, ...] = ()
+    minimum_ready: int = 1
+    context_tokens: int = 32_768
+    default_class: ids.ClassName | None = None
+
+
+class PriorityClass(Strict, frozen=True):
+    """A class of requests that are treated alike.
+
+    Attributes
+    ----------
+    name : ClassName
+        Value of the header ``Quetzalpass-Class``.
+    priority : int
+        Larger goes first.
+    must_not_drop : bool
+        Queued rather than refused while other work yields.
+    reserved_share : float
+        Share of an engine's memory kept for this class, 0 to 1.
+    expected_tokens : int
+        Output length assumed before anything was observed.
+    queue_timeout_s : float
+        Longest wait in the gateway before a refusal.
+    hedge_after_s : float or None
+        Delay after which a repeatable request is sent a second time.
+    """
+
+    name: ids.ClassName
+    priority: int = 0
+    must_not_drop: bool = False
+    reserved_share: float = 0.0
+    expected_tokens: int = 256
+    queue_timeout_s: float = 30.0
+    hedge_after_s: float | None = None
+
+
+class Organisation(Strict, frozen=True):
+    """An organisation whose callers use the system.
+
+    Attributes
+    ----------
+    id : OrganisationId
+        Identifier used in logs and metrics.
+    key_sha256 : tuple of str
+        SHA-256 of each accepted key, in hexadecimal.
+    weight : float
+        Share in the fair queues.
+    requests_per_s : float
+        Rate limit over the whole data centre.
+    burst_requests : int
+        Requests that may come at once.
+    max_streams : int
+        Generations under way at once.
+    tokens_per_s : float
+        Limit on output tokens.
+    """
+
+    id: ids.OrganisationId
+    key_sha256: tuple[str, ...]
+    weight: float = 1.0
+    requests_per_s: float = 100.0
+    burst_requests: int = 200
+    max_streams: int = 1_000
+    tokens_per_s: float = 100_000.0
+
+
+class DataCentre(Strict, frozen=True):
+    """A data centre and the region it lies in."""
+
+    id: ids.DataCentreId
+    region: ids.RegionId
+
+
+class Vm(Strict, frozen=True):
+    """A VM that carries backend servers.
+
+    Attributes
+    ----------
+    id : VmId
+        Identifier, the same as in the platform's list.
+    data_centre : DataCentreId
+        Where it runs.
+    state : ServiceState
+        Whether it takes work.
+    deadline : str or None
+        ISO 8601 time with zone by which a leaving VM must be empty.
+    """
+
+    id: ids.VmId
+    data_centre: ids.DataCentreId
+    state: ServiceState = ServiceState.IN_SERVICE
+    deadline: str | None = None
+
+
+class BackendServer(Strict, frozen=True):
+    """A model engine or a plain service on a VM.
+
+    Attributes
+    ----------
+    id : ServerId
+        Identifier.
+    vm : VmId
+        VM that it runs on.
+    kind : ServerKind
+        Which adapter talks to it.
+    url : str
+        Base address, ``http://host:port``.
+    models : tuple of ModelName
+        Models that an engine serves.
+    service : ServiceName or None
+        Service that a plain server belongs to.
+    memory_tokens : int
+        Tokens whose state fits into an engine's memory.
+    max_batch : int
+        Sequences that an engine decodes at once.
+    checks_fencing : bool
+        The engine refuses an order with an old fencing number.
+    resumes_across_replicas : bool
+        Any replica of the same model, version and adapter can continue a generation
+        from its tokens.
+    """
+
+    id: ids.ServerId
+    vm: ids.VmId
+    kind: ServerKind
+    url: str
+    models: tuple[ids.ModelName, ...] = ()
+    service: ids.ServiceName | None = None
+    memory_tokens: int = 100_000
+    max_batch: int = 64
+    checks_fencing: bool = False
+    resumes_across_replicas: bool = False
+
+
+class Route(Strict, frozen=True):
+    """A route of a plain service whose calls may not be repeated."""
+
+    method: str
+    path_prefix: str
+
+
+class Service(Strict, frozen=True):
+    """A plain service beside the engines.
+
+    Attributes
+    ----------
+    name : ServiceName
+        Name in ``/services/{service}/{path}``.
+    non_idempotent_routes : tuple of Route
+        Routes whose calls run at most once.
+    outcome_path : str or None
+        Path with ``{key}`` that tells whether a call ran, where the service has one.
+    default_class : ClassName or None
+        Class of calls that name none.
+    """
+
+    name: ids.ServiceName
+    non_idempotent_routes: tuple[Route, ...] = ()
+    outcome_path: str | None = None
+    default_class: ids.ClassName | None = None
+
+
+class Objective(Strict, frozen=True):
+    """What routing weighs: stall time against the tail of gaps between tokens."""
+
+    stall_weight: float = 1.0
+    gap_weight: float = 1.0
+
+
+class Retention(Strict, frozen=True):
+    """How long and how much the ledger keeps.
+
+    Attributes
+    ----------
+    outcome_s : float
+        How long a recorded outcome answers resends.
+    body_bytes : int
+        Largest answer body that is recorded whole; of a larger one the digest is kept.
+    max_claims : int
+        Claims and outcomes that one ledger group holds.
+    """
+
+    outcome_s: float = 86_400.0
+    body_bytes: int = 65_536
+    max_claims: int = 200_000
+
+
+class WeightStore(Strict, frozen=True):
+    """The rate-limited store that engines load weights from."""
+
+    megabytes_per_s: float = 1_000.0
+
+
+class Declaration(Strict, frozen=True):
+    """Everything that operators declare, applied whole or not at all."""
+
+    models: tuple[Model, ...] = ()
+    classes: tuple[PriorityClass, ...] = ()
+    organisations: tuple[Organisation, ...] = ()
+    data_centres: tuple[DataCentre, ...] = ()
+    vms: tuple[Vm, ...] = ()
+    servers: tuple[BackendServer, ...] = ()
+    services: tuple[Service, ...] = ()
+    objective: Objective = Objective()
+    retention: Retention = Retention()
+    weight_store: WeightStore = WeightStore()
+
+
+def encode(declaration: Declaration) -> bytes:
+    """Return the canonical JSON form of a declaration."""
+    return msgspec.json.encode(declaration, order="deterministic")
+
+
+def decode(data: bytes) -> Declaration:
+    """Return the declaration in canonical JSON form.
+
+    Raises
+    ------
+    msgspec.ValidationError
+        If the data is not a declaration.
+    """
+    return msgspec.json.decode(data, type=Declaration)
+
+
+def digest_of(data: bytes) -> str:
+    """Return the SHA-256 of the canonical form, in hexadecimal."""
+    return hashlib.sha256(data).hexdigest()
--- /dev/null
+++ b/src/quetzalpass/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration that make demo runs."""
--- /dev/null
+++ b/src/quetzalpass/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Liveness of peers and backend servers, and spread of declared state."""
--- /dev/null
+++ b/src/quetzalpass/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Counters and histograms sent by statsd."""
--- /dev/null
+++ b/src/quetzalpass/reconcile/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to backend servers, rollouts and drains."""
--- /dev/null
+++ b/src/quetzalpass/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one daemon process: schema and loading."""
--- /dev/null
+++ b/src/quetzalpass/settings/schema.py
@@ -0,0 +1,166 @@
+"""Schema of the daemon's settings file."""
+
+import enum
+
+import msgspec
+
+from quetzalpass import ids
+
+
+class Role(enum.Enum):
+    """What a daemon does: serve callers, or keep durable control state."""
+
+    GATEWAY = "gateway"
+    REPLICA = "replica"
+
+
+class LogFormat(enum.Enum):
+    """How log lines are written."""
+
+    TEXT = "text"
+    JSON = "json"
+
+
+class Strict(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Base of all settings: immutable, unknown fields are errors."""
+
+
+class Tls(Strict, frozen=True):
+    """Paths of a PEM certificate chain and its private key."""
+
+    certificate_file: str
+    key_file: str
+
+
+class Listener(Strict, frozen=True):
+    """A listening address.
+
+    Attributes
+    ----------
+    host : str
+        Address to bind.
+    port : int
+        Port to bind; 0 lets the system choose.
+    tls : Tls or None
+        Serves TLS if given.
+    key_file : str or None
+        File with the shared key that a client of this listener must send. Callers
+        have keys of their organisation instead.
+    """
+
+    host: str
+    port: int
+    tls: Tls | None = None
+    key_file: str | None = None
+
+
+class Peer(Strict, frozen=True):
+    """Another daemon.
+
+    Attributes
+    ----------
+    id : VmId
+        Its identifier.
+    data_centre : DataCentreId
+        Where it runs.
+    url : str
+        Base address of its peers' listener.
+    replica : bool
+        Whether it starts as a member of the control group.
+    """
+
+    id: ids.VmId
+    data_centre: ids.DataCentreId
+    url: str
+    replica: bool = False
+
+
+class Limits(Strict, frozen=True):
+    """Caps that protect the process.
+
+    Attributes
+    ----------
+    body_bytes, header_bytes, line_bytes, event_bytes : int
+        Largest accepted request body, header, header line and stream event.
+    streams : int
+        Requests under way at once on this VM.
+    body_timeout_s, connect_timeout_s, first_token_timeout_s : float
+        Longest time for receiving a body, connecting, and waiting for a first token.
+    silent_stream_s : float
+        Silence on a stream from a backend server after which it is resumed on a new
+        connection.
+    slow_caller_bytes : int
+        Bytes held for a caller that does not read.
+    slow_caller_s : float
+        How long a caller may leave the buffer full before it is cut.
+    replay_bytes : int
+        Bytes of a generation kept for callers that come back.
+    replay_s : float
+        How long a finished generation is kept for callers that come back.
+    """
+
+    body_bytes: int = 2_000_000
+    header_bytes: int = 16_384
+    line_bytes: int = 8_190
+    event_bytes: int = 65_536
+    streams: int = 4_000
+    body_timeout_s: float = 30.0
+    connect_timeout_s: float = 2.0
+    first_token_timeout_s: float = 120.0
+    silent_stream_s: float = 10.0
+    slow_caller_bytes: int = 262_144
+    slow_caller_s: float = 30.0
+    replay_bytes: int = 1_048_576
+    replay_s: float = 60.0
+
+
+class Statsd(Strict, frozen=True):
+    """Where metrics are sent."""
+
+    host: str
+    port: int = 8125
+    prefix: str = "quetzalpass"
+
+
+class Settings(Strict, frozen=True):
+    """Settings of one daemon.
+
+    Attributes
+    ----------
+    id : VmId
+        Identifier of this VM.
+    data_centre : DataCentreId
+        Where it runs.
+    roles : tuple of Role
+        What it does.
+    callers, peers, operators : Listener
+        The three listeners.
+    peer_vms : tuple of Peer
+        The other daemons.
+    data_folder : str or None
+        Folder of durable state; needed by the role ``replica``.
+    cluster_key_file : str
+        File with the key that daemons send to each other.
+    statsd : Statsd or None
+        Metrics are sent if given.
+    limits : Limits
+        Caps.
+    platform_list_url : str or None
+        Address of the platform's list of live and leaving VMs.
+    log_format : LogFormat
+        How log lines are written.
+    """
+
+    id: ids.VmId
+    data_centre: ids.DataCentreId
+    roles: tuple[Role, ...]
+    callers: Listener
+    peers: Listener
+    operators: Listener
+    cluster_key_file: str
+    peer_vms: tuple[Peer, ...] = ()
+    data_folder: str | None = None
+    statsd: Statsd | None = None
+    limits: Limits = Limits()
+    platform_list_url: str | None = None
+    log_format: LogFormat = LogFormat.TEXT
--- /dev/null
+++ b/src/quetzalpass/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in backend servers for tests, the demo and benchmarks."""
