--- /dev/null
+++ b/src/quetzalpass/cli/client.py
@@ -0,0 +1,182 @@
+"""Client of the operators' interface that tries several VMs in turn."""
+
+import asyncio
+import ssl
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+from returns import result
+
+from quetzalpass.control import messages
+from quetzalpass.results import codes, failures
+
+Reply = TypeVar("Reply")
+
+ATTEMPT_TIMEOUT_S = 10.0
+CONNECT_TIMEOUT_S = 3.0
+MAX_REPLY_BYTES = 256_000_000
+ROUNDS = 3
+ROUND_PAUSE_S = 0.5
+
+RETRIED = frozenset(
+    {
+        codes.Code.NOT_LEADER,
+        codes.Code.NO_QUORUM,
+        codes.Code.NOT_READY,
+        codes.Code.DRAINING,
+        codes.Code.UNREACHABLE,
+    }
+)
+
+
+class OperatorsClient:
+    """Sends operators' requests to the first VM that can answer.
+
+    Each request may reach several VMs, or one VM twice after a lost answer. That is
+    safe: reads have no effect, and ``apply`` carries an operation id.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Session to send with.
+    urls : tuple of str
+        Base addresses of operators' listeners, in the order to try.
+    key : str
+        The operators' key.
+    rounds : int
+        How often the whole list is tried.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        urls: tuple[str, ...],
+        key: str,
+        rounds: int = ROUNDS,
+    ) -> None:
+        self.session = session
+        self.urls = urls
+        self.key = key
+        self.rounds = rounds
+
+    async def apply(
+        self, request: messages.ApplyRequest
+    ) -> result.Result[messages.ApplyReply, failures.Failure]:
+        """Replace the declared state.
+
+        Returns
+        -------
+        Result of ApplyReply or Failure
+            ``Code.CONFLICT`` if the base is no longer the newest revision.
+        """
+        body = msgspec.json.encode(request)
+        return await self.send("POST", "/v1/declaration", messages.ApplyReply, body)
+
+    async def declaration(
+        self,
+    ) -> result.Result[messages.DeclarationReply, failures.Failure]:
+        """Return the newest accepted declaration."""
+        return await self.send("GET", "/v1/declaration", messages.DeclarationReply)
+
+    async def status(self) -> result.Result[messages.StatusReply, failures.Failure]:
+        """Return the status of the first VM that answers."""
+        return await self.send("GET", "/status", messages.StatusReply)
+
+    async def send(
+        self, method: str, path: str, kind: type[Reply], body: bytes | None = None
+    ) -> result.Result[Reply, failures.Failure]:
+        """Send one request to each VM in turn until one answers it.
+
+        Parameters
+        ----------
+        method, path : str
+            The HTTP request.
+        kind : type
+            Type of the reply.
+        body : bytes or None
+            JSON to send.
+
+        Returns
+        -------
+        Result of kind or Failure
+            The first answer that another VM or a later time could not better.
+        """
+        outcome = unreachable("no address was given")
+        for number in range(self.rounds):
+            if number:
+                await asyncio.sleep(ROUND_PAUSE_S)
+            for url in self.urls:
+                outcome = await self.send_once(url, method, path, kind, body)
+                if not should_retry(outcome):
+                    return outcome
+        return outcome
+
+    async def send_once(
+        self, url: str, method: str, path: str, kind: type[Reply], body: bytes | None
+    ) -> result.Result[Reply, failures.Failure]:
+        """Send one request to one VM."""
+        headers = {"Authorization": f"Bearer {self.key}"}
+        if body is not None:
+            headers["Content-Type"] = "application/json"
+        timeout = aiohttp.ClientTimeout(
+            total=ATTEMPT_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
+        )
+        address = url.rstrip("/") + path
+        try:
+            async with self.session.request(
+                method, address, data=body, headers=headers, timeout=timeout
+            ) as response:
+                data = await response.content.read(MAX_REPLY_BYTES)
+                while chunk := await response.content.read(MAX_REPLY_BYTES):
+                    data += chunk
+                return read_reply(response.status, data, kind, url)
+        except TimeoutError:
+            return unreachable(f"{url} did not answer within {ATTEMPT_TIMEOUT_S:g} s")
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            return unreachable(f"{url} can't be reached: {error}")
+
+
+def should_retry(outcome: result.Result[Reply, failures.Failure]) -> bool:
+    """Return whether another VM or a later time may give a better answer."""
+    if isinstance(outcome, result.Success):
+        return False
+    return outcome.failure().code in RETRIED
+
+
+def unreachable(message: str) -> result.Result:
+    """Return the failure of a VM that gave no answer."""
+    return result.Failure(failures.Failure(codes.Code.UNREACHABLE, message))
+
+
+def read_reply(
+    status: int, data: bytes, kind: type[Reply], url: str
+) -> result.Result[Reply, failures.Failure]:
+    """Return what an answer of the operators' interface says."""
+    try:
+        if status < 300:
+            return result.Success(msgspec.json.decode(data, type=kind))
+        reply = msgspec.json.decode(data, type=messages.ErrorReply)
+        code = codes.Code(reply.code)
+    except (msgspec.DecodeError, ValueError):
+        return unreachable(f"{url} answered {status} in a form that is not known here")
+    failure = failures.Failure(code, reply.message, retry_after_ms=reply.retry_after_ms)
+    return result.Failure(failure)
+
+
+def ssl_context(ca_file: str | None) -> ssl.SSLContext | bool:
+    """Return how to check certificates.
+
+    Parameters
+    ----------
+    ca_file : str or None
+        PEM file of accepted authorities; the system's own if not given.
+
+    Raises
+    ------
+    OSError
+        If the file can't be read or holds no certificate.
+    """
+    if ca_file is None:
+        return True
+    return ssl.create_default_context(cafile=ca_file)
--- /dev/null
+++ b/src/quetzalpass/cli/connection.py
@@ -0,0 +1,98 @@
+"""Opens the operators' client that a command line describes."""
+
+import argparse
+import contextlib
+import pathlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import aiohttp
+import msgspec
+from returns import result
+
+from quetzalpass.cli import client, exits, output
+from quetzalpass.results import codes, failures
+
+
+class Endpoints(msgspec.Struct, frozen=True):
+    """Base addresses of operators' listeners, in the order to try."""
+
+    urls: tuple[str, ...]
+
+
+class Access(msgspec.Struct, frozen=True):
+    """How a command reaches the daemons.
+
+    Attributes
+    ----------
+    operators : Endpoints
+        Where to send.
+    key_file : str
+        File with the operators' key.
+    ca_file : str or None
+        PEM file of accepted authorities.
+    as_json : bool
+        Whether output is JSON.
+    """
+
+    operators: Endpoints
+    key_file: str
+    ca_file: str | None = None
+    as_json: bool = False
+
+
+def parse_endpoints(text: str) -> Endpoints:
+    """Return the addresses in a list that commas separate.
+
+    Raises
+    ------
+    argparse.ArgumentTypeError
+        If one of them is no HTTP address.
+    """
+    urls = tuple(part.strip() for part in text.split(",") if part.strip())
+    for url in urls:
+        if not url.startswith(("http://", "https://")):
+            raise argparse.ArgumentTypeError(
+                f"'{url}' must start with http:// or https://"
+            )
+    if not urls:
+        raise argparse.ArgumentTypeError("no address is given")
+    return Endpoints(urls)
+
+
+def read_key(path: str) -> result.Result[str, failures.Failure]:
+    """Return the key in a file, without the white space around it."""
+    try:
+        key = pathlib.Path(path).read_text().strip()
+    except (OSError, ValueError) as error:
+        message = f"the key file can't be read: {error}"
+        return result.Failure(failures.Failure(codes.Code.BAD_SETTINGS, message))
+    if not key or not key.isascii() or not key.isprintable():
+        message = f"{path}: the key must be one line of ASCII text"
+        return result.Failure(failures.Failure(codes.Code.BAD_SETTINGS, message))
+    return result.Success(key)
+
+
+@contextlib.asynccontextmanager
+async def open_client(
+    access: Access, key: str
+) -> AsyncIterator[client.OperatorsClient]:
+    """Open a client for the length of a command."""
+    connector = aiohttp.TCPConnector(ssl=client.ssl_context(access.ca_file))
+    async with aiohttp.ClientSession(connector=connector) as session:
+        yield client.OperatorsClient(session, access.operators.urls, key)
+
+
+async def with_client(
+    access: Access,
+    command: Callable[[client.OperatorsClient], Awaitable[exits.Exit]],
+) -> exits.Exit:
+    """Run a command with an open client and return its exit code."""
+    key = read_key(access.key_file)
+    if not isinstance(key, result.Success):
+        return output.fail(key.failure(), access.as_json)
+    try:
+        async with open_client(access, key.unwrap()) as operators:
+            return await command(operators)
+    except OSError as error:
+        failure = failures.Failure(codes.Code.BAD_SETTINGS, str(error))
+        return output.fail(failure, access.as_json)
--- /dev/null
+++ b/src/quetzalpass/cli/declared.py
@@ -0,0 +1,227 @@
+"""Commands on the declared state: ``apply``, ``get`` and ``status``."""
+
+import asyncio
+import os
+import uuid
+from collections.abc import Iterator
+
+import msgspec
+import yaml
+from returns import result
+
+from quetzalpass import ids
+from quetzalpass.cli import client, connection, exits, output, waiting
+from quetzalpass.control import messages
+from quetzalpass.declarations import loader, schema
+from quetzalpass.documents import problems
+from quetzalpass.results import codes, failures
+
+
+def apply(
+    folder: str,
+    *,
+    operators: connection.Endpoints,
+    key_file: str,
+    base: int | None = None,
+    operation_id: str | None = None,
+    author: str | None = None,
+    wait: bool = False,
+    wait_timeout: float = waiting.TIMEOUT_S,
+    ca_file: str | None = None,
+    json: bool = False,
+) -> int:
+    """Replace the declared state by a folder, whole or not at all.
+
+    Parameters
+    ----------
+    folder : str
+        Folder of YAML files, or one file.
+    operators : connection.Endpoints
+        Addresses of operators' listeners; the next is tried if one gives no answer.
+    key_file : str
+        File with the operators' key.
+    base : int or None
+        Revision that the change was made from; the newest if not given.
+    operation_id : str or None
+        Id of this change; a resend with the same id gets the first outcome.
+    author : str or None
+        Who applies it, shown to those who conflict with it.
+    wait : bool
+        Return only when the revision is in force on every VM.
+    wait_timeout : float
+        Longest wait, in seconds.
+    ca_file : str or None
+        PEM file of accepted certificate authorities.
+    json : bool
+        Print one JSON object.
+    """
+    access = connection.Access(operators, key_file, ca_file, json)
+    loaded = loader.load_folder(folder)
+    if not isinstance(loaded, result.Success):
+        return fail_declaration(loaded.failure(), json)
+    change = Change(
+        declaration=loaded.unwrap(),
+        base=base,
+        operation_id=ids.OperationId(operation_id or uuid.uuid4().hex),
+        author=author or os.environ.get("USER", ""),
+        wait_timeout_s=wait_timeout if wait else None,
+    )
+    return asyncio.run(
+        connection.with_client(access, lambda opened: send(opened, change, json))
+    )
+
+
+class Change(msgspec.Struct, frozen=True):
+    """What one ``apply`` asks for.
+
+    Attributes
+    ----------
+    declaration : Declaration
+        The whole new state.
+    base : int or None
+        Revision that it was made from; the newest if ``None``.
+    operation_id : OperationId
+        Id of the change.
+    author : str or None
+        Who applies it.
+    wait_timeout_s : float or None
+        Longest wait until it is in force everywhere; no wait if ``None``.
+    """
+
+    declaration: schema.Declaration
+    base: int | None
+    operation_id: ids.OperationId
+    author: str
+    wait_timeout_s: float | None
+
+
+class Problems(msgspec.Struct, frozen=True):
+    """Everything that is wrong with a declaration."""
+
+    code: int
+    name: str
+    problems: tuple[problems.Problem, ...]
+
+
+def fail_declaration(found: tuple[problems.Problem, ...], as_json: bool) -> exits.Exit:
+    """Print every problem of a declaration."""
+    code = codes.Code.DECLARATION_INVALID
+    reply = Problems(code.value, code.name, found)
+    output.show(reply, (output.printable(item.text()) for item in found), as_json)
+    return exits.exit_of(code)
+
+
+async def send(
+    operators: client.OperatorsClient, change: Change, as_json: bool
+) -> exits.Exit:
+    """Apply a change and print the accepted revision."""
+    applied = await apply_change(operators, change)
+    if not isinstance(applied, result.Success):
+        return output.fail(applied.failure(), as_json)
+    reply = applied.unwrap()
+    output.show(reply, [f"revision {reply.revision} accepted"], as_json)
+    if change.wait_timeout_s is None:
+        return exits.Exit.OK
+    return await waiting.wait_in_force(
+        operators, reply.revision, change.wait_timeout_s, as_json
+    )
+
+
+async def apply_change(
+    operators: client.OperatorsClient, change: Change
+) -> result.Result[messages.ApplyReply, failures.Failure]:
+    """Send a change on its base, or on the newest revision if it names none."""
+    base = change.base
+    if base is None:
+        newest = await operators.declaration()
+        if not isinstance(newest, result.Success):
+            return newest
+        base = newest.unwrap().revision
+    request = messages.ApplyRequest(
+        operation_id=change.operation_id,
+        base_revision=ids.Revision(base),
+        declaration=change.declaration,
+        author=change.author,
+    )
+    return await operators.apply(request)
+
+
+def get(
+    *,
+    operators: connection.Endpoints,
+    key_file: str,
+    ca_file: str | None = None,
+    json: bool = False,
+) -> int:
+    """Print the newest accepted declaration as YAML.
+
+    Parameters
+    ----------
+    operators : connection.Endpoints
+        Addresses of operators' listeners; the next is tried if one gives no answer.
+    key_file : str
+        File with the operators' key.
+    ca_file : str or None
+        PEM file of accepted certificate authorities.
+    json : bool
+        Print one JSON object with revision and digest.
+    """
+    access = connection.Access(operators, key_file, ca_file, json)
+    return asyncio.run(
+        connection.with_client(access, lambda opened: show_declaration(opened, json))
+    )
+
+
+async def show_declaration(
+    operators: client.OperatorsClient, as_json: bool
+) -> exits.Exit:
+    """Print the newest accepted declaration."""
+    outcome = await operators.declaration()
+    if not isinstance(outcome, result.Success):
+        return output.fail(outcome.failure(), as_json)
+    reply = outcome.unwrap()
+    output.show(reply, declaration_lines(reply), as_json)
+    return exits.Exit.OK
+
+
+def declaration_lines(reply: messages.DeclarationReply) -> Iterator[str]:
+    """Yield the YAML form of a declaration, after a comment with its revision."""
+    yield f"# revision {reply.revision}, digest {reply.digest}"
+    value = msgspec.to_builtins(reply.declaration)
+    yield yaml.safe_dump(value, sort_keys=False, allow_unicode=True).rstrip()
+
+
+def status(
+    *,
+    operators: connection.Endpoints,
+    key_file: str,
+    ca_file: str | None = None,
+    json: bool = False,
+) -> int:
+    """Print which revision is in force on each VM, and the backend servers.
+
+    Parameters
+    ----------
+    operators : connection.Endpoints
+        Addresses of operators' listeners; the next is tried if one gives no answer.
+    key_file : str
+        File with the operators' key.
+    ca_file : str or None
+        PEM file of accepted certificate authorities.
+    json : bool
+        Print one JSON object.
+    """
+    access = connection.Access(operators, key_file, ca_file, json)
+    return asyncio.run(
+        connection.with_client(access, lambda opened: show_status(opened, json))
+    )
+
+
+async def show_status(operators: client.OperatorsClient, as_json: bool) -> exits.Exit:
+    """Print the status of the first VM that answers."""
+    outcome = await operators.status()
+    if not isinstance(outcome, result.Success):
+        return output.fail(outcome.failure(), as_json)
+    reply = outcome.unwrap()
+    output.show(reply, waiting.status_lines(reply), as_json)
+    return exits.Exit.OK
--- /dev/null
+++ b/src/quetzalpass/cli/output.py
@@ -0,0 +1,58 @@
+"""What commands print: text for people, or one JSON object for programs."""
+
+import sys
+from collections.abc import Iterable
+
+import msgspec
+
+from quetzalpass.cli import exits
+from quetzalpass.control import messages
+from quetzalpass.results import codes, failures
+
+
+def show(value: msgspec.Struct, lines: Iterable[str], as_json: bool) -> None:
+    """Print a value as one JSON object, or its lines of text."""
+    if as_json:
+        print(msgspec.json.encode(value).decode(), flush=True)
+        return
+    for line in lines:
+        print(line, flush=True)
+
+
+def fail(failure: failures.Failure, as_json: bool) -> exits.Exit:
+    """Print a failure and return the exit code that belongs to it."""
+    advice = codes.spec_of(failure.code).advice
+    if as_json:
+        reply = messages.ErrorReply(
+            code=failure.code.value,
+            name=failure.code.name,
+            message=failure.message,
+            advice=advice,
+            retry_after_ms=failure.retry_after_ms,
+        )
+        print(msgspec.json.encode(reply).decode(), flush=True)
+    else:
+        number = failure.code.value
+        name = failure.code.name
+        print(f"{number} {name}: {printable(failure.message)}", file=sys.stderr)
+        print(advice, file=sys.stderr)
+    return exits.exit_of(failure.code)
+
+
+def printable(text: str) -> str:
+    """Return a text with its control characters escaped, except line ends."""
+    return "".join(
+        char if char.isprintable() or char == "\n" else repr(char)[1:-1]
+        for char in text
+    )
+
+
+def table(rows: list[tuple[str, ...]]) -> list[str]:
+    """Return rows as lines whose columns are aligned."""
+    widths = [max(len(cell) for cell in column) for column in zip(*rows, strict=True)]
+    return [
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in rows
+    ]
--- /dev/null
+++ b/src/quetzalpass/cli/waiting.py
@@ -0,0 +1,114 @@
+"""Waiting until a revision is in force, and the text form of a status."""
+
+import asyncio
+
+from returns import result
+
+from quetzalpass import ids
+from quetzalpass.cli import client, exits, output
+from quetzalpass.control import messages
+from quetzalpass.results import codes, failures
+
+TIMEOUT_S = 30.0
+POLL_S = 0.2
+
+
+def all_vms(reply: messages.StatusReply) -> list[messages.VmStatus]:
+    """Return the status of each VM once, the answering one first."""
+    others = [vm for vm in reply.vms if vm.id != reply.vm.id]
+    return [reply.vm, *others]
+
+
+def lacking(
+    reply: messages.StatusReply, revision: ids.Revision
+) -> list[messages.VmStatus]:
+    """Return the VMs on which a revision, or a later one, is not in force."""
+    return [vm for vm in all_vms(reply) if vm.revision < revision]
+
+
+async def wait_in_force(
+    operators: client.OperatorsClient,
+    revision: ids.Revision,
+    timeout_s: float,
+    as_json: bool,
+) -> exits.Exit:
+    """Wait until a revision is in force on every VM.
+
+    Returns
+    -------
+    Exit
+        ``NOT_IN_FORCE`` after the timeout, with the names of those that lack it.
+    """
+    loop = asyncio.get_running_loop()
+    end = loop.time() + timeout_s
+    while True:
+        outcome = await operators.status()
+        if isinstance(outcome, result.Success):
+            missing = lacking(outcome.unwrap(), revision)
+            if not missing:
+                return show_in_force(outcome.unwrap(), as_json)
+        if loop.time() >= end:
+            return output.fail(not_in_force(outcome, revision), as_json)
+        await asyncio.sleep(POLL_S)
+
+
+def show_in_force(reply: messages.StatusReply, as_json: bool) -> exits.Exit:
+    """Print that every VM has the revision."""
+    output.show(reply, [f"in force on {len(all_vms(reply))} VMs"], as_json)
+    return exits.Exit.OK
+
+
+def not_in_force(
+    outcome: result.Result[messages.StatusReply, failures.Failure],
+    revision: ids.Revision,
+) -> failures.Failure:
+    """Return the failure that names the VMs that lack a revision."""
+    if not isinstance(outcome, result.Success):
+        return outcome.failure()
+    missing = lacking(outcome.unwrap(), revision)
+    names = ", ".join(f"{vm.id} (at {vm.revision})" for vm in missing)
+    message = f"revision {revision} is accepted but not in force on: {names}"
+    return failures.Failure(codes.Code.NOT_IN_FORCE, message)
+
+
+def status_lines(reply: messages.StatusReply) -> list[str]:
+    """Return the text form of a status: VMs, backend servers, groups."""
+    rows = [("VM", "DATA CENTRE", "READY", "REVISION", "SINCE", "AGE", "REQUESTS")]
+    rows += [vm_row(vm) for vm in all_vms(reply)]
+    lines = output.table(rows)
+    if reply.servers:
+        rows = [("SERVER", "VM", "STATE", "ALIVE", "REQUESTS")]
+        rows += [server_row(server) for server in reply.servers]
+        lines += ["", *output.table(rows)]
+    if reply.groups:
+        rows = [("GROUP", "LEADER", "TERM", "APPLIED", "MEMBERS")]
+        rows += [group_row(group) for group in reply.groups]
+        lines += ["", *output.table(rows)]
+    return [output.printable(line) for line in lines]
+
+
+def vm_row(vm: messages.VmStatus) -> tuple[str, ...]:
+    """Return the cells of a VM."""
+    ready = "yes" if vm.ready else "no"
+    return (
+        vm.id,
+        vm.data_centre,
+        "draining" if vm.draining else ready,
+        str(vm.revision),
+        f"{vm.in_force_since_s:.1f}s",
+        f"{vm.age_s:.1f}s",
+        str(vm.requests),
+    )
+
+
+def server_row(server: messages.ServerStatus) -> tuple[str, ...]:
+    """Return the cells of a backend server."""
+    alive = "yes" if server.alive else "no"
+    return (server.id, server.vm, server.state.value, alive, str(server.requests))
+
+
+def group_row(group: messages.GroupStatus) -> tuple[str, ...]:
+    """Return the cells of a consensus group."""
+    members = ",".join(group.members)
+    leader = group.leader or "none"
+    return (group.group, leader, str(group.term), str(group.applied), members)
--- /dev/null
+++ b/src/quetzalpass/documents/__init__.py
@@ -0,0 +1,1 @@
+"""YAML documents: reading with line numbers, and checks against typed schemas."""
