Check declarations across entries; add check and diff

Cause: operators need every error at once, with file, line and field, and the replicas must refuse a declaration built by another tool. Change: declarations.checks finds malformed, repeated and unknown names, keys, shares, deadlines, addresses, minima and routes, and suggests near names; bounds holds the ranges of numbers; check_declaration does the same for a declaration without files. declarations.diff compares field by field. The CLI has check and diff.

--- a/src/quetzalpass/cli/declared.py
+++ b/src/quetzalpass/cli/declared.py
@@ -10,11 +10,10 @@
 from returns import result
 
 from quetzalpass import ids
-from quetzalpass.cli import client, connection, exits, output, waiting
+from quetzalpass.cli import client, connection, exits, output, reports, waiting
 from quetzalpass.control import messages
 from quetzalpass.declarations import loader, schema
-from quetzalpass.documents import problems
-from quetzalpass.results import codes, failures
+from quetzalpass.results import failures
 
 
 def apply(
@@ -58,7 +57,7 @@
     access = connection.Access(operators, key_file, ca_file, json)
     loaded = loader.load_folder(folder)
     if not isinstance(loaded, result.Success):
-        return fail_declaration(loaded.failure(), json)
+        return reports.fail_declaration(loaded.failure(), json)
     change = Change(
         declaration=loaded.unwrap(),
         base=base,
@@ -95,22 +94,6 @@
     wait_timeout_s: float | None
 
 
-class Problems(msgspec.Struct, frozen=True):
-    """Everything that is wrong with a declaration."""
-
-    code: int
-    name: str
-    problems: tuple[problems.Problem, ...]
-
-
-def fail_declaration(found: tuple[problems.Problem, ...], as_json: bool) -> exits.Exit:
-    """Print every problem of a declaration."""
-    code = codes.Code.DECLARATION_INVALID
-    reply = Problems(code.value, code.name, found)
-    output.show(reply, (output.printable(item.text()) for item in found), as_json)
-    return exits.exit_of(code)
-
-
 async def send(
     operators: client.OperatorsClient, change: Change, as_json: bool
 ) -> exits.Exit:
--- a/src/quetzalpass/cli/main.py
+++ b/src/quetzalpass/cli/main.py
@@ -4,7 +4,7 @@
 
 import defopt
 
-from quetzalpass.cli import connection, declared, exits
+from quetzalpass.cli import connection, declared, exits, offline
 
 OPERATORS_OPTION = "--operators"
 
@@ -12,6 +12,8 @@
 def commands() -> dict:
     """Return the functions behind the subcommands, by name."""
     return {
+        "check": offline.check,
+        "diff": offline.diff,
         "apply": declared.apply,
         "get": declared.get,
         "status": declared.status,
--- a/src/quetzalpass/declarations/loader.py
+++ b/src/quetzalpass/declarations/loader.py
@@ -7,9 +7,10 @@
 
 import pathlib
 
+import msgspec
 from returns import result
 
-from quetzalpass.declarations import schema
+from quetzalpass.declarations import checks, entries, schema
 from quetzalpass.documents import nodes, problems, reader, shape
 
 PATTERNS = ("*.yaml", "*.yml")
@@ -18,6 +19,21 @@
 LoadResult = result.Result[schema.Declaration, tuple[problems.Problem, ...]]
 
 
+class Report(msgspec.Struct, frozen=True):
+    """What a folder holds.
+
+    Attributes
+    ----------
+    declaration : Declaration or None
+        The declaration; ``None`` if there are errors.
+    problems : tuple of Problem
+        Errors and warnings, by file and line.
+    """
+
+    declaration: schema.Declaration | None
+    problems: tuple[problems.Problem, ...]
+
+
 def load_folder(path: str | pathlib.Path) -> LoadResult:
     """Return the declaration in a folder, or in one file.
 
@@ -31,12 +47,33 @@
     Result of Declaration or tuple of Problem
         Every error of every file.
     """
+    report = check_folder(path)
+    if report.declaration is None:
+        return result.Failure(checks.errors_among(report.problems))
+    return result.Success(report.declaration)
+
+
+def check_folder(path: str | pathlib.Path) -> Report:
+    """Return the declaration in a folder, or in one file, with every problem.
+
+    Parameters
+    ----------
+    path : str or pathlib.Path
+        The folder or file.
+
+    Returns
+    -------
+    Report
+        The declaration, unless there are errors, and all errors and warnings.
+    """
     document, found = read_joined(pathlib.Path(path))
     declaration, faults = shape.convert(document, schema.Declaration)
     found += faults
-    if found or declaration is None:
-        return result.Failure(tuple(found))
-    return result.Success(declaration)
+    found += checks.check_document(entries.Document(document))
+    found.sort(key=lambda problem: (problem.file, problem.line))
+    if checks.errors_among(found):
+        declaration = None
+    return Report(declaration, tuple(found))
 
 
 def read_joined(path: pathlib.Path) -> tuple[nodes.Node, list[problems.Problem]]:
--- /dev/null
+++ b/tests/declarations/test_checks.py
@@ -0,0 +1,124 @@
+import pytest
+
+from quetzalpass.declarations import checks, loader
+from quetzalpass.documents import problems
+
+VALID = """
+models:
+  - {name: claims-llm, version: v1, default_class: drafts}
+classes:
+  - {name: drafts, reserved_share: 0.5}
+organisations:
+  - {id: kade, key_sha256: [%s]}
+data_centres:
+  - {id: flx-a, region: be-flanders}
+vms:
+  - {id: vm-1, data_centre: flx-a}
+servers:
+  - {id: s-1, vm: vm-1, kind: engine, url: "http://h:1", models: [claims-llm]}
+  - {id: s-2, vm: vm-1, kind: service, url: "http://h:2", service: ledger-app}
+services:
+  - name: ledger-app
+    outcome_path: /outcomes/{key}
+    non_idempotent_routes: [{method: POST, path_prefix: /invoices}]
+""" % ("a" * 64)
+
+
+def check(folder, text):
+    (folder / "all.yaml").write_text(text)
+    return loader.check_folder(folder)
+
+
+FAULTS = [
+    ("name: claims-llm, v", "name: 'a b', v", "models[0].name"),
+    ("default_class: drafts", "default_class: draft", "did you mean 'drafts'"),
+    ("version: v1", "version: v1, previous_version: v1", "previous_version"),
+    ("version: v1", "version: v1, minimum_ready: 2", "minimum_ready: only 1"),
+    ("version: v1", "version: 1.10", "models[0].version: must be text"),
+    ("version: v1", "version: v1, size_mb: .inf", "size_mb: must be a whole number"),
+    ("share: 0.5", "share: 1.5", "reserved_share: must be at most 1"),
+    (", reserved_share: 0.5}", "}\n  - {name: drafts}", "declared already"),
+    ("share: 0.5}", "share: 0.5}\n  - {name: b, reserved_share: 0.6}", "sum up to 1.1"),
+    ("[%s]" % ("a" * 64), "[]", "has no key"),
+    ("a" * 64, "abc", "key_sha256[0]: must be a SHA-256"),
+    ("id: kade", "id: kade, weight: 0", "weight: must be above 0"),
+    ("data_centre: flx-a", "data_centre: flx-b", "did you mean 'flx-a'"),
+    ("data_centre: flx-a", "data_center: flx-a", "did you mean 'data_centre'"),
+    ("flx-a}\nservers", "flx-a, state: gone}\nservers", "state: must be one of"),
+    ("flx-a}\nservers", "flx-a, deadline: 2026-12-04T06:00}\nservers", "with a zone"),
+    ("models: [claims-llm]", "models: []", "at least one model"),
+    ("models: [claims-llm]", "models: [claims]", "servers[0].models[0]"),
+    ("http://h:2", "http://h:1", "'s-1' has the same address"),
+    ("http://h:2", "h:2", "is not an address"),
+    (", service: ledger-app", "", "must name it"),
+    ("service: ledger-app", "service: ledger", "did you mean 'ledger-app'"),
+    ("- name: ledger-app", "- default_class: drafts", "services[0].name: the field"),
+    ("/outcomes/{key}", "/outcomes", "outcome_path"),
+    ("method: POST", "method: Post", "did you mean 'POST'"),
+    ("/invoices", "invoices", "path_prefix"),
+]
+
+
+class TestCheckFolder:
+    def test_a_valid_declaration_has_no_problems(self, tmp_path):
+        report = check(tmp_path, VALID)
+        assert report.problems == ()
+        assert report.declaration is not None
+        assert checks.check_declaration(report.declaration) == ()
+
+    @pytest.mark.parametrize(("old", "new", "expected"), FAULTS)
+    def test_each_fault_is_found(self, tmp_path, old, new, expected):
+        assert old in VALID
+        report = check(tmp_path, VALID.replace(old, new))
+        assert report.declaration is None
+        texts = [problem.text() for problem in report.problems]
+        assert any(expected in text for text in texts), texts
+
+    def test_all_errors_come_at_once_in_order_of_lines(self, tmp_path):
+        text = VALID
+        for old, new, _ in (FAULTS[1], FAULTS[6], FAULTS[13], FAULTS[25]):
+            text = text.replace(old, new)
+        lines = [problem.line for problem in check(tmp_path, text).problems]
+        assert lines == [3, 5, 5, 11, 11, 18]
+
+    def test_a_faulty_entry_brings_no_unknown_references(self, tmp_path):
+        text = VALID.replace("version: v1", "versoin: v1")
+        fields = {problem.field for problem in check(tmp_path, text).problems}
+        assert fields == {"models[0].versoin", "models[0].version"}
+
+    def test_leaving_without_deadline_is_a_warning(self, tmp_path):
+        text = VALID.replace("flx-a}\nservers", "flx-a, state: leaving}\nservers")
+        report = check(tmp_path, text)
+        assert report.declaration is not None
+        assert {problem.severity for problem in report.problems} == {
+            problems.Severity.WARNING
+        }
+
+    def test_a_declaration_without_files_is_checked_alike(self, tmp_path):
+        declaration = check(tmp_path, VALID).declaration
+        broken = type(declaration)(models=declaration.models)
+        fields = [problem.field for problem in checks.check_declaration(broken)]
+        assert "models[0].default_class" in fields
+
+
+class TestJoinedFiles:
+    def test_lists_of_all_files_are_joined(self, tmp_path):
+        (tmp_path / "a.yaml").write_text("data_centres: [{id: a, region: r}]\n")
+        (tmp_path / "b.yml").write_text("data_centres: [{id: b, region: r}]\n")
+        declaration = loader.load_folder(tmp_path).unwrap()
+        assert [item.id for item in declaration.data_centres] == ["a", "b"]
+
+    def test_a_single_value_stands_in_one_file_only(self, tmp_path):
+        for name in ("a.yaml", "b.yaml"):
+            (tmp_path / name).write_text("objective: {stall_weight: 1}\n")
+        (problem,) = loader.load_folder(tmp_path).failure()
+        assert "stands already in" in problem.message
+
+    def test_one_file_is_a_declaration(self, tmp_path):
+        path = tmp_path / "one.yaml"
+        path.write_text(VALID)
+        assert loader.load_folder(path).unwrap().models[0].name == "claims-llm"
+
+    def test_an_empty_folder_is_refused(self, tmp_path):
+        (problem,) = loader.load_folder(tmp_path).failure()
+        assert problem.message == "no YAML file stands in this folder"
