--- /dev/null
+++ b/src/quetzalpass/backends/engine_http.py
@@ -0,0 +1,297 @@
+"""Adapter of model engines that speak completions over server-sent events."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+from returns import result
+
+from quetzalpass import ids
+from quetzalpass.backends import base, engine_messages, event_stream, http_client
+from quetzalpass.settings import schema
+
+END_MARK = b"[DONE]"
+EVENT_DECODER = msgspec.json.Decoder(engine_messages.EngineEvent)
+MS_PER_S = 1000
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+STATUS_TOO_MANY = 429
+STATUS_UNAVAILABLE = 503
+STATUS_SERVER_ERROR = 500
+
+
+class HttpTokenStream(base.TokenStream):
+    """A stream of one generation over one HTTP response.
+
+    Attributes
+    ----------
+    next_offset : int
+        Offset that the next token must carry.
+    """
+
+    def __init__(
+        self,
+        response: aiohttp.ClientResponse,
+        generation_id: ids.GenerationId,
+        next_offset: int,
+        max_event_bytes: int,
+    ) -> None:
+        self.response = response
+        self.generation_id = generation_id
+        self.next_offset = next_offset
+        self.decoder = event_stream.EventStreamDecoder(max_event_bytes)
+
+    async def next_batch(
+        self, silence_s: float
+    ) -> result.Result[base.TokenBatch, base.AttemptFailure]:
+        """Wait for tokens; see the base class."""
+        while True:
+            try:
+                async with asyncio.timeout(silence_s):
+                    chunk = await self.response.content.readany()
+            except TimeoutError:
+                return broken(base.FailureKind.SILENT, f"no token for {silence_s} s")
+            except (aiohttp.ClientError, ConnectionError, ValueError) as error:
+                return broken(base.FailureKind.CLOSED, f"stream broke: {error!r}")
+            if not chunk:
+                return broken(base.FailureKind.CLOSED, "stream closed before its end")
+            try:
+                events = self.decoder.feed(chunk)
+            except event_stream.EventTooLargeError:
+                return broken(base.FailureKind.TOO_LARGE, "an event is too large")
+            if events:
+                return self.check_events(events)
+
+    def check_events(
+        self, events: list[bytes]
+    ) -> result.Result[base.TokenBatch, base.AttemptFailure]:
+        """Return the tokens of events whose ids and offsets are as expected."""
+        first = self.next_offset
+        texts: list[str] = []
+        finish_reason = None
+        for data in events:
+            if data == END_MARK:
+                return result.Success(
+                    base.TokenBatch(first, texts, finish_reason, ended=True)
+                )
+            try:
+                event = EVENT_DECODER.decode(data)
+            except msgspec.MsgspecError as error:
+                return broken(base.FailureKind.MALFORMED, f"malformed event: {error}")
+            if event.id != self.generation_id:
+                return broken(base.FailureKind.CROSSED, "token of another generation")
+            if event.offset != self.next_offset:
+                return broken(
+                    base.FailureKind.CROSSED,
+                    f"token offset {event.offset} instead of {self.next_offset}",
+                )
+            if not event.choices:
+                return broken(base.FailureKind.MALFORMED, "event without a choice")
+            texts.append(event.choices[0].text)
+            finish_reason = event.choices[0].finish_reason
+            self.next_offset += 1
+        return result.Success(base.TokenBatch(first, texts, finish_reason))
+
+    def close(self) -> None:
+        """Close the connection without cancelling the generation."""
+        self.response.close()
+
+
+def broken(
+    kind: base.FailureKind, message: str
+) -> result.Result[base.TokenBatch, base.AttemptFailure]:
+    """Return the failure of a stream that had been opened."""
+    return result.Failure(base.AttemptFailure(base.AttemptEnd.RAN, kind, message))
+
+
+class HttpEngine(base.ModelEngine):
+    """A model engine behind an HTTP address.
+
+    Parameters
+    ----------
+    url : str
+        Base address.
+    limits : schema.Limits
+        Caps of this process.
+    """
+
+    def __init__(self, url: str, limits: schema.Limits) -> None:
+        self.url = url
+        self.limits = limits
+        self.session = http_client.open_session(limits, reuse=True)
+
+    async def start(
+        self, call: base.GenerationCall, timeout_s: float
+    ) -> result.Result[base.TokenStream, base.AttemptFailure]:
+        """Start or continue a generation; see the base class."""
+        path = "/v1/completions" if call.prompt is not None else "/v1/chat/completions"
+        messages = tuple(
+            engine_messages.EngineMessage(each.role, each.content)
+            for each in call.messages
+        )
+        request = engine_messages.EngineRequest(
+            model=model_with_adapter(call.model, call.adapter),
+            generation_id=call.generation_id,
+            max_tokens=call.max_tokens,
+            priority=call.priority,
+            stream=True,
+            prompt=call.prompt,
+            messages=messages,
+            tokens_so_far=call.tokens_so_far,
+        )
+        return await self.open_stream(
+            "POST",
+            path,
+            merge_parameters(request, call.parameters),
+            call.generation_id,
+            len(call.tokens_so_far),
+            timeout_s,
+        )
+
+    async def resume(
+        self, generation_id: ids.GenerationId, offset: int, timeout_s: float
+    ) -> result.Result[base.TokenStream, base.AttemptFailure]:
+        """Open a new stream of a running generation; see the base class."""
+        path = f"/v1/generations/{generation_id}?offset={offset}"
+        return await self.open_stream(
+            "GET", path, None, generation_id, offset, timeout_s
+        )
+
+    async def open_stream(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        generation_id: ids.GenerationId,
+        offset: int,
+        timeout_s: float,
+    ) -> result.Result[base.TokenStream, base.AttemptFailure]:
+        """Send a request and return its stream once the headers are there."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                response = await self.session.request(
+                    method,
+                    self.url + path,
+                    data=body,
+                    headers={"Content-Type": "application/json"},
+                    allow_redirects=False,
+                )
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+            return result.Failure(attempt_failure_of(error))
+        if response.status == STATUS_OK:
+            return result.Success(
+                HttpTokenStream(
+                    response, generation_id, offset, self.limits.event_bytes
+                )
+            )
+        response.close()
+        return result.Failure(refusal_of(response))
+
+    async def cancel(
+        self, generation_id: ids.GenerationId, only_if_detached: bool = False
+    ) -> None:
+        """Stop a generation; see the base class."""
+        query = "?only_if_detached=true" if only_if_detached else ""
+        try:
+            async with asyncio.timeout(self.limits.connect_timeout_s):
+                answer = await self.session.delete(
+                    f"{self.url}/v1/generations/{generation_id}{query}"
+                )
+                answer.release()
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return
+
+    async def load_report(
+        self, timeout_s: float
+    ) -> result.Result[base.LoadReport, base.AttemptFailure]:
+        """Ask for the load; see the base class."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                answer = await self.session.get(f"{self.url}/load")
+                body = await answer.read()
+            load = msgspec.json.decode(body, type=engine_messages.EngineLoad)
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            return result.Failure(attempt_failure_of(error))
+        except msgspec.MsgspecError as error:
+            return result.Failure(
+                base.AttemptFailure(
+                    base.AttemptEnd.RAN, base.FailureKind.MALFORMED, str(error)
+                )
+            )
+        return result.Success(
+            base.LoadReport(
+                load.running,
+                load.waiting,
+                load.tokens_held,
+                load.memory_tokens,
+                load.preemptions,
+                load.age_s,
+            )
+        )
+
+    async def check_health(self, timeout_s: float) -> bool:
+        """Return whether the server answers on a new connection."""
+        return await http_client.answers_on_new_connection(
+            f"{self.url}/health", self.limits, timeout_s
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.session.close()
+
+
+def model_with_adapter(model: ids.ModelName, adapter: ids.AdapterName | None) -> str:
+    """Return the model name as engines expect it."""
+    return model if adapter is None else f"{model}:{adapter}"
+
+
+def merge_parameters(
+    request: engine_messages.EngineRequest, parameters: dict[str, msgspec.Raw]
+) -> bytes:
+    """Return the request body with the caller's sampling parameters added."""
+    body = msgspec.to_builtins(request)
+    for name, value in parameters.items():
+        body.setdefault(name, value)
+    return msgspec.json.encode(body)
+
+
+def attempt_failure_of(error: BaseException) -> base.AttemptFailure:
+    """Return what an exception from the HTTP client proves about an attempt.
+
+    Only a failed connect proves that no byte was sent. Every other error can come
+    after the server has read the request.
+    """
+    if isinstance(error, aiohttp.ClientConnectorError | aiohttp.ConnectionTimeoutError):
+        return base.AttemptFailure(
+            base.AttemptEnd.NOT_SENT, base.FailureKind.UNREACHABLE, f"{error}"
+        )
+    kind = base.FailureKind.CLOSED
+    if isinstance(error, TimeoutError):
+        kind = base.FailureKind.SILENT
+    return base.AttemptFailure(base.AttemptEnd.MAY_HAVE_RUN, kind, f"{error!r}")
+
+
+def refusal_of(response: aiohttp.ClientResponse) -> base.AttemptFailure:
+    """Return what an error status says about an attempt."""
+    status = response.status
+    message = f"the backend server answered {status}"
+    retry_after_ms = retry_after_ms_of(response)
+    if status == STATUS_NOT_FOUND:
+        kind = base.FailureKind.UNKNOWN_GENERATION
+    elif status in (STATUS_TOO_MANY, STATUS_UNAVAILABLE):
+        kind = base.FailureKind.OVERLOADED
+    elif status >= STATUS_SERVER_ERROR:
+        return base.AttemptFailure(
+            base.AttemptEnd.MAY_HAVE_RUN, base.FailureKind.CLOSED, message
+        )
+    else:
+        kind = base.FailureKind.REJECTED
+    return base.AttemptFailure(base.AttemptEnd.REFUSED, kind, message, retry_after_ms)
+
+
+def retry_after_ms_of(response: aiohttp.ClientResponse) -> int | None:
+    """Return the Retry-After header in milliseconds, if it holds seconds."""
+    value = response.headers.get("Retry-After", "")
+    if not value.isascii() or not value.isdigit():
+        return None
+    return int(value) * MS_PER_S
--- /dev/null
+++ b/src/quetzalpass/backends/engine_messages.py
@@ -0,0 +1,51 @@
+"""Wire shapes of the engines' completions interface."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class EngineChoice(msgspec.Struct, frozen=True, gc=False):
+    """The first choice of an event."""
+
+    text: str
+    finish_reason: str | None = None
+
+
+class EngineEvent(msgspec.Struct, frozen=True, gc=False):
+    """One token as an engine sends it."""
+
+    id: str
+    offset: int
+    choices: tuple[EngineChoice, ...]
+
+
+class EngineMessage(msgspec.Struct, frozen=True):
+    """One chat message as an engine expects it."""
+
+    role: str
+    content: str
+
+
+class EngineRequest(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Body of a start or of a continuation."""
+
+    model: str
+    generation_id: str
+    max_tokens: int
+    priority: int
+    stream: bool
+    prompt: str | None = None
+    messages: tuple[EngineMessage, ...] = ()
+    tokens_so_far: tuple[str, ...] = ()
+
+
+class EngineLoad(msgspec.Struct, frozen=True):
+    """Answer of an engine's load report."""
+
+    running: int
+    waiting: int
+    tokens_held: int
+    memory_tokens: int
+    preemptions: int = 0
+    age_s: float = 0.0
--- /dev/null
+++ b/src/quetzalpass/callers/bodies.py
@@ -0,0 +1,118 @@
+"""Checked request bodies of the completions interface."""
+
+import msgspec
+from returns import result
+
+from quetzalpass import ids
+from quetzalpass.backends import base
+from quetzalpass.membership import configuration
+from quetzalpass.results import codes, failures
+
+DEFAULT_MAX_TOKENS = 4_096
+ADAPTER_SEPARATOR = ":"
+# Sampling parameters that are passed on to the engine unchanged.
+PASSED_PARAMETERS = (
+    "frequency_penalty",
+    "logit_bias",
+    "presence_penalty",
+    "seed",
+    "stop",
+    "temperature",
+    "top_p",
+    "user",
+)
+
+
+class ChatMessageBody(msgspec.Struct, frozen=True):
+    """One chat message as a caller sends it."""
+
+    role: str
+    content: str
+
+
+class StreamOptions(msgspec.Struct, frozen=True):
+    """Options of a streamed answer."""
+
+    include_usage: bool = False
+
+
+class CompletionBody(msgspec.Struct, frozen=True):
+    """Body of ``POST /v1/completions`` and ``POST /v1/chat/completions``."""
+
+    model: str
+    prompt: str | None = None
+    messages: tuple[ChatMessageBody, ...] = ()
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    stream: bool = False
+    stream_options: StreamOptions | None = None
+    n: int = 1
+
+    def wanted_tokens(self) -> int:
+        """Return the largest output length that the caller wants."""
+        for value in (self.max_completion_tokens, self.max_tokens):
+            if value is not None:
+                return value
+        return DEFAULT_MAX_TOKENS
+
+    def chat_messages(self) -> tuple[base.ChatMessage, ...]:
+        """Return the chat messages for the engine."""
+        return tuple(
+            base.ChatMessage(each.role, each.content) for each in self.messages
+        )
+
+
+class ModelChoice(msgspec.Struct, frozen=True):
+    """A declared model and one of its adapters."""
+
+    name: ids.ModelName
+    adapter: ids.AdapterName | None
+
+
+def decode_body(
+    data: bytes, chat: bool
+) -> result.Result[CompletionBody, failures.Failure]:
+    """Return the checked body of a request for a generation."""
+    try:
+        body = msgspec.json.decode(data, type=CompletionBody)
+    except msgspec.ValidationError as error:
+        return refuse(codes.Code.BAD_REQUEST, str(error))
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return refuse(codes.Code.BAD_JSON, f"the body is not JSON: {error}")
+    if chat and not body.messages:
+        return refuse(codes.Code.BAD_REQUEST, "'messages' is empty")
+    if not chat and body.prompt is None:
+        return refuse(codes.Code.BAD_REQUEST, "'prompt' is missing")
+    if body.n != 1:
+        return refuse(codes.Code.BAD_REQUEST, "'n' must be 1")
+    if body.wanted_tokens() < 1:
+        return refuse(codes.Code.BAD_REQUEST, "'max_tokens' must be at least 1")
+    return result.Success(body)
+
+
+def refuse(
+    code: codes.Code, message: str
+) -> result.Result[CompletionBody, failures.Failure]:
+    """Return the failure of a bad body."""
+    return result.Failure(failures.Failure(code, message))
+
+
+def passed_parameters(data: bytes) -> dict[str, msgspec.Raw]:
+    """Return the sampling parameters of a body that has been checked."""
+    fields = msgspec.json.decode(data, type=dict[str, msgspec.Raw])
+    return {name: fields[name] for name in PASSED_PARAMETERS if name in fields}
+
+
+def find_model(
+    name: str, at: configuration.Configuration
+) -> result.Result[ModelChoice, failures.Failure]:
+    """Return the declared model and adapter that a request names."""
+    model_name, _, adapter_name = name.partition(ADAPTER_SEPARATOR)
+    model = at.models.get(ids.ModelName(model_name))
+    adapters = {each.name for each in model.adapters} if model else set()
+    adapter = ids.AdapterName(adapter_name) if adapter_name else None
+    if model is None or (adapter is not None and adapter not in adapters):
+        return result.Failure(
+            failures.Failure(codes.Code.UNKNOWN_MODEL, f"no model {name[:80]!r}")
+        )
+    return result.Success(ModelChoice(model.name, adapter))
--- /dev/null
+++ b/src/quetzalpass/control/proposers.py
@@ -0,0 +1,63 @@
+"""How commands reach a replicated state machine."""
+
+import abc
+
+from returns import result
+
+from quetzalpass import ids
+from quetzalpass.results import failures
+
+
+class Proposer(abc.ABC):
+    """Submits commands to the replicated state machine of one group."""
+
+    @abc.abstractmethod
+    async def propose(
+        self, session: str, operation: ids.OperationId, command: bytes
+    ) -> result.Result[bytes, failures.Failure]:
+        """Commit a command and return what the state machine answered.
+
+        Parameters
+        ----------
+        session : str
+            Who proposes; operation ids are unique within a session.
+        operation : OperationId
+            A command that is sent again with the same id gets the first answer.
+        command : bytes
+            Encoded command of the state machine.
+
+        Returns
+        -------
+        Result
+            The answer of the state machine. After the failure ``NO_QUORUM`` the
+            command may still be committed later.
+        """
+
+
+class LocalProposer(Proposer):
+    """Applies commands in this process alone, without replication.
+
+    It is the group of a deployment with a single VM, and of tests.
+
+    Parameters
+    ----------
+    state_machine : object
+        State machine with ``apply(index, command) -> bytes``.
+    """
+
+    def __init__(self, state_machine) -> None:
+        self.state_machine = state_machine
+        self.applied = ids.LogIndex(0)
+        self.answers: dict[tuple[str, ids.OperationId], bytes] = {}
+
+    async def propose(
+        self, session: str, operation: ids.OperationId, command: bytes
+    ) -> result.Result[bytes, failures.Failure]:
+        """Apply a command; see the base class."""
+        known = self.answers.get((session, operation))
+        if known is not None:
+            return result.Success(known)
+        self.applied = ids.LogIndex(self.applied + 1)
+        answer = self.state_machine.apply(self.applied, command)
+        self.answers[session, operation] = answer
+        return result.Success(answer)
--- /dev/null
+++ b/src/quetzalpass/lifecycle/gateway.py
@@ -0,0 +1,124 @@
+"""What all requests of one gateway share."""
+
+import asyncio
+import random
+from collections.abc import Coroutine
+
+from quetzalpass import ids
+from quetzalpass.backends import base, registry
+from quetzalpass.lifecycle import generation_ids, ledger_client
+from quetzalpass.membership import configuration
+from quetzalpass.results import codes, failures
+from quetzalpass.routing import admission
+from quetzalpass.settings import schema
+
+RANDOM_ID_BITS = 96
+
+
+class Gateway:
+    """Shared parts of a gateway.
+
+    Parameters
+    ----------
+    settings : schema.Settings
+        Settings of this process.
+    holder : configuration.ConfigurationHolder
+        The revision in force.
+    slots : admission.Admission
+        Queues requests and chooses backend servers.
+    ledger : ledger_client.Ledger
+        Claims of non-idempotent requests.
+    rng : random.Random
+        Source of ids and jitter.
+    cluster_key : bytes
+        Key that all daemons share; it seals generation ids.
+
+    Attributes
+    ----------
+    backends : dict of ServerId to base.Backend
+        Open adapters.
+    requests : int
+        Requests under way.
+    draining : bool
+        Whether new requests are refused because the process is shutting down.
+    """
+
+    def __init__(
+        self,
+        settings: schema.Settings,
+        holder: configuration.ConfigurationHolder,
+        slots: admission.Admission,
+        ledger: ledger_client.Ledger,
+        rng: random.Random,
+        cluster_key: bytes,
+    ) -> None:
+        self.settings = settings
+        self.limits = settings.limits
+        self.holder = holder
+        self.slots = slots
+        self.ledger = ledger
+        self.rng = rng
+        self.cluster_key = cluster_key
+        self.backends: dict[ids.ServerId, base.Backend] = {}
+        self.requests = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.draining = False
+
+    def new_id(self) -> str:
+        """Return a fresh random id in hexadecimal."""
+        return f"{self.rng.getrandbits(RANDOM_ID_BITS):024x}"
+
+    def new_request_id(self) -> ids.RequestId:
+        """Return a fresh request id."""
+        return ids.RequestId(f"req-{self.new_id()}")
+
+    def new_operation_id(self) -> ids.OperationId:
+        """Return a fresh operation id."""
+        return ids.OperationId(f"op-{self.new_id()}")
+
+    def new_generation_id(self, organisation: ids.OrganisationId) -> ids.GenerationId:
+        """Return a fresh generation id that belongs to an organisation."""
+        return generation_ids.generation_id_for(
+            self.new_id(), organisation, self.cluster_key
+        )
+
+    def backend_of(
+        self, server_id: ids.ServerId, at: configuration.Configuration
+    ) -> base.Backend:
+        """Return the adapter of a backend server, opened on first use."""
+        backend = self.backends.get(server_id)
+        if backend is None:
+            backend = registry.open_backend(at.servers[server_id], self.limits)
+            self.backends[server_id] = backend
+        return backend
+
+    def refusal(self) -> failures.Failure | None:
+        """Return why no new request is taken at present, or ``None``."""
+        if self.draining:
+            return failures.Failure(codes.Code.DRAINING, "this VM is shutting down")
+        if self.holder.current is None:
+            return failures.Failure(
+                codes.Code.NOT_READY,
+                "no declaration has arrived yet",
+                retry_after_ms=1_000,
+            )
+        if self.requests >= self.limits.streams:
+            return failures.Failure(
+                codes.Code.QUEUE_FULL,
+                f"this VM has {self.requests} requests under way",
+                retry_after_ms=1_000,
+            )
+        return None
+
+    def spawn(self, work: Coroutine[None, None, None]) -> None:
+        """Run a task that outlives its request; it is kept until it ends."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def close(self) -> None:
+        """Close all connections to backend servers."""
+        for task in list(self.tasks):
+            task.cancel()
+        for backend in self.backends.values():
+            await backend.close()
--- /dev/null
+++ b/src/quetzalpass/lifecycle/requests.py
@@ -0,0 +1,134 @@
+"""Requests as the lifecycle sees them: checked, with their class and limits."""
+
+import enum
+from collections.abc import Mapping
+
+import msgspec
+import xxhash
+
+from quetzalpass import ids
+from quetzalpass.backends import base
+from quetzalpass.declarations import schema
+from quetzalpass.membership import configuration
+
+CHARACTERS_PER_TOKEN = 4
+PREFIX_BLOCK_CHARACTERS = 64
+
+
+class Delivery(enum.Enum):
+    """How the answer reaches the caller."""
+
+    STREAM = "stream"
+    WHOLE = "whole"
+
+
+class GenerationRequest(msgspec.Struct, frozen=True):
+    """A generation that a caller asks for.
+
+    Attributes
+    ----------
+    request_id : RequestId
+        Unique id of this request.
+    organisation : schema.Organisation
+        Whose request it is.
+    priority_class : schema.PriorityClass
+        Class that decides priority and limits.
+    model : schema.Model
+        Model as declared in the revision that decides this request.
+    adapter : AdapterName or None
+        Adapter to apply.
+    prompt : str or None
+        Plain prompt; ``None`` for a chat.
+    messages : tuple of base.ChatMessage
+        Chat messages.
+    max_tokens : int
+        Largest output length.
+    delivery : Delivery
+        Streamed, or nothing until it is whole.
+    deadline_s : float
+        Loop time after which the answer is of no use.
+    parameters : dict of str to msgspec.Raw
+        Sampling parameters passed on unchanged.
+    idempotency_key : IdempotencyKey or None
+        Set where the request must run at most once.
+    configuration : configuration.Configuration
+        The revision that decides this request.
+    """
+
+    request_id: ids.RequestId
+    organisation: schema.Organisation
+    priority_class: schema.PriorityClass
+    model: schema.Model
+    adapter: ids.AdapterName | None
+    prompt: str | None
+    messages: tuple[base.ChatMessage, ...]
+    max_tokens: int
+    delivery: Delivery
+    deadline_s: float
+    parameters: Mapping[str, msgspec.Raw]
+    idempotency_key: ids.IdempotencyKey | None
+    configuration: configuration.Configuration
+
+    def prompt_text(self) -> str:
+        """Return the prompt, or the chat messages in one text."""
+        if self.prompt is not None:
+            return self.prompt
+        return "\n".join(f"{each.role}: {each.content}" for each in self.messages)
+
+    def fingerprint(self) -> str:
+        """Return the digest by which the same request is known when sent again."""
+        digest = xxhash.xxh3_128()
+        digest.update(self.model.name.encode())
+        digest.update((self.adapter or "").encode())
+        digest.update(self.prompt_text().encode())
+        return digest.hexdigest()
+
+
+class ServiceRequest(msgspec.Struct, frozen=True):
+    """A call of a plain service.
+
+    Attributes
+    ----------
+    call : base.ServiceCall
+        What is sent to the service.
+    service : schema.Service
+        Service as declared in the revision that decides this request.
+    non_idempotent : bool
+        It must run at most once.
+    """
+
+    request_id: ids.RequestId
+    organisation: schema.Organisation
+    priority_class: schema.PriorityClass
+    service: schema.Service
+    call: base.ServiceCall
+    non_idempotent: bool
+    deadline_s: float
+    configuration: configuration.Configuration
+
+    def fingerprint(self) -> str:
+        """Return the digest by which the same request is known when sent again."""
+        digest = xxhash.xxh3_128()
+        for part in (self.service.name, self.call.method, self.call.path):
+            digest.update(part.encode())
+            digest.update(b"\0")
+        digest.update(self.call.query.encode())
+        digest.update(b"\0")
+        digest.update(self.call.body)
+        return digest.hexdigest()
+
+
+def estimate_prompt_tokens(text: str) -> int:
+    """Return about how many tokens a prompt has."""
+    return max(1, len(text) // CHARACTERS_PER_TOKEN)
+
+
+def prefix_hashes_of(text: str) -> tuple[int, ...]:
+    """Return hashes of the leading full blocks, each covering all before it."""
+    digest = xxhash.xxh3_64()
+    hashes = []
+    full = len(text) - len(text) % PREFIX_BLOCK_CHARACTERS
+    for start in range(0, full, PREFIX_BLOCK_CHARACTERS):
+        digest.update(text[start : start + PREFIX_BLOCK_CHARACTERS].encode())
+        hashes.append(digest.intdigest())
+    return tuple(hashes)
--- /dev/null
+++ b/src/quetzalpass/lifecycle/resumption.py
@@ -0,0 +1,72 @@
+"""Callers that come back for the rest of a generation, at any gateway."""
+
+from returns import result
+
+from quetzalpass import ids
+from quetzalpass.lifecycle import gateway as gateways
+from quetzalpass.lifecycle import generation_ids, generations, requests
+from quetzalpass.results import codes, failures
+
+
+class ResumedGeneration(generations.Generation):
+    """A generation that this gateway takes over from its engine.
+
+    Only the engine holds the earlier tokens; this gateway starts at the offset that
+    the caller asks for, also where another gateway or nobody served it before.
+    """
+
+    def __init__(
+        self,
+        gateway: gateways.Gateway,
+        request: requests.GenerationRequest,
+        generation_id: ids.GenerationId,
+        server_id: ids.ServerId,
+        offset: int,
+    ) -> None:
+        super().__init__(gateway, request)
+        self.id = generation_id
+        self.server_id = server_id
+        self.first_offset = offset
+
+    async def open(self) -> result.Result[None, failures.Failure]:
+        """Open a link to the running generation."""
+        if await self.resume_on_same_server():
+            return result.Success(None)
+        return result.Failure(
+            failures.Failure(
+                codes.Code.UNKNOWN_GENERATION,
+                f"{self.server_id} no longer holds the generation",
+            )
+        )
+
+    def continues_elsewhere(self) -> bool:
+        """Return ``False``: the earlier tokens are not known here."""
+        return False
+
+
+def resumed_generation(
+    gateway: gateways.Gateway,
+    request: requests.GenerationRequest,
+    generation_id: ids.GenerationId,
+    server_id: ids.ServerId,
+    offset: int,
+) -> result.Result[generations.Generation, failures.Failure]:
+    """Return the rest of a generation that belongs to the caller's organisation."""
+    owned = generation_ids.belongs_to(
+        generation_id, request.organisation.id, gateway.cluster_key
+    )
+    if not owned or server_id not in request.configuration.servers:
+        return result.Failure(
+            failures.Failure(
+                codes.Code.UNKNOWN_GENERATION, "no such generation is known"
+            )
+        )
+    if request.delivery is requests.Delivery.WHOLE:
+        return result.Failure(
+            failures.Failure(
+                codes.Code.BAD_HEADER, "Last-Event-ID goes with a streamed answer only"
+            )
+        )
+    return result.Success(
+        ResumedGeneration(gateway, request, generation_id, server_id, offset)
+    )
--- /dev/null
+++ b/src/quetzalpass/membership/configuration.py
@@ -0,0 +1,134 @@
+"""The revision in force on this VM, as an immutable value with look-up tables."""
+
+import asyncio
+import hashlib
+from collections.abc import Callable
+
+import logbook
+import msgspec
+
+from quetzalpass import ids
+from quetzalpass.declarations import schema
+
+LOG = logbook.Logger("membership")
+
+
+class Configuration:
+    """One revision of the declaration with look-up tables.
+
+    Each request keeps the configuration that it was admitted under, so that exactly
+    one revision decides it.
+
+    Attributes
+    ----------
+    revision : Revision
+        Number of the revision.
+    digest : str
+        Digest of its canonical form.
+    data : bytes
+        Canonical form, passed on to peers.
+    declaration : schema.Declaration
+        The declared values.
+    models, classes, services, servers, vms, organisations : dict
+        Declared values by name or id.
+    organisations_by_key : dict of str to Organisation
+        Organisation by the SHA-256 of its key, in hexadecimal.
+    """
+
+    def __init__(self, revision: ids.Revision, digest: str, data: bytes) -> None:
+        declaration = schema.decode(data)
+        self.revision = revision
+        self.digest = digest
+        self.data = data
+        self.declaration = declaration
+        self.models = {each.name: each for each in declaration.models}
+        self.classes = {each.name: each for each in declaration.classes}
+        self.services = {each.name: each for each in declaration.services}
+        self.servers = {each.id: each for each in declaration.servers}
+        self.vms = {each.id: each for each in declaration.vms}
+        self.organisations = {each.id: each for each in declaration.organisations}
+        self.organisations_by_key = {
+            digest: each
+            for each in declaration.organisations
+            for digest in each.key_sha256
+        }
+
+    def organisation_of_key(self, key: str) -> schema.Organisation | None:
+        """Return the organisation that a caller's key belongs to.
+
+        Only the hash of the key is compared: what the time of the look-up tells
+        about a hash does not help to find a key.
+        """
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        return self.organisations_by_key.get(digest)
+
+    def state_of_server(self, server_id: ids.ServerId) -> schema.ServiceState:
+        """Return the declared state of the VM that a backend server runs on."""
+        vm = self.vms.get(self.servers[server_id].vm)
+        if vm is None:
+            return schema.ServiceState.OUT_OF_SERVICE
+        return vm.state
+
+
+class ConfigurationHolder:
+    """Holds the newest revision that this VM has; it never goes back.
+
+    Attributes
+    ----------
+    current : Configuration or None
+        The revision in force; ``None`` until the first arrives.
+    in_force_since_s : float
+        Loop time at which it came into force.
+    """
+
+    def __init__(self) -> None:
+        self.current: Configuration | None = None
+        self.in_force_since_s = 0.0
+        self.observers: list[Callable[[Configuration], None]] = []
+        self.changed = asyncio.Event()
+
+    def revision(self) -> ids.Revision:
+        """Return the revision in force; 0 if there is none."""
+        return self.current.revision if self.current else ids.Revision(0)
+
+    def activate(self, revision: ids.Revision, digest: str, data: bytes) -> bool:
+        """Put a revision in force if it is whole and newer.
+
+        Returns
+        -------
+        bool
+            Whether it is in force now. A damaged one is refused and logged.
+        """
+        if revision <= self.revision():
+            return False
+        if schema.digest_of(data) != digest:
+            LOG.error("membership: Refused revision {}: wrong digest.", revision)
+            return False
+        try:
+            configuration = Configuration(revision, digest, data)
+        except msgspec.MsgspecError as error:
+            LOG.error("membership: Refused revision {}: {}.", revision, error)
+            return False
+        self.current = configuration
+        self.in_force_since_s = asyncio.get_running_loop().time()
+        LOG.info("membership: Revision {} is in force.", revision)
+        for observer in self.observers:
+            observer(configuration)
+        self.wake_waiters()
+        return True
+
+    def wake_waiters(self) -> None:
+        """Wake everyone who waits for a newer revision."""
+        changed = self.changed
+        self.changed = asyncio.Event()
+        changed.set()
+
+    async def wait_newer(self, revision: ids.Revision, timeout_s: float) -> bool:
+        """Wait until a newer revision is in force; return whether it is."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self.revision() <= revision:
+                    await self.changed.wait()
+        except TimeoutError:
+            return False
+        return True
--- a/src/quetzalpass/settings/schema.py
+++ b/src/quetzalpass/settings/schema.py
@@ -93,10 +93,9 @@
         Bytes held for a caller that does not read.
     slow_caller_s : float
         How long a caller may leave the buffer full before it is cut.
-    replay_bytes : int
-        Bytes of a generation kept for callers that come back.
-    replay_s : float
-        How long a finished generation is kept for callers that come back.
+    caller_grace_s : float
+        How long a generation goes on after its caller has gone, so that the caller
+        can come back at any gateway.
     """
 
     body_bytes: int = 2_000_000
@@ -110,8 +109,7 @@
     silent_stream_s: float = 10.0
     slow_caller_bytes: int = 262_144
     slow_caller_s: float = 30.0
-    replay_bytes: int = 1_048_576
-    replay_s: float = 60.0
+    caller_grace_s: float = 10.0
 
 
 class Statsd(Strict, frozen=True):
--- /dev/null
+++ b/src/quetzalpass/standin/engine_server.py
@@ -0,0 +1,238 @@
+"""HTTP interface of the stand-in engine."""
+
+import asyncio
+from collections.abc import Callable
+
+import logbook
+import msgspec
+from aiohttp import web
+
+from quetzalpass import ids
+from quetzalpass.standin import (
+    engine_streams,
+    faults,
+    generations,
+    messages,
+    settings,
+    text,
+)
+
+LOG = logbook.Logger("standin")
+
+START_FAULTS = frozenset(
+    {
+        faults.FaultKind.CLOSE_BEFORE_ANSWER,
+        faults.FaultKind.REFUSE,
+        faults.FaultKind.HANG,
+        faults.FaultKind.CRASH,
+    }
+)
+RESUME_FAULTS = frozenset({faults.FaultKind.RESUME_EARLY, faults.FaultKind.RESUME_LATE})
+SWEEP_INTERVAL_S = 1.0
+HANG_S = 3600.0
+
+
+class EngineServer:
+    """A stand-in model engine.
+
+    Parameters
+    ----------
+    config : settings.StandinSettings
+        Size and speed.
+    crash : callable
+        Called when a request is told to crash the engine.
+
+    Attributes
+    ----------
+    running : dict of GenerationId to RunningGeneration
+        Generations in the batch, in queue or finished but not yet dropped.
+    started : list of GenerationId
+        Every generation ever started here, for checkers.
+    orders : list of messages.Order
+        Orders that were accepted.
+    """
+
+    def __init__(
+        self, config: settings.StandinSettings, crash: Callable[[], None]
+    ) -> None:
+        self.config = config
+        self.crash = crash
+        self.plan = faults.FaultPlan()
+        self.running: dict[ids.GenerationId, generations.RunningGeneration] = {}
+        self.started: list[ids.GenerationId] = []
+        self.orders: list[messages.Order] = []
+        self.fencing_term = 0
+        self.fencing_index = 0
+        self.decoder: asyncio.Task[None] | None = None
+
+    def application(self) -> web.Application:
+        """Return the aiohttp application that serves this engine."""
+        app = web.Application(client_max_size=8_000_000)
+        app.router.add_post("/v1/completions", self.handle_start)
+        app.router.add_post("/v1/chat/completions", self.handle_start)
+        app.router.add_get("/v1/generations/{id}", self.handle_resume)
+        app.router.add_delete("/v1/generations/{id}", self.handle_cancel)
+        app.router.add_get("/health", self.handle_health)
+        app.router.add_get("/load", self.handle_load)
+        app.router.add_post("/orders", self.handle_order)
+        app.router.add_get("/orders", self.handle_orders)
+        app.router.add_post("/faults", self.handle_fault)
+        app.on_startup.append(self.start_decoding)
+        app.on_cleanup.append(self.stop_decoding)
+        return app
+
+    async def start_decoding(self, app: web.Application) -> None:
+        """Start the task that generates tokens."""
+        self.decoder = asyncio.create_task(self.decode())
+
+    async def stop_decoding(self, app: web.Application) -> None:
+        """Stop the task that generates tokens."""
+        assert self.decoder is not None
+        self.decoder.cancel()
+
+    async def decode(self) -> None:
+        """Advance the batch by one token per step and drop abandoned generations."""
+        loop = asyncio.get_running_loop()
+        next_step_s = loop.time()
+        while True:
+            next_step_s += self.config.token_s
+            await asyncio.sleep(max(0.0, next_step_s - loop.time()))
+            self.advance_batch()
+            self.drop_detached(loop.time())
+
+    def advance_batch(self) -> None:
+        """Generate one token for each sequence in the batch."""
+        active = [each for each in self.running.values() if not each.finished()]
+        for generation in active[: self.config.max_batch]:
+            generation.produce(1)
+
+    def drop_detached(self, now_s: float) -> None:
+        """Drop generations whose reader has been gone for too long."""
+        oldest_s = now_s - self.config.detached_s
+        for generation in list(self.running.values()):
+            detached_at_s = generation.detached_at_s
+            if detached_at_s is not None and detached_at_s < oldest_s:
+                del self.running[generation.id]
+
+    async def handle_start(self, request: web.Request) -> web.StreamResponse:
+        """Start a generation, or continue one from the tokens in the request."""
+        body = await request.read()
+        try:
+            order = msgspec.json.decode(body, type=messages.Request)
+        except msgspec.MsgspecError as error:
+            return web.json_response({"error": str(error)}, status=400)
+        if order.model not in self.config.models:
+            return web.json_response({"error": "model not loaded"}, status=404)
+        prompt = order.prompt_text()
+        refused = await self.strike_at_start(request, prompt)
+        if refused is not None:
+            return refused
+        done = len(order.tokens_so_far)
+        if not self.continues(prompt, order.tokens_so_far):
+            return web.json_response({"error": "tokens do not match"}, status=409)
+        generation = generations.RunningGeneration(
+            ids.GenerationId(order.generation_id), prompt, order.max_tokens, done
+        )
+        self.running[generation.id] = generation
+        self.started.append(generation.id)
+        writer = engine_streams.StreamWriter(self, generation, done)
+        return await writer.run(request)
+
+    def continues(self, prompt: str, tokens: tuple[str, ...]) -> bool:
+        """Return whether tokens are the start of this prompt's output."""
+        tag = text.prompt_tag_of(prompt)
+        return all(
+            token == text.token_text(tag, offset) for offset, token in enumerate(tokens)
+        )
+
+    async def strike_at_start(
+        self, request: web.Request, prompt: str
+    ) -> web.Response | None:
+        """Show a fault that strikes before the first token."""
+        fault = self.plan.take(START_FAULTS, prompt)
+        if fault is None:
+            return None
+        if fault.kind is faults.FaultKind.REFUSE:
+            return web.json_response(
+                {"error": "overloaded"}, status=503, headers={"Retry-After": "1"}
+            )
+        if fault.kind is faults.FaultKind.CRASH:
+            self.crash()
+        if fault.kind is faults.FaultKind.HANG:
+            await asyncio.sleep(HANG_S)
+        assert request.transport is not None
+        request.transport.abort()
+        return web.Response(status=500)
+
+    async def handle_resume(self, request: web.Request) -> web.StreamResponse:
+        """Open a new stream of a running generation at an offset."""
+        generation_id = ids.GenerationId(request.match_info["id"])
+        generation = self.running.get(generation_id)
+        if generation is None:
+            return web.json_response({"error": "unknown generation"}, status=404)
+        offset = int(request.query.get("offset", "0"))
+        fault = self.plan.take(RESUME_FAULTS, generation.prompt)
+        if fault is not None:
+            early = fault.kind is faults.FaultKind.RESUME_EARLY
+            offset = max(0, offset - 1) if early else offset + 1
+        writer = engine_streams.StreamWriter(self, generation, offset)
+        return await writer.run(request)
+
+    async def handle_cancel(self, request: web.Request) -> web.Response:
+        """Stop a generation."""
+        generation = self.running.get(ids.GenerationId(request.match_info["id"]))
+        only_if_detached = request.query.get("only_if_detached") == "true"
+        if generation is None:
+            return web.Response(status=204)
+        if only_if_detached and generation.detached_at_s is None:
+            return web.Response(status=409)
+        del self.running[generation.id]
+        generation.attach()
+        return web.Response(status=204)
+
+    async def handle_health(self, request: web.Request) -> web.Response:
+        """Answer that the engine is alive."""
+        return web.Response(text="ok")
+
+    async def handle_load(self, request: web.Request) -> web.Response:
+        """Answer the load."""
+        active = [each for each in self.running.values() if not each.finished()]
+        reply = messages.LoadReply(
+            running=min(len(active), self.config.max_batch),
+            waiting=max(0, len(active) - self.config.max_batch),
+            tokens_held=sum(each.produced for each in active),
+            memory_tokens=self.config.memory_tokens,
+            preemptions=0,
+            age_s=0.0,
+        )
+        return json_answer(reply)
+
+    async def handle_order(self, request: web.Request) -> web.Response:
+        """Accept an order unless its fencing number is old and is checked."""
+        order = msgspec.json.decode(await request.read(), type=messages.Order)
+        number = (order.term, order.index)
+        newest = (self.fencing_term, self.fencing_index)
+        if self.config.checks_fencing and number < newest:
+            return web.json_response({"error": "fenced"}, status=409)
+        self.fencing_term, self.fencing_index = max(number, newest)
+        self.orders.append(order)
+        return web.Response(status=202)
+
+    async def handle_orders(self, request: web.Request) -> web.Response:
+        """Answer the accepted orders, for read-back by a new leader."""
+        reply = messages.OrdersReply(
+            self.fencing_term, self.fencing_index, tuple(self.orders)
+        )
+        return json_answer(reply)
+
+    async def handle_fault(self, request: web.Request) -> web.Response:
+        """Switch a fault on."""
+        self.plan.add(msgspec.json.decode(await request.read(), type=faults.Fault))
+        return web.Response(status=204)
+
+
+def json_answer(value: msgspec.Struct) -> web.Response:
+    """Return a struct as a JSON answer."""
+    return web.Response(
+        body=msgspec.json.encode(value), content_type="application/json"
+    )
--- /dev/null
+++ b/src/quetzalpass/standin/settings.py
@@ -0,0 +1,49 @@
+"""Settings of the stand-in program."""
+
+import enum
+
+import msgspec
+
+from quetzalpass import ids
+
+
+class StandinKind(enum.Enum):
+    """What the program pretends to be."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+class StandinSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of one stand-in backend server.
+
+    Attributes
+    ----------
+    id : ServerId
+        Identifier, for logs.
+    kind : StandinKind
+        Engine or plain service.
+    host, port : str, int
+        Listening address.
+    models : tuple of str
+        Models that an engine serves.
+    memory_tokens, max_batch : int
+        Size of the engine.
+    token_s : float
+        Time of one decoding step of an unloaded engine, in seconds.
+    checks_fencing : bool
+        Refuses orders with an old fencing number.
+    detached_s : float
+        How long a generation runs on without a reader before it is dropped.
+    """
+
+    id: ids.ServerId
+    kind: StandinKind
+    port: int
+    host: str = "127.0.0.1"
+    models: tuple[str, ...] = ()
+    memory_tokens: int = 100_000
+    max_batch: int = 64
+    token_s: float = 0.02
+    checks_fencing: bool = True
+    detached_s: float = 15.0
