--- /dev/null
+++ b/src/quetzalpass/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the decisions, on a virtual clock."""
--- /dev/null
+++ b/src/quetzalpass/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of backend server, admission, fair queues and length estimates."""
