Add admission, the server table, fair queues and the baseline policies

The dispatcher takes the time with each call, so that the gateway and the benchmark run the same code. Peers' summaries state the whole of what is in flight, so that a lost one is repaired by the next.

--- /dev/null
+++ b/src/quetzalpass/routing/admission.py
@@ -0,0 +1,172 @@
+"""Admission to backend servers, for the gateway's tasks."""
+
+import asyncio
+
+import logbook
+from returns import result
+
+from quetzalpass import ids
+from quetzalpass.results import failures
+from quetzalpass.routing import dispatch, reports, servers, work
+
+log = logbook.Logger("routing")
+
+# Predictions change as tokens come in, so a waiting queue is looked at this often.
+PUMP_INTERVAL_S = 0.025
+
+
+class Slot:
+    """A place on a backend server, held by one request until it is released."""
+
+    def __init__(
+        self, admission: "Admission", item: work.WorkItem, choice: work.Choice
+    ) -> None:
+        self.admission = admission
+        self.item = item
+        self.choice = choice
+        self.released = False
+
+    @property
+    def server_id(self) -> ids.ServerId:
+        """Server that is to run the request."""
+        return self.choice.server_id
+
+    def on_tokens(self, count: int) -> None:
+        """Note further tokens; may be called once for several."""
+        if not self.released:
+            self.admission.dispatcher.on_tokens(self.item.request_id, count)
+
+    def release(self, outcome: work.SlotOutcome) -> None:
+        """Give the place back; a second call has no effect."""
+        if self.released:
+            return
+        self.released = True
+        self.admission.release(self.item.request_id, outcome)
+
+
+class Admission:
+    """Queue and choice of servers for one gateway.
+
+    Parameters
+    ----------
+    dispatcher : dispatch.Dispatcher
+        Queues, policy and table.
+
+    Notes
+    -----
+    A request is refused as soon as it is given up on, with the time to come back; a
+    refused request was not sent to any server.
+    """
+
+    def __init__(self, dispatcher: dispatch.Dispatcher) -> None:
+        self.dispatcher = dispatcher
+        self.waiters: dict[ids.RequestId, asyncio.Future[dispatch.Decision]] = {}
+        self.timer: asyncio.TimerHandle | None = None
+
+    async def acquire(
+        self, item: work.WorkItem
+    ) -> result.Result[Slot, failures.Failure]:
+        """Wait for a place on a backend server.
+
+        Parameters
+        ----------
+        item : work.WorkItem
+            The request. Its id must not be in use here.
+
+        Returns
+        -------
+        returns.result.Result of Slot or failures.Failure
+            The place, or ``QUEUE_FULL``, ``NO_SERVER`` or ``DEADLINE_BEFORE_START``
+            with ``retry_after_ms``.
+        """
+        loop = asyncio.get_running_loop()
+        waiter: asyncio.Future[dispatch.Decision] = loop.create_future()
+        self.waiters[item.request_id] = waiter
+        self.resolve(self.dispatcher.submit(item, loop.time()))
+        try:
+            decision = await waiter
+        except asyncio.CancelledError:
+            self.abandon(item, waiter)
+            raise
+        finally:
+            self.waiters.pop(item.request_id, None)
+        if isinstance(decision, dispatch.Refusal):
+            return result.Failure(decision.failure)
+        return result.Success(Slot(self, item, decision.choice))
+
+    def abandon(
+        self, item: work.WorkItem, waiter: asyncio.Future[dispatch.Decision]
+    ) -> None:
+        """Give up the place of a caller that has gone, also when just granted."""
+        if self.dispatcher.cancel(item.request_id):
+            return
+        if waiter.done() and not waiter.cancelled():
+            if isinstance(waiter.result(), dispatch.Placement):
+                self.release(item.request_id, work.SlotOutcome.CANCELLED)
+        elif item.request_id in self.dispatcher.flights:
+            self.release(item.request_id, work.SlotOutcome.CANCELLED)
+
+    def resolve(self, decisions: list[dispatch.Decision]) -> None:
+        """Hand decisions to the tasks that wait for them."""
+        for decision in decisions:
+            waiter = self.waiters.get(decision.item.request_id)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(decision)
+        self.arm()
+
+    def arm(self) -> None:
+        """Look at the queue again soon while something waits."""
+        if self.timer is None and self.dispatcher.queued:
+            loop = asyncio.get_running_loop()
+            self.timer = loop.call_later(PUMP_INTERVAL_S, self.on_timer)
+
+    def on_timer(self) -> None:
+        """Place and refuse what has become due."""
+        self.timer = None
+        self.pump()
+
+    def pump(self) -> None:
+        """Place and refuse what has become due."""
+        now_s = asyncio.get_running_loop().time()
+        self.resolve(self.dispatcher.pump(now_s))
+
+    def release(self, request_id: ids.RequestId, outcome: work.SlotOutcome) -> None:
+        """Note that a request has left its server."""
+        now_s = asyncio.get_running_loop().time()
+        self.resolve(self.dispatcher.release(request_id, outcome, now_s))
+
+    def update_servers(self, views: tuple[servers.ServerView, ...]) -> None:
+        """Replace the declared servers; a leaving one gets nothing from now on."""
+        now_s = asyncio.get_running_loop().time()
+        self.dispatcher.table.update(views, now_s)
+        self.pump()
+
+    def observe_report(
+        self, server_id: ids.ServerId, report: reports.LoadReport
+    ) -> None:
+        """Take in a load report."""
+        self.dispatcher.table.observe_report(server_id, report)
+
+    def observe_cache_event(
+        self, server_id: ids.ServerId, event: reports.CacheEvent
+    ) -> None:
+        """Take in an event of a server's prefix cache."""
+        self.dispatcher.table.observe_cache_event(server_id, event)
+
+    def observe_peer_dispatches(self, message: servers.PeerDispatches) -> None:
+        """Take in what a peer has in flight."""
+        now_s = asyncio.get_running_loop().time()
+        self.dispatcher.table.observe_peer(message, now_s)
+
+    def own_loads(self) -> tuple[servers.ServerLoad, ...]:
+        """Return what this gateway has in flight, to be sent to its peers."""
+        return self.dispatcher.table.own_loads()
+
+    def eject(self, server_id: ids.ServerId, reason: str) -> None:
+        """Take a server out of use for a time."""
+        now_s = asyncio.get_running_loop().time()
+        self.dispatcher.table.eject(server_id, reason, now_s)
+
+    def explain(self, request_id: ids.RequestId) -> dispatch.Explanation | None:
+        """Return why a recent request was placed where it is."""
+        return self.dispatcher.explain(request_id)
--- /dev/null
+++ b/src/quetzalpass/routing/factory.py
@@ -0,0 +1,49 @@
+"""Builds the admission of a gateway from its settings."""
+
+import random
+
+from quetzalpass import ids
+from quetzalpass.routing import (
+    admission,
+    dispatch,
+    lengths,
+    policies,
+    servers,
+    settings,
+)
+
+
+def make_policy(
+    rules: settings.RoutingSettings, estimator: lengths.LengthEstimator
+) -> policies.Policy:
+    """Return the policy that the settings name."""
+    match rules.policy:
+        case settings.PolicyName.ROUND_ROBIN:
+            return policies.RoundRobin()
+        case settings.PolicyName.LEAST_IN_FLIGHT:
+            return policies.LeastInFlight()
+        case settings.PolicyName.POWER_OF_TWO:
+            return policies.PowerOfTwoChoices()
+        case _:
+            return policies.PrefixAffinity()
+
+
+def make_dispatcher(
+    rules: settings.RoutingSettings,
+    data_centre: ids.DataCentreId,
+    generator: random.Random,
+) -> dispatch.Dispatcher:
+    """Return a dispatcher without servers; ``table.update`` gives it some."""
+    estimator = lengths.LengthEstimator()
+    table = servers.ServerTable(data_centre, generator)
+    policy = make_policy(rules, estimator)
+    return dispatch.Dispatcher(policy, table, rules, estimator)
+
+
+def make_admission(
+    rules: settings.RoutingSettings,
+    data_centre: ids.DataCentreId,
+    generator: random.Random,
+) -> admission.Admission:
+    """Return the admission of a gateway that stands in a data centre."""
+    return admission.Admission(make_dispatcher(rules, data_centre, generator))
--- /dev/null
+++ b/src/quetzalpass/routing/flights.py
@@ -0,0 +1,98 @@
+"""Requests that run on backend servers, and the memory that they will need."""
+
+import msgspec
+
+from quetzalpass import ids
+from quetzalpass.routing import lengths, work
+
+# Further tokens per sequence at which memory is predicted. A short horizon sees the
+# next fill, a long one whether drafts that are young now will meet in a full memory.
+HORIZONS_TOKENS = (0, 32, 128, 512, 2048)
+
+
+class Demand(msgspec.Struct):
+    """Predicted memory, in tokens, at each horizon.
+
+    Attributes
+    ----------
+    sequences : int
+        Requests that it sums.
+    prefill_tokens : float
+        Prompt tokens that are still to be computed.
+    mean : list of float
+        Expected tokens held at each horizon.
+    variance : list of float
+        Variance of the tokens held at each horizon.
+    """
+
+    sequences: int
+    prefill_tokens: float
+    mean: list[float]
+    variance: list[float]
+
+    def add(self, other: "Demand", sign: int = 1) -> None:
+        """Add or, with a sign of -1, subtract another demand."""
+        self.sequences += sign * other.sequences
+        self.prefill_tokens += sign * other.prefill_tokens
+        for index in range(len(HORIZONS_TOKENS)):
+            self.mean[index] += sign * other.mean[index]
+            self.variance[index] += sign * other.variance[index]
+
+    def copy(self) -> "Demand":
+        """Return a copy that shares nothing with this one."""
+        return Demand(
+            self.sequences, self.prefill_tokens, self.mean.copy(), self.variance.copy()
+        )
+
+
+def no_demand() -> Demand:
+    """Return an empty demand."""
+    size = len(HORIZONS_TOKENS)
+    return Demand(0, 0.0, [0.0] * size, [0.0] * size)
+
+
+def predict(
+    item: work.WorkItem, generated: int, prefill_tokens: float, table: lengths.LifeTable
+) -> Demand:
+    """Predict the memory of one request that has so many tokens now.
+
+    Parameters
+    ----------
+    item : work.WorkItem
+        The request.
+    generated : int
+        Tokens that it has generated.
+    prefill_tokens : float
+        Prompt tokens that are still to be computed.
+    table : lengths.LifeTable
+        Life table of its class.
+    """
+    held = item.prompt_tokens + generated
+    demand = Demand(1, prefill_tokens, [], [])
+    for horizon in HORIZONS_TOKENS:
+        chance = lengths.chance_of_more(table, generated, horizon, item.max_tokens)
+        tokens = held + horizon
+        demand.mean.append(tokens * chance)
+        demand.variance.append(tokens * tokens * chance * (1.0 - chance))
+    return demand
+
+
+class Flight:
+    """One request on a backend server, from its dispatch to its release."""
+
+    def __init__(
+        self,
+        item: work.WorkItem,
+        choice: work.Choice,
+        dispatched_s: float,
+        demand: Demand,
+    ) -> None:
+        self.item = item
+        self.choice = choice
+        self.server_id: ids.ServerId = choice.server_id
+        self.dispatched_s = dispatched_s
+        self.generated = item.generated_tokens
+        self.demand = demand
+        # Tokens at which the demand is predicted anew.
+        self.next_refresh = self.generated + 1
+        self.bucket = lengths.bucket_of(self.generated + 1)
--- /dev/null
+++ b/src/quetzalpass/routing/lengths.py
@@ -0,0 +1,151 @@
+"""Conditional estimate of output lengths for each class, from censored observations.
+
+The estimate is a decaying life table over buckets of doubling length. A generation
+counts as at risk in a bucket as soon as it enters it and as an end when it completes
+there, so that unfinished and cancelled generations count for what they have shown. A
+mean over finished generations only would be biased to short ones, since under load
+the long ones are those still unfinished.
+"""
+
+import bisect
+
+from quetzalpass import ids
+
+MAX_TOKENS = 65536
+# Half-octave steps: an error of at most 20% in the length that a bucket stands for.
+BUCKETS_PER_OCTAVE = 2
+DECAY_PER_END = 0.998
+PRIOR_WEIGHT = 2.0
+
+
+def make_bounds() -> tuple[int, ...]:
+    """Return the upper bounds of the buckets in tokens, growing."""
+    bounds = {
+        round(2 ** (step / BUCKETS_PER_OCTAVE))
+        for step in range(16 * BUCKETS_PER_OCTAVE + 1)
+    }
+    return tuple(sorted(bounds))
+
+
+BOUNDS = make_bounds()
+# Without observations each bucket ends the same share of generations.
+PRIOR_HAZARD = 0.08
+REFRESH_OBSERVATIONS = 16
+
+
+class LifeTable:
+    """Hazard of an end in each bucket of lengths, for one class."""
+
+    def __init__(self) -> None:
+        size = len(BOUNDS)
+        self.at_risk = [0.0] * size
+        self.ends = [0.0] * size
+        self.survival = [1.0] * (size + 1)
+        self.unread = 0
+        self.refresh()
+
+    def enter(self, first: int, last: int) -> None:
+        """Count a generation as at risk in the buckets from first to last."""
+        for bucket in range(first, last + 1):
+            self.at_risk[bucket] += 1.0
+        self.count_observation()
+
+    def end(self, bucket: int) -> None:
+        """Count the end of a generation; older observations lose weight."""
+        for index in range(len(BOUNDS)):
+            self.at_risk[index] *= DECAY_PER_END
+            self.ends[index] *= DECAY_PER_END
+        self.ends[bucket] += 1.0
+        self.count_observation()
+
+    def count_observation(self) -> None:
+        """Refresh the survival curve after enough observations."""
+        self.unread += 1
+        if self.unread >= REFRESH_OBSERVATIONS:
+            self.refresh()
+
+    def refresh(self) -> None:
+        """Compute the share of generations that pass each bound."""
+        self.unread = 0
+        alive = 1.0
+        for index in range(len(BOUNDS)):
+            ends = self.ends[index] + PRIOR_WEIGHT * PRIOR_HAZARD
+            hazard = min(1.0, ends / (self.at_risk[index] + PRIOR_WEIGHT))
+            alive *= 1.0 - hazard
+            self.survival[index + 1] = max(alive, 1e-12)
+
+    def survival_at(self, tokens: int) -> float:
+        """Return the share of generations longer than a number of tokens."""
+        if tokens <= 0:
+            return 1.0
+        if tokens >= MAX_TOKENS:
+            return 0.0
+        index = bisect.bisect_left(BOUNDS, tokens)
+        low = BOUNDS[index - 1] if index else 0
+        part = (tokens - low) / (BOUNDS[index] - low)
+        before = self.survival[index]
+        return before + part * (self.survival[index + 1] - before)
+
+
+class LengthEstimator:
+    """Life tables of all classes.
+
+    Classes are kept apart by model, since two models answer the same class with
+    different lengths.
+    """
+
+    def __init__(self) -> None:
+        self.tables: dict[tuple[ids.ModelName, ids.ClassName], LifeTable] = {}
+
+    def table(self, model: ids.ModelName, class_name: ids.ClassName) -> LifeTable:
+        """Return the life table of a class, made on first use."""
+        key = (model, class_name)
+        found = self.tables.get(key)
+        if found is None:
+            found = self.tables[key] = LifeTable()
+        return found
+
+
+def bucket_of(tokens: int) -> int:
+    """Return the bucket in which a generation of this many tokens is."""
+    return min(bisect.bisect_left(BOUNDS, max(1, tokens)), len(BOUNDS) - 1)
+
+
+def chance_of_more(
+    table: LifeTable, generated: int, more: int, max_tokens: int
+) -> float:
+    """Return the chance that a generation gets more than ``more`` further tokens.
+
+    Parameters
+    ----------
+    table : LifeTable
+        Life table of its class.
+    generated : int
+        Tokens that it has now.
+    more : int
+        Further tokens.
+    max_tokens : int
+        Limit that the request states.
+    """
+    if generated + more >= max_tokens:
+        return 0.0
+    now = table.survival_at(generated)
+    if now <= 0.0:
+        return 0.0
+    return min(1.0, table.survival_at(generated + more) / now)
+
+
+def expected_more(table: LifeTable, generated: int, max_tokens: int) -> float:
+    """Return the expected number of further tokens."""
+    now = table.survival_at(generated)
+    if now <= 0.0:
+        return 0.0
+    total, position, alive = 0.0, generated, now
+    for bound in BOUNDS[bucket_of(generated) :]:
+        upper = min(bound, max_tokens)
+        if upper <= position:
+            continue
+        after = table.survival_at(upper)
+        total += (upper - position) * (alive + after) / 2
+        position, alive = upper, after
+    return total / now
--- /dev/null
+++ b/src/quetzalpass/routing/prefixes.py
@@ -0,0 +1,114 @@
+"""Which server's cache holds which prompt prefix, as far as the events tell."""
+
+import collections
+
+from quetzalpass import ids
+from quetzalpass.routing import reports
+
+HASHES_PER_SERVER_LIMIT = 8192
+HOLDERS_PER_HASH_LIMIT = 32
+MISSED_EVENT_FACTOR = 0.9
+RECOVERY_PER_EVENT = 0.02
+
+
+class ServerPrefixes:
+    """Hashes that one server is believed to cache, and how far that is trusted."""
+
+    def __init__(self) -> None:
+        self.hashes: collections.OrderedDict[int, None] = collections.OrderedDict()
+        self.last_sequence: int | None = None
+        self.confidence = 1.0
+
+
+class PrefixIndex:
+    """Prefix hashes by server and servers by prefix hash."""
+
+    def __init__(self) -> None:
+        self.servers: dict[ids.ServerId, ServerPrefixes] = {}
+        self.holders: dict[int, dict[ids.ServerId, None]] = {}
+
+    def observe(self, server_id: ids.ServerId, event: reports.CacheEvent) -> None:
+        """Take in a cache event; each one missed before it lowers the confidence."""
+        known = self.servers.setdefault(server_id, ServerPrefixes())
+        if known.last_sequence is not None:
+            missed = max(0, event.sequence - known.last_sequence - 1)
+            known.confidence *= MISSED_EVENT_FACTOR**missed
+        known.last_sequence = event.sequence
+        known.confidence += RECOVERY_PER_EVENT * (1.0 - known.confidence)
+        self.add(server_id, event.added)
+        for block in event.removed:
+            self.remove_hash(server_id, known, block)
+
+    def add(self, server_id: ids.ServerId, hashes: tuple[int, ...]) -> None:
+        """Note hashes that the server caches or is about to, by a dispatch."""
+        known = self.servers.setdefault(server_id, ServerPrefixes())
+        for block in hashes:
+            if block in known.hashes:
+                known.hashes.move_to_end(block)
+                continue
+            known.hashes[block] = None
+            self.add_holder(block, server_id)
+        while len(known.hashes) > HASHES_PER_SERVER_LIMIT:
+            self.remove_hash(server_id, known, next(iter(known.hashes)))
+
+    def add_holder(self, block: int, server_id: ids.ServerId) -> None:
+        """Note a holder of a hash, as long as few enough are known."""
+        holders = self.holders.setdefault(block, {})
+        if len(holders) < HOLDERS_PER_HASH_LIMIT:
+            holders[server_id] = None
+
+    def remove_hash(
+        self, server_id: ids.ServerId, known: ServerPrefixes, block: int
+    ) -> None:
+        """Forget that a server holds a hash."""
+        known.hashes.pop(block, None)
+        holders = self.holders.get(block)
+        if holders is None:
+            return
+        holders.pop(server_id, None)
+        if not holders:
+            del self.holders[block]
+
+    def forget(self, server_id: ids.ServerId) -> None:
+        """Drop all that is known of a server, as after its restart."""
+        known = self.servers.pop(server_id, None)
+        if known is None:
+            return
+        for block in list(known.hashes):
+            self.remove_hash(server_id, known, block)
+
+    def matched_blocks(self, server_id: ids.ServerId, hashes: tuple[int, ...]) -> int:
+        """Return how many leading blocks a server is believed to cache.
+
+        A cached block's predecessors are cached too, as the engine evicts the ends
+        first, so that a binary search suffices.
+        """
+        known = self.servers.get(server_id)
+        if known is None:
+            return 0
+        low, high = 0, len(hashes)
+        while low < high:
+            middle = (low + high) // 2
+            if hashes[middle] in known.hashes:
+                low = middle + 1
+            else:
+                high = middle
+        return low
+
+    def confidence(self, server_id: ids.ServerId) -> float:
+        """Return how far the index is trusted for a server, from 0 to 1."""
+        known = self.servers.get(server_id)
+        return known.confidence if known else 0.0
+
+    def deepest_holders(self, hashes: tuple[int, ...]) -> tuple[ids.ServerId, ...]:
+        """Return servers that are believed to cache the longest known prefix."""
+        low, high = 0, len(hashes)
+        while low < high:
+            middle = (low + high) // 2
+            if hashes[middle] in self.holders:
+                low = middle + 1
+            else:
+                high = middle
+        if low == 0:
+            return ()
+        return tuple(self.holders[hashes[low - 1]])
--- /dev/null
+++ b/src/quetzalpass/routing/servers.py
@@ -0,0 +1,301 @@
+"""Backend servers as one gateway sees them: state, reports, own and peers' load."""
+
+import enum
+import heapq
+import random
+
+import logbook
+import msgspec
+
+from quetzalpass import ids
+from quetzalpass.routing import ejection, flights, prefixes, reports
+
+log = logbook.Logger("routing")
+
+# A peer's summary older than this no longer counts; the load reports remain.
+PEER_SUMMARY_EXPIRY_S = 3.0
+
+
+class ServerState(enum.Enum):
+    """Whether a server may get work."""
+
+    ACTIVE = "active"
+    LEAVING = "leaving"
+    LOADING = "loading"
+
+
+class ServerView(msgspec.Struct, frozen=True):
+    """What is declared and known of one backend server.
+
+    Attributes
+    ----------
+    server_id : ids.ServerId
+        Its id.
+    data_centre : ids.DataCentreId
+        Where it stands.
+    vm : ids.VmId
+        VM that it runs on.
+    model : ids.ModelName
+        Model, or the name of a plain service.
+    version : ids.VersionName or None
+        Version that it serves now.
+    memory_blocks, block_tokens : int
+        Size of the key-value memory, and of a block in tokens. A plain service states
+        0 blocks, which means that its memory is no limit.
+    batch_limit : int
+        Most requests that it runs at once.
+    adapter_slots : int
+        Adapters that can be loaded at the same time.
+    state : ServerState
+        Whether it may get work.
+    """
+
+    server_id: ids.ServerId
+    data_centre: ids.DataCentreId
+    vm: ids.VmId
+    model: ids.ModelName
+    version: ids.VersionName | None = None
+    memory_blocks: int = 750
+    block_tokens: int = 32
+    batch_limit: int = 64
+    adapter_slots: int = 4
+    state: ServerState = ServerState.ACTIVE
+
+    @property
+    def memory_tokens(self) -> int:
+        """Size of the key-value memory in tokens."""
+        return self.memory_blocks * self.block_tokens
+
+
+class ServerLoad(msgspec.Struct, frozen=True):
+    """What one gateway has in flight on one server."""
+
+    server_id: ids.ServerId
+    demand: flights.Demand
+
+
+class PeerDispatches(msgspec.Struct, frozen=True):
+    """Summary that a gateway sends to its peers in the data centre.
+
+    It states the whole of what is in flight, not the change, so that a lost message
+    is repaired by the next one.
+
+    Attributes
+    ----------
+    vm : ids.VmId
+        The gateway.
+    sequence : int
+        Counted up with each message; an older one that comes late is ignored.
+    loads : tuple of ServerLoad
+        One entry for each server on which it has requests in flight.
+    """
+
+    vm: ids.VmId
+    sequence: int
+    loads: tuple[ServerLoad, ...]
+
+
+class PeerSummary(msgspec.Struct):
+    """The last summary of one peer, as held by the receiver."""
+
+    sequence: int
+    received_s: float
+    loads: dict[ids.ServerId, flights.Demand]
+
+
+class ServerRecord:
+    """One server, its last report, and all load that this gateway knows of."""
+
+    def __init__(self, view: ServerView) -> None:
+        self.view = view
+        self.report: reports.LoadReport | None = None
+        self.flights: dict[ids.RequestId, flights.Flight] = {}
+        self.own = flights.no_demand()
+        self.peers = flights.no_demand()
+        self.health = ejection.Health()
+        self.suspects = 0
+        self.last_dispatch_s = float("-inf")
+        # Adapters that were used last, newest at the end.
+        self.adapters: dict[ids.AdapterName, None] = {}
+
+    @property
+    def server_id(self) -> ids.ServerId:
+        """Id of the server."""
+        return self.view.server_id
+
+    @property
+    def sequences(self) -> int:
+        """Requests in flight from this gateway and its peers."""
+        return self.own.sequences + self.peers.sequences
+
+    def report_age_s(self, now_s: float) -> float | None:
+        """Return the age of the last report in seconds."""
+        if self.report is None:
+            return None
+        return now_s - self.report.taken_at_s
+
+    def note_adapter(self, adapter: ids.AdapterName | None) -> None:
+        """Note that an adapter is used; the least recently used one is unloaded."""
+        if adapter is None:
+            return
+        self.adapters.pop(adapter, None)
+        self.adapters[adapter] = None
+        if len(self.adapters) > self.view.adapter_slots:
+            del self.adapters[next(iter(self.adapters))]
+
+
+class PoolKey(msgspec.Struct, frozen=True):
+    """Model and version that a pool serves; any version when ``None``."""
+
+    model: ids.ModelName
+    version: ids.VersionName | None
+
+
+class Pool:
+    """Servers that may get work for one model and version."""
+
+    def __init__(self) -> None:
+        self.usable: list[ServerRecord] = []
+        self.by_data_centre: dict[ids.DataCentreId, list[ServerRecord]] = {}
+        self.declared = 0
+
+
+class ServerTable:
+    """All backend servers that one gateway knows.
+
+    Parameters
+    ----------
+    data_centre : ids.DataCentreId
+        Where the gateway stands.
+    generator : random.Random
+        Source of random choices.
+    """
+
+    def __init__(self, data_centre: ids.DataCentreId, generator: random.Random) -> None:
+        self.data_centre = data_centre
+        self.generator = generator
+        self.records: dict[ids.ServerId, ServerRecord] = {}
+        self.pools: dict[PoolKey, Pool] = {}
+        self.prefixes = prefixes.PrefixIndex()
+        self.peers: dict[ids.VmId, PeerSummary] = {}
+        self.returns: list[tuple[float, ids.ServerId]] = []
+
+    def update(self, views: tuple[ServerView, ...], now_s: float) -> None:
+        """Replace the declared servers; what is known of those that stay is kept."""
+        wanted = {view.server_id: view for view in views}
+        for server_id in set(self.records) - set(wanted):
+            self.prefixes.forget(server_id)
+            del self.records[server_id]
+            for summary in self.peers.values():
+                summary.loads.pop(server_id, None)
+        for server_id, view in wanted.items():
+            record = self.records.get(server_id)
+            if record is None:
+                self.records[server_id] = ServerRecord(view)
+            else:
+                record.view = view
+        self.rebuild(now_s)
+
+    def rebuild(self, now_s: float) -> None:
+        """Sort the usable servers into pools; linear, so only on changes of state."""
+        self.pools = {}
+        for record in self.records.values():
+            view = record.view
+            for version in {view.version, None}:
+                key = PoolKey(view.model, version)
+                pool = self.pools.setdefault(key, Pool())
+                if view.state != ServerState.ACTIVE:
+                    continue
+                pool.declared += 1
+                if record.health.share(now_s) == 0.0:
+                    continue
+                pool.usable.append(record)
+                local = pool.by_data_centre.setdefault(view.data_centre, [])
+                local.append(record)
+
+    def pool(
+        self, model: ids.ModelName, version: ids.VersionName | None
+    ) -> Pool | None:
+        """Return the pool of a model and version, if any server is declared for it."""
+        return self.pools.get(PoolKey(model, version))
+
+    def advance(self, now_s: float) -> None:
+        """Give back the servers whose ejection has ended."""
+        changed = False
+        while self.returns and self.returns[0][0] <= now_s:
+            _, server_id = heapq.heappop(self.returns)
+            record = self.records.get(server_id)
+            if record is None or record.health.ejected_until_s is None:
+                continue
+            if record.health.ejected_until_s <= now_s:
+                record.health.give_back(now_s)
+                log.info("routing: server {} returns slowly.", server_id)
+                changed = True
+        if changed:
+            self.rebuild(now_s)
+
+    def eject(self, server_id: ids.ServerId, reason: str, now_s: float) -> None:
+        """Take a server out of use for a time; one that is out already stays so."""
+        record = self.records.get(server_id)
+        if record is None or record.health.ejected_until_s is not None:
+            return
+        until_s = record.health.eject(reason, now_s)
+        heapq.heappush(self.returns, (until_s, server_id))
+        log.warning("routing: server {} is ejected: {}.", server_id, reason)
+        self.prefixes.forget(server_id)
+        self.rebuild(now_s)
+
+    def observe_report(
+        self, server_id: ids.ServerId, report: reports.LoadReport
+    ) -> None:
+        """Take in a load report unless a newer one is known."""
+        record = self.records.get(server_id)
+        if record is None:
+            return
+        if record.report and record.report.taken_at_s > report.taken_at_s:
+            return
+        record.report = report
+
+    def observe_cache_event(
+        self, server_id: ids.ServerId, event: reports.CacheEvent
+    ) -> None:
+        """Take in a cache event of a server that is declared."""
+        if server_id in self.records:
+            self.prefixes.observe(server_id, event)
+
+    def observe_peer(self, message: PeerDispatches, now_s: float) -> None:
+        """Replace what a peer has in flight by its newest summary."""
+        known = self.peers.get(message.vm)
+        if known is not None:
+            if known.sequence >= message.sequence:
+                return
+            self.forget_peer(message.vm)
+        loads = {
+            load.server_id: load.demand
+            for load in message.loads
+            if load.server_id in self.records
+        }
+        self.peers[message.vm] = PeerSummary(message.sequence, now_s, loads)
+        for server_id, demand in loads.items():
+            self.records[server_id].peers.add(demand)
+
+    def forget_peer(self, vm: ids.VmId) -> None:
+        """Drop a peer's summary."""
+        summary = self.peers.pop(vm)
+        for server_id, demand in summary.loads.items():
+            self.records[server_id].peers.add(demand, -1)
+
+    def expire_peers(self, now_s: float) -> None:
+        """Drop the summaries of peers that have been silent too long."""
+        oldest_s = now_s - PEER_SUMMARY_EXPIRY_S
+        for vm, summary in list(self.peers.items()):
+            if summary.received_s < oldest_s:
+                self.forget_peer(vm)
+
+    def own_loads(self) -> tuple[ServerLoad, ...]:
+        """Return what this gateway has in flight, for its peers."""
+        return tuple(
+            ServerLoad(record.server_id, record.own.copy())
+            for record in self.records.values()
+            if record.own.sequences
+        )
--- /dev/null
+++ b/tests/routing/test_admission.py
@@ -0,0 +1,134 @@
+import asyncio
+import random
+
+import pytest
+from returns import result
+
+from quetzalpass.results import codes
+from quetzalpass.routing import admission, policies, servers, work
+
+from .conftest import make_item, make_view
+
+
+class OneEach(policies.Policy):
+    """Holds each server to one request."""
+
+    def choose(self, item, table, now_s):
+        pool = table.pool(item.model, item.version)
+        for record in pool.usable:
+            if not record.flights and policies.allows(record, item):
+                return work.Choice(record.server_id, "free")
+        return None
+
+
+@pytest.fixture
+def gate(build):
+    dispatcher = build(names="a")
+    dispatcher.policy = OneEach()
+    return admission.Admission(dispatcher)
+
+
+class TestAcquire:
+    async def test_waits_and_then_gets_the_place(self, gate):
+        first = (await gate.acquire(make_item("1"))).unwrap()
+        second = asyncio.create_task(gate.acquire(make_item("2")))
+        await asyncio.sleep(0)
+        assert not second.done()
+        first.on_tokens(40)
+        first.release(work.SlotOutcome.COMPLETED)
+        first.release(work.SlotOutcome.COMPLETED)
+        slot = (await second).unwrap()
+        assert slot.server_id == "a"
+        assert gate.explain(slot.item.request_id).choice == slot.choice
+
+    async def test_deadline_is_answered_and_nothing_dispatched(self, gate):
+        await gate.acquire(make_item("1"))
+        now_s = asyncio.get_running_loop().time()
+        answer = await gate.acquire(make_item("2", deadline_s=now_s + 0.05))
+        failure = answer.failure()
+        assert failure.code is codes.Code.DEADLINE_BEFORE_START
+        assert failure.retry_after_ms > 0
+        assert set(gate.dispatcher.flights) == {"1"}
+
+    async def test_cancelled_caller_leaves_nothing_behind(self, gate):
+        first = (await gate.acquire(make_item("1"))).unwrap()
+        second = asyncio.create_task(gate.acquire(make_item("2")))
+        await asyncio.sleep(0)
+        # The place is granted in the same turn in which the caller goes away.
+        first.release(work.SlotOutcome.COMPLETED)
+        second.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await second
+        assert not gate.dispatcher.flights
+        assert not gate.dispatcher.queued
+        assert not gate.waiters
+
+    async def test_no_server_is_said_at_once(self, gate):
+        gate.update_servers(())
+        answer = await gate.acquire(make_item("1"))
+        assert isinstance(answer, result.Failure)
+        assert answer.failure().code is codes.Code.NO_SERVER
+
+
+class TestRefusals:
+    def test_full_queue_gives_up_the_floods_newest_at_once(self, build):
+        dispatcher = build(names="a", queue_limit=3)
+        dispatcher.policy = OneEach()
+        dispatcher.submit(make_item("run"), 0.0)
+        for name in ("f1", "f2", "f3"):
+            assert dispatcher.submit(make_item(name, "flood"), 0.0) == []
+        (refusal,) = dispatcher.submit(make_item("s1", "small"), 0.0)
+        assert refusal.item.request_id == "f3"
+        assert refusal.failure.code is codes.Code.QUEUE_FULL
+        assert "f3" not in dispatcher.flights
+        assert "f3" not in dispatcher.queued
+
+    def test_must_not_drop_is_not_given_up_for_a_full_queue(self, build):
+        dispatcher = build(names="a", queue_limit=2)
+        dispatcher.policy = OneEach()
+        dispatcher.submit(make_item("run"), 0.0)
+        refused = []
+        for number in range(6):
+            item = make_item(f"m{number}", must_not_drop=True)
+            refused += dispatcher.submit(item, 0.0)
+            refused += dispatcher.submit(make_item(f"d{number}"), 0.0)
+        assert all(not refusal.item.must_not_drop for refusal in refused)
+        assert len(refused) == 6
+
+
+class TestServers:
+    def test_leaving_server_gets_nothing(self, build):
+        dispatcher = build(names="ab")
+        leaving = make_view("a", state=servers.ServerState.LEAVING)
+        dispatcher.table.update((leaving, make_view("b")), 0.0)
+        for number in range(20):
+            (placed,) = dispatcher.submit(make_item(str(number)), 0.0)
+            assert placed.choice.server_id == "b"
+
+    def test_suspects_run_alone_among_suspects(self, build):
+        dispatcher = build(names="ab")
+        chosen = [
+            dispatcher.submit(make_item(name, suspect=True), 0.0) for name in "123"
+        ]
+        assert {chosen[0][0].choice.server_id, chosen[1][0].choice.server_id} == {
+            "a",
+            "b",
+        }
+        assert chosen[2] == []
+
+    def test_ejected_server_returns_later_and_longer_each_time(self, build):
+        dispatcher = build(names="ab")
+        table = dispatcher.table
+        rng = random.Random(3)
+        out_s = []
+        now_s = 0.0
+        for _ in range(3):
+            table.eject("a", "test", now_s)
+            start_s = now_s
+            while table.records["a"].health.ejected_until_s is not None:
+                now_s += rng.random()
+                dispatcher.pump(now_s)
+            out_s.append(now_s - start_s)
+        assert out_s[0] < out_s[1] < out_s[2]
+        assert table.records["a"].health.share(now_s) < 0.2
+        assert table.records["a"].health.share(now_s + 60) == 1.0
