--- a/src/quetzalpass/control/declared_state.py
+++ b/src/quetzalpass/control/declared_state.py
@@ -1,5 +1,7 @@
 """Replicated state machine that holds the accepted declaration."""
 
+from collections.abc import Callable
+
 import msgspec
 
 from quetzalpass import ids
@@ -69,21 +71,32 @@
     ----------
     current : AcceptedDeclaration
         The newest accepted revision.
+    observers : list of callable
+        Called with each revision that becomes the newest.
     """
 
     def __init__(self) -> None:
         self.current = EMPTY
+        self.observers: list[Callable[[AcceptedDeclaration], None]] = []
+
+    def replace(self, accepted: AcceptedDeclaration) -> None:
+        """Make a revision the newest and tell the observers."""
+        self.current = accepted
+        for observer in self.observers:
+            observer(accepted)
 
     def apply(self, index: ids.LogIndex, command: bytes) -> bytes:
         """Apply one committed command and return the encoded outcome."""
         order = msgspec.msgpack.decode(command, type=ApplyCommand)
         accepted = order.base_revision == self.current.revision
         if accepted:
-            self.current = AcceptedDeclaration(
-                ids.Revision(self.current.revision + 1),
-                schema.digest_of(order.declaration),
-                order.author,
-                order.declaration,
+            self.replace(
+                AcceptedDeclaration(
+                    ids.Revision(self.current.revision + 1),
+                    schema.digest_of(order.declaration),
+                    order.author,
+                    order.declaration,
+                )
             )
         now = self.current
         return msgspec.msgpack.encode(
@@ -96,4 +109,4 @@
 
     def restore(self, data: bytes) -> None:
         """Replace the whole state by a snapshot."""
-        self.current = msgspec.msgpack.decode(data, type=AcceptedDeclaration)
+        self.replace(msgspec.msgpack.decode(data, type=AcceptedDeclaration))
--- a/src/quetzalpass/lifecycle/gateway.py
+++ b/src/quetzalpass/lifecycle/gateway.py
@@ -26,8 +26,6 @@
         The revision in force.
     slots : admission.Admission
         Queues requests and chooses backend servers.
-    ledger : ledger_client.Ledger
-        Claims of non-idempotent requests.
     rng : random.Random
         Source of ids and jitter.
     cluster_key : bytes
@@ -35,6 +33,8 @@
 
     Attributes
     ----------
+    ledger : ledger_client.Ledger
+        Claims of non-idempotent requests.
     backends : dict of ServerId to base.Backend
         Open adapters.
     requests : int
@@ -48,7 +48,6 @@
         settings: schema.Settings,
         holder: configuration.ConfigurationHolder,
         slots: admission.Admission,
-        ledger: ledger_client.Ledger,
         rng: random.Random,
         cluster_key: bytes,
     ) -> None:
@@ -56,7 +55,7 @@
         self.limits = settings.limits
         self.holder = holder
         self.slots = slots
-        self.ledger = ledger
+        self.ledger: ledger_client.Ledger = ledger_client.NoLedger()
         self.rng = rng
         self.cluster_key = cluster_key
         self.backends: dict[ids.ServerId, base.Backend] = {}
--- a/src/quetzalpass/lifecycle/ledger_client.py
+++ b/src/quetzalpass/lifecycle/ledger_client.py
@@ -36,6 +36,26 @@
         """Record an outcome, or ``None`` where it is not known."""
 
 
+class NoLedger(Ledger):
+    """Refuses every claim: no group has been opened."""
+
+    async def claim(
+        self, key: ledger.ClaimKey, fingerprint: str
+    ) -> result.Result[ledger.ClaimAnswer, failures.Failure]:
+        """Refuse a claim as not run."""
+        return result.Failure(
+            failures.Failure(codes.Code.LEDGER_UNAVAILABLE, "no ledger is open")
+        )
+
+    async def release(self, key: ledger.ClaimKey, attempt: int) -> None:
+        """Do nothing: no claim was granted."""
+
+    async def record(
+        self, key: ledger.ClaimKey, attempt: int, outcome: ledger.Outcome | None
+    ) -> None:
+        """Do nothing: no claim was granted."""
+
+
 class ReplicatedLedger(Ledger):
     """Claims that are committed by a consensus group.
 
