Add watch, vm, members, explain, storage verify and bench to the CLI

Cause: operators steer by changing the declared state and watching it take effect; so far they could only apply a whole folder. Change: 'vm drain|undrain|out' reads, changes one VM and applies on that base, and tries again after a conflict only while nobody else changed that VM. 'members', 'explain', 'storage verify' and 'bench' send or dispatch. control.messages gains MembersRequest, MembersReply and ExplanationReply for POST /v1/members and GET /v1/explanations/{request_id}, which the daemon doesn't answer yet. Conclusion: 'members' and 'explain' wait for the daemon's side.

--- a/src/quetzalpass/cli/client.py
+++ b/src/quetzalpass/cli/client.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import ssl
+import urllib.parse
 from typing import TypeVar
 
 import aiohttp
 import msgspec
 from returns import result
 
+from quetzalpass import ids
 from quetzalpass.control import messages
 from quetzalpass.results import codes, failures
 
@@ -79,12 +81,45 @@
         """Return the newest accepted declaration."""
         return await self.send("GET", "/v1/declaration", messages.DeclarationReply)
 
-    async def status(self) -> result.Result[messages.StatusReply, failures.Failure]:
+    async def status(
+        self, rounds: int | None = None
+    ) -> result.Result[messages.StatusReply, failures.Failure]:
         """Return the status of the first VM that answers."""
-        return await self.send("GET", "/status", messages.StatusReply)
+        kind = messages.StatusReply
+        return await self.send("GET", "/status", kind, rounds=rounds)
+
+    async def change_members(
+        self, request: messages.MembersRequest
+    ) -> result.Result[messages.MembersReply, failures.Failure]:
+        """Add or remove one member of a consensus group."""
+        body = msgspec.json.encode(request)
+        return await self.send("POST", "/v1/members", messages.MembersReply, body)
+
+    async def explain(
+        self, request_id: ids.RequestId
+    ) -> result.Result[messages.ExplanationReply, failures.Failure]:
+        """Return why a request was placed where it is, from the VM that decided.
+
+        Every VM is asked, since only the one that placed the request knows.
+        """
+        path = f"/v1/explanations/{urllib.parse.quote(request_id, safe='')}"
+        outcome = unreachable("no address was given")
+        for url in self.urls:
+            found = await self.send_once(
+                url, "GET", path, messages.ExplanationReply, None
+            )
+            if isinstance(found, result.Success):
+                return found
+            outcome = found
+        return outcome
 
     async def send(
-        self, method: str, path: str, kind: type[Reply], body: bytes | None = None
+        self,
+        method: str,
+        path: str,
+        kind: type[Reply],
+        body: bytes | None = None,
+        rounds: int | None = None,
     ) -> result.Result[Reply, failures.Failure]:
         """Send one request to each VM in turn until one answers it.
 
@@ -96,6 +131,8 @@
             Type of the reply.
         body : bytes or None
             JSON to send.
+        rounds : int or None
+            How often the whole list is tried; as the client was made if ``None``.
 
         Returns
         -------
@@ -103,7 +140,7 @@
             The first answer that another VM or a later time could not better.
         """
         outcome = unreachable("no address was given")
-        for number in range(self.rounds):
+        for number in range(rounds or self.rounds):
             if number:
                 await asyncio.sleep(ROUND_PAUSE_S)
             for url in self.urls:
--- a/src/quetzalpass/cli/declared.py
+++ b/src/quetzalpass/cli/declared.py
@@ -62,7 +62,7 @@
         declaration=loaded.unwrap(),
         base=base,
         operation_id=ids.OperationId(operation_id or uuid.uuid4().hex),
-        author=author or os.environ.get("USER", ""),
+        author=author or default_author(),
         wait_timeout_s=wait_timeout if wait else None,
     )
     return asyncio.run(
@@ -70,6 +70,11 @@
     )
 
 
+def default_author() -> str:
+    """Return who runs the command, as far as the environment tells."""
+    return os.environ.get("USER", "")
+
+
 class Change(msgspec.Struct, frozen=True):
     """What one ``apply`` asks for.
 
@@ -94,20 +99,55 @@
     wait_timeout_s: float | None
 
 
+class Applied(msgspec.Struct, frozen=True):
+    """Outcome of ``apply`` and of the commands on VMs.
+
+    Attributes
+    ----------
+    revision : Revision
+        The accepted revision.
+    digest : str
+        Digest of its canonical form.
+    in_force_on : int or None
+        VMs that it is in force on; ``None`` if that was not waited for.
+    """
+
+    revision: ids.Revision
+    digest: str
+    in_force_on: int | None = None
+
+
 async def send(
     operators: client.OperatorsClient, change: Change, as_json: bool
 ) -> exits.Exit:
     """Apply a change and print the accepted revision."""
     applied = await apply_change(operators, change)
+    return await show_applied(operators, applied, change.wait_timeout_s, as_json)
+
+
+async def show_applied(
+    operators: client.OperatorsClient,
+    applied: result.Result[messages.ApplyReply, failures.Failure],
+    wait_timeout_s: float | None,
+    as_json: bool,
+) -> exits.Exit:
+    """Print the accepted revision, after it is in force if that is wanted."""
     if not isinstance(applied, result.Success):
         return output.fail(applied.failure(), as_json)
     reply = applied.unwrap()
-    output.show(reply, [f"revision {reply.revision} accepted"], as_json)
-    if change.wait_timeout_s is None:
+    line = f"revision {reply.revision} accepted"
+    if wait_timeout_s is None:
+        output.show(Applied(reply.revision, reply.digest), [line], as_json)
         return exits.Exit.OK
-    return await waiting.wait_in_force(
-        operators, reply.revision, change.wait_timeout_s, as_json
-    )
+    if not as_json:
+        print(line, flush=True)
+    waited = await waiting.wait_in_force(operators, reply.revision, wait_timeout_s)
+    if not isinstance(waited, result.Success):
+        return output.fail(waited.failure(), as_json)
+    count = len(waiting.all_vms(waited.unwrap()))
+    outcome = Applied(reply.revision, reply.digest, count)
+    output.show(outcome, [f"in force on {count} VMs"], as_json)
+    return exits.Exit.OK
 
 
 async def apply_change(
--- a/src/quetzalpass/cli/exits.py
+++ b/src/quetzalpass/cli/exits.py
@@ -24,6 +24,7 @@
     codes.Code.OK: Exit.OK,
     codes.Code.REPLAYED: Exit.OK,
     codes.Code.BAD_SETTINGS: Exit.USAGE,
+    codes.Code.BAD_REQUEST: Exit.USAGE,
     codes.Code.DECLARATION_INVALID: Exit.INVALID,
     codes.Code.CONFLICT: Exit.CONFLICT,
     codes.Code.OPERATION_EXPIRED: Exit.CONFLICT,
--- a/src/quetzalpass/cli/main.py
+++ b/src/quetzalpass/cli/main.py
@@ -4,7 +4,16 @@
 
 import defopt
 
-from quetzalpass.cli import connection, declared, exits, offline
+from quetzalpass.cli import (
+    connection,
+    declared,
+    exits,
+    members,
+    offline,
+    tools,
+    vms,
+    watching,
+)
 
 OPERATORS_OPTION = "--operators"
 
@@ -17,6 +26,16 @@
         "apply": declared.apply,
         "get": declared.get,
         "status": declared.status,
+        "watch": watching.watch,
+        "vm": {"drain": vms.drain, "undrain": vms.undrain, "out": vms.out},
+        "members": {
+            "list": members.list_members,
+            "add": members.add,
+            "remove": members.remove,
+        },
+        "storage": {"verify": tools.verify},
+        "explain": tools.explain,
+        "bench": tools.bench,
     }
 
 
--- /dev/null
+++ b/src/quetzalpass/cli/tools.py
@@ -0,0 +1,122 @@
+"""Commands that work alone or ask one question: storage, explain, bench."""
+
+import asyncio
+import importlib
+import pathlib
+
+from returns import result
+
+from quetzalpass import ids
+from quetzalpass.cli import client, connection, exits, output
+from quetzalpass.results import codes, failures
+
+BENCHMARKS = ("relay", "control", "outcomes", "routing", "capacity")
+
+
+def verify(folder: str, *, json: bool = False) -> int:
+    """Check a data folder offline; nothing in it is changed.
+
+    Parameters
+    ----------
+    folder : str
+        Data folder of a replica that is not running.
+    json : bool
+        Print one JSON object.
+    """
+    # Only this command needs the storage code.
+    from quetzalpass.storage import verify as storage_verify
+
+    outcome = storage_verify.verify_folder(pathlib.Path(folder))
+    if not isinstance(outcome, result.Success):
+        return output.fail(outcome.failure(), json)
+    report = outcome.unwrap()
+    output.show(report, (log_line(log) for log in report.logs), json)
+    if report.is_sound:
+        return exits.Exit.OK
+    return exits.exit_of(codes.Code.STORAGE_DAMAGED)
+
+
+def log_line(log) -> str:
+    """Return the text form of what was found in one log."""
+    name = log.folder or "."
+    if log.failure is not None:
+        return output.printable(f"{name}: damaged: {log.failure.message}")
+    line = f"{name}: sound, {log.segment_count} segments, {log.record_count} records"
+    if log.snapshot_index is not None:
+        line += f", snapshot at {log.snapshot_index}"
+    if log.torn_bytes:
+        line += f", {log.torn_bytes} bytes of a torn tail that a start would cut"
+    return output.printable(line)
+
+
+def explain(
+    request_id: str,
+    *,
+    operators: connection.Endpoints,
+    key_file: str,
+    ca_file: str | None = None,
+    json: bool = False,
+) -> int:
+    """Show why a request was sent to the server that ran it.
+
+    Parameters
+    ----------
+    request_id : str
+        Value of the answer's header Quetzalpass-Request-Id.
+    operators : connection.Endpoints
+        Addresses of operators' listeners; name every gateway that may have had it.
+    key_file : str
+        File with the operators' key.
+    ca_file : str or None
+        PEM file of accepted certificate authorities.
+    json : bool
+        Print one JSON object.
+    """
+    access = connection.Access(operators, key_file, ca_file, json)
+    request = ids.RequestId(request_id)
+    return asyncio.run(
+        connection.with_client(
+            access, lambda opened: show_explanation(opened, request, json)
+        )
+    )
+
+
+async def show_explanation(
+    operators: client.OperatorsClient, request_id: ids.RequestId, as_json: bool
+) -> exits.Exit:
+    """Print why a request was placed where it is."""
+    outcome = await operators.explain(request_id)
+    if not isinstance(outcome, result.Success):
+        return output.fail(outcome.failure(), as_json)
+    reply = outcome.unwrap()
+    age = "unknown" if reply.report_age_s is None else f"{reply.report_age_s:.2f} s"
+    lines = [
+        f"{reply.request_id} went to {reply.server}, decided by {reply.vm}",
+        f"reason: {reply.reason}",
+        f"waited {reply.waited_s:.3f} s; load report was {age} old",
+    ]
+    output.show(reply, (output.printable(line) for line in lines), as_json)
+    return exits.Exit.OK
+
+
+def bench(name: str, *, quick: bool = False, json: bool = False) -> int:
+    """Run a benchmark; the exit code is not 0 if a target is missed.
+
+    Parameters
+    ----------
+    name : str
+        One of relay, control, outcomes, routing, capacity.
+    quick : bool
+        Take under 40 s, with fewer sizes or seeds and the same checks.
+    json : bool
+        Print one JSON object.
+    """
+    if name not in BENCHMARKS:
+        message = f"no benchmark '{name}'; there are: {', '.join(BENCHMARKS)}"
+        return output.fail(failures.Failure(codes.Code.BAD_REQUEST, message), json)
+    try:
+        module = importlib.import_module(f"quetzalpass.bench.{name}")
+    except ModuleNotFoundError as error:
+        message = f"the benchmark '{name}' can't be loaded: {error}"
+        return output.fail(failures.Failure(codes.Code.BAD_REQUEST, message), json)
+    return module.run(quick=quick, as_json=json)
--- a/src/quetzalpass/cli/waiting.py
+++ b/src/quetzalpass/cli/waiting.py
@@ -5,7 +5,7 @@
 from returns import result
 
 from quetzalpass import ids
-from quetzalpass.cli import client, exits, output
+from quetzalpass.cli import client, output
 from quetzalpass.control import messages
 from quetzalpass.results import codes, failures
 
@@ -27,37 +27,38 @@
 
 
 async def wait_in_force(
-    operators: client.OperatorsClient,
-    revision: ids.Revision,
-    timeout_s: float,
-    as_json: bool,
-) -> exits.Exit:
-    """Wait until a revision is in force on every VM.
+    operators: client.OperatorsClient, revision: ids.Revision, timeout_s: float
+) -> result.Result[messages.StatusReply, failures.Failure]:
+    """Wait until a revision, or a later one, is in force on every VM.
+
+    Parameters
+    ----------
+    operators : client.OperatorsClient
+        Whom to ask.
+    revision : Revision
+        An accepted revision.
+    timeout_s : float
+        Longest wait, in seconds.
 
     Returns
     -------
-    Exit
-        ``NOT_IN_FORCE`` after the timeout, with the names of those that lack it.
+    Result of StatusReply or Failure
+        ``Code.NOT_IN_FORCE`` after the timeout, with the names of the VMs that lack
+        the revision.
     """
     loop = asyncio.get_running_loop()
     end = loop.time() + timeout_s
     while True:
-        outcome = await operators.status()
-        if isinstance(outcome, result.Success):
-            missing = lacking(outcome.unwrap(), revision)
-            if not missing:
-                return show_in_force(outcome.unwrap(), as_json)
+        outcome = await operators.status(rounds=1)
+        if isinstance(outcome, result.Success) and not lacking(
+            outcome.unwrap(), revision
+        ):
+            return outcome
         if loop.time() >= end:
-            return output.fail(not_in_force(outcome, revision), as_json)
+            return result.Failure(not_in_force(outcome, revision))
         await asyncio.sleep(POLL_S)
 
 
-def show_in_force(reply: messages.StatusReply, as_json: bool) -> exits.Exit:
-    """Print that every VM has the revision."""
-    output.show(reply, [f"in force on {len(all_vms(reply))} VMs"], as_json)
-    return exits.Exit.OK
-
-
 def not_in_force(
     outcome: result.Result[messages.StatusReply, failures.Failure],
     revision: ids.Revision,
@@ -81,12 +82,17 @@
         rows += [server_row(server) for server in reply.servers]
         lines += ["", *output.table(rows)]
     if reply.groups:
-        rows = [("GROUP", "LEADER", "TERM", "APPLIED", "MEMBERS")]
-        rows += [group_row(group) for group in reply.groups]
-        lines += ["", *output.table(rows)]
+        lines += ["", *group_lines(reply.groups)]
     return [output.printable(line) for line in lines]
 
 
+def group_lines(groups: tuple[messages.GroupStatus, ...]) -> list[str]:
+    """Return the text form of consensus groups."""
+    rows = [("GROUP", "LEADER", "TERM", "APPLIED", "MEMBERS")]
+    rows += [group_row(group) for group in groups]
+    return [output.printable(line) for line in output.table(rows)]
+
+
 def vm_row(vm: messages.VmStatus) -> tuple[str, ...]:
     """Return the cells of a VM."""
     ready = "yes" if vm.ready else "no"
--- a/src/quetzalpass/control/messages.py
+++ b/src/quetzalpass/control/messages.py
@@ -1,5 +1,7 @@
 """Messages of the operators' interface, shared by the daemon and the CLI."""
 
+import enum
+
 import msgspec
 
 from quetzalpass import ids
@@ -114,3 +116,70 @@
     advice: str
     retry_after_ms: int | None = None
     leader: ids.VmId | None = None
+
+
+class MemberAction(enum.Enum):
+    """What to do with a member of a consensus group."""
+
+    ADD = "add"
+    REMOVE = "remove"
+
+
+class MembersRequest(msgspec.Struct, frozen=True):
+    """Asks to change the members of a consensus group by one.
+
+    Attributes
+    ----------
+    operation_id : OperationId
+        Chosen by the operator's tool; a resend with the same id gets the first
+        outcome.
+    group : GroupId
+        The group.
+    vm : VmId
+        VM to add or remove. One that is added votes only after it holds all
+        committed state.
+    action : MemberAction
+        What to do.
+    """
+
+    operation_id: ids.OperationId
+    group: ids.GroupId
+    vm: ids.VmId
+    action: MemberAction
+
+
+class MembersReply(msgspec.Struct, frozen=True):
+    """The members of a group after a change."""
+
+    group: ids.GroupId
+    members: tuple[ids.VmId, ...]
+
+
+class ExplanationReply(msgspec.Struct, frozen=True):
+    """Why a gateway placed a request where it is.
+
+    Attributes
+    ----------
+    request_id : RequestId
+        The request.
+    vm : VmId
+        Gateway that decided.
+    server : ServerId
+        Server that was chosen.
+    reason : str
+        One sentence with the figures that decided it.
+    waited_s : float
+        Time in the gateway's queue, in seconds.
+    age_s : float
+        Time since the decision, in seconds.
+    report_age_s : float or None
+        Age of the load report at the decision, in seconds.
+    """
+
+    request_id: ids.RequestId
+    vm: ids.VmId
+    server: ids.ServerId
+    reason: str
+    waited_s: float
+    age_s: float
+    report_age_s: float | None = None
