Add generate: stream one request and go on after lost connections

Cause: operators need a caller of their own to see what callers see. Addresses of an option may be repeated, listed or joined by commas.

--- /dev/null
+++ b/src/quetzalpass/cli/event_stream.py
@@ -0,0 +1,79 @@
+"""Decoding of the server-sent events that gateways send to callers."""
+
+import msgspec
+
+MAX_EVENT_BYTES = 4_000_000
+
+
+class Event(msgspec.Struct):
+    """One event.
+
+    Attributes
+    ----------
+    id : str
+        Value for ``Last-Event-ID``; empty if the event has none.
+    name : str
+        Kind of the event; empty for an ordinary one.
+    data : str
+        The payload.
+    """
+
+    id: str = ""
+    name: str = ""
+    data: str = ""
+
+
+class EventTooLargeError(Exception):
+    """An event is larger than ``MAX_EVENT_BYTES``."""
+
+
+class EventDecoder:
+    """Splits a byte stream into events.
+
+    Attributes
+    ----------
+    rest : bytes
+        Start of a line whose end has not arrived.
+    event : Event
+        The event that the next line belongs to.
+    """
+
+    def __init__(self) -> None:
+        self.rest = b""
+        self.event = Event()
+
+    def feed(self, chunk: bytes) -> list[Event]:
+        """Return the events that a chunk completes.
+
+        Raises
+        ------
+        EventTooLargeError
+            If a line or an event exceeds the limit.
+        """
+        lines = (self.rest + chunk).split(b"\n")
+        self.rest = lines.pop()
+        if len(self.rest) > MAX_EVENT_BYTES:
+            raise EventTooLargeError
+        found = []
+        for line in lines:
+            event = self.take_line(line.rstrip(b"\r").decode(errors="replace"))
+            if event is not None:
+                found.append(event)
+        return found
+
+    def take_line(self, line: str) -> Event | None:
+        """Take one line in; an empty one completes an event."""
+        if not line:
+            event, self.event = self.event, Event()
+            return event if event.data or event.name else None
+        field, _, value = line.partition(":")
+        value = value.removeprefix(" ")
+        if field == "data":
+            self.event.data += f"\n{value}" if self.event.data else value
+        elif field == "id":
+            self.event.id = value
+        elif field == "event":
+            self.event.name = value
+        if len(self.event.data) > MAX_EVENT_BYTES:
+            raise EventTooLargeError
+        return None
--- /dev/null
+++ b/src/quetzalpass/cli/generating.py
@@ -0,0 +1,155 @@
+"""The command ``generate``: streams one request as a caller would."""
+
+import asyncio
+import sys
+
+import aiohttp
+import msgspec
+from returns import result
+
+from quetzalpass.cli import (
+    client,
+    completion_messages,
+    connection,
+    exits,
+    generation,
+    output,
+)
+from quetzalpass.results import codes, failures
+
+
+def generate(
+    model: str,
+    prompt: str,
+    *,
+    gateways: connection.Endpoints,
+    key_file: str,
+    chat: bool = False,
+    max_tokens: int | None = None,
+    class_name: str | None = None,
+    timeout_ms: int | None = None,
+    silence: float = 30.0,
+    ca_file: str | None = None,
+    json: bool = False,
+) -> int:
+    """Stream one generation; go on at the next gateway after a lost connection.
+
+    Parameters
+    ----------
+    model : str
+        Model, or model:adapter.
+    prompt : str
+        The prompt.
+    gateways : connection.Endpoints
+        Addresses of callers' listeners, separated by commas.
+    key_file : str
+        File with the organisation's key.
+    chat : bool
+        Use the chat interface.
+    max_tokens : int or None
+        Longest output, in tokens.
+    class_name : str or None
+        Priority class.
+    timeout_ms : int or None
+        Longest time for the whole answer, in milliseconds.
+    silence : float
+        Silence after which a connection counts as lost, in seconds.
+    ca_file : str or None
+        PEM file of accepted certificate authorities.
+    json : bool
+        Print one JSON object at the end in place of the text.
+    """
+    key = connection.read_key(key_file)
+    if not isinstance(key, result.Success):
+        return output.fail(key.failure(), json)
+    wanted = completion_messages.Wanted(
+        gateways=gateways.urls,
+        key=key.unwrap(),
+        model=model,
+        prompt=prompt,
+        chat=chat,
+        max_tokens=max_tokens,
+        class_name=class_name,
+        timeout_ms=timeout_ms,
+        silence_s=silence,
+    )
+    return asyncio.run(run(wanted, ca_file, json))
+
+
+class Report(msgspec.Struct, frozen=True):
+    """Outcome of a generation.
+
+    Attributes
+    ----------
+    code : int
+        Numbered result code.
+    name : str
+        Name of the code.
+    message : str
+        What went wrong; empty if nothing did.
+    generated : completion_messages.Generated
+        What arrived.
+    """
+
+    code: int
+    name: str
+    message: str
+    generated: completion_messages.Generated
+
+
+async def run(
+    wanted: completion_messages.Wanted, ca_file: str | None, as_json: bool
+) -> exits.Exit:
+    """Stream one generation and print it."""
+    try:
+        context = client.ssl_context(ca_file)
+    except OSError as error:
+        failure = failures.Failure(codes.Code.BAD_SETTINGS, f"{ca_file}: {error}")
+        return output.fail(failure, as_json)
+    connector = aiohttp.TCPConnector(ssl=context)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        on_text = ignore_text if as_json else print_text
+        stream = generation.Generation(session, wanted, on_text)
+        outcome = await stream.run()
+    return show(outcome, stream.generated, as_json)
+
+
+def ignore_text(text: str) -> None:
+    """Print nothing before the end."""
+
+
+def print_text(text: str) -> None:
+    """Print a piece of text at once, safe for a terminal."""
+    sys.stdout.write(output.printable(text))
+    sys.stdout.flush()
+
+
+def show(
+    outcome: result.Result[completion_messages.Generated, failures.Failure],
+    generated: completion_messages.Generated,
+    as_json: bool,
+) -> exits.Exit:
+    """Print the end of a generation and return the exit code."""
+    failure = failures.Failure(codes.Code.OK, "")
+    if not isinstance(outcome, result.Success):
+        failure = outcome.failure()
+    if as_json:
+        code = failure.code
+        report = Report(code.value, code.name, failure.message, generated)
+        output.show(report, [], as_json)
+        return exits.exit_of(code)
+    print()
+    if failure.code is not codes.Code.OK:
+        return output.fail(failure, as_json)
+    print(summary(generated), file=sys.stderr)
+    return exits.Exit.OK
+
+
+def summary(generated: completion_messages.Generated) -> str:
+    """Return one line about a whole generation."""
+    first = generated.first_token_s or 0.0
+    return output.printable(
+        f"generation {generated.generation_id}: {generated.completion_tokens} tokens, "
+        f"first after {first:.3f} s, longest gap {generated.longest_gap_s:.3f} s, "
+        f"{generated.connections} connections"
+    )
--- /dev/null
+++ b/src/quetzalpass/cli/generation.py
@@ -0,0 +1,239 @@
+"""One streamed generation as a caller sees it, over as many connections as it takes."""
+
+import asyncio
+import enum
+from collections.abc import Callable
+
+import aiohttp
+import msgspec
+from returns import result
+
+from quetzalpass.callers import errors
+from quetzalpass.cli import completion_messages, event_stream
+from quetzalpass.results import codes, failures
+
+END_MARK = "[DONE]"
+ERROR_EVENT = "error"
+CONNECT_TIMEOUT_S = 3.0
+MAX_FRUITLESS_ATTEMPTS = 6
+FIRST_PAUSE_S = 0.2
+LONGEST_PAUSE_S = 5.0
+MS_PER_S = 1000
+
+
+class Step(enum.Enum):
+    """How one connection ended."""
+
+    COMPLETE = "complete"
+    LOST = "lost"
+
+
+StepResult = result.Result[Step, failures.Failure]
+
+
+class Generation:
+    """Streams one generation and goes on after lost connections.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Session to send with.
+    wanted : completion_messages.Wanted
+        What to generate.
+    on_text : callable
+        Called with each new piece of text.
+
+    Attributes
+    ----------
+    generated : completion_messages.Generated
+        What arrived so far.
+    last_event_id : str
+        Place to go on from.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        wanted: completion_messages.Wanted,
+        on_text: Callable[[str], None],
+    ) -> None:
+        self.session = session
+        self.wanted = wanted
+        self.on_text = on_text
+        self.generated = completion_messages.Generated()
+        self.last_event_id = ""
+        self.last_offset = -1
+        self.last_text_s = 0.0
+        self.started_s = 0.0
+        self.finished = False
+
+    async def run(
+        self,
+    ) -> result.Result[completion_messages.Generated, failures.Failure]:
+        """Stream until the answer is whole.
+
+        Returns
+        -------
+        Result of completion_messages.Generated or Failure
+            The gateway's failure, or ``Code.UNREACHABLE`` after several attempts
+            that brought nothing new.
+        """
+        self.started_s = asyncio.get_running_loop().time()
+        fruitless = 0
+        attempt = 0
+        while True:
+            before = self.last_offset
+            outcome = await self.connect(attempt)
+            attempt += 1
+            if outcome == result.Success(Step.COMPLETE):
+                self.note_end()
+                return result.Success(self.generated)
+            fruitless = 0 if self.last_offset > before else fruitless + 1
+            if not self.may_try_again(outcome, fruitless):
+                self.note_end()
+                return result.Failure(self.failure_of(outcome))
+            await asyncio.sleep(self.pause_s(outcome, fruitless))
+
+    def note_end(self) -> None:
+        """Note how long it took."""
+        now_s = asyncio.get_running_loop().time()
+        self.generated.duration_s = now_s - self.started_s
+
+    def may_try_again(self, outcome: StepResult, fruitless: int) -> bool:
+        """Return whether another connection may bring more."""
+        if fruitless >= MAX_FRUITLESS_ATTEMPTS:
+            return False
+        if isinstance(outcome, result.Success):
+            return True
+        code = outcome.failure().code
+        if not codes.spec_of(code).retry:
+            return False
+        # A new start would repeat text that has been delivered; going on from the
+        # last event only helps where the generation itself still exists.
+        ended = codes.spec_of(code).execution is codes.Execution.RAN
+        return not (ended and self.last_event_id)
+
+    def failure_of(self, outcome: StepResult) -> failures.Failure:
+        """Return why the generation is given up."""
+        if not isinstance(outcome, result.Success):
+            return outcome.failure()
+        message = f"the connection was lost {MAX_FRUITLESS_ATTEMPTS} times in a row"
+        return failures.Failure(codes.Code.UNREACHABLE, message)
+
+    def pause_s(self, outcome: StepResult, fruitless: int) -> float:
+        """Return how long to wait before the next connection, in seconds."""
+        if not isinstance(outcome, result.Success):
+            retry_after_ms = outcome.failure().retry_after_ms
+            if retry_after_ms is not None:
+                return retry_after_ms / MS_PER_S
+        if not fruitless:
+            return 0.0
+        return min(FIRST_PAUSE_S * 2 ** (fruitless - 1), LONGEST_PAUSE_S)
+
+    async def connect(self, attempt: int) -> StepResult:
+        """Send the request once and read its answer."""
+        gateway = self.wanted.gateways[attempt % len(self.wanted.gateways)]
+        headers = self.wanted.headers()
+        if self.last_event_id:
+            headers["Last-Event-ID"] = self.last_event_id
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=self.wanted.silence_s
+        )
+        try:
+            async with self.session.post(
+                gateway.rstrip("/") + self.wanted.path(),
+                data=self.wanted.body(),
+                headers=headers,
+                timeout=timeout,
+            ) as response:
+                return await self.read_answer(response)
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            return result.Success(Step.LOST)
+        except event_stream.EventTooLargeError:
+            message = "the gateway sent an event that is too large"
+            return failed(codes.Code.EVENT_TOO_LARGE, message)
+
+    async def read_answer(self, response: aiohttp.ClientResponse) -> StepResult:
+        """Read an answer to its end."""
+        self.note_headers(response)
+        if response.status != codes.spec_of(codes.Code.OK).http_status:
+            return error_of(await response.read(), response.status)
+        decoder = event_stream.EventDecoder()
+        async for chunk in response.content.iter_any():
+            for event in decoder.feed(chunk):
+                ended = self.take_event(event)
+                if ended is not None:
+                    return ended
+        return result.Success(Step.LOST)
+
+    def note_headers(self, response: aiohttp.ClientResponse) -> None:
+        """Note the ids that the first answer names."""
+        generated = self.generated
+        generated.connections += 1
+        if not generated.request_id:
+            generated.request_id = response.headers.get(errors.REQUEST_ID_HEADER, "")
+        if not generated.generation_id:
+            name = errors.GENERATION_ID_HEADER
+            generated.generation_id = response.headers.get(name, "")
+
+    def take_event(self, event: event_stream.Event) -> StepResult | None:
+        """Take one event in; return the end of the connection if it is one."""
+        if event.name == ERROR_EVENT:
+            return error_of(event.data.encode(), None)
+        if event.data == END_MARK:
+            return result.Success(Step.COMPLETE)
+        try:
+            chunk = msgspec.json.decode(event.data, type=completion_messages.Chunk)
+        except msgspec.DecodeError:
+            return failed(codes.Code.STREAM_CROSSED, "the gateway sent no JSON")
+        if event.id and not self.advance(event.id):
+            message = f"event {event.id} came after {self.last_event_id}"
+            return failed(codes.Code.STREAM_CROSSED, message)
+        if chunk.usage is not None:
+            self.generated.completion_tokens = chunk.usage.completion_tokens
+        for choice in chunk.choices:
+            self.take_choice(choice)
+        return None
+
+    def advance(self, event_id: str) -> bool:
+        """Note the place of an event; return whether it follows the last one."""
+        _, _, offset = event_id.rpartition("/")
+        if not offset.isdecimal() or int(offset) <= self.last_offset:
+            return False
+        self.last_offset = int(offset)
+        self.last_event_id = event_id
+        return True
+
+    def take_choice(self, choice: completion_messages.Choice) -> None:
+        """Take new text in."""
+        text = choice.delta.content if choice.delta is not None else choice.text
+        if choice.finish_reason is not None:
+            self.generated.finish_reason = choice.finish_reason
+        if not text:
+            return
+        now_s = asyncio.get_running_loop().time()
+        if self.generated.first_token_s is None:
+            self.generated.first_token_s = now_s - self.started_s
+        else:
+            gap_s = now_s - self.last_text_s
+            self.generated.longest_gap_s = max(self.generated.longest_gap_s, gap_s)
+        self.last_text_s = now_s
+        self.generated.text += text
+        self.on_text(text)
+
+
+def failed(code: codes.Code, message: str) -> StepResult:
+    """Return the end of a connection by a failure."""
+    return result.Failure(failures.Failure(code, message))
+
+
+def error_of(data: bytes, status: int | None) -> StepResult:
+    """Return the failure that an error answer carries."""
+    try:
+        error = msgspec.json.decode(data, type=errors.ErrorAnswer).error
+        code = codes.Code(error.code)
+    except (msgspec.DecodeError, ValueError):
+        message = f"the gateway answered {status} in a form that is not known here"
+        return failed(codes.Code.UNREACHABLE, message)
+    failure = failures.Failure(code, error.message, retry_after_ms=error.retry_after_ms)
+    return result.Failure(failure)
--- a/src/quetzalpass/cli/main.py
+++ b/src/quetzalpass/cli/main.py
@@ -8,6 +8,7 @@
     connection,
     declared,
     exits,
+    generating,
     members,
     offline,
     tools,
@@ -15,7 +16,7 @@
     watching,
 )
 
-OPERATORS_OPTION = "--operators"
+ADDRESS_OPTIONS = ("--operators", "--gateways")
 
 
 def commands() -> dict:
@@ -33,35 +34,35 @@
             "add": members.add,
             "remove": members.remove,
         },
+        "generate": generating.generate,
         "storage": {"verify": tools.verify},
         "explain": tools.explain,
         "bench": tools.bench,
     }
 
 
-def join_operators(argv: list[str]) -> list[str]:
-    """Return the arguments with all operators' addresses in one option.
+def join_addresses(argv: list[str]) -> list[str]:
+    """Return the arguments with all addresses of an option in one option.
 
-    The option may be repeated or followed by several addresses. argparse keeps only
-    the last of repeated options, and a list option would swallow the positional
-    arguments behind it.
+    An option with addresses may be repeated or followed by several of them. argparse
+    keeps only the last of repeated options, and a list option would swallow the
+    positional arguments behind it.
     """
     kept: list[str] = []
-    urls: list[str] = []
-    collecting = False
+    urls: dict[str, list[str]] = {option: [] for option in ADDRESS_OPTIONS}
+    collecting: list[str] | None = None
     for argument in argv:
-        if argument == OPERATORS_OPTION:
-            collecting = True
-        elif argument.startswith(f"{OPERATORS_OPTION}="):
-            urls.append(argument.partition("=")[2])
-        elif collecting and "://" in argument:
-            urls.append(argument)
+        option, equals, value = argument.partition("=")
+        if option in urls:
+            collecting = urls[option]
+            collecting += [value] if equals else []
+        elif collecting is not None and "://" in argument:
+            collecting.append(argument)
         else:
-            collecting = False
+            collecting = None
             kept.append(argument)
-    if not urls:
-        return argv
-    return [*kept, f"{OPERATORS_OPTION}={','.join(urls)}"]
+    joined = [f"{option}={','.join(found)}" for option, found in urls.items() if found]
+    return [*kept, *joined]
 
 
 def run(argv: list[str]) -> int:
@@ -79,7 +80,7 @@
     """
     return defopt.run(
         commands(),
-        argv=join_operators(argv),
+        argv=join_addresses(argv),
         parsers={connection.Endpoints: connection.parse_endpoints},
         no_negated_flags=True,
         short={},
--- a/src/quetzalpass/cli/output.py
+++ b/src/quetzalpass/cli/output.py
@@ -9,6 +9,8 @@
 from quetzalpass.control import messages
 from quetzalpass.results import codes, failures
 
+WHITE_SPACE = "\n\t"
+
 
 def show(value: msgspec.Struct, lines: Iterable[str], as_json: bool) -> None:
     """Print a value as one JSON object, or its lines of text."""
@@ -40,9 +42,9 @@
 
 
 def printable(text: str) -> str:
-    """Return a text with its control characters escaped, except line ends."""
+    """Return a text with its control characters escaped, except white space."""
     return "".join(
-        char if char.isprintable() or char == "\n" else repr(char)[1:-1]
+        char if char.isprintable() or char in WHITE_SPACE else repr(char)[1:-1]
         for char in text
     )
 
--- /dev/null
+++ b/tests/cli/test_generation.py
@@ -0,0 +1,140 @@
+import asyncio
+import contextlib
+
+import aiohttp
+import msgspec
+import pytest
+from aiohttp import web
+from returns import result
+
+from quetzalpass.callers import errors
+from quetzalpass.cli import completion_messages, event_stream, generation
+from quetzalpass.results import codes, failures
+
+pytestmark = pytest.mark.looptime
+
+WORDS = ["a ", "b ", "c ", "d "]
+
+
+def event(offset, text, finish=None):
+    data = {"choices": [{"index": 0, "text": text, "finish_reason": finish}]}
+    body = msgspec.json.encode(data)
+    return b"id: gen/s-1/%d\ndata: %s\n\n" % (offset, body)
+
+
+def error_event(code):
+    answer = errors.error_answer(failures.Failure(code, "it ended"))
+    return b"event: error\ndata: " + msgspec.json.encode(answer) + b"\n\n"
+
+
+class FakeGateway:
+    """Plays one script of steps for each connection.
+
+    A step is bytes to send, a code to refuse with, or a pause in seconds.
+    """
+
+    def __init__(self, *scripts):
+        self.scripts = list(scripts)
+        self.resumed_from = []
+
+    async def handle(self, request):
+        self.resumed_from.append(request.headers.get("Last-Event-ID"))
+        script = self.scripts.pop(0)
+        if isinstance(script[0], codes.Code):
+            return errors.error_response(failures.Failure(script[0], "no"), "req-1")
+        response = web.StreamResponse(headers={"Quetzalpass-Request-Id": "req-1"})
+        await response.prepare(request)
+        for step in script:
+            if isinstance(step, bytes):
+                await response.write(step)
+            else:
+                await asyncio.sleep(step)
+        request.transport.abort()
+        return response
+
+    @contextlib.asynccontextmanager
+    async def serve(self):
+        app = web.Application()
+        app.router.add_post("/v1/completions", self.handle)
+        runner = web.AppRunner(app, access_log=None)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        try:
+            yield f"http://127.0.0.1:{runner.addresses[0][1]}"
+        finally:
+            await runner.cleanup()
+
+
+async def generate(gateway):
+    async with gateway.serve() as url, aiohttp.ClientSession() as session:
+        wanted = completion_messages.Wanted((url,), "key", "model", "prompt")
+        stream = generation.Generation(session, wanted, lambda text: None)
+        return await stream.run()
+
+
+ALL = [event(offset, word) for offset, word in enumerate(WORDS)]
+END = b"data: [DONE]\n\n"
+# Long enough for the bytes before it to leave before the connection is cut.
+LEAVE_S = 0.01
+
+
+class TestGeneration:
+    async def test_a_whole_stream_takes_one_connection(self):
+        outcome = await generate(FakeGateway([*ALL, END, LEAVE_S]))
+        assert outcome.unwrap().text == "a b c d "
+        assert outcome.unwrap().connections == 1
+
+    async def test_it_goes_on_behind_the_last_event(self):
+        gateway = FakeGateway([*ALL[:2], LEAVE_S], [*ALL[2:], END, LEAVE_S])
+        outcome = await generate(gateway)
+        assert outcome.unwrap().text == "a b c d "
+        assert gateway.resumed_from == [None, "gen/s-1/1"]
+
+    async def test_a_silent_connection_is_replaced(self):
+        gateway = FakeGateway([*ALL[:1], 100.0], [*ALL[1:], END, LEAVE_S])
+        outcome = await generate(gateway)
+        assert outcome.unwrap().text == "a b c d "
+        assert outcome.unwrap().longest_gap_s >= 30.0
+
+    async def test_an_event_that_comes_twice_is_refused(self):
+        outcome = await generate(FakeGateway([ALL[0], ALL[1], ALL[1], END, LEAVE_S]))
+        assert outcome.failure().code is codes.Code.STREAM_CROSSED
+
+    async def test_a_draining_gateway_is_tried_again(self):
+        gateway = FakeGateway([codes.Code.DRAINING], [*ALL, END, LEAVE_S])
+        assert isinstance(await generate(gateway), result.Success)
+
+    async def test_an_error_that_no_retry_helps_ends_it(self):
+        outcome = await generate(FakeGateway([codes.Code.UNKNOWN_MODEL]))
+        assert outcome.failure().code is codes.Code.UNKNOWN_MODEL
+
+    async def test_a_generation_that_ended_early_is_not_started_anew(self):
+        lost = error_event(codes.Code.SERVER_LOST)
+        gateway = FakeGateway([*ALL[:2], lost, LEAVE_S])
+        outcome = await generate(gateway)
+        assert outcome.failure().code is codes.Code.SERVER_LOST
+        assert gateway.resumed_from == [None]
+
+    async def test_it_gives_up_after_fruitless_connections(self):
+        gateway = FakeGateway(*[[LEAVE_S]] * generation.MAX_FRUITLESS_ATTEMPTS)
+        outcome = await generate(gateway)
+        assert outcome.failure().code is codes.Code.UNREACHABLE
+
+
+class TestEventDecoder:
+    def test_events_are_found_at_any_split(self):
+        text = b": alive\n\n" + b"".join(ALL) + END.replace(b"\n", b"\r\n")
+        for size in (1, 3, 7, len(text)):
+            decoder = event_stream.EventDecoder()
+            found = []
+            for start in range(0, len(text), size):
+                found += decoder.feed(text[start : start + size])
+            assert [item.id for item in found[:-1]] == [
+                f"gen/s-1/{offset}" for offset in range(4)
+            ]
+            assert found[-1].data == "[DONE]"
+
+    def test_an_endless_line_is_refused(self):
+        decoder = event_stream.EventDecoder()
+        with pytest.raises(event_stream.EventTooLargeError):
+            decoder.feed(b"x" * (event_stream.MAX_EVENT_BYTES + 1))
