Run the whole path over real processes in make demo

Cause: the parts were wired but nothing had run. Change: demo/ starts 3 daemons, 3 engines and 1 service, applies a declaration with the CLI, streams, files once, drains a VM and kills an engine in mid-stream. It lies outside the package because the programs start no processes.

--- a/Makefile
+++ b/Makefile
@@ -18,18 +18,18 @@
 	touch $(VENV_STAMP)
 
 check: $(ENVIRONMENT)
-	$(PYTHON) -m ruff format --check src tests
-	$(PYTHON) -m ruff check src tests
+	$(PYTHON) -m ruff format --check src tests demo
+	$(PYTHON) -m ruff check src tests demo
 
 format: $(ENVIRONMENT)
-	$(PYTHON) -m ruff format src tests
-	$(PYTHON) -m ruff check --fix src tests
+	$(PYTHON) -m ruff format src tests demo
+	$(PYTHON) -m ruff check --fix src tests demo
 
 test: $(ENVIRONMENT)
 	$(PYTHON) -m pytest
 
 demo: $(ENVIRONMENT)
-	$(PYTHON) -m quetzalpass.demo.main
+	$(PYTHON) demo/run.py
 
 fuzz: $(ENVIRONMENT)
 	QUETZALPASS_FUZZ_PROFILE=long $(PYTHON) -m pytest tests/fuzz -s
--- /dev/null
+++ b/demo/cluster.py
@@ -0,0 +1,243 @@
+"""Starts the processes of the demonstration and stops them again.
+
+This is a harness: the programs of the product start no process themselves.
+"""
+
+import hashlib
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.request
+
+import yaml
+
+OPERATOR_KEY = "demo-operator-key"
+CLUSTER_KEY = "demo-cluster-key"
+ORGANISATION_KEY = "demo-organisation-key"
+HOST = "127.0.0.1"
+START_TIMEOUT_S = 15.0
+STOP_TIMEOUT_S = 10.0
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind((HOST, 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+class Cluster:
+    """Three daemons in two data centres, three engines and one plain service.
+
+    Parameters
+    ----------
+    folder : Path
+        Empty folder for settings, data and logs.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.processes: dict[str, subprocess.Popen] = {}
+        ports = iter(free_ports(13))
+        self.daemons = ("entry-1", "entry-2", "entry-3")
+        self.data_centres = dict(
+            zip(self.daemons, ("north-a", "north-a", "north-b"), strict=True)
+        )
+        self.callers = {name: next(ports) for name in self.daemons}
+        self.peers = {name: next(ports) for name in self.daemons}
+        self.operators = {name: next(ports) for name in self.daemons}
+        self.servers = {
+            name: next(ports) for name in ("engine-1", "engine-2", "engine-3", "desk")
+        }
+
+    def write_files(self) -> None:
+        """Write keys, settings and the declaration."""
+        self.write("operator.key", OPERATOR_KEY)
+        self.write("cluster.key", CLUSTER_KEY)
+        for name in self.daemons:
+            self.write(f"{name}.yaml", yaml.safe_dump(self.daemon_settings(name)))
+        for name, port in self.servers.items():
+            kind = "service" if name == "desk" else "engine"
+            settings = {"id": name, "kind": kind, "port": port, "models": ["draft-llm"]}
+            self.write(f"{name}.yaml", yaml.safe_dump(settings))
+        self.write_declaration({})
+
+    def write(self, name: str, text: str) -> None:
+        """Write one file."""
+        path = self.folder / name
+        path.parent.mkdir(parents=True, exist_ok=True)
+        path.write_text(text)
+
+    def daemon_settings(self, name: str) -> dict:
+        """Return the settings of one daemon."""
+        peers = [
+            {
+                "id": other,
+                "data_centre": self.data_centres[other],
+                "url": f"http://{HOST}:{self.peers[other]}",
+                "replica": True,
+            }
+            for other in self.daemons
+            if other != name
+        ]
+        return {
+            "id": name,
+            "data_centre": self.data_centres[name],
+            "roles": ["gateway", "replica"],
+            "callers": {"host": HOST, "port": self.callers[name]},
+            "peers": {"host": HOST, "port": self.peers[name]},
+            "operators": {
+                "host": HOST,
+                "port": self.operators[name],
+                "key_file": str(self.folder / "operator.key"),
+            },
+            "cluster_key_file": str(self.folder / "cluster.key"),
+            "data_folder": str(self.folder / f"data-{name}"),
+            "peer_vms": peers,
+            "limits": {"silent_stream_s": 3.0},
+        }
+
+    def write_declaration(self, vm_changes: dict) -> None:
+        """Write the declaration, with changed fields for some VMs."""
+        engines = ("engine-1", "engine-2", "engine-3")
+        where = dict(zip(engines, ("north-a", "north-a", "north-b"), strict=True))
+        vms = [{"id": f"vm-{name}", "data_centre": where[name]} for name in engines]
+        vms.append({"id": "vm-desk", "data_centre": "north-a"})
+        for vm in vms:
+            vm.update(vm_changes.get(vm["id"], {}))
+        servers = [
+            {
+                "id": name,
+                "vm": f"vm-{name}",
+                "kind": "engine",
+                "url": f"http://{HOST}:{self.servers[name]}",
+                "models": ["draft-llm"],
+                "resumes_across_replicas": True,
+            }
+            for name in engines
+        ]
+        servers.append(
+            {
+                "id": "desk",
+                "vm": "vm-desk",
+                "kind": "service",
+                "url": f"http://{HOST}:{self.servers['desk']}",
+                "service": "filing",
+            }
+        )
+        digest = hashlib.sha256(ORGANISATION_KEY.encode()).hexdigest()
+        places = {
+            "data_centres": [
+                {"id": "north-a", "region": "north"},
+                {"id": "north-b", "region": "north"},
+            ],
+            "vms": vms,
+            "servers": servers,
+        }
+        work = {
+            "models": [{"name": "draft-llm", "version": "1", "minimum_ready": 1}],
+            "classes": [{"name": "draft"}, {"name": "check", "priority": 5}],
+            "organisations": [{"id": "carrier-1", "key_sha256": [digest]}],
+            "services": [
+                {
+                    "name": "filing",
+                    "non_idempotent_routes": [
+                        {"method": "POST", "path_prefix": "/waivers"}
+                    ],
+                }
+            ],
+        }
+        self.write("declaration/places.yaml", yaml.safe_dump(places))
+        self.write("declaration/work.yaml", yaml.safe_dump(work))
+
+    def start(self) -> None:
+        """Start all processes and wait until they answer."""
+        for name in self.servers:
+            self.spawn(
+                name,
+                "quetzalpass.standin.main",
+                ["--settings-file", str(self.folder / f"{name}.yaml")],
+            )
+        for name in self.daemons:
+            self.spawn(
+                name,
+                "quetzalpass.daemon.main",
+                ["--settings", str(self.folder / f"{name}.yaml")],
+            )
+        for port in (*self.servers.values(),):
+            wait_for(f"http://{HOST}:{port}/health")
+        for port in self.callers.values():
+            wait_for(f"http://{HOST}:{port}/healthz")
+
+    def spawn(self, name: str, module: str, arguments: list[str]) -> None:
+        """Start one process; its output goes to a file."""
+        log = (self.folder / f"{name}.log").open("ab")
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, "-m", module, *arguments],
+            stdout=log,
+            stderr=log,
+            env={**os.environ, "PYTHONUNBUFFERED": "1"},
+        )
+        log.close()
+
+    def operator(self, *arguments: str) -> subprocess.CompletedProcess:
+        """Run the operator's tool."""
+        urls = ",".join(f"http://{HOST}:{port}" for port in self.operators.values())
+        return subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "quetzalpass.cli.main",
+                *arguments,
+                "--operators",
+                urls,
+                "--key-file",
+                str(self.folder / "operator.key"),
+            ],
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
+
+    def kill(self, name: str) -> None:
+        """Kill one process at once."""
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def stop(self) -> None:
+        """End every process."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGTERM)
+        for process in self.processes.values():
+            try:
+                process.wait(STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+
+def wait_for(url: str) -> None:
+    """Wait until an address answers.
+
+    Raises
+    ------
+    TimeoutError
+        If it does not within the start timeout.
+    """
+    deadline_s = time.monotonic() + START_TIMEOUT_S
+    while time.monotonic() < deadline_s:
+        try:
+            with urllib.request.urlopen(url, timeout=1.0):
+                return
+        except OSError:
+            time.sleep(0.05)
+    raise TimeoutError(f"{url} does not answer; see the logs in the run's folder")
--- a/src/quetzalpass/daemon/main.py
+++ b/src/quetzalpass/daemon/main.py
@@ -25,9 +25,9 @@
 
     Parameters
     ----------
-    settings : Path
+    settings
         YAML file with the daemon's settings.
-    log_format : LogFormat
+    log_format
         Overrides the format that the settings name.
     """
     loaded = loader.load_settings(settings)
--- a/src/quetzalpass/demo/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The demonstration that make demo runs."""
--- a/src/quetzalpass/standin/main.py
+++ b/src/quetzalpass/standin/main.py
@@ -24,7 +24,7 @@
 
     Parameters
     ----------
-    settings_file : Path
+    settings_file : pathlib.Path
         YAML file with the stand-in's settings.
     """
     try:
