--- a/src/quetzalpass/cli/waiting.py
+++ b/src/quetzalpass/cli/waiting.py
@@ -101,7 +101,7 @@
         vm.data_centre,
         "draining" if vm.draining else ready,
         str(vm.revision),
-        f"{vm.in_force_since_s:.1f}s",
+        f"{vm.in_force_since_s:.1f}s" if vm.revision else "-",
         f"{vm.age_s:.1f}s",
         str(vm.requests),
     )
