Add metrics: buckets per organisation and class, HdrHistogram and statsd

Cause: operators need histograms for each organisation and class, and a token must not pay for them. Change: metrics.recorder counts durations in log-linear lists; the flusher folds them into HdrHistograms every 10 s, a series at a time, and sends percentiles over the statsd library. Names are bounded (the 50 organisations with the largest token limits, the rest as 'other') and cleaned.

--- /dev/null
+++ b/src/quetzalpass/metrics/series.py
@@ -0,0 +1,148 @@
+"""Everything that is counted for one organisation and class."""
+
+import collections
+import enum
+
+import msgspec
+from hdrh import histogram
+
+from quetzalpass.metrics import buckets
+from quetzalpass.results import codes
+
+MS_PER_US = 0.001
+
+
+class Duration(enum.Enum):
+    """Durations that have a histogram."""
+
+    QUEUE_TIME = "queue_time"
+    FIRST_TOKEN = "time_to_first_token"
+    TOKEN_GAP = "token_gap"
+    STALL_TIME = "stall_time"
+
+
+class Summary(msgspec.Struct, frozen=True):
+    """Percentiles of one duration over one flush interval, in milliseconds."""
+
+    duration: Duration
+    count: int
+    p50_ms: float
+    p95_ms: float
+    p99_ms: float
+    p999_ms: float
+    max_ms: float
+
+
+class ResultCount(msgspec.Struct, frozen=True):
+    """How often a result code was given."""
+
+    code: codes.Code
+    count: int
+
+
+class SeriesSnapshot(msgspec.Struct, frozen=True):
+    """State of one series.
+
+    Attributes
+    ----------
+    organisation, class_name : str
+        Names in metrics.
+    summaries : tuple of Summary
+        Durations of the last flush interval.
+    results : tuple of ResultCount
+        Results since the start.
+    preemptions : int
+        Preemptions since the start.
+    """
+
+    organisation: str
+    class_name: str
+    summaries: tuple[Summary, ...]
+    results: tuple[ResultCount, ...]
+    preemptions: int
+
+
+class Series:
+    """Counts of one organisation and class.
+
+    Attributes
+    ----------
+    queue_time, first_token, token_gap, stall_time : DurationBuckets
+        Durations since the last flush.
+    preemptions : int
+        Preemptions since the start.
+    results : Counter of Code
+        Results since the start.
+    summaries : tuple of Summary
+        Durations of the last flush interval.
+    """
+
+    def __init__(self, organisation: str, class_name: str) -> None:
+        self.organisation = organisation
+        self.class_name = class_name
+        self.queue_time = buckets.DurationBuckets()
+        self.first_token = buckets.DurationBuckets()
+        self.token_gap = buckets.DurationBuckets()
+        self.stall_time = buckets.DurationBuckets()
+        self.preemptions = 0
+        self.results: collections.Counter[codes.Code] = collections.Counter()
+        self.summaries: tuple[Summary, ...] = ()
+        self.flushed_preemptions = 0
+        self.flushed_results: collections.Counter[codes.Code] = collections.Counter()
+
+    def summarise(self) -> None:
+        """Fold the durations into histograms and keep their percentiles."""
+        found = (
+            summary_of(Duration.QUEUE_TIME, self.queue_time),
+            summary_of(Duration.FIRST_TOKEN, self.first_token),
+            summary_of(Duration.TOKEN_GAP, self.token_gap),
+            summary_of(Duration.STALL_TIME, self.stall_time),
+        )
+        self.summaries = tuple(summary for summary in found if summary is not None)
+
+    def new_preemptions(self) -> int:
+        """Return the preemptions since the last call."""
+        new = self.preemptions - self.flushed_preemptions
+        self.flushed_preemptions = self.preemptions
+        return new
+
+    def new_results(self) -> tuple[ResultCount, ...]:
+        """Return the results since the last call."""
+        new = self.results - self.flushed_results
+        self.flushed_results = self.results.copy()
+        return tuple(ResultCount(code, count) for code, count in sorted(new.items()))
+
+    def snapshot(self) -> SeriesSnapshot:
+        """Return the state for the status page."""
+        results = tuple(
+            ResultCount(code, count) for code, count in sorted(self.results.items())
+        )
+        return SeriesSnapshot(
+            self.organisation,
+            self.class_name,
+            self.summaries,
+            results,
+            self.preemptions,
+        )
+
+
+def summary_of(duration: Duration, counted: buckets.DurationBuckets) -> Summary | None:
+    """Return the percentiles of a duration, which then starts from zero."""
+    target = buckets.new_histogram()
+    counted.fold_into(target)
+    if not target.get_total_count():
+        return None
+    return Summary(
+        duration,
+        target.get_total_count(),
+        percentile_ms(target, 50.0),
+        percentile_ms(target, 95.0),
+        percentile_ms(target, 99.0),
+        percentile_ms(target, 99.9),
+        target.get_max_value() * MS_PER_US,
+    )
+
+
+def percentile_ms(target: histogram.HdrHistogram, percentile: float) -> float:
+    """Return a percentile of a histogram of microseconds, in milliseconds."""
+    return target.get_value_at_percentile(percentile) * MS_PER_US
--- /dev/null
+++ b/tests/metrics/test_metrics.py
@@ -0,0 +1,152 @@
+import asyncio
+import socket
+
+import pytest
+from hypothesis import given, settings, strategies
+
+from quetzalpass.declarations import schema
+from quetzalpass.metrics import buckets, flusher, labels, recorder, sender, series
+from quetzalpass.results import codes
+from quetzalpass.settings import schema as settings_schema
+
+
+def declaration(count, classes=("drafts",)):
+    return schema.Declaration(
+        organisations=tuple(
+            schema.Organisation(f"o{index}", (), tokens_per_s=float(index + 1))
+            for index in range(count)
+        ),
+        classes=tuple(schema.PriorityClass(name) for name in classes),
+    )
+
+
+class CollectingSender(sender.Sender):
+    def __init__(self):
+        self.sent = []
+
+    def send(self, counted, results, preemptions):
+        names = (counted.organisation, counted.class_name)
+        self.sent.append((names, counted.summaries, results, preemptions))
+
+    def close(self):
+        pass
+
+
+class TestDurationBuckets:
+    @settings(derandomize=True, max_examples=300)
+    @given(strategies.floats(0.0, buckets.LONGEST_S))
+    def test_a_value_is_known_within_two_per_cent(self, seconds):
+        counted = buckets.DurationBuckets()
+        counted.observe(seconds)
+        index = counted.counts.index(1)
+        expected_us = int(seconds * 1e6)
+        assert abs(buckets.middle_us(index) - expected_us) <= 0.02 * expected_us
+
+    @pytest.mark.parametrize("seconds", [-5.0, -0.001, 0.0])
+    def test_negative_durations_count_as_zero(self, seconds):
+        counted = buckets.DurationBuckets()
+        counted.observe(seconds)
+        assert counted.counts[0] == 1
+
+    def test_longer_durations_count_as_the_longest(self):
+        counted = buckets.DurationBuckets()
+        counted.observe(1e9, 3)
+        target = buckets.new_histogram()
+        counted.fold_into(target)
+        assert target.get_total_count() == 3
+        assert target.get_max_value() >= 0.98 * buckets.LONGEST_US
+        assert sum(counted.counts) == 0
+
+
+class TestLabels:
+    def test_only_the_largest_organisations_have_names(self):
+        names = labels.Labels(declaration(3_000), max_organisations=50)
+        assert names.organisation("o2999") == "o2999"
+        assert names.organisation("o2949") == labels.OTHER
+        assert len(names.organisations) == 50
+
+    def test_names_from_outside_are_made_safe(self):
+        assert labels.safe_name("a.b:1|c\nd") == "a_b_1_c_d"
+        assert len(labels.safe_name("x" * 1_000)) == labels.MAX_NAME_LENGTH
+
+    def test_an_undeclared_class_has_no_name(self):
+        names = labels.Labels(declaration(1))
+        assert names.priority_class("drafts") == "drafts"
+        assert names.priority_class("made-up") == labels.OTHER
+
+
+class TestRecorder:
+    def test_series_are_bounded_for_any_number_of_names(self):
+        counted = recorder.Recorder(max_organisations=5)
+        counted.follow(declaration(100))
+        for index in range(1_000):
+            counted.observe_queue_time(f"o{index}", f"class-{index}", 0.1)
+        assert len(counted.known) == 6
+        assert len(counted.by_caller) == 5
+
+    def test_percentiles_and_counts_reach_the_snapshot(self):
+        counted = recorder.Recorder()
+        counted.follow(declaration(1))
+        for _ in range(99):
+            counted.observe_token_gap("o0", "drafts", 0.062)
+        counted.observe_token_gap("o0", "drafts", 2.0)
+        counted.count_preemption("o0", "drafts")
+        counted.count_result("o0", "drafts", codes.Code.OK)
+        counted.series_of("o0", "drafts").summarise()
+        (found,) = counted.snapshot().series
+        (summary,) = found.summaries
+        assert summary.duration is series.Duration.TOKEN_GAP
+        assert summary.count == 100
+        assert summary.p50_ms == pytest.approx(62, rel=0.02)
+        assert summary.p999_ms == pytest.approx(2_000, rel=0.02)
+        assert found.preemptions == 1
+        assert found.results == (series.ResultCount(codes.Code.OK, 1),)
+
+
+@pytest.mark.looptime
+class TestFlusher:
+    async def test_each_interval_is_sent_once(self):
+        counted = recorder.Recorder()
+        counted.follow(declaration(1))
+        target = CollectingSender()
+        task = asyncio.create_task(flusher.Flusher(counted, target).run())
+        counted.observe_queue_time("o0", "drafts", 0.5)
+        counted.count_result("o0", "drafts", codes.Code.OK)
+        await asyncio.sleep(flusher.INTERVAL_S + 1)
+        await asyncio.sleep(flusher.INTERVAL_S)
+        task.cancel()
+        first, second = target.sent
+        assert first[0] == ("o0", "drafts")
+        assert first[1][0].count == 1
+        assert first[2] == (series.ResultCount(codes.Code.OK, 1),)
+        assert second[1:] == ((), (), 0)
+
+    async def test_series_that_are_no_longer_declared_go_when_idle(self):
+        counted = recorder.Recorder()
+        counted.follow(declaration(1))
+        counted.observe_queue_time("o0", "drafts", 0.5)
+        counted.follow(declaration(0))
+        flush = flusher.Flusher(counted, CollectingSender()).flush
+        await flush()
+        assert len(counted.known) == 1
+        await flush()
+        assert counted.known == {}
+
+
+class TestStatsdSender:
+    def test_datagrams_carry_names_and_values(self):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as receiver:
+            receiver.bind(("127.0.0.1", 0))
+            receiver.settimeout(5.0)
+            port = receiver.getsockname()[1]
+            target = sender.make_sender(settings_schema.Statsd("127.0.0.1", port))
+            counted = series.Series("kade", "drafts")
+            counted.queue_time.observe(0.1)
+            counted.summarise()
+            results = (series.ResultCount(codes.Code.QUEUE_FULL, 2),)
+            target.send(counted, results, 1)
+            lines = receiver.recv(1_000).decode().split("\n")
+            target.close()
+        assert "quetzalpass.kade.drafts.queue_time.count:1|c" in lines
+        assert "quetzalpass.kade.drafts.result.202:2|c" in lines
+        assert "quetzalpass.kade.drafts.preemptions:1|c" in lines
