Add engine orders and read-back to the backend interface and the stand-in

Cause: the reconciler needs to order engines and to read their state back. Change: order and state in the abstract base class, the HTTP adapter and the stand-in. Conclusion: the reconciler can be written against the base class.

--- a/src/quetzalpass/backends/base.py
+++ b/src/quetzalpass/backends/base.py
@@ -40,6 +40,7 @@
     MALFORMED = "malformed"
     UNKNOWN_GENERATION = "unknown_generation"
     REJECTED = "rejected"
+    FENCED = "fenced"
 
 
 class AttemptFailure(msgspec.Struct, frozen=True):
@@ -201,6 +202,73 @@
     age_s: float = 0.0
 
 
+class FencingNumber(msgspec.Struct, frozen=True, order=True):
+    """Orders carry the term and the log index under which they were given."""
+
+    term: ids.Term
+    index: ids.LogIndex
+
+
+class OrderVerb(enum.Enum):
+    """What an engine can be ordered to do."""
+
+    LOAD_MODEL = "load_model"
+    UNLOAD_MODEL = "unload_model"
+    LOAD_ADAPTER = "load_adapter"
+    UNLOAD_ADAPTER = "unload_adapter"
+    CHANGE_ROLE = "change_role"
+
+
+class EngineOrder(msgspec.Struct, frozen=True):
+    """An order to an engine.
+
+    Attributes
+    ----------
+    fencing : FencingNumber
+        An engine that checks it refuses a lower number than it has seen.
+    verb : OrderVerb
+        What to do.
+    model : ModelName
+        Model concerned.
+    version, adapter, role : str or None
+        Further subject of the verb.
+    """
+
+    fencing: FencingNumber
+    verb: OrderVerb
+    model: ids.ModelName
+    version: ids.VersionName | None = None
+    adapter: ids.AdapterName | None = None
+    role: str | None = None
+
+
+class LoadedModel(msgspec.Struct, frozen=True):
+    """A model that an engine has loaded or is loading."""
+
+    name: ids.ModelName
+    version: ids.VersionName
+    ready: bool
+    adapters: tuple[ids.AdapterName, ...] = ()
+
+
+class EngineState(msgspec.Struct, frozen=True):
+    """What an engine says of itself.
+
+    Attributes
+    ----------
+    fencing : FencingNumber
+        Highest fencing number that it has seen.
+    models : tuple of LoadedModel
+        Loaded models.
+    role : str
+        Role that it plays.
+    """
+
+    fencing: FencingNumber
+    models: tuple[LoadedModel, ...]
+    role: str
+
+
 class Backend(abc.ABC):
     """A backend server of any kind."""
 
@@ -248,6 +316,18 @@
     ) -> result.Result[LoadReport, AttemptFailure]:
         """Ask for the load."""
 
+    @abc.abstractmethod
+    async def order(
+        self, order: EngineOrder, timeout_s: float
+    ) -> result.Result[None, AttemptFailure]:
+        """Give an order; a refusal is ``REFUSED`` of the kind ``FENCED``."""
+
+    @abc.abstractmethod
+    async def state(
+        self, timeout_s: float
+    ) -> result.Result[EngineState, AttemptFailure]:
+        """Read back what is loaded and the highest fencing number."""
+
 
 class PlainService(Backend):
     """A backend server that answers plain calls."""
--- a/src/quetzalpass/backends/engine_http.py
+++ b/src/quetzalpass/backends/engine_http.py
@@ -15,6 +15,7 @@
 MS_PER_S = 1000
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
+STATUS_CONFLICT = 409
 STATUS_TOO_MANY = 429
 STATUS_UNAVAILABLE = 503
 STATUS_SERVER_ERROR = 500
@@ -205,29 +206,54 @@
         self, timeout_s: float
     ) -> result.Result[base.LoadReport, base.AttemptFailure]:
         """Ask for the load; see the base class."""
+        answer = await self.exchange("GET", "/load", None, timeout_s)
+        return answer.bind(decode_load)
+
+    async def order(
+        self, order: base.EngineOrder, timeout_s: float
+    ) -> result.Result[None, base.AttemptFailure]:
+        """Give an order; see the base class."""
+        action = engine_messages.EngineOrderAction(
+            order.verb.value, order.model, order.version, order.adapter, order.role
+        )
+        body = engine_messages.EngineOrderBody(
+            order.fencing.term, order.fencing.index, action
+        )
+        answer = await self.exchange(
+            "POST", "/orders", msgspec.json.encode(body), timeout_s
+        )
+        return answer.map(lambda data: None)
+
+    async def state(
+        self, timeout_s: float
+    ) -> result.Result[base.EngineState, base.AttemptFailure]:
+        """Read back what is loaded; see the base class."""
+        answer = await self.exchange("GET", "/state", None, timeout_s)
+        return answer.bind(decode_state)
+
+    async def exchange(
+        self, method: str, path: str, body: bytes | None, timeout_s: float
+    ) -> result.Result[bytes, base.AttemptFailure]:
+        """Send one control request and return the body of its answer."""
         try:
             async with asyncio.timeout(timeout_s):
-                answer = await self.session.get(f"{self.url}/load")
-                body = await answer.read()
-            load = msgspec.json.decode(body, type=engine_messages.EngineLoad)
+                answer = await self.session.request(
+                    method, self.url + path, data=body, allow_redirects=False
+                )
+                data = await answer.read()
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             return result.Failure(attempt_failure_of(error))
-        except msgspec.MsgspecError as error:
+        if answer.status == STATUS_CONFLICT:
             return result.Failure(
                 base.AttemptFailure(
-                    base.AttemptEnd.RAN, base.FailureKind.MALFORMED, str(error)
+                    base.AttemptEnd.REFUSED,
+                    base.FailureKind.FENCED,
+                    "the engine has seen a newer fencing number",
                 )
             )
-        return result.Success(
-            base.LoadReport(
-                load.running,
-                load.waiting,
-                load.tokens_held,
-                load.memory_tokens,
-                load.preemptions,
-                load.age_s,
-            )
-        )
+        if not answer.ok:
+            return result.Failure(refusal_of(answer))
+        return result.Success(data)
 
     async def check_health(self, timeout_s: float) -> bool:
         """Return whether the server answers on a new connection."""
@@ -240,6 +266,56 @@
         await self.session.close()
 
 
+def decode_load(
+    data: bytes,
+) -> result.Result[base.LoadReport, base.AttemptFailure]:
+    """Return the load report in an engine's answer."""
+    try:
+        load = msgspec.json.decode(data, type=engine_messages.EngineLoad)
+    except msgspec.MsgspecError as error:
+        return malformed(error)
+    return result.Success(
+        base.LoadReport(
+            load.running,
+            load.waiting,
+            load.tokens_held,
+            load.memory_tokens,
+            load.preemptions,
+            load.age_s,
+        )
+    )
+
+
+def decode_state(
+    data: bytes,
+) -> result.Result[base.EngineState, base.AttemptFailure]:
+    """Return the state in an engine's answer."""
+    try:
+        reply = msgspec.json.decode(data, type=engine_messages.EngineStateReply)
+    except msgspec.MsgspecError as error:
+        return malformed(error)
+    models = tuple(
+        base.LoadedModel(
+            ids.ModelName(each.name),
+            ids.VersionName(each.version),
+            each.ready,
+            tuple(ids.AdapterName(name) for name in each.adapters),
+        )
+        for each in reply.models
+    )
+    fencing = base.FencingNumber(ids.Term(reply.term), ids.LogIndex(reply.index))
+    return result.Success(base.EngineState(fencing, models, reply.role))
+
+
+def malformed(error: Exception) -> result.Result:
+    """Return the failure of an answer that can't be decoded."""
+    return result.Failure(
+        base.AttemptFailure(
+            base.AttemptEnd.RAN, base.FailureKind.MALFORMED, f"malformed: {error}"
+        )
+    )
+
+
 def model_with_adapter(model: ids.ModelName, adapter: ids.AdapterName | None) -> str:
     """Return the model name as engines expect it."""
     return model if adapter is None else f"{model}:{adapter}"
--- a/src/quetzalpass/backends/engine_messages.py
+++ b/src/quetzalpass/backends/engine_messages.py
@@ -49,3 +49,39 @@
     memory_tokens: int
     preemptions: int = 0
     age_s: float = 0.0
+
+
+class EngineOrderAction(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What an order asks for."""
+
+    verb: str
+    model: str
+    version: str | None = None
+    adapter: str | None = None
+    role: str | None = None
+
+
+class EngineOrderBody(msgspec.Struct, frozen=True):
+    """Body of an order; (term, index) is the fencing number."""
+
+    term: int
+    index: int
+    action: EngineOrderAction
+
+
+class EngineLoadedModel(msgspec.Struct, frozen=True):
+    """A model in an engine's answer about its state."""
+
+    name: str
+    version: str
+    ready: bool
+    adapters: tuple[str, ...] = ()
+
+
+class EngineStateReply(msgspec.Struct, frozen=True):
+    """Answer of an engine about its state."""
+
+    term: int
+    index: int
+    models: tuple[EngineLoadedModel, ...]
+    role: str
--- a/src/quetzalpass/standin/engine_server.py
+++ b/src/quetzalpass/standin/engine_server.py
@@ -15,6 +15,7 @@
     messages,
     settings,
     text,
+    weights,
 )
 
 LOG = logbook.Logger("standin")
@@ -61,6 +62,7 @@
         self.running: dict[ids.GenerationId, generations.RunningGeneration] = {}
         self.started: list[ids.GenerationId] = []
         self.orders: list[messages.Order] = []
+        self.weights = weights.Weights(config)
         self.fencing_term = 0
         self.fencing_index = 0
         self.decoder: asyncio.Task[None] | None = None
@@ -76,6 +78,7 @@
         app.router.add_get("/load", self.handle_load)
         app.router.add_post("/orders", self.handle_order)
         app.router.add_get("/orders", self.handle_orders)
+        app.router.add_get("/state", self.handle_state)
         app.router.add_post("/faults", self.handle_fault)
         app.on_startup.append(self.start_decoding)
         app.on_cleanup.append(self.stop_decoding)
@@ -121,7 +124,8 @@
             order = msgspec.json.decode(body, type=messages.Request)
         except msgspec.MsgspecError as error:
             return web.json_response({"error": str(error)}, status=400)
-        if order.model not in self.config.models:
+        now_s = asyncio.get_running_loop().time()
+        if not self.weights.serves(order.model, now_s):
             return web.json_response({"error": "model not loaded"}, status=404)
         prompt = order.prompt_text()
         refused = await self.strike_at_start(request, prompt)
@@ -216,8 +220,20 @@
             return web.json_response({"error": "fenced"}, status=409)
         self.fencing_term, self.fencing_index = max(number, newest)
         self.orders.append(order)
+        self.weights.obey(order.action, asyncio.get_running_loop().time())
         return web.Response(status=202)
 
+    async def handle_state(self, request: web.Request) -> web.Response:
+        """Answer what is loaded and the highest fencing number."""
+        now_s = asyncio.get_running_loop().time()
+        reply = messages.StateReply(
+            self.fencing_term,
+            self.fencing_index,
+            self.weights.loaded(now_s),
+            self.weights.role,
+        )
+        return json_answer(reply)
+
     async def handle_orders(self, request: web.Request) -> web.Response:
         """Answer the accepted orders, for read-back by a new leader."""
         reply = messages.OrdersReply(
--- a/src/quetzalpass/standin/messages.py
+++ b/src/quetzalpass/standin/messages.py
@@ -82,6 +82,24 @@
     action: OrderAction
 
 
+class LoadedModel(msgspec.Struct, frozen=True):
+    """A model that the engine has loaded or is loading."""
+
+    name: str
+    version: str
+    ready: bool
+    adapters: tuple[str, ...] = ()
+
+
+class StateReply(msgspec.Struct, frozen=True):
+    """Answer of ``GET /state``."""
+
+    term: int
+    index: int
+    models: tuple[LoadedModel, ...]
+    role: str
+
+
 class OrdersReply(msgspec.Struct, frozen=True):
     """The orders that were accepted, and the highest fencing number seen."""
 
--- a/src/quetzalpass/standin/settings.py
+++ b/src/quetzalpass/standin/settings.py
@@ -26,7 +26,11 @@
     host, port : str, int
         Listening address.
     models : tuple of str
-        Models that an engine serves.
+        Models that an engine has loaded when it starts.
+    version : str
+        Version of these models.
+    load_s : float
+        Time that loading a model takes, in seconds; an adapter takes a tenth.
     memory_tokens, max_batch : int
         Size of the engine.
     token_s : float
@@ -42,6 +46,8 @@
     port: int
     host: str = "127.0.0.1"
     models: tuple[str, ...] = ()
+    version: str = "1"
+    load_s: float = 2.0
     memory_tokens: int = 100_000
     max_batch: int = 64
     token_s: float = 0.02
