Watch backend servers from several gateways and read the platform's list

Cause: routing knew only what is declared; a dead or leaving server was found by failing. Change: probes with a new connection before a server counts as unreachable, opinions of several observers chosen by rendezvous hashing, summaries between gateways with their dispatches, the platform's list as a second source of leaving VMs, engines that are loading get no work. Conclusion: the routing now sees liveness, load and peers' dispatches.

--- a/src/quetzalpass/backends/base.py
+++ b/src/quetzalpass/backends/base.py
@@ -192,6 +192,12 @@
         Preemptions since the start.
     age_s : float
         How old the figures are.
+    prefill_tokens : int
+        Prompt tokens that wait to be computed.
+    step_s : float
+        Mean duration of the last decoding steps, in seconds.
+    adapters : tuple of AdapterName
+        Adapters that are loaded.
     """
 
     running: int
@@ -200,6 +206,9 @@
     memory_tokens: int
     preemptions: int = 0
     age_s: float = 0.0
+    prefill_tokens: int = 0
+    step_s: float = 0.0
+    adapters: tuple[ids.AdapterName, ...] = ()
 
 
 class FencingNumber(msgspec.Struct, frozen=True, order=True):
--- a/src/quetzalpass/backends/engine_http.py
+++ b/src/quetzalpass/backends/engine_http.py
@@ -282,6 +282,9 @@
             load.memory_tokens,
             load.preemptions,
             load.age_s,
+            load.prefill_tokens,
+            load.step_s,
+            tuple(ids.AdapterName(each) for each in load.adapters),
         )
     )
 
--- a/src/quetzalpass/backends/engine_messages.py
+++ b/src/quetzalpass/backends/engine_messages.py
@@ -49,6 +49,9 @@
     memory_tokens: int
     preemptions: int = 0
     age_s: float = 0.0
+    prefill_tokens: int = 0
+    step_s: float = 0.0
+    adapters: tuple[str, ...] = ()
 
 
 class EngineOrderAction(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/src/quetzalpass/daemon/peers.py
+++ b/src/quetzalpass/daemon/peers.py
@@ -7,7 +7,7 @@
 
 from quetzalpass import ids
 from quetzalpass.daemon import groups, keys
-from quetzalpass.membership import inner_messages
+from quetzalpass.membership import inner_messages, summaries
 
 if TYPE_CHECKING:
     from quetzalpass.daemon import process
@@ -31,6 +31,7 @@
         app.router.add_get("/inner/declaration", self.handle_declaration)
         app.router.add_get("/inner/status", self.handle_status)
         app.router.add_post("/inner/propose", self.handle_propose)
+        app.router.add_post("/inner/summary", self.handle_summary)
         return app
 
     async def handle_health(self, request: web.Request) -> web.Response:
@@ -66,6 +67,16 @@
             return web.Response(status=400, text=f"{error}\n")
         return json_answer(await groups.answer_proposal(self.daemon.groups, message))
 
+    async def handle_summary(self, request: web.Request) -> web.Response:
+        """Take in another gateway's summary."""
+        body = await request.read()
+        try:
+            summary = msgspec.json.decode(body, type=summaries.GatewaySummary)
+        except msgspec.MsgspecError as error:
+            return web.Response(status=400, text=f"{error}\n")
+        self.daemon.fleet.note_summary(summary)
+        return web.Response(status=204)
+
 
 def json_answer(value: msgspec.Struct, status: int = 200) -> web.Response:
     """Return a struct as a JSON answer."""
--- a/src/quetzalpass/daemon/process.py
+++ b/src/quetzalpass/daemon/process.py
@@ -15,9 +15,10 @@
 from quetzalpass.lifecycle import ledger_client
 from quetzalpass.membership import (
     configuration,
+    fleet,
     peer_client,
-    server_views,
     spread,
+    summaries,
 )
 from quetzalpass.routing import factory
 from quetzalpass.routing import settings as routing_settings
@@ -74,6 +75,8 @@
                 self.settings.callers,
             )
         self.spread.start()
+        self.fleet.start()
+        self.summary_sender.start()
         LOG.info("daemon: {} has started.", self.settings.id)
 
     def open_groups(self) -> None:
@@ -105,9 +108,6 @@
             self.settings.data_centre,
             self.rng,
         )
-        self.holder.observers.append(
-            lambda at: slots.update_servers(server_views.views_of(at))
-        )
         gateway = gateways.Gateway(
             self.settings, self.holder, slots, self.rng, self.cluster_key.encode()
         )
@@ -116,6 +116,13 @@
             self.groups[groups.LEDGER_GROUP],
             gateway.new_operation_id,
         )
+        self.fleet = fleet.Fleet(
+            self.settings, self.holder, slots, gateway.backend_of, self.rng
+        )
+        told = summaries.summary_peers(self.settings)
+        self.summary_sender = summaries.SummarySender(
+            {vm: self.clients[vm] for vm in told}, self.fleet.make_summary
+        )
         return gateway
 
     async def open_operators_listener(self) -> None:
@@ -167,7 +174,10 @@
             return ()
         return tuple(
             messages.ServerStatus(
-                each.id, each.vm, at.state_of_server(each.id), alive=True
+                each.id,
+                each.vm,
+                at.state_of_server(each.id),
+                self.fleet.is_alive(each.id),
             )
             for each in at.declaration.servers
         )
@@ -182,6 +192,8 @@
     async def stop(self) -> None:
         """Close all listeners and connections."""
         self.spread.stop()
+        self.summary_sender.stop()
+        self.fleet.stop()
         for runner in reversed(self.runners):
             await runner.cleanup()
         await self.gateway.close()
--- /dev/null
+++ b/src/quetzalpass/membership/fleet.py
@@ -0,0 +1,180 @@
+"""Backend servers as this gateway knows them, kept up to date in the routing.
+
+Joins the declaration, the platform's list, this gateway's own probes and the summaries
+of other gateways, and tells the routing what follows from them.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import logbook
+
+from quetzalpass import ids
+from quetzalpass.backends import base
+from quetzalpass.declarations import schema as declared
+from quetzalpass.membership import (
+    configuration,
+    load_reports,
+    observers,
+    opinions,
+    platform_list,
+    server_monitor,
+    server_views,
+    summaries,
+)
+from quetzalpass.routing import admission, servers
+from quetzalpass.settings import schema
+
+LOG = logbook.Logger("membership")
+
+OpenBackend = Callable[[ids.ServerId, configuration.Configuration], base.Backend]
+
+
+class Fleet:
+    """Keeps the routing's view of the backend servers.
+
+    Parameters
+    ----------
+    settings : schema.Settings
+        Who this gateway and its peers are.
+    holder : configuration.ConfigurationHolder
+        The revision in force.
+    slots : admission.Admission
+        The routing.
+    open_backend : callable
+        Returns the adapter of a server.
+    rng : random.Random
+        Spreads probes.
+
+    Attributes
+    ----------
+    table : opinions.OpinionTable
+        Opinions of all observers.
+    loading : frozenset of ServerId
+        Engines that do not have their model ready.
+    """
+
+    def __init__(
+        self,
+        settings: schema.Settings,
+        holder: configuration.ConfigurationHolder,
+        slots: admission.Admission,
+        open_backend: OpenBackend,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.holder = holder
+        self.slots = slots
+        self.open_backend = open_backend
+        self.table = opinions.OpinionTable()
+        self.loading: frozenset[ids.ServerId] = frozenset()
+        self.sequence = 0
+        self.monitor = server_monitor.ServerMonitor(rng, self.note_probe)
+        self.platform: platform_list.PlatformList | None = None
+        if settings.platform_list_url is not None:
+            self.platform = platform_list.PlatformList(
+                settings.platform_list_url, self.refresh_views
+            )
+        holder.observers.append(self.follow)
+
+    def start(self) -> None:
+        """Start to poll the platform's list."""
+        if self.platform is not None:
+            self.platform.start()
+
+    def stop(self) -> None:
+        """Stop all tasks."""
+        self.monitor.stop()
+        if self.platform is not None:
+            self.platform.stop()
+
+    def follow(self, at: configuration.Configuration) -> None:
+        """Take in a revision that has come into force."""
+        self.table.keep_only(frozenset(at.servers))
+        self.monitor.replace(self.wanted_probes(at))
+        self.refresh_views()
+
+    def wanted_probes(
+        self, at: configuration.Configuration
+    ) -> dict[ids.ServerId, server_monitor.ServerProbe]:
+        """Return a probe for each server that this gateway observes."""
+        gateways = [self.settings.id, *(each.id for each in self.settings.peer_vms)]
+        wanted = {}
+        for server in at.declaration.servers:
+            if at.state_of_server(server.id) is declared.ServiceState.OUT_OF_SERVICE:
+                continue
+            chosen = observers.observers_of(server.id, gateways, len(at.servers))
+            if self.settings.id not in chosen:
+                continue
+            model = server.models[0] if server.models else None
+            wanted[server.id] = server_monitor.ServerProbe(
+                server.id, model, self.open_backend(server.id, at)
+            )
+        return wanted
+
+    def taken_away(self) -> frozenset[ids.VmId]:
+        """Return the VMs that the platform says are leaving or gone."""
+        if self.platform is None:
+            return frozenset()
+        return frozenset(self.platform.leaving)
+
+    def refresh_views(self) -> None:
+        """Tell the routing which servers may get work."""
+        at = self.holder.current
+        if at is not None:
+            views = server_views.views_of(at, self.taken_away(), self.loading)
+            self.slots.update_servers(views)
+
+    def note_probe(self, probe: server_monitor.ServerProbe) -> None:
+        """Take in what one of this gateway's probes says."""
+        now_s = asyncio.get_running_loop().time()
+        self.table.note(probe.server_id, self.settings.id, probe.opinion, now_s)
+        if probe.report is not None:
+            report = load_reports.report_for_routing(probe.report, now_s)
+            self.slots.observe_report(probe.server_id, report)
+        self.act_on_verdict(probe.server_id, now_s)
+
+    def note_summary(self, summary: summaries.GatewaySummary) -> None:
+        """Take in another gateway's summary."""
+        now_s = asyncio.get_running_loop().time()
+        self.slots.observe_peer_dispatches(summary.dispatches)
+        at = self.holder.current
+        for each in summary.server_opinions:
+            if at is None or each.server_id not in at.servers:
+                continue
+            self.table.note(each.server_id, summary.vm, each.opinion, now_s)
+            self.act_on_verdict(each.server_id, now_s)
+
+    def act_on_verdict(self, server_id: ids.ServerId, now_s: float) -> None:
+        """Eject a dead server, and keep work from one that is loading."""
+        verdict = self.table.verdict(server_id, now_s)
+        if verdict is opinions.Opinion.UNREACHABLE:
+            self.slots.eject(server_id, "its observers can't reach it")
+        is_loading = verdict is opinions.Opinion.LOADING
+        if is_loading is (server_id in self.loading):
+            return
+        if is_loading:
+            self.loading = self.loading | {server_id}
+        else:
+            self.loading = self.loading - {server_id}
+        self.refresh_views()
+
+    def is_alive(self, server_id: ids.ServerId) -> bool:
+        """Return whether the observers take a server for alive."""
+        now_s = asyncio.get_running_loop().time()
+        return self.table.verdict(server_id, now_s) is not (
+            opinions.Opinion.UNREACHABLE
+        )
+
+    def make_summary(self) -> summaries.GatewaySummary:
+        """Return what the other gateways should know."""
+        self.sequence += 1
+        own = tuple(
+            opinions.ServerOpinion(each.server_id, each.opinion)
+            for each in self.monitor.probes.values()
+        )
+        dispatches = servers.PeerDispatches(
+            self.settings.id, self.sequence, self.slots.own_loads()
+        )
+        return summaries.GatewaySummary(self.settings.id, dispatches, own)
--- a/src/quetzalpass/membership/peer_client.py
+++ b/src/quetzalpass/membership/peer_client.py
@@ -73,6 +73,14 @@
             timeout_s,
         )
 
+    async def send_summary(
+        self, body: bytes, timeout_s: float
+    ) -> result.Result[None, failures.Failure]:
+        """Send an encoded summary."""
+        return await self.exchange(
+            "POST", "/inner/summary", body, type(None), timeout_s
+        )
+
     async def exchange(
         self,
         method: str,
--- /dev/null
+++ b/src/quetzalpass/membership/platform_list.py
@@ -0,0 +1,110 @@
+"""The platform's list of live and leaving VMs, which lags behind."""
+
+import asyncio
+import enum
+from collections.abc import Callable
+
+import aiohttp
+import logbook
+import msgspec
+
+from quetzalpass import ids
+
+LOG = logbook.Logger("membership")
+
+POLL_INTERVAL_S = 0.5
+POLL_TIMEOUT_S = 2.0
+
+
+class PlatformState(enum.Enum):
+    """What the platform says of a VM."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+class PlatformVm(msgspec.Struct, frozen=True):
+    """One row of the platform's list.
+
+    Attributes
+    ----------
+    id : VmId
+        The VM.
+    state : PlatformState
+        What the platform says of it.
+    deadline : str or None
+        ISO 8601 time by which it will be taken away.
+    """
+
+    id: ids.VmId
+    state: PlatformState
+    deadline: str | None = None
+
+
+class PlatformList:
+    """Polls the platform's list.
+
+    The list is a second source beside the declaration: either is enough to stop new
+    work to a VM. A poll that fails changes nothing, since the list only lags.
+
+    Parameters
+    ----------
+    url : str
+        Address of the list.
+    changed : callable
+        Called when the set of leaving VMs has changed.
+
+    Attributes
+    ----------
+    leaving : dict of VmId to PlatformVm
+        VMs that the platform says are leaving or gone.
+    """
+
+    def __init__(self, url: str, changed: Callable[[], None]) -> None:
+        self.url = url
+        self.changed = changed
+        self.leaving: dict[ids.VmId, PlatformVm] = {}
+        self.task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start polling."""
+        self.task = asyncio.create_task(self.poll_for_ever())
+
+    def stop(self) -> None:
+        """Stop polling."""
+        if self.task is not None:
+            self.task.cancel()
+
+    async def poll_for_ever(self) -> None:
+        """Poll the list in a fixed interval."""
+        async with aiohttp.ClientSession() as session:
+            while True:
+                await self.poll(session)
+                await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def poll(self, session: aiohttp.ClientSession) -> None:
+        """Read the list once."""
+        try:
+            async with asyncio.timeout(POLL_TIMEOUT_S):
+                async with session.get(self.url) as answer:
+                    data = await answer.read()
+            rows = msgspec.json.decode(data, type=tuple[PlatformVm, ...])
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            LOG.warn("membership: The platform's list can't be read: {!r}.", error)
+            return
+        except msgspec.MsgspecError as error:
+            LOG.warn("membership: The platform's list is malformed: {}.", error)
+            return
+        self.take(rows)
+
+    def take(self, rows: tuple[PlatformVm, ...]) -> None:
+        """Take in a list that was read."""
+        leaving = {
+            each.id: each for each in rows if each.state is not PlatformState.LIVE
+        }
+        if leaving == self.leaving:
+            return
+        self.leaving = leaving
+        LOG.info("membership: The platform takes {} VMs away.", len(leaving))
+        self.changed()
--- /dev/null
+++ b/src/quetzalpass/membership/server_monitor.py
@@ -0,0 +1,140 @@
+"""Probes of backend servers by this gateway."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import logbook
+from returns import result
+
+from quetzalpass import ids
+from quetzalpass.backends import base
+from quetzalpass.membership import opinions
+
+LOG = logbook.Logger("membership")
+
+PROBE_INTERVAL_S = 0.5
+PROBE_TIMEOUT_S = 1.0
+FAILURES_UNTIL_UNREACHABLE = 2
+
+
+class ServerProbe:
+    """Probes one server, for ever.
+
+    Parameters
+    ----------
+    server_id : ServerId
+        The server.
+    model : ModelName or None
+        Model that an engine must have ready; ``None`` for a plain service.
+    backend : base.Backend
+        Its adapter.
+
+    Attributes
+    ----------
+    opinion : opinions.Opinion
+        What the last probes say.
+    report : base.LoadReport or None
+        Last load report.
+    """
+
+    def __init__(
+        self,
+        server_id: ids.ServerId,
+        model: ids.ModelName | None,
+        backend: base.Backend,
+    ) -> None:
+        self.server_id = server_id
+        self.model = model
+        self.backend = backend
+        self.opinion = opinions.Opinion.ALIVE
+        self.report: base.LoadReport | None = None
+        self.failures_in_a_row = 0
+
+    async def probe(self) -> None:
+        """Probe once and form an opinion."""
+        if await self.answers():
+            self.failures_in_a_row = 0
+            self.opinion = await self.opinion_when_reachable()
+            return
+        # The kept connection may be what is broken: only a refusal of a new one counts.
+        if await self.backend.check_health(PROBE_TIMEOUT_S):
+            self.failures_in_a_row = 0
+            return
+        self.failures_in_a_row += 1
+        if self.failures_in_a_row >= FAILURES_UNTIL_UNREACHABLE:
+            self.opinion = opinions.Opinion.UNREACHABLE
+
+    async def answers(self) -> bool:
+        """Return whether the server answers, and keep an engine's load report."""
+        if not isinstance(self.backend, base.ModelEngine):
+            return await self.backend.check_health(PROBE_TIMEOUT_S)
+        report = await self.backend.load_report(PROBE_TIMEOUT_S)
+        if isinstance(report, result.Failure):
+            return False
+        self.report = report.unwrap()
+        return True
+
+    async def opinion_when_reachable(self) -> opinions.Opinion:
+        """Return whether a reachable server is ready."""
+        if self.model is None or not isinstance(self.backend, base.ModelEngine):
+            return opinions.Opinion.ALIVE
+        state = await self.backend.state(PROBE_TIMEOUT_S)
+        if isinstance(state, result.Failure):
+            return opinions.Opinion.ALIVE
+        ready = any(
+            each.name == self.model and each.ready for each in state.unwrap().models
+        )
+        return opinions.Opinion.ALIVE if ready else opinions.Opinion.LOADING
+
+
+class ServerMonitor:
+    """One probing task for each server that this gateway observes.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Spreads the probes over the interval.
+    observed : callable
+        Called with each probe after it formed its opinion.
+    """
+
+    def __init__(
+        self, rng: random.Random, observed: Callable[[ServerProbe], None]
+    ) -> None:
+        self.rng = rng
+        self.observed = observed
+        self.probes: dict[ids.ServerId, ServerProbe] = {}
+        self.tasks: dict[ids.ServerId, asyncio.Task[None]] = {}
+
+    def replace(self, wanted: dict[ids.ServerId, ServerProbe]) -> None:
+        """Probe exactly these servers from now on."""
+        for server_id in list(self.tasks):
+            known = self.probes[server_id]
+            if server_id not in wanted or wanted[server_id].backend != known.backend:
+                self.tasks.pop(server_id).cancel()
+                del self.probes[server_id]
+        for server_id, probe in wanted.items():
+            if server_id not in self.tasks:
+                self.probes[server_id] = probe
+                self.tasks[server_id] = asyncio.create_task(self.watch(probe))
+
+    async def watch(self, probe: ServerProbe) -> None:
+        """Probe one server in a jittered interval."""
+        await asyncio.sleep(self.rng.uniform(0.0, PROBE_INTERVAL_S))
+        while True:
+            before = probe.opinion
+            await probe.probe()
+            if probe.opinion is not before:
+                LOG.info(
+                    "membership: Server {} is {}.",
+                    probe.server_id,
+                    probe.opinion.value,
+                )
+            self.observed(probe)
+            await asyncio.sleep(PROBE_INTERVAL_S)
+
+    def stop(self) -> None:
+        """Stop all probes."""
+        for task in self.tasks.values():
+            task.cancel()
--- a/src/quetzalpass/membership/server_views.py
+++ b/src/quetzalpass/membership/server_views.py
@@ -13,17 +13,48 @@
 }
 
 
-def views_of(at: configuration.Configuration) -> tuple[servers.ServerView, ...]:
-    """Return the views of all servers that are not out of service."""
+def views_of(
+    at: configuration.Configuration,
+    taken_away: frozenset[ids.VmId],
+    loading: frozenset[ids.ServerId],
+) -> tuple[servers.ServerView, ...]:
+    """Return the views of all servers that are not out of service.
+
+    Parameters
+    ----------
+    at : configuration.Configuration
+        The revision in force.
+    taken_away : frozenset of VmId
+        VMs that the platform says are leaving; this is as good as declared.
+    loading : frozenset of ServerId
+        Engines that do not have their model ready.
+    """
     return tuple(
-        view_of(server, at)
+        view_of(server, at, state_of(server, at, taken_away, loading))
         for server in at.declaration.servers
         if at.state_of_server(server.id) in STATES
     )
 
 
+def state_of(
+    server: schema.BackendServer,
+    at: configuration.Configuration,
+    taken_away: frozenset[ids.VmId],
+    loading: frozenset[ids.ServerId],
+) -> servers.ServerState:
+    """Return whether a server may get work."""
+    if server.vm in taken_away:
+        return servers.ServerState.LEAVING
+    declared = STATES[at.state_of_server(server.id)]
+    if declared is servers.ServerState.ACTIVE and server.id in loading:
+        return servers.ServerState.LOADING
+    return declared
+
+
 def view_of(
-    server: schema.BackendServer, at: configuration.Configuration
+    server: schema.BackendServer,
+    at: configuration.Configuration,
+    state: servers.ServerState,
 ) -> servers.ServerView:
     """Return the view of one server."""
     is_engine = server.kind is schema.ServerKind.ENGINE
@@ -36,5 +67,5 @@
         memory_blocks=server.memory_tokens // BLOCK_TOKENS if is_engine else 0,
         block_tokens=BLOCK_TOKENS,
         batch_limit=server.max_batch,
-        state=STATES[at.state_of_server(server.id)],
+        state=state,
     )
--- /dev/null
+++ b/src/quetzalpass/membership/summaries.py
@@ -0,0 +1,94 @@
+"""Summaries that gateways send each other, and the tasks that send them."""
+
+import asyncio
+from collections.abc import Callable
+
+import logbook
+import msgspec
+from returns import result
+
+from quetzalpass import ids
+from quetzalpass.membership import opinions, peer_client
+from quetzalpass.routing import servers
+from quetzalpass.settings import schema
+
+LOG = logbook.Logger("membership")
+
+SEND_INTERVAL_S = 0.5
+SEND_TIMEOUT_S = 1.0
+MAX_DIRECT_PEERS = 16
+
+
+class GatewaySummary(msgspec.Struct, frozen=True):
+    """What one gateway tells the others, always the whole state.
+
+    A lost summary is repaired by the next one.
+
+    Attributes
+    ----------
+    vm : VmId
+        The gateway.
+    dispatches : servers.PeerDispatches
+        What it has in flight on each backend server.
+    server_opinions : tuple of opinions.ServerOpinion
+        What its own probes say.
+    """
+
+    vm: ids.VmId
+    dispatches: servers.PeerDispatches
+    server_opinions: tuple[opinions.ServerOpinion, ...] = ()
+
+
+def summary_peers(settings: schema.Settings) -> list[ids.VmId]:
+    """Return the peers that get this gateway's summaries.
+
+    A small deployment shares them with all; a large one inside the data centre only.
+    """
+    peers = settings.peer_vms
+    if len(peers) > MAX_DIRECT_PEERS:
+        peers = tuple(
+            each for each in peers if each.data_centre == settings.data_centre
+        )
+    return [each.id for each in peers]
+
+
+class SummarySender:
+    """Sends this gateway's summary, one task for each peer.
+
+    Parameters
+    ----------
+    clients : dict of VmId to peer_client.PeerClient
+        Clients of the peers that get summaries.
+    make_summary : callable
+        Returns the present summary.
+    """
+
+    def __init__(
+        self,
+        clients: dict[ids.VmId, peer_client.PeerClient],
+        make_summary: Callable[[], GatewaySummary],
+    ) -> None:
+        self.clients = clients
+        self.make_summary = make_summary
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Start one task for each peer."""
+        for client in self.clients.values():
+            self.tasks.append(asyncio.create_task(self.send_for_ever(client)))
+
+    def stop(self) -> None:
+        """Stop all tasks."""
+        for task in self.tasks:
+            task.cancel()
+
+    async def send_for_ever(self, client: peer_client.PeerClient) -> None:
+        """Send the present summary to one peer in a fixed interval."""
+        reachable = True
+        while True:
+            body = msgspec.json.encode(self.make_summary())
+            sent = await client.send_summary(body, SEND_TIMEOUT_S)
+            if reachable and isinstance(sent, result.Failure):
+                LOG.warn("membership: {} does not take summaries.", client.url)
+            reachable = isinstance(sent, result.Success)
+            await asyncio.sleep(SEND_INTERVAL_S)
