--- a/src/quetzalpass/cli/generating.py
+++ b/src/quetzalpass/cli/generating.py
@@ -135,7 +135,7 @@
         failure = outcome.failure()
     if as_json:
         code = failure.code
-        report = Report(code.value, code.name, failure.message, generated)
+        report = Report(code.value, code.name.lower(), failure.message, generated)
         output.show(report, [], as_json)
         return exits.exit_of(code)
     print()
--- a/src/quetzalpass/cli/output.py
+++ b/src/quetzalpass/cli/output.py
@@ -27,7 +27,7 @@
     if as_json:
         reply = messages.ErrorReply(
             code=failure.code.value,
-            name=failure.code.name,
+            name=failure.code.name.lower(),
             message=failure.message,
             advice=advice,
             retry_after_ms=failure.retry_after_ms,
@@ -35,7 +35,7 @@
         print(msgspec.json.encode(reply).decode(), flush=True)
     else:
         number = failure.code.value
-        name = failure.code.name
+        name = failure.code.name.lower()
         print(f"{number} {name}: {printable(failure.message)}", file=sys.stderr)
         print(advice, file=sys.stderr)
     return exits.exit_of(failure.code)
--- a/src/quetzalpass/cli/reports.py
+++ b/src/quetzalpass/cli/reports.py
@@ -18,6 +18,6 @@
 def fail_declaration(found: tuple[problems.Problem, ...], as_json: bool) -> exits.Exit:
     """Print every problem of a declaration."""
     code = codes.Code.DECLARATION_INVALID
-    reply = Problems(code.value, code.name, found)
+    reply = Problems(code.value, code.name.lower(), found)
     output.show(reply, (output.printable(item.text()) for item in found), as_json)
     return exits.exit_of(code)
--- a/src/quetzalpass/declarations/schema.py
+++ b/src/quetzalpass/declarations/schema.py
@@ -141,7 +141,15 @@
 
 
 class DataCentre(Strict, frozen=True):
-    """A data centre and the region it lies in."""
+    """A data centre and the region it lies in.
+
+    Attributes
+    ----------
+    id : DataCentreId
+        Identifier, the same as in the daemons' settings.
+    region : RegionId
+        Region that it lies in.
+    """
 
     id: ids.DataCentreId
     region: ids.RegionId
@@ -209,7 +217,15 @@
 
 
 class Route(Strict, frozen=True):
-    """A route of a plain service whose calls may not be repeated."""
+    """A route of a plain service whose calls may not be repeated.
+
+    Attributes
+    ----------
+    method : str
+        HTTP method, in upper case.
+    path_prefix : str
+        Start of the paths that belong to the route.
+    """
 
     method: str
     path_prefix: str
@@ -237,7 +253,15 @@
 
 
 class Objective(Strict, frozen=True):
-    """What routing weighs: stall time against the tail of gaps between tokens."""
+    """What routing weighs: stall time against the tail of gaps between tokens.
+
+    Attributes
+    ----------
+    stall_weight : float
+        Weight of stall time.
+    gap_weight : float
+        Weight of the tail of gaps between tokens.
+    """
 
     stall_weight: float = 1.0
     gap_weight: float = 1.0
@@ -262,13 +286,43 @@
 
 
 class WeightStore(Strict, frozen=True):
-    """The rate-limited store that engines load weights from."""
+    """The rate-limited store that engines load weights from.
+
+    Attributes
+    ----------
+    megabytes_per_s : float
+        Rate that all loads together stay below.
+    """
 
     megabytes_per_s: float = 1_000.0
 
 
 class Declaration(Strict, frozen=True):
-    """Everything that operators declare, applied whole or not at all."""
+    """Everything that operators declare, applied whole or not at all.
+
+    Attributes
+    ----------
+    models : tuple of Model
+        Models that callers may ask for.
+    classes : tuple of PriorityClass
+        Classes of requests.
+    organisations : tuple of Organisation
+        Organisations whose callers use the system.
+    data_centres : tuple of DataCentre
+        Data centres.
+    vms : tuple of Vm
+        VMs that carry backend servers.
+    servers : tuple of BackendServer
+        Model engines and servers of plain services.
+    services : tuple of Service
+        Plain services.
+    objective : Objective
+        What routing weighs.
+    retention : Retention
+        What the ledger keeps.
+    weight_store : WeightStore
+        Where engines load weights from.
+    """
 
     models: tuple[Model, ...] = ()
     classes: tuple[PriorityClass, ...] = ()
--- a/src/quetzalpass/logs.py
+++ b/src/quetzalpass/logs.py
@@ -79,7 +79,7 @@
         level=record.level_name.lower(),
         part=record.channel or "",
         message=escaped(record.message),
-        exception=record.formatted_exception,
+        exception=escaped_traceback(record.formatted_exception),
     )
 
 
@@ -88,8 +88,14 @@
     text = f"{line.time} {line.level.upper()} {line.message}"
     if line.exception is None:
         return text
-    frames = (escaped(frame) for frame in line.exception.splitlines())
-    return "\n    ".join([text, *frames])
+    return "\n    ".join([text, *line.exception.split("\n")])
+
+
+def escaped_traceback(text: str | None) -> str | None:
+    """Return a traceback whose lines are safe; the line ends stay."""
+    if text is None:
+        return None
+    return "\n".join(escaped(frame) for frame in text.splitlines())
 
 
 def escaped(message: str) -> str:
--- /dev/null
+++ b/src/quetzalpass/pages/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the documents that are generated from the code."""
--- a/src/quetzalpass/settings/schema.py
+++ b/src/quetzalpass/settings/schema.py
@@ -26,7 +26,15 @@
 
 
 class Tls(Strict, frozen=True):
-    """Paths of a PEM certificate chain and its private key."""
+    """Certificate of a listener.
+
+    Attributes
+    ----------
+    certificate_file : str
+        Path of the PEM certificate chain.
+    key_file : str
+        Path of its private key.
+    """
 
     certificate_file: str
     key_file: str
@@ -80,12 +88,22 @@
 
     Attributes
     ----------
-    body_bytes, header_bytes, line_bytes, event_bytes : int
-        Largest accepted request body, header, header line and stream event.
+    body_bytes : int
+        Largest accepted request body.
+    header_bytes : int
+        Largest accepted header.
+    line_bytes : int
+        Largest accepted request line.
+    event_bytes : int
+        Largest accepted event of a stream from a backend server.
     streams : int
         Requests under way at once on this VM.
-    body_timeout_s, connect_timeout_s, first_token_timeout_s : float
-        Longest time for receiving a body, connecting, and waiting for a first token.
+    body_timeout_s : float
+        Longest time for receiving a body.
+    connect_timeout_s : float
+        Longest time for connecting to a backend server.
+    first_token_timeout_s : float
+        Longest wait for the first token.
     silent_stream_s : float
         Silence on a stream from a backend server after which it is resumed on a new
         connection.
@@ -113,7 +131,17 @@
 
 
 class Statsd(Strict, frozen=True):
-    """Where metrics are sent."""
+    """Where metrics are sent.
+
+    Attributes
+    ----------
+    host : str
+        IP address of the statsd daemon.
+    port : int
+        Its UDP port.
+    prefix : str
+        First part of each metric name.
+    """
 
     host: str
     port: int = 8125
@@ -131,8 +159,12 @@
         Where it runs.
     roles : tuple of Role
         What it does.
-    callers, peers, operators : Listener
-        The three listeners.
+    callers : Listener
+        Where callers send requests.
+    peers : Listener
+        Where other daemons connect.
+    operators : Listener
+        Where the operators' tool connects.
     peer_vms : tuple of Peer
         The other daemons.
     data_folder : str or None
--- a/tests/cli/test_operators.py
+++ b/tests/cli/test_operators.py
@@ -61,7 +61,7 @@
         async with fake.client(key="wrong") as operators:
             code = await declared.send(operators, change(), False)
         assert code is exits.Exit.REFUSED
-        assert "106 UNKNOWN_KEY" in capsys.readouterr().err
+        assert "106 unknown_key" in capsys.readouterr().err
 
     async def test_no_quorum_is_tried_again_and_then_reported(self, fake):
         fake.refusal = codes.Code.NO_QUORUM
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -34,7 +34,7 @@
         assert "\u2028" not in text
 
     def test_json_lines_have_typed_fields(self):
-        text = logged(schema.LogFormat.JSON, lambda: LOG.warn("callers: Slow."))
+        text = logged(schema.LogFormat.JSON, lambda: LOG.warning("callers: Slow."))
         line = msgspec.json.decode(text, type=logs.Line)
         assert (line.level, line.part) == ("warning", "callers")
         assert line.message == "callers: Slow."
