Refuse control characters and unbounded numbers in typed declarations

Cause: a declaration that comes over the operators' interface passes no YAML reader. A name with a line end at its end passed, since '$' matches before it; URL parsing drops line ends, and the parser of times stops at a null character. Numbers beyond 2**53 and not-a-number passed the bounds. Change: names match to their very end; addresses, paths, regions and deadlines must be printable; bounds refuse such numbers. Problem.text() escapes what it quotes. Checks of VMs, servers, models and services moved to fleet_checks, forms of names to names, and the three escaping functions became one. Conclusion: replicas can rely on check_declaration.

--- a/src/quetzalpass/cli/output.py
+++ b/src/quetzalpass/cli/output.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from quetzalpass import escaping
 from quetzalpass.cli import exits
 from quetzalpass.control import messages
 from quetzalpass.results import codes, failures
@@ -43,10 +44,7 @@
 
 def printable(text: str) -> str:
     """Return a text with its control characters escaped, except white space."""
-    return "".join(
-        char if char.isprintable() or char in WHITE_SPACE else repr(char)[1:-1]
-        for char in text
-    )
+    return escaping.escaped(text, WHITE_SPACE)
 
 
 def table(rows: list[tuple[str, ...]]) -> list[str]:
--- a/src/quetzalpass/cli/vms.py
+++ b/src/quetzalpass/cli/vms.py
@@ -16,7 +16,7 @@
 from quetzalpass import ids
 from quetzalpass.cli import client, connection, declared, exits, output, waiting
 from quetzalpass.control import messages
-from quetzalpass.declarations import checks, schema
+from quetzalpass.declarations import fleet_checks, schema
 from quetzalpass.documents import problems
 from quetzalpass.results import codes, failures
 
@@ -190,7 +190,7 @@
     if match:
         span = datetime.timedelta(**{UNITS[match["unit"]]: int(match["count"])})
         text = (now + span).isoformat(timespec="seconds")
-    if not checks.is_deadline(text):
+    if not fleet_checks.is_deadline(text):
         return bad_deadline(
             f"'{text}' is neither an ISO 8601 time with a zone nor +30m"
         )
--- a/src/quetzalpass/declarations/bounds.py
+++ b/src/quetzalpass/declarations/bounds.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from quetzalpass.declarations import entries, schema
-from quetzalpass.documents import problems
+from quetzalpass.documents import problems, shape
 
 
 class Bound(msgspec.Struct, frozen=True):
@@ -35,6 +35,8 @@
         """Return what is wrong with a value, if anything."""
         if value is None:
             return None
+        if not abs(value) <= shape.MAX_INTEGER:
+            return f"must be a number up to {shape.MAX_INTEGER}"
         if self.above and value <= self.minimum:
             return f"must be above {self.minimum}"
         if value < self.minimum:
--- a/src/quetzalpass/documents/problems.py
+++ b/src/quetzalpass/documents/problems.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from quetzalpass import escaping
+
 
 class Severity(enum.Enum):
     """Whether a problem refuses the document."""
@@ -46,7 +48,7 @@
         field = f" {self.field}:" if self.field else ""
         mark = " warning:" if self.severity is Severity.WARNING else ""
         advice = f"; {self.suggestion}" if self.suggestion else ""
-        return f"{place}:{mark}{field} {self.message}{advice}"
+        return escaping.escaped(f"{place}:{mark}{field} {self.message}{advice}")
 
 
 def near_name(name: str, known: Iterable[str]) -> str | None:
--- a/src/quetzalpass/logs.py
+++ b/src/quetzalpass/logs.py
@@ -7,6 +7,7 @@
 import logbook
 import msgspec
 
+from quetzalpass import escaping
 from quetzalpass.settings import schema
 
 MAX_MESSAGE_LENGTH = 8_192
@@ -78,8 +79,8 @@
         time=time.isoformat(timespec="milliseconds"),
         level=record.level_name.lower(),
         part=record.channel or "",
-        message=escaped(record.message),
-        exception=escaped_traceback(record.formatted_exception),
+        message=shortened(record.message),
+        exception=safe_traceback(record.formatted_exception),
     )
 
 
@@ -91,20 +92,18 @@
     return "\n    ".join([text, *line.exception.split("\n")])
 
 
-def escaped_traceback(text: str | None) -> str | None:
+def safe_traceback(text: str | None) -> str | None:
     """Return a traceback whose lines are safe; the line ends stay."""
     if text is None:
         return None
-    return "\n".join(escaped(frame) for frame in text.splitlines())
+    return "\n".join(shortened(frame) for frame in text.splitlines())
 
 
-def escaped(message: str) -> str:
+def shortened(message: str) -> str:
     """Return a message without control characters, cut where it is very long."""
     if len(message) > MAX_MESSAGE_LENGTH:
         message = message[:MAX_MESSAGE_LENGTH] + CUT_MARK
-    if message.isprintable():
-        return message
-    return "".join(char if char.isprintable() else repr(char)[1:-1] for char in message)
+    return escaping.escaped(message)
 
 
 def make_handler(
--- a/tests/declarations/test_checks.py
+++ b/tests/declarations/test_checks.py
@@ -1,8 +1,9 @@
 import pytest
 
-from quetzalpass.declarations import checks, loader
+from quetzalpass.declarations import checks, loader, schema
 from quetzalpass.documents import problems
 
+ENGINE = schema.ServerKind.ENGINE
 VALID = """
 models:
   - {name: claims-llm, version: v1, default_class: drafts}
@@ -100,6 +101,40 @@
         fields = [problem.field for problem in checks.check_declaration(broken)]
         assert "models[0].default_class" in fields
 
+    @pytest.mark.parametrize("end", ["\n", "\r", "\x00", "\u2028"])
+    def test_texts_with_control_characters_are_refused(self, end):
+        declaration = schema.Declaration(
+            models=(schema.Model("m" + end, "v" + end, "w" + end),),
+            organisations=(schema.Organisation("o", ("a" * 64 + end,)),),
+            data_centres=(schema.DataCentre("dc", "r" + end),),
+            vms=(schema.Vm("v", "dc", deadline="2026-12-04T06:00:00Z" + end),),
+            servers=(schema.BackendServer("s", "v", ENGINE, f"http://h:1/{end}x"),),
+            services=(schema.Service("q", (schema.Route("GET", f"/{end}"),)),),
+        )
+        found = checks.errors_among(checks.check_declaration(declaration))
+        assert {problem.field for problem in found} >= {
+            "models[0].name",
+            "models[0].version",
+            "models[0].previous_version",
+            "organisations[0].key_sha256[0]",
+            "data_centres[0].region",
+            "vms[0].deadline",
+            "servers[0].url",
+            "services[0].non_idempotent_routes[0].path_prefix",
+        }
+        assert all(problem.text().isprintable() for problem in found)
+
+    def test_numbers_beyond_all_bounds_are_refused(self):
+        weights = [float("nan"), float("inf"), float(2**70)]
+        declaration = schema.Declaration(
+            organisations=tuple(
+                schema.Organisation(f"o{index}", (f"{index}" * 64,), weight=weight)
+                for index, weight in enumerate(weights)
+            )
+        )
+        fields = [problem.field for problem in checks.check_declaration(declaration)]
+        assert fields == [f"organisations[{index}].weight" for index in range(3)]
+
 
 class TestJoinedFiles:
     def test_lists_of_all_files_are_joined(self, tmp_path):
