--- a/src/quetzalpass/cli/declared.py
+++ b/src/quetzalpass/cli/declared.py
@@ -10,11 +10,10 @@
 from returns import result
 
 from quetzalpass import ids
-from quetzalpass.cli import client, connection, exits, output, waiting
+from quetzalpass.cli import client, connection, exits, output, reports, waiting
 from quetzalpass.control import messages
 from quetzalpass.declarations import loader, schema
-from quetzalpass.documents import problems
-from quetzalpass.results import codes, failures
+from quetzalpass.results import failures
 
 
 def apply(
@@ -58,12 +57,12 @@
     access = connection.Access(operators, key_file, ca_file, json)
     loaded = loader.load_folder(folder)
     if not isinstance(loaded, result.Success):
-        return fail_declaration(loaded.failure(), json)
+        return reports.fail_declaration(loaded.failure(), json)
     change = Change(
         declaration=loaded.unwrap(),
         base=base,
         operation_id=ids.OperationId(operation_id or uuid.uuid4().hex),
-        author=author or os.environ.get("USER", ""),
+        author=author or default_author(),
         wait_timeout_s=wait_timeout if wait else None,
     )
     return asyncio.run(
@@ -71,6 +70,11 @@
     )
 
 
+def default_author() -> str:
+    """Return who runs the command, as far as the environment tells."""
+    return os.environ.get("USER", "")
+
+
 class Change(msgspec.Struct, frozen=True):
     """What one ``apply`` asks for.
 
@@ -95,20 +99,22 @@
     wait_timeout_s: float | None
 
 
-class Problems(msgspec.Struct, frozen=True):
-    """Everything that is wrong with a declaration."""
-
-    code: int
-    name: str
-    problems: tuple[problems.Problem, ...]
+class Applied(msgspec.Struct, frozen=True):
+    """Outcome of ``apply`` and of the commands on VMs.
 
+    Attributes
+    ----------
+    revision : Revision
+        The accepted revision.
+    digest : str
+        Digest of its canonical form.
+    in_force_on : int or None
+        VMs that it is in force on; ``None`` if that was not waited for.
+    """
 
-def fail_declaration(found: tuple[problems.Problem, ...], as_json: bool) -> exits.Exit:
-    """Print every problem of a declaration."""
-    code = codes.Code.DECLARATION_INVALID
-    reply = Problems(code.value, code.name, found)
-    output.show(reply, (output.printable(item.text()) for item in found), as_json)
-    return exits.exit_of(code)
+    revision: ids.Revision
+    digest: str
+    in_force_on: int | None = None
 
 
 async def send(
@@ -116,15 +122,32 @@
 ) -> exits.Exit:
     """Apply a change and print the accepted revision."""
     applied = await apply_change(operators, change)
+    return await show_applied(operators, applied, change.wait_timeout_s, as_json)
+
+
+async def show_applied(
+    operators: client.OperatorsClient,
+    applied: result.Result[messages.ApplyReply, failures.Failure],
+    wait_timeout_s: float | None,
+    as_json: bool,
+) -> exits.Exit:
+    """Print the accepted revision, after it is in force if that is wanted."""
     if not isinstance(applied, result.Success):
         return output.fail(applied.failure(), as_json)
     reply = applied.unwrap()
-    output.show(reply, [f"revision {reply.revision} accepted"], as_json)
-    if change.wait_timeout_s is None:
+    line = f"revision {reply.revision} accepted"
+    if wait_timeout_s is None:
+        output.show(Applied(reply.revision, reply.digest), [line], as_json)
         return exits.Exit.OK
-    return await waiting.wait_in_force(
-        operators, reply.revision, change.wait_timeout_s, as_json
-    )
+    if not as_json:
+        print(line, flush=True)
+    waited = await waiting.wait_in_force(operators, reply.revision, wait_timeout_s)
+    if not isinstance(waited, result.Success):
+        return output.fail(waited.failure(), as_json)
+    count = len(waiting.all_vms(waited.unwrap()))
+    outcome = Applied(reply.revision, reply.digest, count)
+    output.show(outcome, [f"in force on {count} VMs"], as_json)
+    return exits.Exit.OK
 
 
 async def apply_change(
