--- a/src/quetzalpass/routing/dispatch.py
+++ b/src/quetzalpass/routing/dispatch.py
@@ -334,7 +334,7 @@
         """Replace the prediction for a request in its server's sum."""
         record = self.table.records.get(flight.server_id)
         if record is not None and flight.item.request_id in record.flights:
-            record.own.add(flight.demand, -1)
+            record.own.subtract(flight.demand)
             record.own.add(demand)
         flight.demand = demand
 
@@ -347,7 +347,7 @@
         record = self.table.records.get(flight.server_id)
         # The server may have been removed, and declared anew, in the meantime.
         if record is not None and record.flights.pop(request_id, None) is not None:
-            record.own.add(flight.demand, -1)
+            record.own.subtract(flight.demand)
             record.suspects -= item.suspect
             self.judge(record, outcome, now_s)
         if outcome is work.SlotOutcome.COMPLETED and flight.generated > 0:
--- a/src/quetzalpass/routing/flights.py
+++ b/src/quetzalpass/routing/flights.py
@@ -30,19 +30,27 @@
     mean: list[float]
     variance: list[float]
 
-    def add(self, other: "Demand", sign: int = 1) -> None:
-        """Add or, with a sign of -1, subtract another demand."""
-        self.sequences += sign * other.sequences
-        self.prefill_tokens += sign * other.prefill_tokens
-        for index in range(len(HORIZONS_TOKENS)):
-            self.mean[index] += sign * other.mean[index]
-            self.variance[index] += sign * other.variance[index]
+    def add(self, other: "Demand") -> None:
+        """Add another demand."""
+        self.sequences += other.sequences
+        self.prefill_tokens += other.prefill_tokens
+        self.mean = [a + b for a, b in zip(self.mean, other.mean, strict=True)]
+        self.variance = [
+            a + b for a, b in zip(self.variance, other.variance, strict=True)
+        ]
+
+    def subtract(self, other: "Demand") -> None:
+        """Take away a demand that was added before."""
+        self.sequences -= other.sequences
+        self.prefill_tokens -= other.prefill_tokens
+        self.mean = [a - b for a, b in zip(self.mean, other.mean, strict=True)]
+        self.variance = [
+            a - b for a, b in zip(self.variance, other.variance, strict=True)
+        ]
 
     def copy(self) -> "Demand":
-        """Return a copy that shares nothing with this one."""
-        return Demand(
-            self.sequences, self.prefill_tokens, self.mean.copy(), self.variance.copy()
-        )
+        """Return a copy; lists are replaced, never changed, so they are shared."""
+        return Demand(self.sequences, self.prefill_tokens, self.mean, self.variance)
 
 
 def no_demand() -> Demand:
--- a/src/quetzalpass/routing/servers.py
+++ b/src/quetzalpass/routing/servers.py
@@ -283,7 +283,7 @@
         """Drop a peer's summary."""
         summary = self.peers.pop(vm)
         for server_id, demand in summary.loads.items():
-            self.records[server_id].peers.add(demand, -1)
+            self.records[server_id].peers.subtract(demand)
 
     def expire_peers(self, now_s: float) -> None:
         """Drop the summaries of peers that have been silent too long."""
--- a/src/quetzalpass/standin/engine.py
+++ b/src/quetzalpass/standin/engine.py
@@ -130,7 +130,10 @@
         self.settings = settings
         self.memory = memory.BlockMemory(settings, generator)
         self.sequences: dict[ids.GenerationId, Sequence] = {}
-        self.waiting: list[tuple[tuple[int, int], Sequence]] = []
+        # A queue for each adapter, by rank.
+        self.waiting: dict[
+            ids.AdapterName | None, list[tuple[tuple[int, int], Sequence]]
+        ] = {}
         self.prefilling: list[Sequence] = []
         self.decoding: dict[ids.GenerationId, Sequence] = {}
         self.context_tokens = 0
@@ -176,7 +179,7 @@
         self.arrivals += 1
         sequence = Sequence(request, self.arrivals)
         self.sequences[request.generation_id] = sequence
-        heapq.heappush(self.waiting, (sequence.rank, sequence))
+        self.enqueue(sequence)
 
     def cancel(self, generation_id: ids.GenerationId) -> None:
         """Drop a request; one that is unknown or complete is ignored."""
@@ -186,8 +189,9 @@
         if sequence in self.prefilling or generation_id in self.decoding:
             self.leave_batch(sequence)
         else:
-            self.waiting = [entry for entry in self.waiting if entry[1] != sequence]
-            heapq.heapify(self.waiting)
+            queue = self.waiting[sequence.request.adapter]
+            queue.remove((sequence.rank, sequence))
+            heapq.heapify(queue)
 
     def step(self, now_s: float, list_tokens: bool = False) -> StepOutcome:
         """Run one step that begins now.
@@ -221,22 +225,36 @@
         self.record_snapshot(now_s + outcome.duration_s)
         return outcome
 
+    def enqueue(self, sequence: Sequence) -> None:
+        """Put a sequence into the queue of its adapter."""
+        queue = self.waiting.setdefault(sequence.request.adapter, [])
+        heapq.heappush(queue, (sequence.rank, sequence))
+
     def admit(self, now_s: float) -> None:
-        """Move requests from the queue into the batch while memory lasts."""
-        delayed = []
-        while self.waiting and now_s >= self.ready_s:
-            if len(self.prefilling) + len(self.decoding) >= self.settings.batch_limit:
+        """Move requests from the queue into the batch while memory lasts.
+
+        Requests whose adapter is not loaded are passed over.
+        """
+        if now_s < self.ready_s:
+            return
+        blocked: set[ids.AdapterName | None] = set()
+        while len(self.prefilling) + len(self.decoding) < self.settings.batch_limit:
+            heads = [
+                (queue[0][0], adapter)
+                for adapter, queue in self.waiting.items()
+                if queue and adapter not in blocked
+            ]
+            if not heads:
                 break
-            sequence = self.waiting[0][1]
-            if not self.adapter_ready(sequence.request.adapter, now_s):
-                delayed.append(heapq.heappop(self.waiting))
+            adapter = min(heads, key=lambda head: head[0])[1]
+            if not self.adapter_ready(adapter, now_s):
+                blocked.add(adapter)
                 continue
+            sequence = self.waiting[adapter][0][1]
             if not self.take_memory(sequence, now_s):
                 break
-            heapq.heappop(self.waiting)
+            heapq.heappop(self.waiting[adapter])
             self.prefilling.append(sequence)
-        for entry in delayed:
-            heapq.heappush(self.waiting, entry)
 
     def take_memory(self, sequence: Sequence, now_s: float) -> bool:
         """Allocate the blocks of a prompt; return False if there's no room."""
@@ -284,7 +302,7 @@
             victim = max(running, key=lambda sequence: sequence.rank)
             self.leave_batch(victim)
             self.preemptions += 1
-            heapq.heappush(self.waiting, (victim.rank, victim))
+            self.enqueue(victim)
             outcome.preempted.append(victim.request.generation_id)
         if self.block_phases[phase] == 0:
             return
@@ -370,12 +388,13 @@
             due_s = self.snapshots[-1].taken_at_s + self.settings.report_interval_s
             if now_s < due_s:
                 return
-        waiting_tokens = sum(entry[1].context_tokens for entry in self.waiting)
+        waiting = [entry[1] for queue in self.waiting.values() for entry in queue]
+        waiting_tokens = sum(sequence.context_tokens for sequence in waiting)
         self.snapshots.append(
             reports.LoadReport(
                 taken_at_s=now_s,
                 running=len(self.prefilling) + len(self.decoding),
-                waiting=len(self.waiting),
+                waiting=len(waiting),
                 memory_blocks=self.settings.memory_blocks,
                 held_blocks=self.memory.held_blocks,
                 block_tokens=self.settings.block_tokens,
