Test the spread of revisions under cut, silent and late links

Cause: the spread had no test. Change: focused tests with fake peers on the virtual clock. Conclusion: within 4 s of virtual time a revision is in force on 8 daemons.

--- /dev/null
+++ b/tests/membership/test_spread.py
@@ -0,0 +1,189 @@
+import asyncio
+import random
+
+import pytest
+from returns import result
+
+import builders
+from quetzalpass import ids
+from quetzalpass.declarations import schema as declared
+from quetzalpass.membership import configuration, inner_messages, spread
+from quetzalpass.results import codes, failures
+from quetzalpass.settings import schema
+
+UNREACHABLE = result.Failure(failures.Failure(codes.Code.UNREACHABLE, "cut off"))
+LISTENER = schema.Listener("127.0.0.1", 0)
+TARGET_S = 4.0
+LINK_TIMEOUT_S = spread.WAIT_S + 3.0
+
+
+def message(revision):
+    model = declared.Model(builders.MODEL, ids.VersionName(str(revision)))
+    data = declared.encode(builders.declaration([], models=(model,)))
+    return inner_messages.DeclarationMessage(
+        ids.Revision(revision), declared.digest_of(data), data
+    )
+
+
+class FakePeer:
+    """Answers from a holder over a link that can be cut or go silent."""
+
+    def __init__(self, holder):
+        self.holder = holder
+        self.cut = False
+        self.silent = False
+        self.damage = False
+
+    async def fetch_declaration(self, newer_than, wait_s):
+        await asyncio.sleep(0.001)
+        if self.silent:
+            await asyncio.sleep(LINK_TIMEOUT_S)
+            return UNREACHABLE
+        if self.cut:
+            return UNREACHABLE
+        if wait_s:
+            await self.holder.wait_newer(newer_than, wait_s)
+        current = self.holder.current
+        if self.silent:
+            await asyncio.sleep(LINK_TIMEOUT_S)
+            return UNREACHABLE
+        if current is None or current.revision <= newer_than:
+            return result.Success(None)
+        data = current.data + b" " if self.damage else current.data
+        return result.Success(
+            inner_messages.DeclarationMessage(current.revision, current.digest, data)
+        )
+
+
+class Site:
+    """Daemons of two data centres; the first of all is the only replica."""
+
+    def __init__(self, per_data_centre=4):
+        names = [f"{dc}-{n}" for dc in ("a", "b") for n in range(per_data_centre)]
+        self.holders = {
+            ids.VmId(name): configuration.ConfigurationHolder() for name in names
+        }
+        self.peers = {
+            here: {there: FakePeer(self.holders[there]) for there in self.holders}
+            for here in self.holders
+        }
+        self.spreads = {}
+
+    def settings(self, vm):
+        others = tuple(
+            schema.Peer(each, ids.DataCentreId(each[0]), "", each == "a-0")
+            for each in self.holders
+            if each != vm
+        )
+        role = schema.Role.REPLICA if vm == "a-0" else schema.Role.GATEWAY
+        return schema.Settings(
+            vm,
+            ids.DataCentreId(vm[0]),
+            (role,),
+            LISTENER,
+            LISTENER,
+            LISTENER,
+            "",
+            others,
+        )
+
+    def start(self, vm):
+        clients = {each: peer for each, peer in self.peers[vm].items() if each != vm}
+        running = spread.Spread(
+            self.settings(vm), self.holders[vm], clients, random.Random(f"spread {vm}")
+        )
+        self.spreads[vm] = running
+        running.start()
+
+    def start_all(self):
+        for vm in self.holders:
+            self.start(vm)
+
+    def accept(self, revision):
+        made = message(revision)
+        self.holders["a-0"].activate(made.revision, made.digest, made.data)
+
+    def revisions(self):
+        return {holder.revision() for holder in self.holders.values()}
+
+    def stop(self):
+        for each in self.spreads.values():
+            each.stop()
+
+
+@pytest.fixture
+def site():
+    made = Site()
+    yield made
+    made.stop()
+
+
+@pytest.mark.looptime
+class TestSpread:
+    async def test_a_revision_is_in_force_everywhere_within_the_target(self, site):
+        site.start_all()
+        await asyncio.sleep(20)
+        site.accept(1)
+        await asyncio.sleep(TARGET_S)
+        assert site.revisions() == {1}
+
+    async def test_lost_relays_are_gone_round(self, site):
+        site.start_all()
+        for peers in site.peers.values():
+            for relay in ("b-0", "b-1"):
+                peers[relay].cut = True
+        await asyncio.sleep(20)
+        site.accept(1)
+        await asyncio.sleep(len(site.holders) * spread.ROUND_INTERVAL_S * 2)
+        assert site.revisions() == {1}
+
+    async def test_a_link_that_went_silent_is_repaired_by_the_round(self, site):
+        site.start_all()
+        await asyncio.sleep(20)
+        for relay in ("b-0", "b-1"):
+            site.peers["b-3"][relay].silent = True
+        site.accept(1)
+        await asyncio.sleep(len(site.holders) * LINK_TIMEOUT_S)
+        assert site.revisions() == {1}
+
+    async def test_a_late_daemon_jumps_to_the_newest(self, site):
+        site.start_all()
+        for peer in site.peers["b-2"].values():
+            peer.cut = True
+        for revision in range(1, 6):
+            site.accept(revision)
+            await asyncio.sleep(1)
+        seen = []
+        site.holders["b-2"].observers.append(lambda at: seen.append(at.revision))
+        for peer in site.peers["b-2"].values():
+            peer.cut = False
+        await asyncio.sleep(TARGET_S)
+        assert seen == [5]
+
+    async def test_a_starting_daemon_learns_from_its_data_centre_alone(self, site):
+        for vm in site.holders:
+            if vm != "b-3":
+                site.start(vm)
+        site.accept(1)
+        await asyncio.sleep(TARGET_S)
+        for there, peer in site.peers["b-3"].items():
+            peer.cut = there.startswith("a")
+        site.start("b-3")
+        await asyncio.sleep(TARGET_S)
+        assert site.holders["b-3"].revision() == 1
+
+
+@pytest.mark.looptime
+class TestHolder:
+    async def test_a_damaged_revision_is_refused_whole(self):
+        holder = configuration.ConfigurationHolder()
+        made = message(1)
+        assert not holder.activate(made.revision, made.digest, made.data + b" ")
+        assert holder.current is None
+
+    async def test_a_holder_never_goes_back(self):
+        holder = configuration.ConfigurationHolder()
+        for revision in (2, 1):
+            made = message(revision)
+            holder.activate(made.revision, made.digest, made.data)
+        assert holder.revision() == 2
