Add the relay benchmark: the gateway beside a bare relay in one run

Cause: the cost per token had no measurement in the project. Change: bench/relay starts a source of engines that emit their batch at each step, a bare aiohttp relay, a quetzalpassd, and a reader that notes what was added to each gap. Gateway and bare relay are measured in turns with the same load.

--- /dev/null
+++ b/src/quetzalpass/bench/relay_processes.py
@@ -0,0 +1,282 @@
+"""Processes of the relay benchmark: source, gateway, bare relay, reader.
+
+This is a harness: the programs of the product start no process themselves.
+"""
+
+import hashlib
+import os
+import pathlib
+import re
+import socket
+import subprocess
+import sys
+import time
+import urllib.request
+
+import msgspec
+import yaml
+
+from quetzalpass.bench import relay_reader
+
+HOST = "127.0.0.1"
+CALLER_KEY = "bench-caller-key"
+CLUSTER_KEY = "bench-cluster-key"
+START_TIMEOUT_S = 15.0
+STOP_TIMEOUT_S = 5.0
+READER_TIMEOUT_S = 90.0
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+KILOBYTES_PER_MB = 1000
+LOG_CHARACTERS = 3_000
+
+
+class Measured(msgspec.Struct, frozen=True):
+    """One window of one relay.
+
+    Attributes
+    ----------
+    relay_cpu_s, source_cpu_s : float
+        Processor time within the window.
+    rss_mb : float
+        Resident memory of the relay at the end of the window.
+    reader : relay_reader.ReaderReport
+        What its callers saw.
+    """
+
+    relay_cpu_s: float
+    source_cpu_s: float
+    rss_mb: float
+    reader: relay_reader.ReaderReport
+
+
+class RelayProcesses:
+    """Starts the processes on loopback and stops them again.
+
+    Parameters
+    ----------
+    folder : Path
+        Empty folder for settings, keys and logs.
+    engines : int
+        Engines that the source plays.
+    batch : int
+        Streams that one engine runs at once.
+    """
+
+    def __init__(self, folder: pathlib.Path, engines: int, batch: int) -> None:
+        self.folder = folder
+        self.batch = batch
+        self.processes: dict[str, subprocess.Popen] = {}
+        ports = free_ports(engines + 4)
+        self.gateway_port, self.bare_port, self.peers_port, self.operators_port = ports[
+            :4
+        ]
+        self.engine_ports = ports[4:]
+
+    def start(self) -> None:
+        """Start source, gateway and bare relay; apply the declaration."""
+        ports = [str(port) for port in self.engine_ports]
+        urls = [f"http://{HOST}:{port}" for port in ports]
+        self.write_files()
+        self.spawn("source", "quetzalpass.bench.relay_source", [HOST, *ports])
+        self.spawn(
+            "bare", "quetzalpass.bench.relay_bare", [HOST, str(self.bare_port), *urls]
+        )
+        settings = str(self.folder / "gateway.yaml")
+        self.spawn("gateway", "quetzalpass.daemon.main", ["--settings", settings])
+        wait_for(f"{urls[-1]}/health")
+        wait_for(f"http://{HOST}:{self.bare_port}/healthz")
+        wait_for(f"http://{HOST}:{self.gateway_port}/healthz")
+        self.apply()
+        wait_for(f"http://{HOST}:{self.gateway_port}/readyz")
+
+    def write_files(self) -> None:
+        """Write the key, the settings and the declaration."""
+        (self.folder / "cluster.key").write_text(CLUSTER_KEY)
+        settings = {
+            "id": "entry-1",
+            "data_centre": "bench-a",
+            "roles": ["gateway", "replica"],
+            "callers": {"host": HOST, "port": self.gateway_port},
+            "peers": {"host": HOST, "port": self.peers_port},
+            "operators": {
+                "host": HOST,
+                "port": self.operators_port,
+                "key_file": str(self.folder / "cluster.key"),
+            },
+            "cluster_key_file": str(self.folder / "cluster.key"),
+            "data_folder": str(self.folder / "data"),
+        }
+        (self.folder / "gateway.yaml").write_text(yaml.safe_dump(settings))
+        folder = self.folder / "declaration"
+        folder.mkdir()
+        (folder / "all.yaml").write_text(yaml.safe_dump(self.declaration()))
+
+    def declaration(self) -> dict:
+        """Return the declaration: one model on all engines of the source."""
+        digest = hashlib.sha256(CALLER_KEY.encode()).hexdigest()
+        servers = [
+            {
+                "id": f"engine-{number}",
+                "vm": f"vm-{number}",
+                "kind": "engine",
+                "url": f"http://{HOST}:{port}",
+                "models": ["bench-llm"],
+                "memory_tokens": 100_000_000,
+                "max_batch": self.batch,
+            }
+            for number, port in enumerate(self.engine_ports)
+        ]
+        return {
+            "data_centres": [{"id": "bench-a", "region": "bench"}],
+            "vms": [{"id": each["vm"], "data_centre": "bench-a"} for each in servers],
+            "servers": servers,
+            "models": [
+                {"name": "bench-llm", "version": "1", "context_tokens": 200_000}
+            ],
+            "organisations": [
+                {
+                    "id": "caller",
+                    "key_sha256": [digest],
+                    "requests_per_s": 10_000.0,
+                    "burst_requests": 10_000,
+                    "max_streams": 10_000,
+                    "tokens_per_s": 1e9,
+                }
+            ],
+        }
+
+    def apply(self) -> None:
+        """Apply the declaration with the operators' tool.
+
+        Raises
+        ------
+        RuntimeError
+            If it is refused.
+        """
+        done = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "quetzalpass.cli.main",
+                "apply",
+                str(self.folder / "declaration"),
+                "--wait",
+                "--operators",
+                f"http://{HOST}:{self.operators_port}",
+                "--key-file",
+                str(self.folder / "cluster.key"),
+            ],
+            capture_output=True,
+            text=True,
+            timeout=START_TIMEOUT_S,
+        )
+        if done.returncode:
+            raise RuntimeError(f"apply failed: {done.stdout}{done.stderr}")
+
+    def spawn(self, name: str, module: str, arguments: list[str]) -> None:
+        """Start one process; its output goes to a file."""
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments], stdout=log, stderr=log
+            )
+
+    def measure(self, relay: str, streams: int, window_s: float) -> Measured:
+        """Measure one relay under a number of streams.
+
+        Parameters
+        ----------
+        relay : str
+            ``gateway`` or ``bare``.
+        streams : int
+            Streams to open.
+        window_s : float
+            Length of the window, in seconds.
+
+        Raises
+        ------
+        RuntimeError
+            If the streams do not flow.
+        """
+        port = self.gateway_port if relay == "gateway" else self.bare_port
+        arguments = [HOST, str(port), CALLER_KEY, str(streams), str(window_s)]
+        reader = subprocess.Popen(
+            [sys.executable, "-m", "quetzalpass.bench.relay_reader", *arguments],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.processes["reader"] = reader
+        assert reader.stdout is not None
+        if reader.stdout.readline() != "begin\n":
+            raise RuntimeError(f"the streams through the {relay} relay do not flow")
+        relay_pid = self.processes[relay].pid
+        source_pid = self.processes["source"].pid
+        relay_cpu_s, source_cpu_s = cpu_s_of(relay_pid), cpu_s_of(source_pid)
+        reader.stdout.readline()
+        relay_cpu_s = cpu_s_of(relay_pid) - relay_cpu_s
+        source_cpu_s = cpu_s_of(source_pid) - source_cpu_s
+        rss_mb = rss_mb_of(relay_pid)
+        report = msgspec.json.decode(
+            reader.stdout.readline(), type=relay_reader.ReaderReport
+        )
+        reader.wait(READER_TIMEOUT_S)
+        return Measured(relay_cpu_s, source_cpu_s, rss_mb, report)
+
+    def show_logs(self) -> None:
+        """Print the end of each process's log to standard error."""
+        for path in sorted(self.folder.glob("*.log")):
+            print(f"--- {path.name}", file=sys.stderr)
+            print(path.read_text()[-LOG_CHARACTERS:], file=sys.stderr)
+
+    def stop(self) -> None:
+        """End every process."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.terminate()
+        for process in self.processes.values():
+            try:
+                process.wait(STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind((HOST, 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+def wait_for(url: str) -> None:
+    """Wait until an address answers without an error.
+
+    Raises
+    ------
+    TimeoutError
+        If it does not within the start timeout.
+    """
+    deadline_s = time.monotonic() + START_TIMEOUT_S
+    while time.monotonic() < deadline_s:
+        try:
+            with urllib.request.urlopen(url, timeout=1.0):
+                return
+        except OSError:
+            time.sleep(0.05)
+    raise TimeoutError(f"{url} does not answer; see the logs in the run's folder")
+
+
+def cpu_s_of(pid: int) -> float:
+    """Return the processor time that a process has used, in seconds."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
+
+
+def rss_mb_of(pid: int) -> float:
+    """Return the resident memory of a process, in megabytes."""
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    found = re.search(r"VmRSS:\s+(\d+) kB", status)
+    assert found is not None
+    return int(found.group(1)) / KILOBYTES_PER_MB
--- /dev/null
+++ b/src/quetzalpass/bench/relay_reader.py
@@ -0,0 +1,170 @@
+"""Reader of the relay benchmark: opens streams, notes when each token arrives.
+
+Prints ``begin`` and ``end`` around the measured window, then one JSON object.
+"""
+
+import asyncio
+import gc
+import re
+import sys
+import time
+
+import msgspec
+
+TOKEN = re.compile(rb"(\d+)\.(\d{9,}) ")
+OPEN_PER_S = 400
+SETTLE_S = 1.5
+OPEN_TIMEOUT_S = 30.0
+NS_PER_MS = 1e6
+
+
+class ReaderReport(msgspec.Struct, frozen=True):
+    """What the reader saw in the window.
+
+    Attributes
+    ----------
+    tokens : int
+        Tokens that arrived.
+    window_s : float
+        Length of the window.
+    wrong : int
+        Tokens whose offset was not the next one, and streams that ended.
+    p50_ms, p99_ms, p999_ms : float
+        Quantiles of what the relay added to the gaps of the source.
+    cpu_s : float
+        Processor time of the reader itself.
+    """
+
+    tokens: int
+    window_s: float
+    wrong: int
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    cpu_s: float
+
+
+class Window:
+    """What is measured between ``begin`` and ``end``."""
+
+    def __init__(self) -> None:
+        self.open = False
+        self.added_ns: list[int] = []
+        self.wrong = 0
+
+
+class CallerStream(asyncio.Protocol):
+    """One caller's connection.
+
+    Attributes
+    ----------
+    next_offset : int
+        Offset that the next token must have.
+    arrived_ns, sent_ns : int
+        When the latest token arrived here, and when it left the source.
+    """
+
+    def __init__(self, request: bytes, window: Window) -> None:
+        self.request = request
+        self.window = window
+        self.rest = b""
+        self.next_offset = 0
+        self.arrived_ns = 0
+        self.sent_ns = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Send the request."""
+        transport.write(self.request)
+
+    def data_received(self, data: bytes) -> None:
+        """Note the tokens that arrived."""
+        now_ns = time.monotonic_ns()
+        data = self.rest + data
+        end = data.rfind(b"\n") + 1
+        self.rest = data[end:]
+        for number, sent in TOKEN.findall(data, 0, end):
+            self.note_token(int(number), int(sent), now_ns)
+
+    def note_token(self, number: int, sent_ns: int, now_ns: int) -> None:
+        """Note one token and what was added to its gap."""
+        if number != self.next_offset:
+            self.window.wrong += 1
+        if self.window.open and self.arrived_ns:
+            gap_ns = now_ns - self.arrived_ns
+            self.window.added_ns.append(gap_ns - (sent_ns - self.sent_ns))
+        self.next_offset = number + 1
+        self.arrived_ns = now_ns
+        self.sent_ns = sent_ns
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Count a stream that ended, as none should."""
+        self.window.wrong += 1
+
+
+def request_bytes(key: str) -> bytes:
+    """Return the request that opens a stream."""
+    body = b'{"model":"bench-llm","prompt":"p","max_tokens":100000,"stream":true}'
+    return (
+        b"POST /v1/completions HTTP/1.1\r\nHost: relay\r\n"
+        b"Authorization: Bearer " + key.encode() + b"\r\n"
+        b"Content-Type: application/json\r\n"
+        b"Content-Length: %d\r\n\r\n" % len(body)
+    ) + body
+
+
+def quantile_ms(ordered: list[int], share: float) -> float:
+    """Return a quantile of an ordered list of nanoseconds, in milliseconds."""
+    if not ordered:
+        return 0.0
+    position = min(len(ordered) - 1, int(len(ordered) * share))
+    return ordered[position] / NS_PER_MS
+
+
+async def read(
+    host: str, port: int, key: str, streams: int, window_s: float
+) -> ReaderReport:
+    """Open all streams, wait until they flow, and measure."""
+    loop = asyncio.get_running_loop()
+    window = Window()
+    request = request_bytes(key)
+    callers: list[CallerStream] = []
+    for _ in range(streams):
+        caller = CallerStream(request, window)
+        await loop.create_connection(lambda made=caller: made, host, port)
+        callers.append(caller)
+        await asyncio.sleep(1 / OPEN_PER_S)
+    async with asyncio.timeout(OPEN_TIMEOUT_S):
+        while not all(each.next_offset for each in callers):
+            await asyncio.sleep(0.05)
+    await asyncio.sleep(SETTLE_S)
+    gc.freeze()
+    print("begin", flush=True)
+    cpu_s = time.process_time()
+    begin_s = loop.time()
+    window.open = True
+    await asyncio.sleep(window_s)
+    window.open = False
+    print("end", flush=True)
+    ordered = sorted(window.added_ns)
+    return ReaderReport(
+        tokens=len(ordered),
+        window_s=loop.time() - begin_s,
+        wrong=window.wrong,
+        p50_ms=quantile_ms(ordered, 0.5),
+        p99_ms=quantile_ms(ordered, 0.99),
+        p999_ms=quantile_ms(ordered, 0.999),
+        cpu_s=time.process_time() - cpu_s,
+    )
+
+
+if __name__ == "__main__":
+    report = asyncio.run(
+        read(
+            sys.argv[1],
+            int(sys.argv[2]),
+            sys.argv[3],
+            int(sys.argv[4]),
+            float(sys.argv[5]),
+        )
+    )
+    print(msgspec.json.encode(report).decode(), flush=True)
