Measure queue time, first token, gaps, stalls and results per organisation and class

Cause: the recorder existed but nothing reported to it. Change: a meter on each generation, result codes counted where answers leave, a flusher in the daemon, explanations for operators, log lines by the project's handler.

--- a/src/quetzalpass/callers/app.py
+++ b/src/quetzalpass/callers/app.py
@@ -161,7 +161,9 @@
         self.gateway.requests += 1
         try:
             body = await self.read_body(request)
-            return await answer(request, request_id, body, at)
+            response = await answer(request, request_id, body, at)
+            self.count_result(request, response)
+            return response
         except failures.FailureError as error:
             return errors.error_response(error.failure, request_id)
         except (ConnectionError, asyncio.CancelledError):
@@ -173,6 +175,18 @@
         finally:
             self.gateway.requests -= 1
 
+    def count_result(self, request: web.Request, response: web.StreamResponse) -> None:
+        """Count the result code of an answer for its organisation and class."""
+        caller = request.get(headers.CALLER_KEY)
+        if caller is None:
+            return
+        code = request.get(errors.FAILED_KEY)
+        if code is None:
+            code = codes.Code(int(response.headers[errors.RESULT_HEADER]))
+        self.gateway.recorder.count_result(
+            caller.organisation.id, caller.priority_class.name, code
+        )
+
     async def read_body(self, request: web.Request) -> bytes:
         """Return the whole body.
 
--- a/src/quetzalpass/callers/completions.py
+++ b/src/quetzalpass/callers/completions.py
@@ -229,7 +229,7 @@
             async with asyncio.timeout(self.gateway.limits.slow_caller_s):
                 await response.write(data)
         except TimeoutError:
-            LOG.warn("callers: Caller of {} reads too slowly.", self.request_id)
+            LOG.warning("callers: Caller of {} reads too slowly.", self.request_id)
             assert self.request.transport is not None
             self.request.transport.abort()
             return False
@@ -252,6 +252,7 @@
         self, response: web.StreamResponse, failure: failures.Failure
     ) -> None:
         """Tell the caller inside the stream why it ends without its end mark."""
-        LOG.warn("callers: Request {} failed: {}.", self.request_id, failure.message)
+        LOG.warning("callers: Request {} failed: {}.", self.request_id, failure.message)
+        self.request[errors.FAILED_KEY] = failure.code
         await response.write(encoding.failure_event(errors.error_answer(failure)))
         await response.write_eof()
--- a/src/quetzalpass/callers/errors.py
+++ b/src/quetzalpass/callers/errors.py
@@ -10,6 +10,8 @@
 REQUEST_ID_HEADER = "Quetzalpass-Request-Id"
 GENERATION_ID_HEADER = "Quetzalpass-Generation-Id"
 MS_PER_S = 1000
+# Where the code of a stream that failed after its headers is kept with the request.
+FAILED_KEY = "quetzalpass.failed"
 
 
 class ErrorBody(msgspec.Struct, frozen=True):
--- a/src/quetzalpass/callers/headers.py
+++ b/src/quetzalpass/callers/headers.py
@@ -23,6 +23,10 @@
 DEFAULT_CLASS = schema.PriorityClass(name=ids.ClassName("default"))
 
 
+# Where the checked headers are kept with the request, for metrics.
+CALLER_KEY = "quetzalpass.caller"
+
+
 class EventId(msgspec.Struct, frozen=True):
     """Where a caller stopped reading.
 
@@ -99,6 +103,7 @@
         )
     except failures.FailureError as error:
         return result.Failure(error.failure)
+    request[CALLER_KEY] = headers
     return result.Success(headers)
 
 
--- a/src/quetzalpass/daemon/main.py
+++ b/src/quetzalpass/daemon/main.py
@@ -7,9 +7,9 @@
 import sys
 
 import defopt
-import logbook
 from returns import result
 
+from quetzalpass import logs
 from quetzalpass.daemon import process
 from quetzalpass.settings import loader, schema
 
@@ -34,8 +34,8 @@
     if isinstance(loaded, result.Failure):
         print(f"quetzalpassd: {loaded.failure().message}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    handler = logbook.StreamHandler(sys.stderr, level=logbook.INFO)
-    with handler.applicationbound():
+    chosen_format = log_format or loaded.unwrap().log_format
+    with logs.make_handler(chosen_format).applicationbound():
         try:
             return asyncio.run(serve(loaded.unwrap()))
         except OSError as error:
--- a/src/quetzalpass/daemon/operators.py
+++ b/src/quetzalpass/daemon/operators.py
@@ -35,6 +35,7 @@
         app.router.add_post("/v1/declaration", self.handle_apply)
         app.router.add_get("/v1/declaration", self.handle_get)
         app.router.add_get("/status", self.handle_status)
+        app.router.add_get("/v1/explanations/{id}", self.handle_explanation)
         return app
 
     async def handle_health(self, request: web.Request) -> web.Response:
@@ -97,6 +98,29 @@
         )
         return peers.json_answer(reply)
 
+    async def handle_explanation(self, request: web.Request) -> web.Response:
+        """Answer why this gateway placed a request where it is."""
+        request_id = ids.RequestId(request.match_info["id"])
+        found = self.daemon.gateway.slots.explain(request_id)
+        if found is None:
+            return error_response(
+                failures.Failure(
+                    codes.Code.NOT_FOUND, "this VM has not placed that request lately"
+                )
+            )
+        now_s = asyncio.get_running_loop().time()
+        return peers.json_answer(
+            messages.ExplanationReply(
+                request_id=request_id,
+                vm=self.daemon.settings.id,
+                server=found.choice.server_id,
+                reason=found.choice.reason,
+                waited_s=found.waited_s,
+                age_s=now_s - found.decided_at_s,
+                report_age_s=found.choice.report_age_s,
+            )
+        )
+
     async def status_of_peer(
         self, vm: ids.VmId, data_centre: ids.DataCentreId
     ) -> messages.VmStatus:
--- a/src/quetzalpass/daemon/process.py
+++ b/src/quetzalpass/daemon/process.py
@@ -20,6 +20,7 @@
     spread,
     summaries,
 )
+from quetzalpass.metrics import flusher, sender
 from quetzalpass.routing import factory
 from quetzalpass.routing import settings as routing_settings
 from quetzalpass.settings import schema
@@ -77,6 +78,9 @@
         self.spread.start()
         self.fleet.start()
         self.summary_sender.start()
+        self.metrics_sender = sender.make_sender(self.settings.statsd)
+        flushing = flusher.Flusher(self.gateway.recorder, self.metrics_sender)
+        self.gateway.spawn(flushing.run())
         LOG.info("daemon: {} has started.", self.settings.id)
 
     def open_groups(self) -> None:
@@ -119,6 +123,7 @@
         self.fleet = fleet.Fleet(
             self.settings, self.holder, slots, gateway.backend_of, self.rng
         )
+        self.holder.observers.append(lambda at: gateway.recorder.follow(at.declaration))
         told = summaries.summary_peers(self.settings)
         self.summary_sender = summaries.SummarySender(
             {vm: self.clients[vm] for vm in told}, self.fleet.make_summary
@@ -197,6 +202,7 @@
         for runner in reversed(self.runners):
             await runner.cleanup()
         await self.gateway.close()
+        self.metrics_sender.close()
         for client in self.clients.values():
             await client.close()
         LOG.info("daemon: {} has stopped.", self.settings.id)
--- a/src/quetzalpass/lifecycle/gateway.py
+++ b/src/quetzalpass/lifecycle/gateway.py
@@ -8,6 +8,7 @@
 from quetzalpass.backends import base, registry
 from quetzalpass.lifecycle import generation_ids, ledger_client
 from quetzalpass.membership import configuration
+from quetzalpass.metrics import recorder
 from quetzalpass.results import codes, failures
 from quetzalpass.routing import admission
 from quetzalpass.settings import schema
@@ -35,6 +36,8 @@
     ----------
     ledger : ledger_client.Ledger
         Claims of non-idempotent requests.
+    recorder : recorder.Recorder
+        Metrics by organisation and class.
     backends : dict of ServerId to base.Backend
         Open adapters.
     requests : int
@@ -56,6 +59,7 @@
         self.holder = holder
         self.slots = slots
         self.ledger: ledger_client.Ledger = ledger_client.NoLedger()
+        self.recorder = recorder.Recorder()
         self.rng = rng
         self.cluster_key = cluster_key
         self.backends: dict[ids.ServerId, base.Backend] = {}
--- a/src/quetzalpass/lifecycle/generations.py
+++ b/src/quetzalpass/lifecycle/generations.py
@@ -15,6 +15,7 @@
 from quetzalpass.backends import base
 from quetzalpass.lifecycle import attempts, requests
 from quetzalpass.lifecycle import gateway as gateways
+from quetzalpass.metrics import metering
 from quetzalpass.results import codes, failures
 from quetzalpass.routing import admission, work
 
@@ -78,6 +79,10 @@
         self.slot: admission.Slot | None = None
         self.stream: base.TokenStream | None = None
         self.attempts = 0
+        counted = gateway.recorder.series_of(
+            request.organisation.id, request.priority_class.name
+        )
+        self.meter = metering.StreamMeter(counted, asyncio.get_running_loop().time())
         self.resumes = 0
         self.links_lost = 0
 
@@ -128,6 +133,7 @@
         if isinstance(acquired, result.Failure):
             return acquired
         self.slot = acquired.unwrap()
+        self.meter.note_placed(asyncio.get_running_loop().time())
         self.server_id = self.slot.server_id
         if not self.tokens:
             self.id = self.gateway.new_generation_id(self.request.organisation.id)
@@ -309,12 +315,14 @@
         if batch.texts:
             self.attempts = 0
             self.tokens.extend(batch.texts)
+            self.meter.note_tokens(asyncio.get_running_loop().time())
             if self.slot is not None:
                 self.slot.on_tokens(len(batch.texts))
         self.finish_reason = batch.finish_reason or self.finish_reason
         if self.request.delivery is requests.Delivery.STREAM:
             self.delivered = len(self.tokens)
         if batch.ended:
+            self.meter.finish()
             self.leave_server(work.SlotOutcome.COMPLETED)
         return batch
 
--- a/src/quetzalpass/membership/platform_list.py
+++ b/src/quetzalpass/membership/platform_list.py
@@ -91,10 +91,10 @@
                     data = await answer.read()
             rows = msgspec.json.decode(data, type=tuple[PlatformVm, ...])
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            LOG.warn("membership: The platform's list can't be read: {!r}.", error)
+            LOG.warning("membership: The platform's list can't be read: {!r}.", error)
             return
         except msgspec.MsgspecError as error:
-            LOG.warn("membership: The platform's list is malformed: {}.", error)
+            LOG.warning("membership: The platform's list is malformed: {}.", error)
             return
         self.take(rows)
 
--- a/src/quetzalpass/membership/summaries.py
+++ b/src/quetzalpass/membership/summaries.py
@@ -89,6 +89,6 @@
             body = msgspec.json.encode(self.make_summary())
             sent = await client.send_summary(body, SEND_TIMEOUT_S)
             if reachable and isinstance(sent, result.Failure):
-                LOG.warn("membership: {} does not take summaries.", client.url)
+                LOG.warning("membership: {} does not take summaries.", client.url)
             reachable = isinstance(sent, result.Success)
             await asyncio.sleep(SEND_INTERVAL_S)
--- a/src/quetzalpass/reconcile/reconciler.py
+++ b/src/quetzalpass/reconcile/reconciler.py
@@ -159,7 +159,7 @@
         )
         answer = await self.engine(wanted.server_id, at).order(order, ORDER_TIMEOUT_S)
         if isinstance(answer, result.Failure):
-            LOG.warn(
+            LOG.warning(
                 "reconcile: Order to {} failed: {}.",
                 wanted.server_id,
                 answer.failure().message,
