--- a/src/quetzalpass/daemon/operators.py
+++ b/src/quetzalpass/daemon/operators.py
@@ -10,7 +10,8 @@
 from quetzalpass import ids
 from quetzalpass.control import declared_state, messages
 from quetzalpass.daemon import groups, keys, peers
-from quetzalpass.declarations import schema
+from quetzalpass.declarations import checks, schema
+from quetzalpass.documents import problems
 from quetzalpass.results import codes, failures
 
 if TYPE_CHECKING:
@@ -18,6 +19,7 @@
 
 MAX_BODY_BYTES = 64_000_000
 STATUS_TIMEOUT_S = 2.0
+MAX_LISTED_PROBLEMS = 20
 
 
 class OperatorsInterface:
@@ -51,6 +53,9 @@
             return error_response(
                 failures.Failure(codes.Code.DECLARATION_INVALID, f"{error}")
             )
+        errors = checks.errors_among(checks.check_declaration(order.declaration))
+        if errors:
+            return error_response(invalid_failure(errors))
         command = declared_state.ApplyCommand(
             order.base_revision, schema.encode(order.declaration), order.author
         )
@@ -130,6 +135,14 @@
         return answer.value_or(unknown) or unknown
 
 
+def invalid_failure(errors: tuple[problems.Problem, ...]) -> failures.Failure:
+    """Return the failure that lists what is wrong with a declaration."""
+    listed = "; ".join(each.text() for each in errors[:MAX_LISTED_PROBLEMS])
+    return failures.Failure(
+        codes.Code.DECLARATION_INVALID, f"{len(errors)} errors: {listed}"
+    )
+
+
 def conflict_failure(
     base: ids.Revision, outcome: declared_state.ApplyOutcome
 ) -> failures.Failure:
