--- a/tests/metrics/test_metrics.py
+++ b/tests/metrics/test_metrics.py
@@ -1,4 +1,5 @@
 import asyncio
+import pathlib
 import socket
 
 import pytest
@@ -150,3 +151,13 @@
         assert "quetzalpass.kade.drafts.queue_time.count:1|c" in lines
         assert "quetzalpass.kade.drafts.result.202:2|c" in lines
         assert "quetzalpass.kade.drafts.preemptions:1|c" in lines
+
+
+class TestPage:
+    def test_every_metric_is_on_the_page(self):
+        text = (pathlib.Path(__file__).parents[2] / "docs/metrics.md").read_text()
+        for duration in series.Duration:
+            assert f"`{duration.value}.*`" in text
+        assert f"{labels.MAX_ORGANISATIONS} organisations" in text
+        assert f"first {labels.MAX_CLASSES} classes" in text
+        assert f"every {flusher.INTERVAL_S:g} seconds" in text
