Say how to resend a change; show refusals of generate at once

Cause: after a lost answer nobody knows whether a change was accepted, and the tool kept the operation id to itself. 'generate' sent a request that no server could take six times, 30 s in the queue each. Change: 'apply' names operation id and base after such a failure. 'generate' shows a refusal of the first request, and tries again only where another gateway may answer, or to go on with a generation. 'explain' says plainly when no load report was used. Tests: three new ones; tests/cli passes.

--- a/src/quetzalpass/cli/declared.py
+++ b/src/quetzalpass/cli/declared.py
@@ -166,7 +166,22 @@
         declaration=change.declaration,
         author=change.author,
     )
-    return await operators.apply(request)
+    return (await operators.apply(request)).alt(
+        lambda failure: with_resend_advice(failure, request)
+    )
+
+
+def with_resend_advice(
+    failure: failures.Failure, request: messages.ApplyRequest
+) -> failures.Failure:
+    """Say how to resend a change of which nobody knows whether it was accepted."""
+    if failure.code not in client.RETRIED:
+        return failure
+    message = (
+        f"{failure.message}; the change may have been accepted: send it again with "
+        f"--operation-id {request.operation_id} --base {request.base_revision}"
+    )
+    return msgspec.structs.replace(failure, message=message)
 
 
 def get(
--- a/src/quetzalpass/cli/generation.py
+++ b/src/quetzalpass/cli/generation.py
@@ -19,6 +19,10 @@
 FIRST_PAUSE_S = 0.2
 LONGEST_PAUSE_S = 5.0
 MS_PER_S = 1000
+# Another gateway may answer at once where one refuses with these.
+TRIED_ELSEWHERE = frozenset(
+    {codes.Code.DRAINING, codes.Code.NOT_READY, codes.Code.UNREACHABLE}
+)
 
 
 class Step(enum.Enum):
@@ -106,12 +110,14 @@
         if isinstance(outcome, result.Success):
             return True
         code = outcome.failure().code
-        if not codes.spec_of(code).retry:
-            return False
-        # A new start would repeat text that has been delivered; going on from the
+        if code in TRIED_ELSEWHERE:
+            return True
+        # A refusal of the first request is what the operator wants to see. Later on,
+        # a new start would repeat text that has been delivered; going on from the
         # last event only helps where the generation itself still exists.
-        ended = codes.spec_of(code).execution is codes.Execution.RAN
-        return not (ended and self.last_event_id)
+        spec = codes.spec_of(code)
+        ended = spec.execution is codes.Execution.RAN
+        return bool(self.last_event_id) and spec.retry and not ended
 
     def failure_of(self, outcome: StepResult) -> failures.Failure:
         """Return why the generation is given up."""
--- a/src/quetzalpass/cli/tools.py
+++ b/src/quetzalpass/cli/tools.py
@@ -86,11 +86,13 @@
     if not isinstance(outcome, result.Success):
         return output.fail(outcome.failure(), as_json)
     reply = outcome.unwrap()
-    age = "unknown" if reply.report_age_s is None else f"{reply.report_age_s:.2f} s"
+    report = "no load report was used"
+    if reply.report_age_s is not None:
+        report = f"the load report was {reply.report_age_s:.2f} s old"
     lines = [
         f"{reply.request_id} went to {reply.server}, decided by {reply.vm}",
         f"reason: {reply.reason}",
-        f"waited {reply.waited_s:.3f} s; load report was {age} old",
+        f"waited {reply.waited_s:.3f} s; {report}",
     ]
     output.show(reply, (output.printable(line) for line in lines), as_json)
     return exits.Exit.OK
--- a/src/quetzalpass/cli/waiting.py
+++ b/src/quetzalpass/cli/waiting.py
@@ -67,6 +67,9 @@
     if not isinstance(outcome, result.Success):
         return outcome.failure()
     missing = lacking(outcome.unwrap(), revision)
+    if not missing:
+        message = "every VM agrees, but the newest revision can't be read"
+        return failures.Failure(codes.Code.NOT_IN_FORCE, message)
     names = ", ".join(f"{vm.id} (at {vm.revision})" for vm in missing)
     message = f"revision {revision} is accepted but not in force on: {names}"
     return failures.Failure(codes.Code.NOT_IN_FORCE, message)
--- a/tests/cli/test_generation.py
+++ b/tests/cli/test_generation.py
@@ -104,9 +104,20 @@
         gateway = FakeGateway([codes.Code.DRAINING], [*ALL, END, LEAVE_S])
         assert isinstance(await generate(gateway), result.Success)
 
-    async def test_an_error_that_no_retry_helps_ends_it(self):
-        outcome = await generate(FakeGateway([codes.Code.UNKNOWN_MODEL]))
-        assert outcome.failure().code is codes.Code.UNKNOWN_MODEL
+    @pytest.mark.parametrize(
+        "code", [codes.Code.UNKNOWN_MODEL, codes.Code.NO_SERVER, codes.Code.QUEUE_FULL]
+    )
+    async def test_a_refusal_is_shown_at_once(self, code):
+        gateway = FakeGateway([code])
+        outcome = await generate(gateway)
+        assert outcome.failure().code is code
+        assert len(gateway.resumed_from) == 1
+
+    async def test_a_refused_return_is_tried_again(self):
+        gateway = FakeGateway(
+            [*ALL[:2], LEAVE_S], [codes.Code.NO_SERVER], [*ALL[2:], END, LEAVE_S]
+        )
+        assert (await generate(gateway)).unwrap().text == "a b c d "
 
     async def test_a_generation_that_ended_early_is_not_started_anew(self):
         lost = error_event(codes.Code.SERVER_LOST)
--- a/tests/cli/test_operators.py
+++ b/tests/cli/test_operators.py
@@ -57,6 +57,17 @@
         assert {order.operation_id for order in fake.applied} == {"op-1"}
         assert len(fake.applied) == 3
 
+    async def test_an_unknown_outcome_says_how_to_resend(self, fake, capsys):
+        fake.lose_answers = 100
+        async with fake.client() as operators:
+            code = await declared.send(operators, change(base=7), False)
+            assert code is exits.Exit.UNREACHABLE
+            assert "--operation-id op-1 --base 7" in capsys.readouterr().err
+            fake.lose_answers = 0
+            code = await declared.send(operators, change(base=7), False)
+        assert code is exits.Exit.OK
+        assert fake.revision == 8
+
     async def test_a_wrong_key_is_refused_without_another_try(self, fake, capsys):
         async with fake.client(key="wrong") as operators:
             code = await declared.send(operators, change(), False)
