Split the commands on VMs from the change itself

Change: vm_changes reads, changes and applies; vms holds the commands. Tests: tests/cli passes unchanged but for the module's name. Conclusion: no behaviour changed.

--- a/tests/cli/test_operators.py
+++ b/tests/cli/test_operators.py
@@ -5,7 +5,7 @@
 import pytest
 
 from quetzalpass import ids
-from quetzalpass.cli import declared, exits, vms, waiting, watching
+from quetzalpass.cli import declared, exits, vm_changes, vms, waiting, watching
 from quetzalpass.declarations import schema
 from quetzalpass.results import codes
 
@@ -13,7 +13,7 @@
 
 CLOSED = "http://127.0.0.1:9"
 NOW = datetime.datetime(2026, 12, 4, 4, 0, tzinfo=datetime.UTC)
-LEAVING = vms.VmChange(
+LEAVING = vm_changes.VmChange(
     ids.VmId("vm-1"), schema.ServiceState.LEAVING, "2026-12-04T06:00:00Z", "ann"
 )
 
@@ -120,7 +120,7 @@
 class TestChangeVm:
     async def test_only_that_vm_changes(self, fake):
         async with fake.client() as operators:
-            outcome = await vms.change_vm(operators, LEAVING)
+            outcome = await vm_changes.change_vm(operators, LEAVING)
         assert outcome.unwrap().revision == 8
         first, second = fake.declaration.vms
         assert first.state is schema.ServiceState.LEAVING
@@ -133,7 +133,7 @@
 
         fake.before_apply = race
         async with fake.client() as operators:
-            outcome = await vms.change_vm(operators, LEAVING)
+            outcome = await vm_changes.change_vm(operators, LEAVING)
         assert outcome.unwrap().revision == 9
         assert fake.declaration.objective.stall_weight == 5.0
         assert len({order.operation_id for order in fake.applied}) == 2
@@ -146,7 +146,7 @@
 
         fake.before_apply = race
         async with fake.client() as operators:
-            outcome = await vms.change_vm(operators, LEAVING)
+            outcome = await vm_changes.change_vm(operators, LEAVING)
         failure = outcome.failure()
         assert failure.code is codes.Code.CONFLICT
         assert "out_of_service" in failure.message
@@ -155,13 +155,13 @@
     async def test_endless_races_end_in_a_conflict(self, fake):
         fake.before_apply = lambda: fake.change()
         async with fake.client() as operators:
-            outcome = await vms.change_vm(operators, LEAVING)
+            outcome = await vm_changes.change_vm(operators, LEAVING)
         assert outcome.failure().code is codes.Code.CONFLICT
 
     async def test_an_unknown_vm_brings_the_near_name(self, fake):
         unknown = msgspec.structs.replace(LEAVING, vm="vm1")
         async with fake.client() as operators:
-            outcome = await vms.change_vm(operators, unknown)
+            outcome = await vm_changes.change_vm(operators, unknown)
         assert "did you mean 'vm-1'?" in outcome.failure().message
 
 
