--- a/src/quetzalpass/cli/vm_changes.py
+++ b/src/quetzalpass/cli/vm_changes.py
@@ -1,8 +1,8 @@
 """Changes of one VM in the declared state.
 
-The newest revision is read, one VM changed in it, and the whole applied on that base. If
-another operator was faster, the change is tried again on the new revision, but only as
-long as nobody else changed the same VM.
+The newest revision is read, one VM changed in it, and the whole applied on that base.
+If another operator was faster, the change is tried again on the new revision, but only
+as long as nobody else changed the same VM.
 """
 
 import asyncio
