--- a/src/quetzalpass/cli/tools.py
+++ b/src/quetzalpass/cli/tools.py
@@ -7,7 +7,7 @@
 
 from quetzalpass import ids
 from quetzalpass.cli import client, connection, exits, output
-from quetzalpass.results import codes
+from quetzalpass.results import codes, failures
 
 
 def verify(folder: str, *, json: bool = False) -> int:
@@ -27,6 +27,10 @@
     if not isinstance(outcome, result.Success):
         return output.fail(outcome.failure(), json)
     report = outcome.unwrap()
+    if not report.logs:
+        message = f"{folder} holds no log; name the data folder of a replica"
+        failure = failures.Failure(codes.Code.BAD_REQUEST, message)
+        return output.fail(failure, json)
     output.show(report, (log_line(log) for log in report.logs), json)
     if report.is_sound:
         return exits.Exit.OK
