Build the ledger: sharded, batched claims with tokens, owners and a replicated clock

Cause: a claim whose commit was not confirmed, whose gateway died or whose caller left during it stayed in progress for ever; a generation marked non-idempotent was not claimed at all; retention did not exist; releases and records that failed were lost. Change: commands go in batches stamped with owner, incarnation and uptime. A claim carries a token, so that a gateway knows its own claim again and a released one is never granted. Claims of a gateway that restarted or fell silent turn unknown. The clock moves by differences of uptimes, never by a wall clock. Claims in doubt are given back, releases and records repeated until committed, within bounds. Keys spread over N groups by hash. Services with outcome_path are asked about unknown outcomes; 'never ran' is not taken as proof, as the call may still be under way. ClaimedGeneration runs once, without its caller if need be, and is replayed. Ruled out: telling own claims by operation id alone, since a batch sent again has another id; a wall clock in commands, since one wrong clock would expire all.

--- a/src/quetzalpass/bench/local_cluster.py
+++ b/src/quetzalpass/bench/local_cluster.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import hashlib
+import itertools
 import random
 
 import aiohttp
@@ -27,6 +28,7 @@
 CLUSTER_KEY = b"cluster-key"
 DATA_CENTRE = ids.DataCentreId("flx-a")
 MODEL = ids.ModelName("claims-llm")
+LEDGER_GROUPS = 2
 SERVICE = ids.ServiceName("ledger-app")
 
 
@@ -161,7 +163,9 @@
         )
         holder = configuration.ConfigurationHolder()
         holder.observers.append(
-            lambda at: slots.update_servers(server_views.views_of(at))
+            lambda at: slots.update_servers(
+                server_views.views_of(at, self.cluster.taken_away, frozenset())
+            )
         )
         self.gateway = gateways.Gateway(
             settings_of(self.id, self.limits), holder, slots, rng, CLUSTER_KEY
@@ -202,6 +206,8 @@
     ----------
     revision : int
         Revision of ``declaration``.
+    taken_away : frozenset of VmId
+        VMs that the platform says are leaving.
     """
 
     def __init__(
@@ -221,6 +227,7 @@
         self.engine_fields = engine_fields
         self.organisations = organisations or (organisation_of("org"),)
         self.revision = 0
+        self.taken_away: frozenset[ids.VmId] = frozenset()
         self.engines = [
             LocalStandin(standin_config(f"engine-{number}", token_s))
             for number in range(engines)
@@ -234,13 +241,17 @@
             LocalGateway(ids.VmId(f"entry-{number}"), self, limits)
             for number in range(gateways_count)
         ]
-        self.ledger_proposers = ledger_client.local_proposers()
+        self.ledger_proposers = ledger_client.local_proposers(LEDGER_GROUPS)
+        self.incarnations = itertools.count(1)
         self.session: aiohttp.ClientSession | None = None
 
     def open_ledger(self, gateway: gateways.Gateway) -> ledger_client.Ledger:
         """Return the ledger as one gateway reaches it."""
-        return ledger_client.open_ledger(
-            gateway.settings.id, self.ledger_proposers, gateway.new_operation_id
+        return ledger_client.ReplicatedLedger(
+            gateway.settings.id,
+            self.ledger_proposers,
+            gateway.new_operation_id,
+            incarnation=next(self.incarnations),
         )
 
     async def start(self) -> None:
--- a/src/quetzalpass/callers/completions.py
+++ b/src/quetzalpass/callers/completions.py
@@ -9,10 +9,10 @@
 
 from quetzalpass import ids
 from quetzalpass.callers import bodies, encoding, errors, headers
+from quetzalpass.lifecycle import claimed_generations, generations, requests, resumption
 from quetzalpass.lifecycle import gateway as gateways
-from quetzalpass.lifecycle import generations, requests, resumption
 from quetzalpass.membership import configuration
-from quetzalpass.results import codes, failures
+from quetzalpass.results import failures
 
 LOG = logbook.Logger("callers")
 
@@ -121,6 +121,8 @@
                 caller.last_event.server_id,
                 caller.last_event.offset + 1,
             )
+        if caller.non_idempotent:
+            return claimed_generations.claimed_generation(self.gateway, request)
         return result.Success(generations.Generation(self.gateway, request))
 
     async def answer_whole(self, generation: generations.Generation) -> web.Response:
@@ -163,7 +165,7 @@
     def answer_headers(self, generation: generations.Generation) -> dict[str, str]:
         """Return the headers of a successful answer."""
         return {
-            errors.RESULT_HEADER: str(codes.Code.OK.value),
+            errors.RESULT_HEADER: str(generation.code.value),
             errors.REQUEST_ID_HEADER: self.request_id,
             errors.GENERATION_ID_HEADER: generation.id,
         }
--- a/src/quetzalpass/control/ledger.py
+++ b/src/quetzalpass/control/ledger.py
@@ -1,111 +1,76 @@
 """Replicated state machine that holds the claims of non-idempotent requests."""
 
-import enum
+import heapq
 
 import msgspec
 
 from quetzalpass import ids
+from quetzalpass.control import ledger_messages as messages
 
+# A gateway that holds claims and has been silent this long is taken for dead. That
+# is safe also where it lives: its claims turn unknown, which never allows a second
+# run, and its record still replaces that.
+OWNER_LEASE_MS = 30_000
+RELEASED_RETENTION_MS = 600_000
+RELEASED_TOKENS_KEPT = 8
+MAX_OWNERS = 10_000
+MAX_EXPIRED_PER_BATCH = 1_000
 
-class ClaimState(enum.Enum):
-    """What the ledger knows about a claimed request."""
 
-    GRANTED = "granted"
-    IN_PROGRESS = "in_progress"
-    RECORDED = "recorded"
-    UNKNOWN = "unknown"
-    KEY_REUSED = "key_reused"
-
-
-class Outcome(msgspec.Struct, frozen=True):
-    """Recorded answer of a request that ran.
+class Claim(msgspec.Struct):
+    """A claim as the ledger holds it.
 
     Attributes
     ----------
-    status : int
-        HTTP status.
-    headers : dict of str to str
-        Answer headers.
-    body : bytes
-        Answer body; empty where only its digest is kept.
-    body_digest : str
-        SHA-256 of the whole body.
-    whole : bool
-        Whether the whole body is kept.
+    expires_ms : int
+        Time on the ledger's clock after which the claim is looked at again.
+    released : tuple of str
+        Tokens under which the request was claimed and given back.
     """
 
-    status: int
-    headers: dict[str, str]
-    body: bytes
-    body_digest: str
-    whole: bool = True
-
-
-class ClaimKey(msgspec.Struct, frozen=True):
-    """A request is known by its organisation and its idempotency key."""
-
-    organisation: ids.OrganisationId
-    key: ids.IdempotencyKey
-
-
-class ClaimCommand(msgspec.Struct, frozen=True, tag="claim"):
-    """Claims a request for one gateway before its first byte goes out."""
-
-    key: ClaimKey
     fingerprint: str
     owner: ids.VmId
-    now_ms: int
+    incarnation: int
+    token: str
+    state: messages.ClaimState
+    retention_ms: int
+    expires_ms: int
+    outcome: messages.Outcome | None = None
+    released: tuple[str, ...] = ()
 
 
-class ReleaseCommand(msgspec.Struct, frozen=True, tag="release"):
-    """Gives a claim back: it is proved that nothing ran."""
-
-    key: ClaimKey
-    attempt: int
-
-
-class RecordCommand(msgspec.Struct, frozen=True, tag="record"):
-    """Records the outcome, or that it is not known."""
-
-    key: ClaimKey
-    attempt: int
-    outcome: Outcome | None
-    now_ms: int
+class Owner(msgspec.Struct):
+    """A gateway as the ledger knows it.
 
+    Attributes
+    ----------
+    incarnation : int
+        Newest incarnation seen.
+    offset_ms : int
+        Ledger's clock less uptime, when this incarnation was first seen.
+    seen_ms : int
+        Ledger's clock at its last batch.
+    """
 
-Command = ClaimCommand | ReleaseCommand | RecordCommand
+    incarnation: int
+    offset_ms: int
+    seen_ms: int
 
 
-class Claim(msgspec.Struct):
-    """A claim as the ledger holds it."""
-
-    fingerprint: str
-    owner: ids.VmId
-    attempt: int
-    state: ClaimState
-    changed_ms: int
-    outcome: Outcome | None = None
+class Due(msgspec.Struct, frozen=True, order=True):
+    """When a claim is to be looked at."""
 
+    expires_ms: int
+    organisation: ids.OrganisationId
+    key: ids.IdempotencyKey
 
-class ClaimAnswer(msgspec.Struct, frozen=True):
-    """Answer to a command.
 
-    Attributes
-    ----------
-    state : ClaimState
-        ``GRANTED`` allows exactly one attempt.
-    attempt : int
-        Number of that attempt.
-    owner : VmId
-        Gateway that holds the claim.
-    outcome : Outcome or None
-        Set where the state is ``RECORDED``.
-    """
+class LedgerSnapshot(msgspec.Struct, frozen=True):
+    """Encoded form of the whole ledger."""
 
-    state: ClaimState
-    attempt: int
-    owner: ids.VmId
-    outcome: Outcome | None = None
+    clock_ms: int
+    claims: list[tuple[messages.ClaimKey, Claim]]
+    owners: dict[ids.VmId, Owner]
 
 
 class LedgerState:
@@ -113,86 +78,214 @@
 
     Attributes
     ----------
+    clock_ms : int
+        The replicated clock. It only moves forward, never faster than the loop's
+        clock of a gateway, and it stands still while no gateway commits anything.
     claims : dict of ClaimKey to Claim
-        Claims that are held, in the order in which they were made.
-    attempts : dict of ClaimKey to int
-        Number of the last released attempt.
+        Claims that are held.
+    owners : dict of VmId to Owner
+        Gateways that have committed something.
+    due : list of Due
+        Heap of the times at which claims are looked at.
     """
 
     def __init__(self) -> None:
-        self.claims: dict[ClaimKey, Claim] = {}
-        self.attempts: dict[ClaimKey, int] = {}
+        self.clock_ms = 0
+        self.claims: dict[messages.ClaimKey, Claim] = {}
+        self.owners: dict[ids.VmId, Owner] = {}
+        self.due: list[Due] = []
 
     def apply(self, index: ids.LogIndex, command: bytes) -> bytes:
-        """Apply one committed command and return the encoded answer."""
-        order = msgspec.msgpack.decode(command, type=Command)
-        if isinstance(order, ClaimCommand):
-            answer = self.claim(order)
-        elif isinstance(order, ReleaseCommand):
-            answer = self.release(order)
-        else:
-            answer = self.record(order)
-        return msgspec.msgpack.encode(answer)
-
-    def claim(self, order: ClaimCommand) -> ClaimAnswer:
+        """Apply one committed batch and return the encoded answers."""
+        batch = msgspec.msgpack.decode(command, type=messages.Batch)
+        self.observe(batch.stamp)
+        self.expire()
+        answers = tuple(self.answer(batch.stamp, each) for each in batch.commands)
+        incarnation = self.owners[batch.stamp.owner].incarnation
+        return msgspec.msgpack.encode(messages.BatchAnswer(answers, incarnation))
+
+    def observe(self, stamp: messages.Stamp) -> None:
+        """Move the clock by the time that passed at a gateway."""
+        known = self.owners.get(stamp.owner)
+        if known is None or stamp.incarnation > known.incarnation:
+            self.owners[stamp.owner] = Owner(
+                stamp.incarnation, self.clock_ms - stamp.uptime_ms, self.clock_ms
+            )
+            self.forget_oldest_owner()
+        elif stamp.incarnation == known.incarnation:
+            reached_ms = known.offset_ms + stamp.uptime_ms
+            self.clock_ms = max(self.clock_ms, reached_ms)
+            known.seen_ms = self.clock_ms
+
+    def forget_oldest_owner(self) -> None:
+        """Keep the number of known gateways bounded."""
+        if len(self.owners) > MAX_OWNERS:
+            oldest = min(self.owners, key=lambda each: self.owners[each].seen_ms)
+            del self.owners[oldest]
+
+    def expire(self) -> None:
+        """Drop claims past their retention; settle those whose gateway is gone."""
+        for _ in range(MAX_EXPIRED_PER_BATCH):
+            if not self.due or self.due[0].expires_ms > self.clock_ms:
+                return
+            due = heapq.heappop(self.due)
+            key = messages.ClaimKey(due.organisation, due.key)
+            held = self.claims.get(key)
+            if held is None or held.expires_ms != due.expires_ms:
+                continue
+            if held.state is not messages.ClaimState.IN_PROGRESS:
+                del self.claims[key]
+                continue
+            self.settle_if_abandoned(key, held)
+            if held.state is messages.ClaimState.IN_PROGRESS:
+                self.keep_for(key, held, held.retention_ms)
+
+    def keep_for(self, key: messages.ClaimKey, held: Claim, time_ms: int) -> None:
+        """Look at a claim again after a time."""
+        held.expires_ms = self.clock_ms + max(1, time_ms)
+        heapq.heappush(self.due, Due(held.expires_ms, key.organisation, key.key))
+
+    def answer(
+        self, stamp: messages.Stamp, command: messages.Command
+    ) -> messages.ClaimAnswer:
+        """Apply one command."""
+        match command:
+            case messages.ClaimCommand():
+                return self.claim(stamp, command)
+            case messages.ReleaseCommand():
+                return self.release(command)
+            case messages.RecordCommand():
+                return self.record(command)
+            case messages.ResolveCommand():
+                return self.resolve(command)
+            case _:
+                return messages.ClaimAnswer(messages.ClaimState.RECORDED)
+
+    def claim(
+        self, stamp: messages.Stamp, command: messages.ClaimCommand
+    ) -> messages.ClaimAnswer:
         """Grant a claim, or answer what is known of the earlier one."""
-        held = self.claims.get(order.key)
+        if stamp.incarnation < self.owners[stamp.owner].incarnation:
+            return messages.ClaimAnswer(messages.ClaimState.STALE_OWNER)
+        held = self.claims.get(command.key)
         if held is None:
-            return self.grant(order)
-        state = held.state
-        if held.fingerprint != order.fingerprint:
-            state = ClaimState.KEY_REUSED
-        return ClaimAnswer(state, held.attempt, held.owner, held.outcome)
-
-    def grant(self, order: ClaimCommand) -> ClaimAnswer:
+            if len(self.claims) >= command.max_claims:
+                return messages.ClaimAnswer(messages.ClaimState.FULL)
+            return self.grant(stamp, command, ())
+        if held.state is messages.ClaimState.RELEASED:
+            if command.token in held.released:
+                return messages.ClaimAnswer(messages.ClaimState.RELEASED)
+            return self.grant(stamp, command, held.released)
+        if held.fingerprint != command.fingerprint:
+            return messages.ClaimAnswer(messages.ClaimState.KEY_REUSED)
+        if held.state is messages.ClaimState.IN_PROGRESS:
+            if held.token == command.token:
+                return messages.ClaimAnswer(
+                    messages.ClaimState.GRANTED, held.token, held.owner
+                )
+            self.settle_if_abandoned(command.key, held)
+        return answer_of(held)
+
+    def grant(
+        self,
+        stamp: messages.Stamp,
+        command: messages.ClaimCommand,
+        released: tuple[str, ...],
+    ) -> messages.ClaimAnswer:
         """Hold a new claim for its gateway."""
-        attempt = self.attempts.pop(order.key, 0) + 1
-        self.claims[order.key] = Claim(
-            order.fingerprint,
-            order.owner,
-            attempt,
-            ClaimState.IN_PROGRESS,
-            order.now_ms,
+        held = Claim(
+            command.fingerprint,
+            stamp.owner,
+            stamp.incarnation,
+            command.token,
+            messages.ClaimState.IN_PROGRESS,
+            command.retention_ms,
+            0,
+            released=released,
         )
-        return ClaimAnswer(ClaimState.GRANTED, attempt, order.owner)
-
-    def release(self, order: ReleaseCommand) -> ClaimAnswer:
-        """Drop a claim whose attempt provably did not run."""
-        held = self.claims.get(order.key)
-        if held is None or held.attempt != order.attempt:
-            return ClaimAnswer(ClaimState.UNKNOWN, order.attempt, ids.VmId(""))
-        if held.state is ClaimState.IN_PROGRESS:
-            del self.claims[order.key]
-            self.attempts[order.key] = order.attempt
-        return ClaimAnswer(held.state, held.attempt, held.owner)
-
-    def record(self, order: RecordCommand) -> ClaimAnswer:
+        self.claims[command.key] = held
+        self.keep_for(command.key, held, command.retention_ms)
+        return messages.ClaimAnswer(
+            messages.ClaimState.GRANTED, command.token, stamp.owner
+        )
+
+    def settle_if_abandoned(self, key: messages.ClaimKey, held: Claim) -> None:
+        """Note that the outcome is unknown if the gateway of a claim is gone."""
+        owner = self.owners.get(held.owner)
+        alive = (
+            owner is not None
+            and owner.incarnation == held.incarnation
+            and self.clock_ms - owner.seen_ms <= OWNER_LEASE_MS
+        )
+        if not alive:
+            held.state = messages.ClaimState.UNKNOWN
+            self.keep_for(key, held, held.retention_ms)
+
+    def release(self, command: messages.ReleaseCommand) -> messages.ClaimAnswer:
+        """Give a claim back whose attempt provably did not run."""
+        held = self.held_under(command.key, command.token)
+        if held is None:
+            return messages.ClaimAnswer(messages.ClaimState.RELEASED)
+        if held.state is not messages.ClaimState.RECORDED:
+            held.state = messages.ClaimState.RELEASED
+            held.released = (*held.released, held.token)[-RELEASED_TOKENS_KEPT:]
+            self.keep_for(command.key, held, RELEASED_RETENTION_MS)
+        return answer_of(held)
+
+    def record(self, command: messages.RecordCommand) -> messages.ClaimAnswer:
         """Keep the outcome of an attempt, or that it is unknown."""
-        held = self.claims.get(order.key)
-        if held is None or held.attempt != order.attempt:
-            return ClaimAnswer(ClaimState.UNKNOWN, order.attempt, ids.VmId(""))
-        if held.state is not ClaimState.RECORDED:
-            held.outcome = order.outcome
-            known = order.outcome is not None
-            held.state = ClaimState.RECORDED if known else ClaimState.UNKNOWN
-            held.changed_ms = order.now_ms
-        return ClaimAnswer(held.state, held.attempt, held.owner, held.outcome)
+        held = self.held_under(command.key, command.token)
+        if held is None:
+            return messages.ClaimAnswer(messages.ClaimState.UNKNOWN)
+        if held.state is not messages.ClaimState.RECORDED:
+            self.keep_outcome(command.key, held, command.outcome)
+        return answer_of(held)
+
+    def held_under(self, key: messages.ClaimKey, token: str) -> Claim | None:
+        """Return the claim that is held under a token and not given back."""
+        held = self.claims.get(key)
+        if held is None or held.token != token:
+            return None
+        return None if held.state is messages.ClaimState.RELEASED else held
+
+    def resolve(self, command: messages.ResolveCommand) -> messages.ClaimAnswer:
+        """Keep the outcome of an attempt whose outcome was unknown."""
+        held = self.claims.get(command.key)
+        if held is None:
+            return messages.ClaimAnswer(messages.ClaimState.UNKNOWN)
+        if held.state is messages.ClaimState.UNKNOWN:
+            self.keep_outcome(command.key, held, command.outcome)
+        return answer_of(held)
+
+    def keep_outcome(
+        self, key: messages.ClaimKey, held: Claim, outcome: messages.Outcome | None
+    ) -> None:
+        """Keep an outcome for the declared time from now on."""
+        known = outcome is not None
+        states = messages.ClaimState
+        held.state = states.RECORDED if known else states.UNKNOWN
+        held.outcome = outcome
+        self.keep_for(key, held, held.retention_ms)
 
     def snapshot(self) -> bytes:
         """Return the whole state."""
         return msgspec.msgpack.encode(
-            LedgerSnapshot(list(self.claims.items()), list(self.attempts.items()))
+            LedgerSnapshot(self.clock_ms, list(self.claims.items()), self.owners)
         )
 
     def restore(self, data: bytes) -> None:
         """Replace the whole state by a snapshot."""
         snapshot = msgspec.msgpack.decode(data, type=LedgerSnapshot)
+        self.clock_ms = snapshot.clock_ms
         self.claims = dict(snapshot.claims)
-        self.attempts = dict(snapshot.attempts)
-
+        self.owners = snapshot.owners
+        self.due = [
+            Due(held.expires_ms, key.organisation, key.key)
+            for key, held in self.claims.items()
+        ]
+        heapq.heapify(self.due)
 
-class LedgerSnapshot(msgspec.Struct, frozen=True):
-    """Encoded form of the whole ledger."""
 
-    claims: list[tuple[ClaimKey, Claim]]
-    attempts: list[tuple[ClaimKey, int]]
+def answer_of(held: Claim) -> messages.ClaimAnswer:
+    """Return what is known of a claim."""
+    return messages.ClaimAnswer(held.state, held.token, held.owner, held.outcome)
--- a/src/quetzalpass/daemon/process.py
+++ b/src/quetzalpass/daemon/process.py
@@ -113,7 +113,7 @@
         )
         gateway.ledger = ledger_client.ReplicatedLedger(
             self.settings.id,
-            self.groups[groups.LEDGER_GROUP],
+            [self.groups[groups.LEDGER_GROUP]],
             gateway.new_operation_id,
         )
         self.fleet = fleet.Fleet(
--- a/src/quetzalpass/lifecycle/gateway.py
+++ b/src/quetzalpass/lifecycle/gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Coroutine
+from typing import TypeVar
 
 from quetzalpass import ids
 from quetzalpass.backends import base, registry
@@ -14,6 +15,8 @@
 
 RANDOM_ID_BITS = 96
 
+Answer = TypeVar("Answer")
+
 
 class Gateway:
     """Shared parts of a gateway.
@@ -115,9 +118,25 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def spawn_counted(
+        self, work: Coroutine[None, None, Answer]
+    ) -> asyncio.Task[Answer]:
+        """Run a task that a graceful shutdown waits for, also without its caller."""
+        self.requests += 1
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.on_counted_end)
+        return task
+
+    def on_counted_end(self, task: asyncio.Task) -> None:
+        """Note the end of a task that a graceful shutdown waits for."""
+        self.requests -= 1
+        self.tasks.discard(task)
+
     async def close(self) -> None:
         """Close all connections to backend servers."""
         for task in list(self.tasks):
             task.cancel()
+        self.ledger.close()
         for backend in self.backends.values():
             await backend.close()
--- /dev/null
+++ b/src/quetzalpass/lifecycle/ledger_group.py
@@ -0,0 +1,248 @@
+"""One group of the ledger as a gateway reaches it."""
+
+import asyncio
+
+import logbook
+import msgspec
+from returns import result
+
+from quetzalpass import ids
+from quetzalpass.control import ledger_messages as messages
+from quetzalpass.control import proposers
+from quetzalpass.results import codes, failures
+
+LOG = logbook.Logger("ledger")
+
+MS_PER_S = 1000
+MAX_BATCH = 256
+PROPOSE_TIMEOUT_S = 3.0
+RENEW_INTERVAL_S = 8.0
+SETTLE_BASE_S = 0.2
+SETTLE_CAP_S = 5.0
+MAX_UNSETTLED = 10_000
+MAX_UNSETTLED_BYTES = 33_554_432
+
+AnswerResult = result.Result[messages.ClaimAnswer, failures.Failure]
+
+
+class Waiting(msgspec.Struct, frozen=True):
+    """A command that waits for the next batch."""
+
+    command: messages.Command
+    answer: asyncio.Future[AnswerResult]
+
+
+class LedgerGroup:
+    """Commits the commands of one gateway in batches.
+
+    Commands that come while a batch is being committed go together in the next one.
+
+    Parameters
+    ----------
+    owner : VmId
+        This gateway.
+    incarnation : int
+        Larger after each restart of this gateway.
+    proposer : proposers.Proposer
+        Reaches the group.
+    new_operation_id : callable
+        Returns a fresh operation id.
+
+    Attributes
+    ----------
+    held : set of str
+        Tokens of claims that were granted and are not settled.
+    doubtful : list of ClaimCommand
+        Claims whose commit was not confirmed. They may be held by now. A resend
+        takes its token up again; else it is given back.
+    unsettled : dict of str to Command
+        Releases and records that are not committed yet, by token.
+    """
+
+    def __init__(
+        self,
+        owner: ids.VmId,
+        incarnation: int,
+        proposer: proposers.Proposer,
+        new_operation_id,
+    ) -> None:
+        self.owner = owner
+        self.incarnation = incarnation
+        self.proposer = proposer
+        self.new_operation_id = new_operation_id
+        self.started_s = asyncio.get_running_loop().time()
+        self.waiting: list[Waiting] = []
+        self.held: set[str] = set()
+        self.doubtful: list[messages.ClaimCommand] = []
+        self.unsettled: dict[str, messages.Command] = {}
+        self.unsettled_bytes = 0
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+
+    def run(self, name: str, work) -> None:
+        """Run a task of which there is one at a time."""
+        task = self.tasks.get(name)
+        if task is None or task.done():
+            self.tasks[name] = asyncio.create_task(work())
+
+    async def submit(self, command: messages.Command) -> AnswerResult:
+        """Commit a command with the next batch."""
+        answer: asyncio.Future[AnswerResult]
+        answer = asyncio.get_running_loop().create_future()
+        self.waiting.append(Waiting(command, answer))
+        self.run("flush", self.flush)
+        return await answer
+
+    async def flush(self) -> None:
+        """Commit batches until nothing waits."""
+        while self.waiting:
+            batch = self.waiting[:MAX_BATCH]
+            del self.waiting[:MAX_BATCH]
+            answered = await self.propose(tuple(each.command for each in batch))
+            for position, each in enumerate(batch):
+                if each.answer.done():
+                    continue
+                if isinstance(answered, result.Failure):
+                    each.answer.set_result(answered)
+                else:
+                    answer = answered.unwrap().answers[position]
+                    each.answer.set_result(result.Success(answer))
+
+    async def propose(
+        self, commands: tuple[messages.Command, ...]
+    ) -> result.Result[messages.BatchAnswer, failures.Failure]:
+        """Commit one batch."""
+        now_s = asyncio.get_running_loop().time()
+        uptime_ms = int((now_s - self.started_s) * MS_PER_S)
+        stamp = messages.Stamp(self.owner, self.incarnation, uptime_ms)
+        command = msgspec.msgpack.encode(messages.Batch(stamp, commands))
+        try:
+            async with asyncio.timeout(PROPOSE_TIMEOUT_S):
+                answered = await self.proposer.propose(
+                    self.owner, self.new_operation_id(), command
+                )
+        except TimeoutError:
+            failure = failures.Failure(codes.Code.NO_QUORUM, "no majority answered")
+            return result.Failure(failure)
+        if isinstance(answered, result.Failure):
+            return answered
+        batch = msgspec.msgpack.decode(answered.unwrap(), type=messages.BatchAnswer)
+        if batch.incarnation > self.incarnation:
+            # The wall clock went back over a restart: count on from what is known.
+            self.incarnation = batch.incarnation + 1
+            self.started_s = now_s
+        return result.Success(batch)
+
+    async def claim(self, command: messages.ClaimCommand) -> AnswerResult:
+        """Claim a request; a claim that was in doubt before is taken up again."""
+        if len(self.unsettled) + len(self.doubtful) >= MAX_UNSETTLED:
+            return unavailable("too many outcomes wait to be committed")
+        command = self.take_doubtful(command) or command
+        try:
+            answered = await self.submit(command)
+        except asyncio.CancelledError:
+            self.note_doubtful(command)
+            raise
+        if isinstance(answered, result.Failure):
+            self.note_doubtful(command)
+            return unavailable(answered.failure().message)
+        if answered.unwrap().state is messages.ClaimState.GRANTED:
+            self.held.add(command.token)
+            self.run("renew", self.renew)
+        return answered
+
+    def take_doubtful(
+        self, command: messages.ClaimCommand
+    ) -> messages.ClaimCommand | None:
+        """Return an earlier claim of the same request that is in doubt, once."""
+        for position, earlier in enumerate(self.doubtful):
+            same = earlier.fingerprint == command.fingerprint
+            if same and earlier.key == command.key:
+                return self.doubtful.pop(position)
+        return None
+
+    def note_doubtful(self, command: messages.ClaimCommand) -> None:
+        """Keep a claim that may be committed later, so that it is given back."""
+        self.doubtful.append(command)
+        self.run("settle", self.settle)
+
+    async def renew(self) -> None:
+        """Show the group that this gateway lives, while it holds claims."""
+        while self.held:
+            await asyncio.sleep(RENEW_INTERVAL_S)
+            await self.submit(messages.RenewCommand())
+
+    async def finish(
+        self, command: messages.ReleaseCommand | messages.RecordCommand
+    ) -> None:
+        """Commit a release or a record; one that fails is repeated until it is."""
+        answered = await self.submit(command)
+        self.held.discard(command.token)
+        if isinstance(answered, result.Failure):
+            LOG.warning(
+                "ledger: Outcome of {} is not committed yet: {}.",
+                command.key.key,
+                answered.failure().message,
+            )
+            self.note_unsettled(command)
+
+    def note_unsettled(
+        self, command: messages.ReleaseCommand | messages.RecordCommand
+    ) -> None:
+        """Keep a command for the background task, with a bound on its memory."""
+        if isinstance(command, messages.RecordCommand) and command.outcome is not None:
+            size = len(command.outcome.body)
+            if self.unsettled_bytes + size > MAX_UNSETTLED_BYTES:
+                outcome = msgspec.structs.replace(
+                    command.outcome, body=b"", whole=False
+                )
+                command = msgspec.structs.replace(command, outcome=outcome)
+                size = 0
+            self.unsettled_bytes += size
+        self.unsettled[command.token] = command
+        self.held.add(command.token)
+        self.run("renew", self.renew)
+        self.run("settle", self.settle)
+
+    async def settle(self) -> None:
+        """Repeat what is not committed until it is."""
+        attempt = 0
+        while self.unsettled or self.doubtful:
+            await asyncio.sleep(min(SETTLE_CAP_S, SETTLE_BASE_S * 2**attempt))
+            attempt += 1
+            for _ in range(len(self.doubtful)):
+                await self.settle_doubtful()
+            for token, command in list(self.unsettled.items()):
+                answered = await self.submit(command)
+                if isinstance(answered, result.Failure):
+                    break
+                attempt = 0
+                del self.unsettled[token]
+                self.held.discard(token)
+        self.unsettled_bytes = 0
+
+    async def settle_doubtful(self) -> None:
+        """Find out whether the oldest claim in doubt is held, and give it back."""
+        if not self.doubtful:
+            return
+        command = self.doubtful.pop(0)
+        answered = await self.submit(command)
+        if isinstance(answered, result.Failure):
+            self.doubtful.append(command)
+        elif answered.unwrap().state is messages.ClaimState.GRANTED:
+            await self.finish(messages.ReleaseCommand(command.key, command.token))
+
+    def close(self) -> None:
+        """Stop all tasks."""
+        for task in self.tasks.values():
+            task.cancel()
+
+
+def unavailable(message: str) -> AnswerResult:
+    """Return the failure of a claim that was not committed; nothing ran."""
+    return result.Failure(
+        failures.Failure(
+            codes.Code.LEDGER_UNAVAILABLE,
+            f"the ledger did not commit the claim: {message}",
+            retry_after_ms=MS_PER_S,
+        )
+    )
--- a/src/quetzalpass/lifecycle/service_calls.py
+++ b/src/quetzalpass/lifecycle/service_calls.py
@@ -1,6 +1,7 @@
 """Calls of plain services, at most once where they may not be repeated."""
 
 import asyncio
+import urllib.parse
 
 import logbook
 import msgspec
@@ -8,8 +9,8 @@
 
 from quetzalpass import ids
 from quetzalpass.backends import base
-from quetzalpass.control import ledger
-from quetzalpass.lifecycle import attempts, ledger_client, requests
+from quetzalpass.control import ledger_messages as messages
+from quetzalpass.lifecycle import attempts, claims, ledger_client, requests
 from quetzalpass.lifecycle import gateway as gateways
 from quetzalpass.results import codes, failures
 from quetzalpass.routing import admission, work
@@ -17,6 +18,9 @@
 LOG = logbook.Logger("lifecycle")
 
 MAX_ATTEMPTS = 3
+ASK_TIMEOUT_S = 2.0
+STATUS_OK = 200
+DIGEST_HEADER = "Quetzalpass-Body-Sha256"
 
 AnswerResult = result.Result["CallOutcome", failures.Failure]
 
@@ -141,26 +145,46 @@
 async def run_at_most_once(
     gateway: gateways.Gateway, request: requests.ServiceRequest
 ) -> AnswerResult:
-    """Claim the request, make one attempt, and record what became of it."""
+    """Claim the request, make one attempt, and record what became of it.
+
+    All of it goes on when the caller goes away: an abandoned claim would leave an
+    outcome unknown that could have been recorded.
+    """
+    return await asyncio.shield(gateway.spawn_counted(run_claimed(gateway, request)))
+
+
+async def run_claimed(
+    gateway: gateways.Gateway, request: requests.ServiceRequest
+) -> AnswerResult:
+    """Run a call whose key is claimed first."""
     assert request.call.idempotency_key is not None
-    key = ledger.ClaimKey(request.organisation.id, request.call.idempotency_key)
-    claimed = await gateway.ledger.claim(key, request.fingerprint())
+    key = messages.ClaimKey(request.organisation.id, request.call.idempotency_key)
+    claimed = await claims.obtain(
+        gateway,
+        key,
+        request.fingerprint(),
+        request.deadline_s,
+        request.configuration.declaration.retention,
+    )
     if isinstance(claimed, result.Failure):
         return claimed
     claim = claimed.unwrap()
-    if claim.state is not ledger.ClaimState.GRANTED:
-        return answer_of_earlier_claim(claim)
-    # The attempt runs to its end even if the caller goes away: an abandoned claim
-    # would leave an outcome that could have been recorded as unknown.
-    attempt = asyncio.create_task(attempt_claimed(gateway, request, key, claim))
-    return await asyncio.shield(attempt)
+    if claim.state is messages.ClaimState.GRANTED:
+        try:
+            return await attempt_claimed(gateway, request, key, claim.token)
+        except Exception:
+            await gateway.ledger.record(key, claim.token, None)
+            raise
+    if claim.outcome is not None:
+        return result.Success(replayed(claim.outcome))
+    return await resolve_by_asking(gateway, request, key, "the first call may have run")
 
 
 async def attempt_claimed(
     gateway: gateways.Gateway,
     request: requests.ServiceRequest,
-    key: ledger.ClaimKey,
-    claim: ledger.ClaimAnswer,
+    key: messages.ClaimKey,
+    token: str,
 ) -> AnswerResult:
     """Make the one attempt of a granted claim and settle the claim."""
     tried = await call_one_server(gateway, request, None)
@@ -168,40 +192,61 @@
         answer = tried.unwrap()
         retention = request.configuration.declaration.retention
         outcome = ledger_client.outcome_of(answer, retention)
-        await gateway.ledger.record(key, claim.attempt, outcome)
+        await gateway.ledger.record(key, token, outcome)
         return result.Success(CallOutcome(codes.Code.OK, answer))
     failure = tried.failure()
     if isinstance(failure, FailedAttempt):
         failure = attempts.numbered_failure_of(failure.failure)
     if failure.effective_execution() is codes.Execution.NOT_RUN:
-        await gateway.ledger.release(key, claim.attempt)
+        await gateway.ledger.release(key, token)
         return result.Failure(failure)
-    await gateway.ledger.record(key, claim.attempt, None)
-    return result.Failure(
-        failures.Failure(codes.Code.OUTCOME_UNKNOWN, f"{failure.message}")
-    )
+    await gateway.ledger.record(key, token, None)
+    return await resolve_by_asking(gateway, request, key, failure.message)
 
 
-def answer_of_earlier_claim(claim: ledger.ClaimAnswer) -> AnswerResult:
-    """Return what a resend gets."""
-    if claim.state is ledger.ClaimState.KEY_REUSED:
-        return result.Failure(
-            failures.Failure(
-                codes.Code.KEY_REUSED, "the key was used with a different request"
-            )
-        )
-    if claim.state is ledger.ClaimState.IN_PROGRESS:
-        return result.Failure(
-            failures.Failure(
-                codes.Code.CLAIM_IN_PROGRESS,
-                f"the first call is under way at {claim.owner}",
-                retry_after_ms=500,
-            )
-        )
-    outcome = claim.outcome
-    if outcome is None:
-        return result.Failure(
-            failures.Failure(codes.Code.OUTCOME_UNKNOWN, "the first call may have run")
-        )
-    answer = base.ServiceAnswer(outcome.status, outcome.headers, outcome.body)
-    return result.Success(CallOutcome(codes.Code.REPLAYED, answer))
+async def resolve_by_asking(
+    gateway: gateways.Gateway,
+    request: requests.ServiceRequest,
+    key: messages.ClaimKey,
+    message: str,
+) -> AnswerResult:
+    """Ask the service whether a call ran whose outcome is unknown.
+
+    "It ran" settles the claim. "It did not" proves nothing, as the call may still be
+    on its way; the claim then stays unknown and nothing runs again.
+    """
+    path = request.service.outcome_path
+    if path is not None:
+        path = path.replace("{key}", urllib.parse.quote(key.key, safe=""))
+        answer = await ask_servers(gateway, request, path)
+        if answer is not None:
+            retention = request.configuration.declaration.retention
+            outcome = ledger_client.outcome_of(answer, retention)
+            await gateway.ledger.resolve(key, outcome)
+            return result.Success(CallOutcome(codes.Code.REPLAYED, answer))
+    return result.Failure(failures.Failure(codes.Code.OUTCOME_UNKNOWN, message))
+
+
+async def ask_servers(
+    gateway: gateways.Gateway, request: requests.ServiceRequest, path: str
+) -> base.ServiceAnswer | None:
+    """Return the first answer of a server that knows of the call."""
+    at = request.configuration
+    for server in at.declaration.servers:
+        if server.service != request.service.name:
+            continue
+        backend = gateway.backend_of(server.id, at)
+        assert isinstance(backend, base.PlainService)
+        asked = await backend.find_outcome(path, ASK_TIMEOUT_S)
+        if isinstance(asked, result.Success) and asked.unwrap().status == STATUS_OK:
+            return asked.unwrap()
+    return None
+
+
+def replayed(outcome: messages.Outcome) -> CallOutcome:
+    """Return a recorded outcome as an answer; a large body is told by its digest."""
+    headers = dict(outcome.headers)
+    if not outcome.whole:
+        headers[DIGEST_HEADER] = outcome.body_digest
+    answer = base.ServiceAnswer(outcome.status, headers, outcome.body)
+    return CallOutcome(codes.Code.REPLAYED, answer)
