Bound retries by a budget, hedge declared classes, prove single sends

Cause: each failed request could be sent four times, so that the loss of a data centre would have multiplied the load; slow first tokens of urgent classes were waited out. Change: retry budget per organisation and model (a quarter of a retry for each success, a small reserve that time refills); without one left the failure is given at once. Hedging for classes with hedge_after_s, repeatable requests only: the first of two to answer is used alone, the other cancelled, before anything is delivered.

--- a/src/quetzalpass/callers/completions.py
+++ b/src/quetzalpass/callers/completions.py
@@ -9,7 +9,13 @@
 
 from quetzalpass import ids
 from quetzalpass.callers import bodies, encoding, errors, headers
-from quetzalpass.lifecycle import claimed_generations, generations, requests, resumption
+from quetzalpass.lifecycle import (
+    claimed_generations,
+    generations,
+    hedging,
+    requests,
+    resumption,
+)
 from quetzalpass.lifecycle import gateway as gateways
 from quetzalpass.membership import configuration
 from quetzalpass.results import failures
@@ -67,10 +73,10 @@
         checked = self.check(body, at)
         if isinstance(checked, result.Failure):
             return errors.error_response(checked.failure(), self.request_id)
-        generation = checked.unwrap()
-        opened = await generation.open()
+        opened = await hedging.open_generation(checked.unwrap())
         if isinstance(opened, result.Failure):
             return errors.error_response(opened.failure(), self.request_id)
+        generation = opened.unwrap()
         if generation.request.delivery is requests.Delivery.WHOLE:
             return await self.answer_whole(generation)
         return await self.answer_stream(generation)
--- a/src/quetzalpass/lifecycle/claimed_generations.py
+++ b/src/quetzalpass/lifecycle/claimed_generations.py
@@ -42,6 +42,8 @@
         Wait for the next tokens; it outlives the caller.
     """
 
+    hedges = False
+
     def __init__(
         self, gateway: gateways.Gateway, request: requests.GenerationRequest
     ) -> None:
--- a/src/quetzalpass/lifecycle/gateway.py
+++ b/src/quetzalpass/lifecycle/gateway.py
@@ -7,7 +7,7 @@
 
 from quetzalpass import ids
 from quetzalpass.backends import base, registry
-from quetzalpass.lifecycle import generation_ids, ledger_client
+from quetzalpass.lifecycle import generation_ids, ledger_client, retry_budget
 from quetzalpass.membership import configuration
 from quetzalpass.metrics import recorder
 from quetzalpass.results import codes, failures
@@ -41,6 +41,8 @@
         Claims of non-idempotent requests.
     recorder : recorder.Recorder
         Metrics by organisation and class.
+    retries : retry_budget.RetryBudgets
+        Bounds on retries by organisation and model.
     backends : dict of ServerId to base.Backend
         Open adapters.
     requests : int
@@ -63,6 +65,7 @@
         self.slots = slots
         self.ledger: ledger_client.Ledger = ledger_client.NoLedger()
         self.recorder = recorder.Recorder()
+        self.retries = retry_budget.RetryBudgets()
         self.rng = rng
         self.cluster_key = cluster_key
         self.backends: dict[ids.ServerId, base.Backend] = {}
--- a/src/quetzalpass/lifecycle/generations.py
+++ b/src/quetzalpass/lifecycle/generations.py
@@ -60,8 +60,12 @@
         Where it runs.
     failed_server : ServerId or None
         Where the last attempt failed; the next one avoids it if it can.
+    ready_batch : base.TokenBatch or None
+        Tokens that were received while the generation was being opened.
     """
 
+    hedges = True
+
     def __init__(
         self, gateway: gateways.Gateway, request: requests.GenerationRequest
     ) -> None:
@@ -85,6 +89,7 @@
         self.meter = metering.StreamMeter(counted, asyncio.get_running_loop().time())
         self.resumes = 0
         self.links_lost = 0
+        self.ready_batch: base.TokenBatch | None = None
 
     def next_offset(self) -> int:
         """Return the offset of the next token."""
@@ -103,7 +108,7 @@
             if isinstance(started, result.Success):
                 return started
             failure = started.failure()
-            if not self.may_try_again(failure):
+            if not self.may_try_again(failure) or not self.spend_retry():
                 return result.Failure(self.final_failure(failure))
             longest_s = attempts.longest_backoff_s(self.attempts)
             await asyncio.sleep(self.gateway.rng.uniform(0.0, longest_s))
@@ -118,6 +123,11 @@
             return True
         return self.execution is codes.Execution.NOT_RUN
 
+    def spend_retry(self) -> bool:
+        """Take one retry from the budget; return whether there was one left."""
+        request = self.request
+        return self.gateway.retries.spend(request.organisation.id, request.model.name)
+
     def final_failure(self, failure: failures.Failure) -> failures.Failure:
         """Return the failure of the whole request, given that of the last attempt."""
         if self.execution is codes.Execution.NOT_RUN:
@@ -266,6 +276,9 @@
             Tokens that follow the earlier ones without a gap, or the numbered
             failure that ends the generation.
         """
+        if self.ready_batch is not None:
+            ready, self.ready_batch = self.ready_batch, None
+            return result.Success(ready)
         while True:
             remaining_s = self.remaining_s()
             if remaining_s <= 0:
--- a/src/quetzalpass/lifecycle/resumption.py
+++ b/src/quetzalpass/lifecycle/resumption.py
@@ -15,6 +15,8 @@
     the caller asks for, also where another gateway or nobody served it before.
     """
 
+    hedges = False
+
     def __init__(
         self,
         gateway: gateways.Gateway,
--- a/src/quetzalpass/lifecycle/service_calls.py
+++ b/src/quetzalpass/lifecycle/service_calls.py
@@ -10,7 +10,7 @@
 from quetzalpass import ids
 from quetzalpass.backends import base
 from quetzalpass.control import ledger_messages as messages
-from quetzalpass.lifecycle import attempts, claims, ledger_client, requests
+from quetzalpass.lifecycle import attempts, claims, hedging, ledger_client, requests
 from quetzalpass.lifecycle import gateway as gateways
 from quetzalpass.results import codes, failures
 from quetzalpass.routing import admission, work
@@ -38,7 +38,18 @@
     """Make a call, once only where the request is non-idempotent."""
     if request.non_idempotent:
         return await run_at_most_once(gateway, request)
-    return await run_repeatable(gateway, request)
+    delay_s = request.priority_class.hedge_after_s
+    if delay_s is None:
+        return await run_repeatable(gateway, request)
+    second = msgspec.structs.replace(
+        request, request_id=ids.RequestId(request.request_id + hedging.HEDGE_SUFFIX)
+    )
+    return await hedging.first_success(
+        run_repeatable(gateway, request),
+        lambda: run_repeatable(gateway, second),
+        delay_s,
+        lambda: gateway.retries.spend(request.organisation.id, request.service.name),
+    )
 
 
 async def run_repeatable(
@@ -50,6 +61,7 @@
     for attempt in range(1, MAX_ATTEMPTS + 1):
         tried = await call_one_server(gateway, request, failed_server)
         if isinstance(tried, result.Success):
+            gateway.retries.earn(request.organisation.id, request.service.name)
             return tried.map(lambda answer: CallOutcome(codes.Code.OK, answer))
         lost = tried.failure()
         if isinstance(lost, failures.Failure):
@@ -59,6 +71,8 @@
         failure = attempts.numbered_failure_of(lost.failure)
         if failure.code is codes.Code.BAD_REQUEST or attempt == MAX_ATTEMPTS:
             break
+        if not gateway.retries.spend(request.organisation.id, request.service.name):
+            break
         longest_s = attempts.longest_backoff_s(attempt)
         await asyncio.sleep(gateway.rng.uniform(0.0, longest_s))
     return result.Failure(attempts.with_execution(failure, execution))
--- /dev/null
+++ b/tests/backends/test_single_sends.py
@@ -0,0 +1,78 @@
+import asyncio
+
+import pytest
+
+from quetzalpass import ids
+from quetzalpass.backends import base, engine_http, service_http
+from quetzalpass.settings import schema
+
+
+class ClosingServer:
+    """Answers the first request where asked to, then closes after reading."""
+
+    def __init__(self):
+        self.read = []
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        return f"http://127.0.0.1:{port}"
+
+    async def serve(self, reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.read.append(head.split(b" ")[0].decode())
+        if b"/answered" in head:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            await reader.read(1)
+            self.read.append("reused")
+        writer.close()
+
+
+@pytest.fixture
+async def server():
+    closing = ClosingServer()
+    closing.url = await closing.start()
+    yield closing
+    closing.server.close()
+
+
+class TestServices:
+    @pytest.mark.parametrize("method", ["GET", "PUT", "POST", "DELETE"])
+    @pytest.mark.parametrize("after_an_answer", [False, True])
+    async def test_request_is_sent_once(self, server, method, after_an_answer):
+        service = service_http.HttpService(server.url, schema.Limits())
+        if after_an_answer:
+            call = make_call("GET", "answered")
+            assert (await service.call(call, 2.0)).unwrap().body == b"ok"
+            server.read.clear()
+        failure = (await service.call(make_call(method), 2.0)).failure()
+        await service.close()
+        assert failure.end is base.AttemptEnd.MAY_HAVE_RUN
+        assert server.read.count(method) == 1
+
+
+class TestEngines:
+    async def test_start_and_resume_are_sent_once(self, server):
+        engine = engine_http.HttpEngine(server.url, schema.Limits())
+        call = base.GenerationCall(
+            ids.GenerationId("g"),
+            ids.RequestId("r"),
+            ids.ModelName("m"),
+            ids.VersionName("1"),
+            None,
+            "prompt",
+            (),
+            5,
+            0,
+        )
+        started = await engine.start(call, 2.0)
+        resumed = await engine.resume(ids.GenerationId("g"), 0, 2.0)
+        await engine.cancel(ids.GenerationId("g"))
+        await engine.close()
+        assert started.failure().end is base.AttemptEnd.MAY_HAVE_RUN
+        assert resumed.failure().end is base.AttemptEnd.MAY_HAVE_RUN
+        assert server.read == ["POST", "GET", "DELETE"]
+
+
+def make_call(method, path="waivers"):
+    return base.ServiceCall(method, path, "", {}, b"x", ids.RequestId("r"), None)
