Hand tokens from the engine's connection to the caller's without waking a task

Cause: each token woke the request's task through a timeout, a read and a write. Change: TokenStream.forward hands batches to a sink from the connection's callback; the task wakes only at the end, on a failure or when the caller stops reading. The caller's buffer limit is now in force.

--- a/src/quetzalpass/backends/base.py
+++ b/src/quetzalpass/backends/base.py
@@ -6,6 +6,7 @@
 """
 
 import abc
+import asyncio
 import enum
 from collections.abc import Mapping
 
@@ -133,9 +134,67 @@
     ended: bool = False
 
 
+class TokenSink(abc.ABC):
+    """Takes the tokens of a stream as they arrive, without a task in between."""
+
+    @abc.abstractmethod
+    def take(self, batch: TokenBatch) -> bool:
+        """Take the next batch at once.
+
+        Returns
+        -------
+        bool
+            Whether the stream should go on; ``False`` pauses it behind this batch.
+        """
+
+
+class Forwarded(enum.Enum):
+    """Why a stream stopped to forward.
+
+    ``ENDED``: the last batch was taken. ``PAUSED``: the sink wants no more for now.
+    ``DUE``: the time that the caller named has come.
+    """
+
+    ENDED = "ended"
+    PAUSED = "paused"
+    DUE = "due"
+
+
 class TokenStream(abc.ABC):
     """An open stream of one generation."""
 
+    async def forward(
+        self, sink: TokenSink, silence_s: float, until_s: float
+    ) -> result.Result[Forwarded, AttemptFailure]:
+        """Hand batches to a sink as they arrive.
+
+        Parameters
+        ----------
+        sink : TokenSink
+            Where the batches go.
+        silence_s : float
+            Longest wait without a token or a keep-alive, in seconds.
+        until_s : float
+            Loop time at which to return; a stream may overrun it by one wait.
+
+        Returns
+        -------
+        Result
+            Why it stopped, or why the stream broke.
+        """
+        loop = asyncio.get_running_loop()
+        while loop.time() < until_s:
+            received = await self.next_batch(silence_s)
+            if isinstance(received, result.Failure):
+                return received
+            batch = received.unwrap()
+            accepted = sink.take(batch)
+            if batch.ended:
+                return result.Success(Forwarded.ENDED)
+            if not accepted:
+                return result.Success(Forwarded.PAUSED)
+        return result.Success(Forwarded.DUE)
+
     @abc.abstractmethod
     async def next_batch(
         self, silence_s: float
--- a/src/quetzalpass/backends/engine_http.py
+++ b/src/quetzalpass/backends/engine_http.py
@@ -7,11 +7,14 @@
 from returns import result
 
 from quetzalpass import ids
-from quetzalpass.backends import base, engine_messages, event_stream, http_client
+from quetzalpass.backends import (
+    base,
+    engine_messages,
+    engine_stream,
+    http_client,
+)
 from quetzalpass.settings import schema
 
-END_MARK = b"[DONE]"
-EVENT_DECODER = msgspec.json.Decoder(engine_messages.EngineEvent)
 MS_PER_S = 1000
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
@@ -20,90 +23,6 @@
 STATUS_SERVER_ERROR = 500
 
 
-class HttpTokenStream(base.TokenStream):
-    """A stream of one generation over one HTTP response.
-
-    Attributes
-    ----------
-    next_offset : int
-        Offset that the next token must carry.
-    """
-
-    def __init__(
-        self,
-        response: aiohttp.ClientResponse,
-        generation_id: ids.GenerationId,
-        next_offset: int,
-        max_event_bytes: int,
-    ) -> None:
-        self.response = response
-        self.generation_id = generation_id
-        self.next_offset = next_offset
-        self.decoder = event_stream.EventStreamDecoder(max_event_bytes)
-
-    async def next_batch(
-        self, silence_s: float
-    ) -> result.Result[base.TokenBatch, base.AttemptFailure]:
-        """Wait for tokens; see the base class."""
-        while True:
-            try:
-                async with asyncio.timeout(silence_s):
-                    chunk = await self.response.content.readany()
-            except TimeoutError:
-                return broken(base.FailureKind.SILENT, f"no token for {silence_s} s")
-            except (aiohttp.ClientError, ConnectionError, ValueError) as error:
-                return broken(base.FailureKind.CLOSED, f"stream broke: {error!r}")
-            if not chunk:
-                return broken(base.FailureKind.CLOSED, "stream closed before its end")
-            try:
-                events = self.decoder.feed(chunk)
-            except event_stream.EventTooLargeError:
-                return broken(base.FailureKind.TOO_LARGE, "an event is too large")
-            if events:
-                return self.check_events(events)
-
-    def check_events(
-        self, events: list[bytes]
-    ) -> result.Result[base.TokenBatch, base.AttemptFailure]:
-        """Return the tokens of events whose ids and offsets are as expected."""
-        first = self.next_offset
-        texts: list[str] = []
-        finish_reason = None
-        for data in events:
-            if data == END_MARK:
-                return result.Success(
-                    base.TokenBatch(first, texts, finish_reason, ended=True)
-                )
-            try:
-                event = EVENT_DECODER.decode(data)
-            except msgspec.MsgspecError as error:
-                return broken(base.FailureKind.MALFORMED, f"malformed event: {error}")
-            if event.id != self.generation_id:
-                return broken(base.FailureKind.CROSSED, "token of another generation")
-            if event.offset != self.next_offset:
-                return broken(
-                    base.FailureKind.CROSSED,
-                    f"token offset {event.offset} instead of {self.next_offset}",
-                )
-            if not event.choices:
-                return broken(base.FailureKind.MALFORMED, "event without a choice")
-            texts.append(event.choices[0].text)
-            finish_reason = event.choices[0].finish_reason
-            self.next_offset += 1
-        return result.Success(base.TokenBatch(first, texts, finish_reason))
-
-    def close(self) -> None:
-        """Close the connection without cancelling the generation."""
-        self.response.close()
-
-
-def broken(
-    kind: base.FailureKind, message: str
-) -> result.Result[base.TokenBatch, base.AttemptFailure]:
-    """Return the failure of a stream that had been opened."""
-    return result.Failure(base.AttemptFailure(base.AttemptEnd.RAN, kind, message))
-
-
 class HttpEngine(base.ModelEngine):
     """A model engine behind an HTTP address.
 
@@ -180,7 +99,7 @@
             return result.Failure(attempt_failure_of(error))
         if response.status == STATUS_OK:
             return result.Success(
-                HttpTokenStream(
+                engine_stream.HttpTokenStream(
                     response, generation_id, offset, self.limits.event_bytes
                 )
             )
--- a/src/quetzalpass/backends/http_client.py
+++ b/src/quetzalpass/backends/http_client.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from quetzalpass.backends import connections
 from quetzalpass.settings import schema
 
 
@@ -19,7 +20,7 @@
         connection each: a failed write on a kept connection cannot be told from one
         that the server has read.
     """
-    connector = aiohttp.TCPConnector(limit=0, force_close=not reuse)
+    connector = connections.EngineConnector(limit=0, force_close=not reuse)
     timeout = aiohttp.ClientTimeout(
         total=None, sock_connect=limits.connect_timeout_s, sock_read=None
     )
--- a/src/quetzalpass/callers/completions.py
+++ b/src/quetzalpass/callers/completions.py
@@ -1,6 +1,7 @@
 """Handlers of the OpenAI-compatible completions interface."""
 
 import asyncio
+import math
 import time
 
 import logbook
@@ -8,7 +9,8 @@
 from returns import result
 
 from quetzalpass import ids
-from quetzalpass.callers import bodies, encoding, errors, headers
+from quetzalpass.backends import base
+from quetzalpass.callers import bodies, encoding, errors, headers, streams
 from quetzalpass.lifecycle import gateway as gateways
 from quetzalpass.lifecycle import generations, requests, resumption
 from quetzalpass.membership import configuration
@@ -188,7 +190,7 @@
                 }
             )
             await response.prepare(self.request)
-            await self.write_events(generation, response, first)
+            await self.write_events(generation, response, first.unwrap())
         except (asyncio.CancelledError, ConnectionError):
             LOG.info("callers: Caller of {} has gone.", self.request_id)
             generation.detach()
@@ -199,7 +201,7 @@
         self,
         generation: generations.Generation,
         response: web.StreamResponse,
-        received: generations.BatchResult,
+        first: base.TokenBatch,
     ) -> None:
         """Write the events of a generation until its end."""
         assert generation.server_id is not None
@@ -210,30 +212,22 @@
             self.model_name,
             self.created,
         )
-        while isinstance(received, result.Success):
-            batch = received.unwrap()
-            if batch.texts:
-                events = encoder.tokens(batch.offset, batch.texts, batch.finish_reason)
-                if not await self.write(response, events):
-                    await generation.cancel()
-                    return
-            if batch.ended:
-                await self.write_end(generation, response, encoder)
+        limits = self.gateway.limits
+        sink = streams.CallerSink(self.request, encoder, limits.slow_caller_bytes)
+        sink.take(first)
+        ended = first.ended
+        while not ended:
+            forwarded = await generation.forward(sink, math.inf)
+            if isinstance(forwarded, result.Failure):
+                await self.write_failure(response, forwarded.failure())
                 return
-            received = await generation.next_batch()
-        await self.write_failure(response, received.failure())
-
-    async def write(self, response: web.StreamResponse, data: bytes) -> bool:
-        """Write to the caller; return whether it keeps reading."""
-        try:
-            async with asyncio.timeout(self.gateway.limits.slow_caller_s):
-                await response.write(data)
-        except TimeoutError:
-            LOG.warn("callers: Caller of {} reads too slowly.", self.request_id)
-            assert self.request.transport is not None
-            self.request.transport.abort()
-            return False
-        return True
+            ended = forwarded.unwrap() is base.Forwarded.ENDED
+            if not ended and not await sink.wait_until_read(limits.slow_caller_s):
+                LOG.warn("callers: Caller of {} reads too slowly.", self.request_id)
+                sink.cut()
+                await generation.cancel()
+                return
+        await self.write_end(generation, response, encoder)
 
     async def write_end(
         self,
--- /dev/null
+++ b/src/quetzalpass/callers/streams.py
@@ -0,0 +1,78 @@
+"""The caller's end of a stream."""
+
+import asyncio
+
+from aiohttp import web
+
+from quetzalpass.backends import base
+from quetzalpass.callers import encoding
+
+
+class CallerSink(base.TokenSink):
+    """Writes tokens to a caller at once and pauses while it does not read.
+
+    Parameters
+    ----------
+    request : web.Request
+        Request whose answer has been prepared.
+    encoder : encoding.StreamEncoder
+        Encoder of this answer.
+    max_buffer_bytes : int
+        Bytes held for the caller before the stream pauses.
+    """
+
+    def __init__(
+        self,
+        request: web.Request,
+        encoder: encoding.StreamEncoder,
+        max_buffer_bytes: int,
+    ) -> None:
+        assert request.transport is not None
+        request.transport.set_write_buffer_limits(high=max_buffer_bytes)
+        self.transport = request.transport
+        self.protocol = request.protocol
+        self.writer = request.writer
+        self.encoder = encoder
+
+    def take(self, batch: base.TokenBatch) -> bool:
+        """Write the tokens; return whether the caller keeps reading."""
+        if batch.texts:
+            event = self.encoder.tokens(batch.offset, batch.texts, batch.finish_reason)
+            if not self.write(event):
+                return False
+        return not self.protocol.writing_paused
+
+    def write(self, data: bytes) -> bool:
+        """Write without waiting; return whether the connection is open.
+
+        The writer's coroutine does not wait unless it is told to drain, so one step
+        runs it to its end.
+        """
+        try:
+            self.writer.write(data, drain=False).send(None)
+        except StopIteration:
+            return True
+        except ConnectionError:
+            return False
+        raise AssertionError("the writer waits although it is not to drain")
+
+    async def wait_until_read(self, timeout_s: float) -> bool:
+        """Wait until the caller has read; return whether it did in time.
+
+        Raises
+        ------
+        ConnectionError
+            If the caller has gone.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.writer.drain()
+        except TimeoutError:
+            return False
+        if self.transport.is_closing():
+            raise ConnectionResetError("the caller has gone")
+        return True
+
+    def cut(self) -> None:
+        """Close the connection of a caller that does not read."""
+        self.transport.abort()
--- a/src/quetzalpass/lifecycle/generations.py
+++ b/src/quetzalpass/lifecycle/generations.py
@@ -212,6 +212,40 @@
             if isinstance(recovered, result.Failure):
                 return recovered
 
+    async def forward(
+        self, sink: base.TokenSink, until_s: float
+    ) -> result.Result[base.Forwarded, failures.Failure]:
+        """Hand the tokens to a sink as they arrive, over new links where needed.
+
+        Parameters
+        ----------
+        sink : base.TokenSink
+            Takes tokens that follow the earlier ones without a gap.
+        until_s : float
+            Loop time at which to return.
+
+        Returns
+        -------
+        Result
+            Why it stopped, or the numbered failure that ends the generation.
+        """
+        tap = TokenTap(self, sink)
+        while True:
+            remaining_s = self.remaining_s()
+            if remaining_s <= 0:
+                await self.cancel()
+                return result.Failure(self.deadline_failure())
+            assert self.stream is not None
+            due_s = min(until_s, self.request.deadline_s)
+            silence_s = self.gateway.limits.silent_stream_s
+            forwarded = await self.stream.forward(tap, silence_s, due_s)
+            if isinstance(forwarded, result.Failure):
+                recovered = await self.recover(forwarded.failure())
+                if isinstance(recovered, result.Failure):
+                    return recovered
+            elif due_s == until_s or forwarded.unwrap() is not base.Forwarded.DUE:
+                return forwarded
+
     def deadline_failure(self) -> failures.Failure:
         """Return the failure of a generation whose time is over."""
         return failures.Failure(
@@ -321,6 +355,18 @@
         await self.engine().cancel(self.id, only_if_detached=True)
 
 
+class TokenTap(base.TokenSink):
+    """Keeps the tokens of a generation on their way to the caller's sink."""
+
+    def __init__(self, generation: Generation, sink: base.TokenSink) -> None:
+        self.note_batch = generation.note_batch
+        self.take_on = sink.take
+
+    def take(self, batch: base.TokenBatch) -> bool:
+        """Keep the tokens, then pass them on."""
+        return self.take_on(self.note_batch(batch))
+
+
 def slot_outcome_of(failure: base.AttemptFailure) -> work.SlotOutcome:
     """Return what a failure tells the routing about the server."""
     if failure.kind in (base.FailureKind.UNREACHABLE, base.FailureKind.CLOSED):
