--- a/src/quetzalpass/callers/encoding.py
+++ b/src/quetzalpass/callers/encoding.py
@@ -88,7 +88,8 @@
                 "model": model,
             }
         )
-        self.event_id = f"id: {generation_id}/{server_id}/".encode()
+        self.generation_id = generation_id
+        self.move_to(server_id)
         self.head = b"\ndata: " + head[:-1]
         opening = b',"choices":[{"index":0,"delta":{"content":'
         if not chat:
