--- a/src/quetzalpass/routing/factory.py
+++ b/src/quetzalpass/routing/factory.py
@@ -8,6 +8,7 @@
     dispatch,
     lengths,
     policies,
+    predictive,
     servers,
     settings,
 )
@@ -24,8 +25,10 @@
             return policies.LeastInFlight()
         case settings.PolicyName.POWER_OF_TWO:
             return policies.PowerOfTwoChoices()
-        case _:
+        case settings.PolicyName.PREFIX_AFFINITY:
             return policies.PrefixAffinity()
+        case settings.PolicyName.PREDICTIVE:
+            return predictive.Predictive(rules, estimator)
 
 
 def make_dispatcher(
--- /dev/null
+++ b/src/quetzalpass/routing/predictive.py
@@ -0,0 +1,174 @@
+"""The predictive policy: places work where its memory will fit until it ends.
+
+The memory of each server is predicted at several horizons, from its requests' lengths
+so far and the life tables of their classes. A request that would not fit waits in the
+gateway: there it costs nothing, while an engine without memory preempts running work,
+which then stalls and is computed again.
+"""
+
+import math
+
+import msgspec
+
+from quetzalpass.routing import (
+    flights,
+    lengths,
+    policies,
+    servers,
+    settings,
+    work,
+)
+
+# Standard deviations of the predicted memory that must fit beside its mean.
+RISK_DEVIATIONS = 1.0
+# Part of the memory that work of a priority may fill, so that more urgent work finds
+# room at once. Priorities beyond the last get the last.
+ROOM_BY_PRIORITY = (1.0, 0.95, 0.9)
+PREFILL_TOKEN_S = 0.00005
+ADAPTER_LOAD_S = 1.5
+OCCUPANCY_S = 1.0
+LOCAL_SAMPLE, REMOTE_SAMPLE, HOLDER_SAMPLE = 6, 2, 4
+
+
+class Offer(msgspec.Struct):
+    """What one server would mean for a request.
+
+    Attributes
+    ----------
+    record : servers.ServerRecord
+        The server.
+    cost_s : float
+        Delay for the request and for others, in seconds; lower is better.
+    occupancy : float
+        Largest predicted part of the memory that is in use, at any horizon.
+    matched_tokens : int
+        Prompt tokens that its cache is expected to hold.
+    """
+
+    record: servers.ServerRecord
+    cost_s: float
+    occupancy: float
+    matched_tokens: int
+
+
+class Predictive(policies.Policy):
+    """Chooses by predicted memory, cached prefix and loaded adapters.
+
+    Parameters
+    ----------
+    rules : settings.RoutingSettings
+        What the deployment weighs.
+    estimator : lengths.LengthEstimator
+        Life tables of the output lengths.
+    """
+
+    def __init__(
+        self, rules: settings.RoutingSettings, estimator: lengths.LengthEstimator
+    ) -> None:
+        self.rules = rules
+        self.estimator = estimator
+
+    def choose(self, item, table, now_s):
+        """Choose the server with the least cost among those with room."""
+        life = self.estimator.table(item.model, item.class_name)
+        demand = flights.predict(item, item.generated_tokens, 0.0, life)
+        best: Offer | None = None
+        for record in self.candidates(item, table):
+            offer = self.offer(item, demand, record, table, now_s)
+            if offer is not None and (best is None or offer.cost_s < best.cost_s):
+                best = offer
+        return None if best is None else self.explain(best, now_s)
+
+    def candidates(
+        self, item: work.WorkItem, table: servers.ServerTable
+    ) -> list[servers.ServerRecord]:
+        """Return the servers to look at: all of a small pool, a sample of a large."""
+        pool = table.pool(item.model, item.version)
+        if pool is None:
+            return []
+        if len(pool.usable) <= policies.SEARCH_LIMIT:
+            found = pool.usable
+        else:
+            local = pool.by_data_centre.get(table.data_centre, [])
+            found = policies.sample(table, local, LOCAL_SAMPLE)
+            found = found + policies.sample(table, pool.usable, REMOTE_SAMPLE)
+            found += self.holders(item, table)
+        return [record for record in found if policies.allows(record, item)]
+
+    def holders(
+        self, item: work.WorkItem, table: servers.ServerTable
+    ) -> list[servers.ServerRecord]:
+        """Return a few usable servers that cache the longest known prefix."""
+        found = []
+        for server_id in table.prefixes.deepest_holders(item.prefix_hashes):
+            record = table.records[server_id]
+            if serves(record, item):
+                found.append(record)
+            if len(found) == HOLDER_SAMPLE:
+                break
+        return found
+
+    def offer(
+        self,
+        item: work.WorkItem,
+        demand: flights.Demand,
+        record: servers.ServerRecord,
+        table: servers.ServerTable,
+        now_s: float,
+    ) -> Offer | None:
+        """Return what a server offers, or ``None`` when it has no room."""
+        share = record.health.share(now_s)
+        if record.sequences >= record.view.batch_limit * share:
+            return None
+        occupancy = self.occupancy(demand, record)
+        if record.sequences and occupancy > self.room(item) * share:
+            return None
+        blocks = table.prefixes.matched_blocks(record.server_id, item.prefix_hashes)
+        matched = blocks * record.view.block_tokens
+        trusted = matched * table.prefixes.confidence(record.server_id)
+        prompt = item.prompt_tokens + item.generated_tokens - trusted
+        cost_s = PREFILL_TOKEN_S * prompt * (1 + record.sequences)
+        cost_s += OCCUPANCY_S * occupancy * occupancy
+        if item.adapter is not None and item.adapter not in record.adapters:
+            cost_s += ADAPTER_LOAD_S
+        return Offer(record, cost_s, occupancy, matched)
+
+    def room(self, item: work.WorkItem) -> float:
+        """Return the part of the memory that a request's priority may fill."""
+        return ROOM_BY_PRIORITY[min(item.priority, len(ROOM_BY_PRIORITY) - 1)]
+
+    def occupancy(self, demand: flights.Demand, record: servers.ServerRecord) -> float:
+        """Return the largest predicted part of the memory in use, with the request."""
+        if record.view.memory_blocks == 0:
+            return record.sequences / record.view.batch_limit
+        worst = 0.0
+        for index in range(len(flights.HORIZONS_TOKENS)):
+            mean = demand.mean[index] + record.own.mean[index]
+            mean += record.peers.mean[index]
+            variance = demand.variance[index] + record.own.variance[index]
+            variance += record.peers.variance[index]
+            worst = max(worst, mean + RISK_DEVIATIONS * math.sqrt(max(0.0, variance)))
+        return worst / record.view.memory_tokens
+
+    def explain(self, offer: Offer, now_s: float) -> work.Choice:
+        """Return the choice of an offer with its figures in words."""
+        record = offer.record
+        return work.Choice(
+            record.server_id,
+            f"lowest cost {offer.cost_s:.3f} s: memory at most "
+            f"{100 * offer.occupancy:.0f}% full, {record.sequences} in flight, "
+            f"{offer.matched_tokens} prompt tokens cached",
+            offer.cost_s,
+            offer.matched_tokens,
+            record.report_age_s(now_s),
+        )
+
+
+def serves(record: servers.ServerRecord, item: work.WorkItem) -> bool:
+    """Return whether a server that was found elsewhere than in the pool fits."""
+    view = record.view
+    if view.state != servers.ServerState.ACTIVE or view.model != item.model:
+        return False
+    if item.version is not None and view.version != item.version:
+        return False
+    return record.health.ejected_until_s is None
