--- a/src/quetzalpass/routing/predictive.py
+++ b/src/quetzalpass/routing/predictive.py
@@ -142,9 +142,11 @@
         if record.view.memory_blocks == 0:
             return record.sequences / record.view.batch_limit
         worst = 0.0
+        now_held = demand.mean[0] + record.own.mean[0] + record.peers.mean[0]
         for index in range(len(flights.HORIZONS_TOKENS)):
             mean = demand.mean[index] + record.own.mean[index]
             mean += record.peers.mean[index]
+            mean -= (1.0 - record.sharing) * min(now_held, mean)
             variance = demand.variance[index] + record.own.variance[index]
             variance += record.peers.variance[index]
             worst = max(worst, mean + RISK_DEVIATIONS * math.sqrt(max(0.0, variance)))
--- a/src/quetzalpass/routing/servers.py
+++ b/src/quetzalpass/routing/servers.py
@@ -14,6 +14,10 @@
 
 # A peer's summary older than this no longer counts; the load reports remain.
 PEER_SUMMARY_EXPIRY_S = 3.0
+SHARING_WEIGHT = 0.05
+SHARING_LEAST = 0.5
+# A nearly empty engine says little about sharing.
+SHARING_LEAST_PART = 0.2
 
 
 class ServerState(enum.Enum):
@@ -114,6 +118,9 @@
         self.peers = flights.no_demand()
         self.health = ejection.Health()
         self.suspects = 0
+        # Part of the predicted tokens that the engine really holds; below 1 where
+        # requests share cached prefixes.
+        self.sharing = 1.0
         self.last_dispatch_s = float("-inf")
         # Adapters that were used last, newest at the end.
         self.adapters: dict[ids.AdapterName, None] = {}
@@ -134,6 +141,15 @@
             return None
         return now_s - self.report.taken_at_s
 
+    def observe_sharing(self, report: reports.LoadReport) -> None:
+        """Learn how much less memory is held than the requests' tokens add up to."""
+        predicted = self.own.mean[0] + self.peers.mean[0]
+        if predicted < SHARING_LEAST_PART * self.view.memory_tokens:
+            return
+        held = report.held_blocks * report.block_tokens
+        ratio = max(SHARING_LEAST, min(1.0, held / predicted))
+        self.sharing += SHARING_WEIGHT * (ratio - self.sharing)
+
     def note_adapter(self, adapter: ids.AdapterName | None) -> None:
         """Note that an adapter is used; the least recently used one is unloaded."""
         if adapter is None:
@@ -254,6 +270,8 @@
             return
         if record.report and record.report.taken_at_s > report.taken_at_s:
             return
+        if record.report is None or record.report.taken_at_s < report.taken_at_s:
+            record.observe_sharing(report)
         record.report = report
 
     def observe_cache_event(
