--- a/src/quetzalpass/routing/dispatch.py
+++ b/src/quetzalpass/routing/dispatch.py
@@ -299,7 +299,9 @@
         record = self.table.records[choice.server_id]
         prefill = item.prompt_tokens + item.generated_tokens - choice.matched_tokens
         table = self.table_of(item)
-        demand = flights.predict(item, item.generated_tokens, prefill, table)
+        demand = flights.predict(
+            item, item.generated_tokens, prefill, table, choice.matched_tokens
+        )
         flight = flights.Flight(item, choice, now_s, demand)
         table.enter(flight.bucket, flight.bucket)
         self.flights[item.request_id] = flight
@@ -326,7 +328,8 @@
         if bucket > flight.bucket:
             table.enter(flight.bucket + 1, bucket)
             flight.bucket = bucket
-        demand = flights.predict(flight.item, flight.generated, 0.0, table)
+        shared = flight.choice.matched_tokens
+        demand = flights.predict(flight.item, flight.generated, 0.0, table, shared)
         self.replace_demand(flight, demand)
         flight.next_refresh = flight.generated + REFRESH_TOKENS
 
--- a/src/quetzalpass/routing/flights.py
+++ b/src/quetzalpass/routing/flights.py
@@ -60,7 +60,11 @@
 
 
 def predict(
-    item: work.WorkItem, generated: int, prefill_tokens: float, table: lengths.LifeTable
+    item: work.WorkItem,
+    generated: int,
+    prefill_tokens: float,
+    table: lengths.LifeTable,
+    shared_tokens: int = 0,
 ) -> Demand:
     """Predict the memory of one request that has so many tokens now.
 
@@ -74,8 +78,10 @@
         Prompt tokens that are still to be computed.
     table : lengths.LifeTable
         Life table of its class.
+    shared_tokens : int
+        Prompt tokens that the server holds anyway, for other requests.
     """
-    held = item.prompt_tokens + generated
+    held = item.prompt_tokens - shared_tokens + generated
     demand = Demand(1, prefill_tokens, [], [])
     for horizon in HORIZONS_TOKENS:
         chance = lengths.chance_of_more(table, generated, horizon, item.max_tokens)
--- a/src/quetzalpass/routing/predictive.py
+++ b/src/quetzalpass/routing/predictive.py
@@ -26,7 +26,7 @@
 ROOM_BY_PRIORITY = (1.0, 0.95, 0.9)
 PREFILL_TOKEN_S = 0.00005
 ADAPTER_LOAD_S = 1.5
-OCCUPANCY_S = 1.0
+OCCUPANCY_S = 0.3
 LOCAL_SAMPLE, REMOTE_SAMPLE, HOLDER_SAMPLE = 6, 2, 4
 
 
@@ -120,13 +120,13 @@
         share = record.health.share(now_s)
         if record.sequences >= record.view.batch_limit * share:
             return None
-        occupancy = self.occupancy(demand, record)
+        blocks = table.prefixes.matched_blocks(record.server_id, item.prefix_hashes)
+        trust = table.prefixes.confidence(record.server_id)
+        matched = int(trust * blocks * record.view.block_tokens)
+        occupancy = self.occupancy(demand, matched, record)
         if record.sequences and occupancy > self.room(item) * share:
             return None
-        blocks = table.prefixes.matched_blocks(record.server_id, item.prefix_hashes)
-        matched = blocks * record.view.block_tokens
-        trusted = matched * table.prefixes.confidence(record.server_id)
-        prompt = item.prompt_tokens + item.generated_tokens - trusted
+        prompt = item.prompt_tokens + item.generated_tokens - matched
         cost_s = PREFILL_TOKEN_S * prompt * (1 + record.sequences)
         cost_s += OCCUPANCY_S * occupancy * occupancy
         if item.adapter is not None and item.adapter not in record.adapters:
@@ -137,14 +137,17 @@
         """Return the part of the memory that a request's priority may fill."""
         return ROOM_BY_PRIORITY[min(item.priority, len(ROOM_BY_PRIORITY) - 1)]
 
-    def occupancy(self, demand: flights.Demand, record: servers.ServerRecord) -> float:
+    def occupancy(
+        self, demand: flights.Demand, matched: int, record: servers.ServerRecord
+    ) -> float:
         """Return the largest predicted part of the memory in use, with the request."""
         if record.view.memory_blocks == 0:
             return record.sequences / record.view.batch_limit
         worst = 0.0
-        now_held = demand.mean[0] + record.own.mean[0] + record.peers.mean[0]
+        unshared = 1.0 - matched / max(1.0, demand.mean[0])
+        now_held = demand.mean[0] - matched + record.own.mean[0] + record.peers.mean[0]
         for index in range(len(flights.HORIZONS_TOKENS)):
-            mean = demand.mean[index] + record.own.mean[index]
+            mean = demand.mean[index] * unshared + record.own.mean[index]
             mean += record.peers.mean[index]
             mean -= (1.0 - record.sharing) * min(now_held, mean)
             variance = demand.variance[index] + record.own.variance[index]
--- a/src/quetzalpass/routing/servers.py
+++ b/src/quetzalpass/routing/servers.py
@@ -15,7 +15,7 @@
 # A peer's summary older than this no longer counts; the load reports remain.
 PEER_SUMMARY_EXPIRY_S = 3.0
 SHARING_WEIGHT = 0.05
-SHARING_LEAST = 0.5
+SHARING_LEAST, SHARING_MOST = 0.5, 1.3
 # A nearly empty engine says little about sharing.
 SHARING_LEAST_PART = 0.2
 
@@ -147,7 +147,7 @@
         if predicted < SHARING_LEAST_PART * self.view.memory_tokens:
             return
         held = report.held_blocks * report.block_tokens
-        ratio = max(SHARING_LEAST, min(1.0, held / predicted))
+        ratio = max(SHARING_LEAST, min(SHARING_MOST, held / predicted))
         self.sharing += SHARING_WEIGHT * (ratio - self.sharing)
 
     def note_adapter(self, adapter: ids.AdapterName | None) -> None:
