--- a/src/quetzalpass/routing/dispatch.py
+++ b/src/quetzalpass/routing/dispatch.py
@@ -25,6 +25,7 @@
 
 # Requests of different organisations that are tried when the first can't be placed.
 HEADS_TRIED = 4
+RESUMED_PLACE = 1
 REFRESH_TOKENS = 32
 # What computing a prompt token costs, in generated tokens.
 PREFILL_COST = 0.1
@@ -109,6 +110,12 @@
         return max(SHORTEST_RETRY_MS, min(LONGEST_RETRY_MS, wait_ms))
 
 
+def queue_priority(item: work.WorkItem) -> int:
+    """Return the place in the queue: resumed streams stall, so only 0 goes first."""
+    place = 2 * item.priority
+    return min(place, RESUMED_PLACE) if item.generated_tokens else place
+
+
 class Dispatcher:
     """Queues requests and places them on servers.
 
@@ -162,7 +169,7 @@
         cost = estimate + PREFILL_COST * item.prompt_tokens
         queued = queues.QueuedWork(item, cost, now_s)
         self.queued[item.request_id] = queued
-        lane.queue(item.priority).push(queued)
+        lane.queue(queue_priority(item)).push(queued)
         deadline_s = item.deadline_s
         if deadline_s is None:
             deadline_s = now_s + self.rules.longest_wait_s
@@ -235,7 +242,7 @@
     def unqueue(self, queued: queues.QueuedWork) -> None:
         """Take a request out of its queue."""
         del self.queued[queued.item.request_id]
-        self.lane(queued.item).queue(queued.item.priority).remove(queued)
+        self.lane(queued.item).queue(queue_priority(queued.item)).remove(queued)
 
     def cancel(self, request_id: ids.RequestId) -> bool:
         """Drop a request that waits; return False if it doesn't wait."""
--- a/src/quetzalpass/routing/predictive.py
+++ b/src/quetzalpass/routing/predictive.py
@@ -27,6 +27,9 @@
 PREFILL_TOKEN_S = 0.00005
 ADAPTER_LOAD_S = 1.5
 OCCUPANCY_S = 0.3
+# How much longer gaps of running streams, by prefill beside them, weigh against the
+# delay of the new request, at a full weight of the gap's tail.
+GAP_DISTURBANCE = 4.0
 LOCAL_SAMPLE, REMOTE_SAMPLE, HOLDER_SAMPLE = 6, 2, 4
 
 
@@ -67,6 +70,7 @@
     ) -> None:
         self.rules = rules
         self.estimator = estimator
+        self.disturbance = 1.0 + GAP_DISTURBANCE * rules.objective.gap_tail
 
     def choose(self, item, table, now_s):
         """Choose the server with the least cost among those with room."""
@@ -127,14 +131,16 @@
         if record.sequences and occupancy > self.room(item) * share:
             return None
         prompt = item.prompt_tokens + item.generated_tokens - matched
-        cost_s = PREFILL_TOKEN_S * prompt * (1 + record.sequences)
+        cost_s = PREFILL_TOKEN_S * prompt * (1 + self.disturbance * record.sequences)
         cost_s += OCCUPANCY_S * occupancy * occupancy
-        if item.adapter is not None and item.adapter not in record.adapters:
+        if item.adapter is not None and not record.has_adapter(item.adapter):
             cost_s += ADAPTER_LOAD_S
         return Offer(record, cost_s, occupancy, matched)
 
     def room(self, item: work.WorkItem) -> float:
         """Return the part of the memory that a request's priority may fill."""
+        if item.generated_tokens:
+            return ROOM_BY_PRIORITY[0]
         return ROOM_BY_PRIORITY[min(item.priority, len(ROOM_BY_PRIORITY) - 1)]
 
     def occupancy(
--- a/src/quetzalpass/routing/servers.py
+++ b/src/quetzalpass/routing/servers.py
@@ -150,6 +150,12 @@
         ratio = max(SHARING_LEAST, min(SHARING_MOST, held / predicted))
         self.sharing += SHARING_WEIGHT * (ratio - self.sharing)
 
+    def has_adapter(self, adapter: ids.AdapterName) -> bool:
+        """Return whether an adapter is loaded, by the report or an own dispatch."""
+        if adapter in self.adapters:
+            return True
+        return self.report is not None and adapter in self.report.adapters
+
     def note_adapter(self, adapter: ids.AdapterName | None) -> None:
         """Note that an adapter is used; the least recently used one is unloaded."""
         if adapter is None:
