--- a/src/quetzalpass/routing/predictive.py
+++ b/src/quetzalpass/routing/predictive.py
@@ -26,6 +26,11 @@
 ROOM_BY_PRIORITY = (1.0, 0.95, 0.9)
 PREFILL_TOKEN_S = 0.00005
 ADAPTER_LOAD_S = 1.5
+# Part of the target that is kept free for the tail of the steps, which prefill makes
+# longer than their mean, at a full weight of the gap's tail.
+TAIL_HEADROOM = 0.2
+# A server slower than this, against its model's others, runs one request at a time.
+SLOW_FACTOR = 2.0
 OCCUPANCY_S = 0.3
 # How much longer gaps of running streams, by prefill beside them, weigh against the
 # delay of the new request, at a full weight of the gap's tail.
@@ -70,6 +75,10 @@
     ) -> None:
         self.rules = rules
         self.estimator = estimator
+        objective = rules.objective
+        self.longest_step_s = objective.gap_target_s * (
+            1.0 - TAIL_HEADROOM * objective.gap_tail
+        )
         self.disturbance = 1.0 + GAP_DISTURBANCE * rules.objective.gap_tail
 
     def choose(self, item, table, now_s):
@@ -124,6 +133,8 @@
         share = record.health.share(now_s)
         if record.sequences >= record.view.batch_limit * share:
             return None
+        if record.sequences and not self.in_time(record, table):
+            return None
         blocks = table.prefixes.matched_blocks(record.server_id, item.prefix_hashes)
         trust = table.prefixes.confidence(record.server_id)
         matched = int(trust * blocks * record.view.block_tokens)
@@ -137,6 +148,14 @@
             cost_s += ADAPTER_LOAD_S
         return Offer(record, cost_s, occupancy, matched)
 
+    def in_time(self, record: servers.ServerRecord, table: servers.ServerTable) -> bool:
+        """Return whether one more sequence keeps the step within the target."""
+        if record.slowness.factor > SLOW_FACTOR:
+            return False
+        model = table.step_model(record.view.model)
+        step_s = model.predict(record.sequences + 1) * record.slowness.factor
+        return step_s <= self.longest_step_s
+
     def room(self, item: work.WorkItem) -> float:
         """Return the part of the memory that a request's priority may fill."""
         if item.generated_tokens:
--- a/src/quetzalpass/routing/servers.py
+++ b/src/quetzalpass/routing/servers.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from quetzalpass import ids
-from quetzalpass.routing import ejection, flights, prefixes, reports
+from quetzalpass.routing import ejection, flights, prefixes, reports, steps
 
 log = logbook.Logger("routing")
 
@@ -121,6 +121,7 @@
         # Part of the predicted tokens that the engine really holds; below 1 where
         # requests share cached prefixes.
         self.sharing = 1.0
+        self.slowness = steps.Slowness()
         self.last_dispatch_s = float("-inf")
         # Adapters that were used last, newest at the end.
         self.adapters: dict[ids.AdapterName, None] = {}
@@ -199,6 +200,7 @@
         self.records: dict[ids.ServerId, ServerRecord] = {}
         self.pools: dict[PoolKey, Pool] = {}
         self.prefixes = prefixes.PrefixIndex()
+        self.steps: dict[ids.ModelName, steps.StepModel] = {}
         self.peers: dict[ids.VmId, PeerSummary] = {}
         self.returns: list[tuple[float, ids.ServerId]] = []
 
@@ -278,8 +280,18 @@
             return
         if record.report is None or record.report.taken_at_s < report.taken_at_s:
             record.observe_sharing(report)
+            if report.running:
+                model = self.step_model(record.view.model)
+                record.slowness.observe(model, report.running, report.step_s)
         record.report = report
 
+    def step_model(self, model: ids.ModelName) -> steps.StepModel:
+        """Return what is learned of a model's steps."""
+        found = self.steps.get(model)
+        if found is None:
+            found = self.steps[model] = steps.StepModel()
+        return found
+
     def observe_cache_event(
         self, server_id: ids.ServerId, event: reports.CacheEvent
     ) -> None:
