--- a/src/quetzalpass/routing/dispatch.py
+++ b/src/quetzalpass/routing/dispatch.py
@@ -24,7 +24,8 @@
 log = logbook.Logger("routing")
 
 # Requests of different organisations that are tried when the first can't be placed.
-HEADS_TRIED = 4
+HEADS_TRIED = 6
+REGRET_ALLOWED_S = 0.1
 RESUMED_PLACE = 1
 REFRESH_TOKENS = 32
 # What computing a prompt token costs, in generated tokens.
@@ -116,6 +117,13 @@
     return min(place, RESUMED_PLACE) if item.generated_tokens else place
 
 
+def accepts(queued: queues.QueuedWork, choice: work.Choice, now_s: float) -> bool:
+    """Return whether a request takes a place, or waits for a better one."""
+    if queued.offered_s is None:
+        queued.offered_s = now_s
+    return choice.regret_s <= now_s - queued.offered_s + REGRET_ALLOWED_S
+
+
 class Dispatcher:
     """Queues requests and places them on servers.
 
@@ -290,7 +298,7 @@
         queue = next(queue for queue in lane.priorities.values() if queue.size)
         for queued in queue.heads(HEADS_TRIED):
             choice = self.policy.choose(queued.item, self.table, now_s)
-            if choice is None:
+            if choice is None or not accepts(queued, choice, now_s):
                 continue
             queue.take(queued)
             del self.queued[queued.item.request_id]
--- a/src/quetzalpass/routing/predictive.py
+++ b/src/quetzalpass/routing/predictive.py
@@ -51,12 +51,15 @@
         Largest predicted part of the memory that is in use, at any horizon.
     matched_tokens : int
         Prompt tokens that its cache is expected to hold.
+    room : bool
+        Whether the request may be placed there now.
     """
 
     record: servers.ServerRecord
     cost_s: float
     occupancy: float
     matched_tokens: int
+    room: bool
 
 
 class Predictive(policies.Policy):
@@ -86,11 +89,16 @@
         life = self.estimator.table(item.model, item.class_name)
         demand = flights.predict(item, item.generated_tokens, 0.0, life)
         best: Offer | None = None
+        least_s = math.inf
         for record in self.candidates(item, table):
             offer = self.offer(item, demand, record, table, now_s)
-            if offer is not None and (best is None or offer.cost_s < best.cost_s):
+            if record.slowness.factor <= SLOW_FACTOR:
+                least_s = min(least_s, offer.cost_s)
+            if offer.room and (best is None or offer.cost_s < best.cost_s):
                 best = offer
-        return None if best is None else self.explain(best, now_s)
+        if best is None:
+            return None
+        return self.explain(best, max(0.0, best.cost_s - least_s), now_s)
 
     def candidates(
         self, item: work.WorkItem, table: servers.ServerTable
@@ -128,25 +136,23 @@
         record: servers.ServerRecord,
         table: servers.ServerTable,
         now_s: float,
-    ) -> Offer | None:
-        """Return what a server offers, or ``None`` when it has no room."""
+    ) -> Offer:
+        """Return what a server offers, also when it has no room now."""
         share = record.health.share(now_s)
-        if record.sequences >= record.view.batch_limit * share:
-            return None
-        if record.sequences and not self.in_time(record, table):
-            return None
         blocks = table.prefixes.matched_blocks(record.server_id, item.prefix_hashes)
         trust = table.prefixes.confidence(record.server_id)
         matched = int(trust * blocks * record.view.block_tokens)
         occupancy = self.occupancy(demand, matched, record)
-        if record.sequences and occupancy > self.room(item) * share:
-            return None
+        room = record.sequences < record.view.batch_limit * share
+        if record.sequences:
+            room = room and occupancy <= self.room(item) * share
+            room = room and self.in_time(record, table)
         prompt = item.prompt_tokens + item.generated_tokens - matched
         cost_s = PREFILL_TOKEN_S * prompt * (1 + self.disturbance * record.sequences)
         cost_s += OCCUPANCY_S * occupancy * occupancy
         if item.adapter is not None and not record.has_adapter(item.adapter):
             cost_s += ADAPTER_LOAD_S
-        return Offer(record, cost_s, occupancy, matched)
+        return Offer(record, cost_s, occupancy, matched, room)
 
     def in_time(self, record: servers.ServerRecord, table: servers.ServerTable) -> bool:
         """Return whether one more sequence keeps the step within the target."""
@@ -180,7 +186,7 @@
             worst = max(worst, mean + RISK_DEVIATIONS * math.sqrt(max(0.0, variance)))
         return worst / record.view.memory_tokens
 
-    def explain(self, offer: Offer, now_s: float) -> work.Choice:
+    def explain(self, offer: Offer, regret_s: float, now_s: float) -> work.Choice:
         """Return the choice of an offer with its figures in words."""
         record = offer.record
         return work.Choice(
@@ -190,6 +196,7 @@
             f"{offer.matched_tokens} prompt tokens cached",
             offer.cost_s,
             offer.matched_tokens,
+            regret_s,
             record.report_age_s(now_s),
         )
 
--- a/src/quetzalpass/routing/queues.py
+++ b/src/quetzalpass/routing/queues.py
@@ -23,6 +23,8 @@
         self.cost = cost
         self.queued_s = queued_s
         self.removed = False
+        # When it was first offered a place, which it may have declined.
+        self.offered_s: float | None = None
 
 
 class OrganisationQueue:
