--- a/src/quetzalpass/routing/predictive.py
+++ b/src/quetzalpass/routing/predictive.py
@@ -20,7 +20,7 @@
 )
 
 # Standard deviations of the predicted memory that must fit beside its mean.
-RISK_DEVIATIONS = 1.0
+RISK_DEVIATIONS = 0.7
 # Part of the memory that work of a priority may fill, so that more urgent work finds
 # room at once. Priorities beyond the last get the last.
 ROOM_BY_PRIORITY = (1.0, 0.95, 0.9)
