--- a/src/quetzalpass/routing/dispatch.py
+++ b/src/quetzalpass/routing/dispatch.py
@@ -24,7 +24,9 @@
 log = logbook.Logger("routing")
 
 # Requests of different organisations that are tried when the first can't be placed.
-HEADS_TRIED = 4
+HEADS_TRIED = 6
+REGRET_ALLOWED_S = 0.1
+RESUMED_PLACE = 1
 REFRESH_TOKENS = 32
 # What computing a prompt token costs, in generated tokens.
 PREFILL_COST = 0.1
@@ -109,6 +111,19 @@
         return max(SHORTEST_RETRY_MS, min(LONGEST_RETRY_MS, wait_ms))
 
 
+def queue_priority(item: work.WorkItem) -> int:
+    """Return the place in the queue: resumed streams stall, so only 0 goes first."""
+    place = 2 * item.priority
+    return min(place, RESUMED_PLACE) if item.generated_tokens else place
+
+
+def accepts(queued: queues.QueuedWork, choice: work.Choice, now_s: float) -> bool:
+    """Return whether a request takes a place, or waits for a better one."""
+    if queued.offered_s is None:
+        queued.offered_s = now_s
+    return choice.regret_s <= now_s - queued.offered_s + REGRET_ALLOWED_S
+
+
 class Dispatcher:
     """Queues requests and places them on servers.
 
@@ -162,7 +177,7 @@
         cost = estimate + PREFILL_COST * item.prompt_tokens
         queued = queues.QueuedWork(item, cost, now_s)
         self.queued[item.request_id] = queued
-        lane.queue(item.priority).push(queued)
+        lane.queue(queue_priority(item)).push(queued)
         deadline_s = item.deadline_s
         if deadline_s is None:
             deadline_s = now_s + self.rules.longest_wait_s
@@ -235,7 +250,7 @@
     def unqueue(self, queued: queues.QueuedWork) -> None:
         """Take a request out of its queue."""
         del self.queued[queued.item.request_id]
-        self.lane(queued.item).queue(queued.item.priority).remove(queued)
+        self.lane(queued.item).queue(queue_priority(queued.item)).remove(queued)
 
     def cancel(self, request_id: ids.RequestId) -> bool:
         """Drop a request that waits; return False if it doesn't wait."""
@@ -283,7 +298,7 @@
         queue = next(queue for queue in lane.priorities.values() if queue.size)
         for queued in queue.heads(HEADS_TRIED):
             choice = self.policy.choose(queued.item, self.table, now_s)
-            if choice is None:
+            if choice is None or not accepts(queued, choice, now_s):
                 continue
             queue.take(queued)
             del self.queued[queued.item.request_id]
@@ -299,7 +314,9 @@
         record = self.table.records[choice.server_id]
         prefill = item.prompt_tokens + item.generated_tokens - choice.matched_tokens
         table = self.table_of(item)
-        demand = flights.predict(item, item.generated_tokens, prefill, table)
+        demand = flights.predict(
+            item, item.generated_tokens, prefill, table, choice.matched_tokens
+        )
         flight = flights.Flight(item, choice, now_s, demand)
         table.enter(flight.bucket, flight.bucket)
         self.flights[item.request_id] = flight
@@ -326,7 +343,8 @@
         if bucket > flight.bucket:
             table.enter(flight.bucket + 1, bucket)
             flight.bucket = bucket
-        demand = flights.predict(flight.item, flight.generated, 0.0, table)
+        shared = flight.choice.matched_tokens
+        demand = flights.predict(flight.item, flight.generated, 0.0, table, shared)
         self.replace_demand(flight, demand)
         flight.next_refresh = flight.generated + REFRESH_TOKENS
 
--- a/src/quetzalpass/routing/servers.py
+++ b/src/quetzalpass/routing/servers.py
@@ -8,12 +8,16 @@
 import msgspec
 
 from quetzalpass import ids
-from quetzalpass.routing import ejection, flights, prefixes, reports
+from quetzalpass.routing import ejection, flights, prefixes, reports, steps
 
 log = logbook.Logger("routing")
 
 # A peer's summary older than this no longer counts; the load reports remain.
 PEER_SUMMARY_EXPIRY_S = 3.0
+SHARING_WEIGHT = 0.05
+SHARING_LEAST, SHARING_MOST = 0.5, 1.3
+# A nearly empty engine says little about sharing.
+SHARING_LEAST_PART = 0.2
 
 
 class ServerState(enum.Enum):
@@ -114,6 +118,10 @@
         self.peers = flights.no_demand()
         self.health = ejection.Health()
         self.suspects = 0
+        # Part of the predicted tokens that the engine really holds; below 1 where
+        # requests share cached prefixes.
+        self.sharing = 1.0
+        self.slowness = steps.Slowness()
         self.last_dispatch_s = float("-inf")
         # Adapters that were used last, newest at the end.
         self.adapters: dict[ids.AdapterName, None] = {}
@@ -134,6 +142,21 @@
             return None
         return now_s - self.report.taken_at_s
 
+    def observe_sharing(self, report: reports.LoadReport) -> None:
+        """Learn how much less memory is held than the requests' tokens add up to."""
+        predicted = self.own.mean[0] + self.peers.mean[0]
+        if predicted < SHARING_LEAST_PART * self.view.memory_tokens:
+            return
+        held = report.held_blocks * report.block_tokens
+        ratio = max(SHARING_LEAST, min(SHARING_MOST, held / predicted))
+        self.sharing += SHARING_WEIGHT * (ratio - self.sharing)
+
+    def has_adapter(self, adapter: ids.AdapterName) -> bool:
+        """Return whether an adapter is loaded, by the report or an own dispatch."""
+        if adapter in self.adapters:
+            return True
+        return self.report is not None and adapter in self.report.adapters
+
     def note_adapter(self, adapter: ids.AdapterName | None) -> None:
         """Note that an adapter is used; the least recently used one is unloaded."""
         if adapter is None:
@@ -177,6 +200,7 @@
         self.records: dict[ids.ServerId, ServerRecord] = {}
         self.pools: dict[PoolKey, Pool] = {}
         self.prefixes = prefixes.PrefixIndex()
+        self.steps: dict[ids.ModelName, steps.StepModel] = {}
         self.peers: dict[ids.VmId, PeerSummary] = {}
         self.returns: list[tuple[float, ids.ServerId]] = []
 
@@ -254,8 +278,20 @@
             return
         if record.report and record.report.taken_at_s > report.taken_at_s:
             return
+        if record.report is None or record.report.taken_at_s < report.taken_at_s:
+            record.observe_sharing(report)
+            if report.running:
+                model = self.step_model(record.view.model)
+                record.slowness.observe(model, report.running, report.step_s)
         record.report = report
 
+    def step_model(self, model: ids.ModelName) -> steps.StepModel:
+        """Return what is learned of a model's steps."""
+        found = self.steps.get(model)
+        if found is None:
+            found = self.steps[model] = steps.StepModel()
+        return found
+
     def observe_cache_event(
         self, server_id: ids.ServerId, event: reports.CacheEvent
     ) -> None:
