--- /dev/null
+++ b/src/quetzalpass/storage/frames.py
@@ -0,0 +1,119 @@
+"""Frames with checksums, the unit of writing in segments and snapshots."""
+
+import struct
+
+import crc32c
+import msgspec
+
+MAGIC = b"QZPF"
+HEADER = struct.Struct("<4sIII")
+RECORD = struct.Struct("<QI")
+OFFSET = struct.Struct("<Q")
+MAX_FRAME_BYTES = 1 << 30
+
+
+class Record(msgspec.Struct, frozen=True):
+    """One record of a log.
+
+    Attributes
+    ----------
+    key : int
+        Position that decides when the record may be dropped; 0 for no position.
+    data : bytes
+        Content, which this package doesn't look into.
+    """
+
+    key: int
+    data: bytes
+
+
+class Scan(msgspec.Struct, frozen=True):
+    """What a reader found in one file.
+
+    Attributes
+    ----------
+    payloads : list of bytes
+        Payloads of the valid frames from the start.
+    valid_end : int
+        Offset in bytes behind the last of them.
+    valid_frame_after : int or None
+        Offset of a valid frame behind the first invalid one, if there is any.
+    """
+
+    payloads: list[bytes]
+    valid_end: int
+    valid_frame_after: int | None
+
+
+def encode_frame(payload: bytes, offset: int) -> bytes:
+    """Return a frame for a payload that is written at an offset in bytes.
+
+    The checksum of the header covers the offset, so that bytes of a frame which
+    land elsewhere are not taken for one.
+    """
+    payload_crc = crc32c.crc32c(payload)
+    header_crc = checksum_of_header(len(payload), payload_crc, offset)
+    return HEADER.pack(MAGIC, len(payload), payload_crc, header_crc) + payload
+
+
+def checksum_of_header(length: int, payload_crc: int, offset: int) -> int:
+    """Return the checksum of a header at an offset in bytes."""
+    covered = HEADER.pack(MAGIC, length, payload_crc, 0) + OFFSET.pack(offset)
+    return crc32c.crc32c(covered)
+
+
+def decode_frame(content: bytes, offset: int) -> bytes | None:
+    """Return the payload of the frame at an offset, or None if it is invalid."""
+    if offset + HEADER.size > len(content):
+        return None
+    magic, length, payload_crc, header_crc = HEADER.unpack_from(content, offset)
+    if magic != MAGIC or length > MAX_FRAME_BYTES:
+        return None
+    if header_crc != checksum_of_header(length, payload_crc, offset):
+        return None
+    start = offset + HEADER.size
+    payload = content[start : start + length]
+    if len(payload) != length or crc32c.crc32c(payload) != payload_crc:
+        return None
+    return payload
+
+
+def scan(content: bytes, start: int) -> Scan:
+    """Read the frames of a file from an offset in bytes up to the first invalid one."""
+    payloads = []
+    offset = start
+    while (payload := decode_frame(content, offset)) is not None:
+        payloads.append(payload)
+        offset += HEADER.size + len(payload)
+    return Scan(payloads, offset, find_valid_frame(content, offset + 1))
+
+
+def find_valid_frame(content: bytes, start: int) -> int | None:
+    """Return the offset of the first valid frame at or behind an offset in bytes."""
+    offset = content.find(MAGIC, start)
+    while offset >= 0:
+        if decode_frame(content, offset) is not None:
+            return offset
+        offset = content.find(MAGIC, offset + 1)
+    return None
+
+
+def encode_records(records: list[Record]) -> bytes:
+    """Return the payload that holds a batch of records."""
+    parts = []
+    for record in records:
+        parts.append(RECORD.pack(record.key, len(record.data)))
+        parts.append(record.data)
+    return b"".join(parts)
+
+
+def decode_records(payload: bytes) -> list[Record]:
+    """Return the batch of records that a payload holds."""
+    records = []
+    offset = 0
+    while offset < len(payload):
+        key, length = RECORD.unpack_from(payload, offset)
+        offset += RECORD.size
+        records.append(Record(key, payload[offset : offset + length]))
+        offset += length
+    return records
--- /dev/null
+++ b/src/quetzalpass/storage/segments.py
@@ -0,0 +1,190 @@
+"""Append-only log in segment files, with group commit."""
+
+import asyncio
+from collections import abc
+
+import logbook
+from returns import result
+
+from quetzalpass.results import codes, failures
+from quetzalpass.storage import disk as disks
+from quetzalpass.storage import frames, recovery
+
+SEGMENT_BYTES = 8 * 1024 * 1024
+
+log = logbook.Logger("storage")
+
+
+class SegmentLog:
+    """Log of records whose commits share one write and one sync.
+
+    At most one frame is ever written and not yet synced, so that a reader can tell
+    the torn end of a crash from damage.
+
+    Parameters
+    ----------
+    disk : Disk
+        Folder for this log alone.
+    head : callable
+        Returns the record that starts each new segment, so that older segments can
+        be dropped without losing it.
+    segment_bytes : int
+        Size from which on a new segment is started.
+    """
+
+    def __init__(
+        self,
+        disk: disks.Disk,
+        head: abc.Callable[[], frames.Record],
+        segment_bytes: int = SEGMENT_BYTES,
+    ) -> None:
+        self.disk = disk
+        self.head = head
+        self.segment_bytes = segment_bytes
+        self.segments: list[recovery.Segment] = []
+        self.pending: list[frames.Record] = []
+        self.appended_count = 0
+        self.synced_count = 0
+        self.failure: failures.Failure | None = None
+        self.flush_task: asyncio.Task | None = None
+
+    async def open(self) -> result.Result[list[frames.Record], failures.Failure]:
+        """Read the log and make it ready for appending.
+
+        Returns
+        -------
+        returns.result.Result
+            All records in the order of writing; ``STORAGE_DAMAGED`` with file and
+            offset where anything but a torn end is found; ``STORAGE_FAILED`` where
+            the disk fails.
+        """
+        try:
+            found = recovery.read_segments(self.disk)
+            if isinstance(found, result.Failure):
+                return found
+            recovered = found.unwrap()
+            await self.repair(recovered)
+            self.segments = recovered.segments
+            if not self.segments:
+                await self.start_segment()
+        except OSError as error:
+            return result.Failure(self.fail("open", error))
+        return result.Success(recovered.records)
+
+    async def repair(self, recovered: recovery.Recovered) -> None:
+        """Cut a torn end, and write the unproven part of the last segment again.
+
+        After a failed sync the system may hold pages in memory that never reached the
+        disk, and reports success for the next sync. Only a new write makes it true.
+        """
+        for name in recovered.torn_segments:
+            log.warning("storage: removed segment {}, torn at creation.", name)
+            self.disk.remove(name)
+            await self.disk.sync_folder()
+        if not recovered.segments:
+            return
+        last = recovered.segments[-1]
+        if recovered.torn_bytes:
+            text = "storage: cut {} torn bytes of {} at offset {}."
+            log.warning(text, recovered.torn_bytes, last.name, last.size)
+            self.disk.truncate(last.name, last.size)
+        if recovered.torn_bytes or recovered.synced_end < last.size:
+            tail = self.disk.read(last.name)[recovered.synced_end :]
+            self.disk.overwrite(last.name, recovered.synced_end, tail)
+            await self.disk.sync(last.name)
+            await self.disk.sync_folder()
+            recovery.note_synced(self.disk, last)
+
+    def append(self, key: int, data: bytes) -> None:
+        """Queue a record; it is durable once a later ``commit`` succeeds.
+
+        Parameters
+        ----------
+        key : int
+            Position for ``drop_through``; 0 where the record has none.
+        data : bytes
+            Content.
+        """
+        self.pending.append(frames.Record(key, data))
+        self.appended_count += 1
+
+    async def commit(self) -> result.Result[None, failures.Failure]:
+        """Wait until all records queued so far are durable.
+
+        Returns
+        -------
+        returns.result.Result
+            ``STORAGE_FAILED`` once a write or sync has failed, for good: what the
+            disk holds is then unknown, and a repeated sync would hide it.
+        """
+        target = self.appended_count
+        while self.failure is None and self.synced_count < target:
+            if self.flush_task is None or self.flush_task.done():
+                self.flush_task = asyncio.create_task(self.flush())
+            await asyncio.shield(self.flush_task)
+        if self.failure is not None:
+            return result.Failure(self.failure)
+        return result.Success(None)
+
+    async def flush(self) -> None:
+        """Write all queued records as one frame and sync it."""
+        records, self.pending = self.pending, []
+        count = self.appended_count
+        try:
+            if self.segments[-1].size >= self.segment_bytes:
+                await self.start_segment()
+            await self.write_batch(records)
+        except OSError as error:
+            self.fail("write", error)
+            return
+        self.synced_count = count
+
+    async def write_batch(self, records: list[frames.Record]) -> None:
+        """Write one frame to the last segment and sync it."""
+        segment = self.segments[-1]
+        frame = frames.encode_frame(frames.encode_records(records), segment.size)
+        self.disk.append(segment.name, frame)
+        await self.disk.sync(segment.name)
+        segment.size += len(frame)
+        segment.max_key = max([segment.max_key, *(record.key for record in records)])
+        recovery.note_synced(self.disk, segment)
+
+    async def start_segment(self) -> None:
+        """Create the next segment durably before anything is appended to it."""
+        sequence = self.segments[-1].sequence + 1 if self.segments else 1
+        payload = frames.encode_records([self.head()])
+        start = len(recovery.SEGMENT_MAGIC)
+        content = recovery.SEGMENT_MAGIC + frames.encode_frame(payload, start)
+        name = recovery.name_of(sequence)
+        await self.disk.write(name, content)
+        await self.disk.sync_folder()
+        segment = recovery.Segment(name, sequence, len(content), 0)
+        self.segments.append(segment)
+        recovery.note_synced(self.disk, segment)
+
+    def drop_through(self, key: int) -> None:
+        """Remove the leading segments whose keys are all at or below a key."""
+        try:
+            while len(self.segments) > 1 and self.segments[0].max_key <= key:
+                self.disk.remove(self.segments[0].name)
+                self.segments.pop(0)
+        except OSError as error:
+            self.fail("remove", error)
+
+    def fail(self, action: str, error: OSError) -> failures.Failure:
+        """Stop acknowledging for good and return the reason."""
+        message = f"The disk failed to {action}: {error}. Replace it, then restart."
+        if self.failure is None:
+            self.failure = failures.Failure(codes.Code.STORAGE_FAILED, message)
+            log.error("storage: stopped acknowledging. {}", message)
+        return self.failure
+
+    async def close(self) -> None:
+        """Wait for a write that is under way, and sync the note of what is synced."""
+        if self.flush_task is not None:
+            await asyncio.wait([self.flush_task])
+        if self.failure is None and self.segments:
+            try:
+                await self.disk.sync(recovery.SYNCED_NAME)
+            except OSError as error:
+                self.fail("sync", error)
--- /dev/null
+++ b/tests/fakes/disks.py
@@ -0,0 +1,136 @@
+"""A disk in memory that loses, tears and flips what was not synced."""
+
+import asyncio
+import random
+
+from quetzalpass.storage import disk
+
+
+class CrashError(Exception):
+    """The process died at this operation of the disk."""
+
+
+class Faults:
+    def __init__(self, crash_at=None, sync_s=0.001):
+        self.crash_at = crash_at
+        self.sync_s = sync_s
+        self.operation_count = 0
+        self.is_crashed = False
+        self.fails_sync = False
+        self.is_full = False
+
+    def step(self):
+        self.operation_count += 1
+        if self.operation_count == self.crash_at:
+            self.is_crashed = True
+        if self.is_crashed:
+            raise CrashError
+
+    def step_write(self):
+        self.step()
+        if self.is_full:
+            raise OSError(28, "No space left on device")
+
+
+class FakeFile:
+    def __init__(self, content=b""):
+        self.durable = content
+        self.current = content
+
+    def survivor(self, rng):
+        size = max(len(self.durable), len(self.current))
+        if self.current == self.durable or rng.random() < 0.3:
+            return FakeFile(self.durable)
+        if not self.current.startswith(self.durable):
+            return FakeFile(rng.choice([self.durable, self.current]))
+        content = bytearray(self.current[: rng.randint(len(self.durable), size)])
+        if len(content) > len(self.durable) and rng.random() < 0.5:
+            start = rng.randrange(len(self.durable), len(content))
+            content[start:] = bytes(len(content) - start)
+        return FakeFile(bytes(content))
+
+
+class FakeDisk(disk.Disk):
+    def __init__(self, faults=None):
+        self.faults = faults or Faults()
+        self.files = {}
+        self.durable_files = {}
+        self.folders = {}
+
+    def after_crash(self, rng, faults=None):
+        survivor = FakeDisk(faults)
+        files = rng.choice([self.files, self.durable_files])
+        survivor.files = {name: file.survivor(rng) for name, file in files.items()}
+        survivor.durable_files = dict(survivor.files)
+        for name, inner in self.folders.items():
+            survivor.folders[name] = inner.after_crash(rng, survivor.faults)
+        return survivor
+
+    def flip(self, name, offset):
+        content = bytearray(self.files[name].current)
+        content[offset] ^= 0x10
+        self.files[name] = FakeFile(bytes(content))
+        self.durable_files[name] = self.files[name]
+
+    def names(self):
+        return sorted(self.files)
+
+    def read(self, name):
+        return self.files[name].current
+
+    def append(self, name, data):
+        self.overwrite(name, len(self.file(name).current), data)
+
+    def overwrite(self, name, offset, data):
+        file = self.file(name)
+        self.faults.step_write()
+        before = file.current
+        file.current = before[:offset] + data + before[offset + len(data) :]
+        self.faults.step()
+
+    def truncate(self, name, size):
+        self.faults.step()
+        file = self.files[name]
+        file.current = file.current[:size]
+
+    def rename(self, name, new_name):
+        self.faults.step()
+        self.files[new_name] = self.files.pop(name)
+
+    def remove(self, name):
+        self.faults.step()
+        del self.files[name]
+
+    async def write(self, name, data):
+        self.files[name] = FakeFile()
+        self.append(name, data)
+        await self.sync(name)
+
+    async def sync(self, name):
+        self.faults.step()
+        file = self.files[name]
+        content = file.current
+        await asyncio.sleep(self.faults.sync_s)
+        if self.faults.fails_sync:
+            raise OSError(5, "Input/output error")
+        file.durable = content
+        self.faults.step()
+
+    async def sync_folder(self):
+        self.faults.step()
+        self.durable_files = dict(self.files)
+
+    def folder(self, name):
+        if name not in self.folders:
+            self.folders[name] = FakeDisk(self.faults)
+        return self.folders[name]
+
+    def close(self):
+        pass
+
+    def file(self, name):
+        return self.files.setdefault(name, FakeFile())
+
+
+def seeded(seed):
+    return random.Random(seed)
--- /dev/null
+++ b/tests/storage/test_segments.py
@@ -0,0 +1,116 @@
+import copy
+import random
+
+import pytest
+from returns import result
+
+from fakes import disks
+from quetzalpass.results import codes
+from quetzalpass.storage import frames, segments
+
+HEAD = frames.Record(0, b"head")
+
+
+def new_log(disk, segment_bytes=150):
+    return segments.SegmentLog(disk, lambda: HEAD, segment_bytes)
+
+
+async def records_of(disk):
+    outcome = await new_log(disk).open()
+    return [record.key for record in outcome.unwrap() if record.key]
+
+
+async def filled(count=6):
+    disk = disks.FakeDisk()
+    log = new_log(disk)
+    await log.open()
+    for key in range(1, count + 1):
+        log.append(key, b"content %d" % key)
+        (await log.commit()).unwrap()
+    return disk, log
+
+
+async def write_until_crash(disk, count):
+    acknowledged = 0
+    log = new_log(disk)
+    try:
+        await log.open()
+        for key in range(1, count + 1):
+            log.append(key, b"content %d" % key)
+            await log.commit()
+            acknowledged = key
+    except disks.CrashError:
+        pass
+    return acknowledged
+
+
+@pytest.mark.looptime
+class TestSegmentLog:
+    async def test_returns_all_records_after_a_restart(self):
+        disk, _ = await filled(9)
+        assert await records_of(disk) == list(range(1, 10))
+        assert len(disk.names()) > 3
+
+    async def test_commits_of_many_share_a_sync(self):
+        disk, log = await filled(0)
+        before = disk.faults.operation_count
+        for key in range(100):
+            log.append(key, b"x")
+        (await log.commit()).unwrap()
+        assert disk.faults.operation_count - before < 10
+
+    async def test_a_crash_at_any_boundary_keeps_what_was_acknowledged(self):
+        for crash_at in range(1, 90):
+            for seed in range(6):
+                disk = disks.FakeDisk(disks.Faults(crash_at))
+                acknowledged = await write_until_crash(disk, 8)
+                survivor = disk.after_crash(random.Random(seed))
+                keys = await records_of(survivor)
+                assert keys == list(range(1, len(keys) + 1)), (crash_at, seed)
+                assert len(keys) >= acknowledged, (crash_at, seed)
+        assert acknowledged == 8
+
+    async def test_goes_on_after_a_torn_end(self):
+        disk, log = await filled(3)
+        disk.append(log.segments[-1].name, b"QZPF torn")
+        reopened = new_log(disk)
+        await reopened.open()
+        reopened.append(4, b"next")
+        (await reopened.commit()).unwrap()
+        assert await records_of(disk) == [1, 2, 3, 4]
+
+    async def test_a_flipped_bit_anywhere_is_refused_with_file_and_offset(self):
+        disk, log = await filled(6)
+        for segment in log.segments:
+            for offset in range(segment.size):
+                damaged = copy.deepcopy(disk)
+                damaged.flip(segment.name, offset)
+                failure = (await new_log(damaged).open()).failure()
+                assert failure.code is codes.Code.STORAGE_DAMAGED
+                assert segment.name in failure.message
+                assert "offset" in failure.message
+
+    async def test_a_missing_segment_is_refused(self):
+        for position in (1, -1):
+            disk, log = await filled(6)
+            disk.remove(log.segments[position].name)
+            failure = (await new_log(disk).open()).failure()
+            assert failure.code is codes.Code.STORAGE_DAMAGED
+
+    @pytest.mark.parametrize("fault", ["fails_sync", "is_full"])
+    async def test_a_failed_disk_is_never_acknowledged_again(self, fault):
+        disk, log = await filled(2)
+        setattr(disk.faults, fault, True)
+        log.append(3, b"lost")
+        assert isinstance(await log.commit(), result.Failure)
+        setattr(disk.faults, fault, False)
+        log.append(4, b"later")
+        failure = (await log.commit()).failure()
+        assert failure.code is codes.Code.STORAGE_FAILED
+
+    async def test_drops_only_segments_below_the_key(self):
+        disk, log = await filled(9)
+        log.drop_through(5)
+        keys = await records_of(disk)
+        assert keys[0] > 1
+        assert set(range(6, 10)) <= set(keys)
