Wire: typed messages over HTTP with a pool for each peer

Cause: consensus, declaration spread and ledger calls need one inner protocol. Change: Request and Reply structs as JSON, handler table by message type, HTTP server part for the daemon's application, transport base class and its aiohttp client. A silent pool is retired and a fresh connection tried once. Conclusion: the daemon can mount PeerServer; new messages add a handler.

--- /dev/null
+++ b/tests/wire/test_http.py
@@ -0,0 +1,117 @@
+import asyncio
+import contextlib
+
+import aiohttp
+import pytest
+from aiohttp import web
+from returns import result
+
+from quetzalpass import ids
+from quetzalpass.results import codes
+from quetzalpass.wire import handlers, messages, server, transport
+
+PEER = ids.VmId("peer")
+
+
+class EchoReply(messages.Reply, frozen=True):
+    data: bytes
+
+
+class EchoRequest(messages.Request, frozen=True):
+    reply_type = EchoReply
+    data: bytes
+
+
+class Proxy:
+    """Relays connections and can fall silent on those that are open."""
+
+    def __init__(self, port):
+        self.port = port
+        self.connection_count = 0
+        self.silent_count = 0
+
+    def silence_open_connections(self):
+        self.silent_count = self.connection_count
+
+    async def relay(self, number, reader, writer):
+        while data := await reader.read(65536):
+            if number <= self.silent_count:
+                await asyncio.Event().wait()
+            writer.write(data)
+        writer.close()
+
+    async def connect(self, reader, writer):
+        self.connection_count += 1
+        number = self.connection_count
+        upstream = await asyncio.open_connection("127.0.0.1", self.port)
+        await asyncio.gather(
+            self.relay(number, reader, upstream[1]),
+            self.relay(number, upstream[0], writer),
+        )
+
+
+async def echo(request):
+    return result.Success(EchoReply(request.data))
+
+
+@contextlib.asynccontextmanager
+async def served(cluster_key="secret"):
+    table = handlers.HandlerTable()
+    table.add(EchoRequest, echo)
+    application = server.new_application()
+    server.PeerServer(table, "secret").add_routes(application)
+    runner = web.AppRunner(application)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    port = runner.addresses[0][1]
+    client = transport.HttpTransport({PEER: f"http://127.0.0.1:{port}"}, cluster_key)
+    yield client, port
+    await client.close()
+    await runner.cleanup()
+
+
+@pytest.mark.looptime
+class TestHttpTransport:
+    async def test_carries_bytes_there_and_back(self):
+        async with served() as (client, _):
+            reply = (await client.call(PEER, EchoRequest(b"\x00\xff"))).unwrap()
+            assert reply.data == b"\x00\xff"
+
+    async def test_a_wrong_key_is_refused(self):
+        async with served("wrong") as (client, _):
+            failure = (await client.call(PEER, EchoRequest(b""))).failure()
+            assert failure.code is codes.Code.UNKNOWN_KEY
+
+    async def test_a_message_above_the_limit_is_refused(self):
+        async with served() as (client, _):
+            huge = EchoRequest(bytes(messages.MAX_MESSAGE_BYTES))
+            failure = (await client.call(PEER, huge)).failure()
+            assert failure.code is codes.Code.BODY_TOO_LARGE
+
+    async def test_bad_json_and_unknown_names_are_refused(self):
+        async with served() as (client, port):
+            url = f"http://127.0.0.1:{port}{transport.PATH_PREFIX}"
+            async with aiohttp.ClientSession(headers=client.headers) as session:
+                for name, status in (("EchoRequest", 400), ("Nothing", 404)):
+                    async with session.post(url + name, data=b"{") as response:
+                        assert response.status == status
+
+    async def test_a_silent_connection_is_replaced_within_the_timeout(self):
+        async with served() as (client, port):
+            proxy = Proxy(port)
+            relay = await asyncio.start_server(proxy.connect, "127.0.0.1", 0)
+            address = relay.sockets[0].getsockname()
+            client.addresses[PEER] = f"http://127.0.0.1:{address[1]}"
+            (await client.call(PEER, EchoRequest(b"1"))).unwrap()
+            proxy.silence_open_connections()
+            started = asyncio.get_running_loop().time()
+            (await client.call(PEER, EchoRequest(b"2"), 30.0)).unwrap()
+            assert asyncio.get_running_loop().time() - started < 30.0
+            relay.close()
+
+    async def test_a_missing_peer_is_unreachable(self):
+        client = transport.HttpTransport({PEER: "http://127.0.0.1:9"}, "secret")
+        failure = (await client.call(PEER, EchoRequest(b""))).failure()
+        assert failure.code is codes.Code.UNREACHABLE
+        await client.close()
