--- /dev/null
+++ b/src/quetzalpass/consensus/log.py
@@ -0,0 +1,283 @@
+"""The log of one replica: entries in memory, records and snapshots on its disk."""
+
+import logbook
+import msgspec
+from returns import result
+
+from quetzalpass import ids
+from quetzalpass.consensus import entries, sessions
+from quetzalpass.results import codes, failures
+from quetzalpass.storage import disk as disks
+from quetzalpass.storage import frames, segments, snapshots
+
+SEGMENT_BYTES = 4 * 1024 * 1024
+TRAILING_ENTRIES = 256
+
+log = logbook.Logger("consensus")
+
+
+class GroupSnapshot(msgspec.Struct, frozen=True):
+    """State of a group up to one position of its log.
+
+    Attributes
+    ----------
+    index : ids.LogIndex
+        The position.
+    term : ids.Term
+        Term of the entry there.
+    configuration : entries.Configuration
+        Members as of that position.
+    sessions : list of sessions.SessionState
+        Outcomes for resends.
+    machine : bytes
+        State of the state machine.
+    """
+
+    index: ids.LogIndex
+    term: ids.Term
+    configuration: entries.Configuration
+    sessions: list[sessions.SessionState]
+    machine: bytes
+
+
+class ReplicatedLog:
+    """The log of one replica.
+
+    Entries behind ``base_index`` are in memory; those up to it are in the snapshot.
+
+    Parameters
+    ----------
+    disk : disks.Disk
+        Folder of this replica.
+    """
+
+    def __init__(self, disk: disks.Disk) -> None:
+        self.entries: list[entries.Entry] = []
+        self.base_index = ids.LogIndex(0)
+        self.base_term = ids.Term(0)
+        self.snapshot_index = ids.LogIndex(0)
+        self.snapshot_data = b""
+        self.configurations: list[tuple[int, entries.Configuration]] = []
+        self.hard_state = entries.HardState()
+        self.segments = segments.SegmentLog(disk, self.head_record, SEGMENT_BYTES)
+        self.snapshots = snapshots.SnapshotStore(disk)
+
+    @property
+    def last_index(self) -> ids.LogIndex:
+        """Return the last position."""
+        return ids.LogIndex(self.base_index + len(self.entries))
+
+    @property
+    def last_term(self) -> ids.Term:
+        """Return the term of the last entry."""
+        return self.entries[-1].term if self.entries else self.base_term
+
+    @property
+    def configuration(self) -> entries.Configuration:
+        """Return the newest configuration, committed or not."""
+        if not self.configurations:
+            return entries.Configuration()
+        return self.configurations[-1][1]
+
+    @property
+    def configuration_index(self) -> int:
+        """Return the position of the newest configuration."""
+        return self.configurations[-1][0] if self.configurations else 0
+
+    @property
+    def is_blank(self) -> bool:
+        """Return whether this disk has neither entries nor ever voted."""
+        return self.last_index == 0 and self.hard_state == entries.HardState()
+
+    def configuration_at(self, index: int) -> entries.Configuration:
+        """Return the configuration that held at a position."""
+        found = entries.Configuration()
+        for position, configuration in self.configurations:
+            if position <= index:
+                found = configuration
+        return found
+
+    def term_at(self, index: int) -> ids.Term | None:
+        """Return the term of an entry, None where the log doesn't hold it."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self.entry_at(index).term
+        return None
+
+    def entry_at(self, index: int) -> entries.Entry:
+        """Return the entry at a position behind the base."""
+        return self.entries[index - self.base_index - 1]
+
+    def entries_from(
+        self, index: int, max_count: int, max_bytes: int
+    ) -> list[entries.Entry]:
+        """Return entries from a position on, at least one if there is any."""
+        found = []
+        size = 0
+        for entry in self.entries[index - self.base_index - 1 :][:max_count]:
+            size += len(entry.data)
+            if found and size > max_bytes:
+                break
+            found.append(entry)
+        return found
+
+    def first_index_of_term_at(self, index: int) -> int:
+        """Return the first position of the run of one term that ends at an index."""
+        term = self.term_at(index)
+        while index - 1 > self.base_index and self.term_at(index - 1) == term:
+            index -= 1
+        return index
+
+    def set_hard_state(
+        self, term: ids.Term, voted_for: ids.ReplicaId | None = None
+    ) -> None:
+        """Queue a new term and vote; durable once ``commit`` succeeds."""
+        self.hard_state = entries.HardState(term, voted_for)
+        self.segments.append(0, entries.encode_stored(self.hard_state))
+
+    def head_record(self) -> frames.Record:
+        """Return the record that starts each segment."""
+        return frames.Record(0, entries.encode_stored(self.hard_state))
+
+    def append(self, entry: entries.Entry) -> None:
+        """Queue an entry; one at an earlier position replaces all from there on."""
+        self.place(entry)
+        self.segments.append(entry.index, entries.encode_stored(entry))
+
+    def place(self, entry: entries.Entry) -> None:
+        """Put an entry in memory, in place of all from its position on."""
+        assert self.base_index < entry.index <= self.last_index + 1, "gap in the log"
+        if entry.index <= self.last_index:
+            del self.entries[entry.index - self.base_index - 1 :]
+            while self.configuration_index >= entry.index:
+                self.configurations.pop()
+        self.entries.append(entry)
+        if entry.kind is entries.EntryKind.CONFIGURATION:
+            configuration = entries.decode_configuration(entry.data)
+            self.configurations.append((entry.index, configuration))
+
+    async def commit(self) -> result.Result[None, failures.Failure]:
+        """Wait until all that was queued is durable."""
+        return await self.segments.commit()
+
+    async def open(self) -> result.Result[GroupSnapshot | None, failures.Failure]:
+        """Read the disk.
+
+        Returns
+        -------
+        returns.result.Result
+            The newest snapshot, or ``STORAGE_DAMAGED`` or ``STORAGE_FAILED``.
+        """
+        loaded = await self.snapshots.open()
+        if isinstance(loaded, result.Failure):
+            return loaded
+        records = await self.segments.open()
+        if isinstance(records, result.Failure):
+            return records
+        stored = loaded.unwrap()
+        snapshot = decode_snapshot(stored.data) if stored else None
+        self.replay(records.unwrap())
+        if snapshot is not None:
+            self.complete_base(snapshot)
+            matches = self.term_at(snapshot.index) == snapshot.term
+            self.adopt(snapshot, stored.data)
+            if not matches:
+                self.segments.append(
+                    snapshot.index, entries.encode_stored(entries.Reset(snapshot.index))
+                )
+        if self.base_index > self.snapshot_index:
+            message = (
+                f"The entries up to {self.base_index} are missing, and no snapshot "
+                f"holds them. Start with an empty folder."
+            )
+            return result.Failure(failures.Failure(codes.Code.STORAGE_DAMAGED, message))
+        committed = await self.commit()
+        if isinstance(committed, result.Failure):
+            return committed
+        return result.Success(snapshot)
+
+    def replay(self, records: list[frames.Record]) -> None:
+        """Put the records of the disk in memory in their order of writing."""
+        for record in records:
+            stored = entries.decode_stored(record.data)
+            if isinstance(stored, entries.HardState):
+                self.hard_state = stored
+            elif isinstance(stored, entries.Reset):
+                self.clear(stored.index, ids.Term(0))
+            else:
+                if not self.base_index < stored.index <= self.last_index + 1:
+                    self.clear(ids.LogIndex(stored.index - 1), ids.Term(0))
+                self.place(stored)
+
+    def complete_base(self, snapshot: GroupSnapshot) -> None:
+        """Find the term of the base, whose own entry is no longer on the disk."""
+        if self.base_term != 0:
+            return
+        if self.base_index == snapshot.index:
+            self.base_term = snapshot.term
+        elif self.base_index > 0 and self.entries:
+            self.base_index = self.entries[0].index
+            self.base_term = self.entries.pop(0).term
+
+    def clear(self, base_index: ids.LogIndex, base_term: ids.Term) -> None:
+        """Drop all entries from memory."""
+        self.entries = []
+        self.configurations = []
+        self.base_index = base_index
+        self.base_term = base_term
+
+    def adopt(self, snapshot: GroupSnapshot, data: bytes) -> None:
+        """Let a durable snapshot stand for all entries up to its position."""
+        if self.term_at(snapshot.index) != snapshot.term:
+            self.clear(snapshot.index, snapshot.term)
+        older = [item for item in self.configurations if item[0] > snapshot.index]
+        self.configurations = [(snapshot.index, snapshot.configuration), *older]
+        self.snapshot_index = snapshot.index
+        self.snapshot_data = data
+
+    async def install(
+        self, snapshot: GroupSnapshot, data: bytes
+    ) -> result.Result[None, failures.Failure]:
+        """Store a leader's snapshot and drop what it replaces."""
+        saved = await self.snapshots.save(snapshots.Snapshot(snapshot.index, data))
+        if isinstance(saved, result.Failure):
+            return saved
+        matches = self.term_at(snapshot.index) == snapshot.term
+        self.adopt(snapshot, data)
+        if not matches:
+            reset = entries.encode_stored(entries.Reset(snapshot.index))
+            self.segments.append(snapshot.index, reset)
+        return await self.commit()
+
+    async def compact(
+        self, snapshot: GroupSnapshot
+    ) -> result.Result[None, failures.Failure]:
+        """Store a snapshot of the replica's own and drop the entries before it.
+
+        Some are kept, so that a peer which is a little behind needs no snapshot.
+        """
+        data = encode_snapshot(snapshot)
+        saved = await self.snapshots.save(snapshots.Snapshot(snapshot.index, data))
+        if isinstance(saved, result.Failure):
+            return saved
+        self.adopt(snapshot, data)
+        base = ids.LogIndex(snapshot.index - TRAILING_ENTRIES)
+        if base > self.base_index:
+            base_term = self.term_at(base)
+            assert base_term is not None, "the log holds the entries it compacts"
+            del self.entries[: base - self.base_index]
+            self.base_index = base
+            self.base_term = base_term
+        self.segments.drop_through(snapshot.index)
+        return result.Success(None)
+
+
+def encode_snapshot(snapshot: GroupSnapshot) -> bytes:
+    """Return a snapshot as bytes for the disk and the peers."""
+    return msgspec.msgpack.encode(snapshot)
+
+
+def decode_snapshot(data: bytes) -> GroupSnapshot:
+    """Return the snapshot that bytes hold."""
+    return msgspec.msgpack.decode(data, type=GroupSnapshot)
--- /dev/null
+++ b/src/quetzalpass/consensus/peers.py
@@ -0,0 +1,172 @@
+"""A leader's task for one peer: entries, heartbeats and snapshot chunks."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import crc32c
+from returns import result
+
+from quetzalpass import ids
+from quetzalpass.consensus import entries, messages
+
+if TYPE_CHECKING:
+    from quetzalpass.consensus import leading
+
+MAX_APPEND_ENTRIES = 512
+MAX_APPEND_BYTES = 1024 * 1024
+SNAPSHOT_CHUNK_BYTES = 256 * 1024
+
+
+class Peer:
+    """What a leader knows of one other member, and the task that sends to it.
+
+    Parameters
+    ----------
+    leadership : leading.Leadership
+        The tenure this belongs to.
+    member : entries.Member
+        The other member.
+    """
+
+    def __init__(
+        self, leadership: "leading.Leadership", member: entries.Member
+    ) -> None:
+        self.leadership = leadership
+        self.replica = leadership.replica
+        self.member = member
+        self.next_index = leadership.replica.log.last_index
+        self.match_index = 0
+        self.acknowledged_at = 0.0
+        self.acknowledged_sequence = 0
+        self.has_work = asyncio.Event()
+        self.snapshot_index = 0
+        self.snapshot_offset = 0
+        self.snapshot_data = b""
+
+    def wake(self) -> None:
+        """Have the task send now rather than at the next heartbeat."""
+        self.has_work.set()
+
+    async def run(self) -> None:
+        """Send to the peer until the tenure ends."""
+        self.next_index = max(1, self.next_index)
+        while self.leadership.is_current:
+            self.has_work.clear()
+            is_progress = await self.send()
+            if not self.leadership.is_current:
+                return
+            if is_progress and self.is_behind():
+                continue
+            await self.pause(can_wake=is_progress)
+
+    async def pause(self, *, can_wake: bool) -> None:
+        """Wait for work, at most until the next heartbeat is due.
+
+        After a failed call new work wakes nobody, so that a dead peer costs one call
+        for each heartbeat interval.
+        """
+        interval_s = self.replica.settings.timing.heartbeat_interval_s
+        if not can_wake:
+            await asyncio.sleep(interval_s)
+            return
+        try:
+            async with asyncio.timeout(interval_s):
+                await self.has_work.wait()
+        except TimeoutError:
+            return
+
+    def is_behind(self) -> bool:
+        """Return whether there is more to send."""
+        return self.next_index <= self.replica.log.last_index
+
+    async def send(self) -> bool:
+        """Send once; return whether the peer answered as a follower."""
+        sequence = self.leadership.sequence
+        sent_at = self.replica.now()
+        if self.next_index <= self.replica.log.base_index:
+            is_following = await self.send_snapshot_chunk()
+        else:
+            is_following = await self.send_entries()
+        if not is_following or not self.leadership.is_current:
+            return False
+        self.acknowledged_at = max(self.acknowledged_at, sent_at)
+        self.acknowledged_sequence = max(self.acknowledged_sequence, sequence)
+        self.leadership.note_acknowledgement()
+        self.leadership.promote_if_caught_up(self)
+        return True
+
+    async def send_entries(self) -> bool:
+        """Send the entries that come next, or none as a heartbeat."""
+        replica = self.replica
+        previous = ids.LogIndex(self.next_index - 1)
+        previous_term = replica.log.term_at(previous)
+        assert previous_term is not None, "the log reaches back to what is sent"
+        request = messages.AppendRequest(
+            group=replica.settings.group,
+            term=self.leadership.term,
+            vm=replica.settings.vm,
+            replica=replica.replica_id,
+            target=self.member.replica,
+            previous_index=previous,
+            previous_term=previous_term,
+            commit_index=replica.commit_index,
+            entries=replica.log.entries_from(
+                self.next_index, MAX_APPEND_ENTRIES, MAX_APPEND_BYTES
+            ),
+        )
+        reply = await self.call(request)
+        if not isinstance(reply, messages.AppendReply):
+            return False
+        if reply.is_matching:
+            self.match_index = max(self.match_index, reply.match_index)
+            self.next_index = self.match_index + 1
+            self.leadership.advance()
+        else:
+            self.next_index = max(1, min(reply.next_index, previous))
+        return True
+
+    async def send_snapshot_chunk(self) -> bool:
+        """Send the next chunk of the newest snapshot."""
+        replica = self.replica
+        if self.snapshot_index == 0:
+            self.snapshot_index = replica.log.snapshot_index
+            self.snapshot_data = replica.log.snapshot_data
+            self.snapshot_offset = 0
+        start = self.snapshot_offset
+        request = messages.SnapshotRequest(
+            group=replica.settings.group,
+            term=self.leadership.term,
+            vm=replica.settings.vm,
+            replica=replica.replica_id,
+            target=self.member.replica,
+            index=ids.LogIndex(self.snapshot_index),
+            offset=start,
+            total_bytes=len(self.snapshot_data),
+            checksum=crc32c.crc32c(self.snapshot_data),
+            data=self.snapshot_data[start : start + SNAPSHOT_CHUNK_BYTES],
+        )
+        reply = await self.call(request)
+        if not isinstance(reply, messages.SnapshotReply):
+            return False
+        self.snapshot_offset = reply.next_offset
+        if reply.is_installed:
+            self.next_index = self.snapshot_index + 1
+            self.snapshot_index = 0
+            self.snapshot_data = b""
+        return True
+
+    async def call(
+        self, request: messages.AppendRequest | messages.SnapshotRequest
+    ) -> messages.AppendReply | messages.SnapshotReply | None:
+        """Send a message; return the answer unless this tenure is over by it."""
+        timeout_s = self.replica.settings.timing.call_timeout_s
+        outcome = await self.replica.transport.call(self.member.vm, request, timeout_s)
+        if isinstance(outcome, result.Failure) or not self.leadership.is_current:
+            return None
+        reply = outcome.unwrap()
+        if reply.term > self.leadership.term:
+            self.replica.step_down(reply.term)
+            return None
+        is_from_member = reply.replica == self.member.replica
+        is_current = reply.term == self.leadership.term
+        return reply if is_from_member and is_current else None
--- /dev/null
+++ b/src/quetzalpass/consensus/registry.py
@@ -0,0 +1,57 @@
+"""The consensus groups of one VM, reached by the inner protocol."""
+
+from collections import abc
+
+from returns import result
+
+from quetzalpass import ids
+from quetzalpass.consensus import group as groups
+from quetzalpass.consensus import messages
+from quetzalpass.results import codes, failures
+from quetzalpass.wire import handlers
+from quetzalpass.wire import messages as wire_messages
+
+
+class GroupRegistry:
+    """Hands the messages of peers to the group that they name.
+
+    Parameters
+    ----------
+    table : handlers.HandlerTable
+        Table of the VM's peer server.
+    """
+
+    def __init__(self, table: handlers.HandlerTable) -> None:
+        self.groups: dict[ids.GroupId, groups.Group] = {}
+        table.add(messages.VoteRequest, self.handler(groups.Group.answer_vote))
+        table.add(messages.AppendRequest, self.handler(groups.Group.answer_append))
+        table.add(messages.SnapshotRequest, self.handler(groups.Group.answer_snapshot))
+        table.add(messages.StatusRequest, self.handler(groups.Group.answer_status))
+
+    def add(self, group: groups.Group) -> groups.Group:
+        """Make a group reachable and return it."""
+        assert group.group_id not in self.groups, "one replica of a group on a VM"
+        self.groups[group.group_id] = group
+        return group
+
+    def remove(self, group_id: ids.GroupId) -> None:
+        """Make a group unreachable."""
+        del self.groups[group_id]
+
+    def handler(
+        self, method: abc.Callable[..., abc.Awaitable[wire_messages.Reply]]
+    ) -> handlers.Handler:
+        """Return a handler that calls a method of the group a message names."""
+
+        async def answer(request: wire_messages.Request) -> handlers.Outcome:
+            group = self.groups.get(request.group)
+            if group is None or not group.replica.is_running:
+                message = f"The group {request.group} doesn't run on this VM."
+                failure = failures.Failure(codes.Code.UNREACHABLE, message)
+                return result.Failure(failure)
+            reply = await method(group, request)
+            if group.replica.failure is not None:
+                return result.Failure(group.replica.failure)
+            return result.Success(reply)
+
+        return answer
--- /dev/null
+++ b/tests/fakes/clusters.py
@@ -0,0 +1,123 @@
+"""Replicas of one group in one process, with fake disks and a fake network."""
+
+import asyncio
+import random
+
+from returns import result
+
+from fakes import disks, transports
+from quetzalpass import ids
+from quetzalpass.consensus import entries, group, machine, registry
+
+GROUP = ids.GroupId("test")
+
+
+class ListMachine(machine.StateMachine):
+    def __init__(self):
+        self.items = []
+
+    def apply(self, index, command):
+        self.items.append(command)
+        return b"%d:%s" % (len(self.items), command)
+
+    def snapshot(self):
+        return b"\n".join(self.items)
+
+    def restore(self, data):
+        self.items = data.split(b"\n") if data else []
+
+
+class Cluster:
+    def __init__(self, count=3, seed=0, snapshot_every=4096):
+        self.seed = seed
+        self.snapshot_every = snapshot_every
+        self.network = transports.FakeNetwork(seed)
+        self.vms = [ids.VmId(f"vm-{number}") for number in range(1, count + 1)]
+        self.disks = {vm: disks.FakeDisk() for vm in self.vms}
+        self.groups = {}
+        self.start_count = 0
+
+    async def start(self, vm):
+        self.start_count += 1
+        table = self.network.table(vm)
+        self.groups[vm] = group.Group(
+            GROUP,
+            vm,
+            sorted({*self.vms, vm}),
+            self.disks[vm],
+            transports.FakeTransport(self.network, vm),
+            ListMachine(),
+            random.Random(f"{self.seed}-{self.start_count}"),
+            snapshot_every=self.snapshot_every,
+        )
+        registry.GroupRegistry(table).add(self.groups[vm])
+        return await self.groups[vm].start()
+
+    async def start_all(self):
+        for vm in self.vms:
+            (await self.start(vm)).unwrap()
+
+    async def crash(self, vm):
+        """Stop a replica; what its disk had not synced may be lost."""
+        replica = self.groups.pop(vm)
+        del self.network.tables[vm]
+        self.disks[vm].faults.is_crashed = True
+        await replica.stop()
+        rng = random.Random(f"{self.seed}-crash-{self.start_count}")
+        self.disks[vm] = self.disks[vm].after_crash(rng)
+
+    async def restart(self, vm):
+        await self.crash(vm)
+        (await self.start(vm)).unwrap()
+
+    async def wipe(self, vm):
+        await self.crash(vm)
+        self.disks[vm] = disks.FakeDisk()
+        (await self.start(vm)).unwrap()
+
+    async def stop(self):
+        for running in self.groups.values():
+            await running.stop()
+        for stray in list(self.network.strays):
+            stray.cancel()
+
+    def items(self, vm):
+        return self.groups[vm].replica.machine.items
+
+    def leaders(self):
+        return [vm for vm, item in self.groups.items() if item.leadership]
+
+    async def leader(self, excluded=(), timeout_s=20.0):
+        """Return a leader that has committed an entry of its term."""
+        async with asyncio.timeout(timeout_s):
+            while True:
+                for vm in self.leaders():
+                    tenure = self.groups[vm].leadership
+                    if vm not in excluded and tenure.is_established:
+                        return vm
+                await asyncio.sleep(0.05)
+
+    async def propose(self, command, operation=None, attempts=10, vm=None):
+        """Send a command to whoever leads until its outcome is known."""
+        operation = ids.OperationId(operation or command.decode())
+        for _ in range(attempts):
+            target = vm or await self.leader()
+            outcome = await self.groups[target].propose("client", operation, command)
+            if isinstance(outcome, result.Success):
+                return outcome.unwrap()
+            await asyncio.sleep(0.2)
+        raise TimeoutError(outcome.failure().message)
+
+    async def until(self, condition, timeout_s=30.0):
+        async with asyncio.timeout(timeout_s):
+            while not condition():
+                await asyncio.sleep(0.05)
+
+    def has_caught_up(self, vm, items):
+        configuration = self.groups[vm].members()
+        replica_id = self.groups[vm].replica.replica_id
+        return self.items(vm) == items and configuration.has_voter(replica_id)
+
+    def voters(self, vm):
+        configuration: entries.Configuration = self.groups[vm].members()
+        return sorted(member.vm for member in configuration.voters)
--- a/tests/fakes/transports.py
+++ b/tests/fakes/transports.py
@@ -5,6 +5,7 @@
 
 from returns import result
 
+from fakes import disks
 from quetzalpass.wire import handlers, messages, transport
 
 
@@ -44,7 +45,10 @@
         if target not in self.tables:
             return transport.unreachable(target, "it is down")
         name = type(message).__name__
-        outcome = await self.tables[target].answer(name, messages.encode(message))
+        try:
+            outcome = await self.tables[target].answer(name, messages.encode(message))
+        except disks.CrashError:
+            return transport.unreachable(target, "it crashed")
         await self.travel(target, source)
         if isinstance(outcome, result.Failure):
             return outcome
