Consensus: failure tests at disk, network and clock; no busy wait

Cause: the group's promises were not proven; an election wait below the clock's resolution was begun again for ever on the virtual clock. A wait below a millisecond counts as due.

--- a/src/quetzalpass/consensus/elections.py
+++ b/src/quetzalpass/consensus/elections.py
@@ -9,6 +9,9 @@
 from quetzalpass.consensus import entries, leading, messages
 from quetzalpass.consensus import replica as replicas
 
+# A wait below the clock's resolution ends at once and would be begun again.
+MIN_WAIT_S = 0.001
+
 log = logbook.Logger("consensus")
 
 
@@ -29,7 +32,7 @@
         replica = self.replica
         while replica.is_running:
             wait_s = replica.election_due_at - replica.now()
-            if wait_s > 0:
+            if wait_s > MIN_WAIT_S:
                 await asyncio.sleep(wait_s)
             elif replica.role is replicas.Role.LEADER or not replica.is_voter:
                 replica.reset_election()
--- a/tests/consensus/test_replication.py
+++ b/tests/consensus/test_replication.py
@@ -27,8 +27,7 @@
             await asyncio.gather(*[cluster.propose(item) for item in commands])
             items = cluster.items(await cluster.leader())
             assert sorted(items) == sorted(commands)
-            for vm in cluster.vms:
-                await cluster.until(lambda vm=vm: cluster.items(vm) == items)
+            await cluster.until_all_hold(items)
 
     async def test_a_follower_names_the_leader(self):
         async with running() as cluster:
--- a/tests/fakes/clusters.py
+++ b/tests/fakes/clusters.py
@@ -1,6 +1,7 @@
 """Replicas of one group in one process, with fake disks and a fake network."""
 
 import asyncio
+import contextlib
 import random
 
 from returns import result
@@ -62,7 +63,8 @@
         replica = self.groups.pop(vm)
         del self.network.tables[vm]
         self.disks[vm].faults.is_crashed = True
-        await replica.stop()
+        with contextlib.suppress(disks.CrashError):
+            await replica.stop()
         rng = random.Random(f"{self.seed}-crash-{self.start_count}")
         self.disks[vm] = self.disks[vm].after_crash(rng)
 
@@ -108,10 +110,17 @@
             await asyncio.sleep(0.2)
         raise TimeoutError(outcome.failure().message)
 
-    async def until(self, condition, timeout_s=30.0):
+    async def until(self, condition, timeout_s=30.0, step_s=0.05):
         async with asyncio.timeout(timeout_s):
             while not condition():
-                await asyncio.sleep(0.05)
+                await asyncio.sleep(step_s)
+
+    async def until_all_hold(self, items):
+        for vm in self.vms:
+            await self.until(lambda vm=vm: self.items(vm) == items)
+
+    async def until_caught_up(self, vm, items):
+        await self.until(lambda: self.has_caught_up(vm, items))
 
     def has_caught_up(self, vm, items):
         configuration = self.groups[vm].members()
