--- /dev/null
+++ b/src/quetzalpass/cli/main.py
@@ -0,0 +1,105 @@
+"""Entry point of the operators' command-line tool."""
+
+import sys
+
+import defopt
+
+from quetzalpass.cli import (
+    benchmarks,
+    connection,
+    declared,
+    exits,
+    generating,
+    members,
+    offline,
+    tools,
+    vms,
+    watching,
+)
+
+ADDRESS_OPTIONS = ("--operators", "--gateways")
+
+
+def commands() -> dict:
+    """Return the functions behind the subcommands, by name."""
+    return {
+        "check": offline.check,
+        "diff": offline.diff,
+        "apply": declared.apply,
+        "get": declared.get,
+        "status": declared.status,
+        "watch": watching.watch,
+        "vm": {"drain": vms.drain, "undrain": vms.undrain, "out": vms.out},
+        "members": {
+            "list": members.list_members,
+            "add": members.add,
+            "remove": members.remove,
+        },
+        "generate": generating.generate,
+        "storage": {"verify": tools.verify},
+        "explain": tools.explain,
+        "bench": benchmarks.bench,
+    }
+
+
+def join_addresses(argv: list[str]) -> list[str]:
+    """Return the arguments with all addresses of an option in one option.
+
+    An option with addresses may be repeated or followed by several of them. argparse
+    keeps only the last of repeated options, and a list option would swallow the
+    positional arguments behind it.
+    """
+    kept: list[str] = []
+    urls: dict[str, list[str]] = {option: [] for option in ADDRESS_OPTIONS}
+    collecting: list[str] | None = None
+    for argument in argv:
+        option, equals, value = argument.partition("=")
+        if option in urls:
+            collecting = urls[option]
+            collecting += [value] if equals else []
+        elif collecting is not None and "://" in argument:
+            collecting.append(argument)
+        else:
+            collecting = None
+            kept.append(argument)
+    joined = [f"{option}={','.join(found)}" for option, found in urls.items() if found]
+    return [*kept, *joined]
+
+
+def run(argv: list[str]) -> int:
+    """Run one command and return its exit code.
+
+    Parameters
+    ----------
+    argv : list of str
+        Arguments after the program's name.
+
+    Raises
+    ------
+    SystemExit
+        For ``--help`` and for wrong usage, with code 2.
+    """
+    return defopt.run(
+        commands(),
+        argv=join_addresses(argv),
+        parsers={connection.Endpoints: connection.parse_endpoints},
+        no_negated_flags=True,
+        short={},
+        argparse_kwargs={"prog": "quetzalpass", "allow_abbrev": False},
+    )
+
+
+def main() -> None:
+    """Run the command that the process's arguments give and exit with its code."""
+    try:
+        code = run(sys.argv[1:])
+    except KeyboardInterrupt:
+        code = exits.Exit.INTERRUPTED
+    except BrokenPipeError:
+        sys.stderr.close()
+        code = exits.Exit.FAILED
+    sys.exit(int(code))
+
+
+if __name__ == "__main__":
+    main()
