Consensus: tests of single rules by messages made by hand

Cause: leaving out the sync of a vote, the term check of log matching, or the rule on entries of older terms failed no scenario. Change: tests/consensus/test_rules.py plays the other replicas.

--- /dev/null
+++ b/tests/consensus/test_rules.py
@@ -0,0 +1,159 @@
+import asyncio
+
+import pytest
+
+from fakes import clusters
+from quetzalpass.consensus import entries, messages
+
+GRACE_S = 0.7
+
+
+def entry(index, term):
+    return entries.Entry(index, term, entries.EntryKind.COMMAND, "s", f"{index}-{term}")
+
+
+async def lone(seed=0):
+    """Start one replica of three; the test plays the two others."""
+    cluster = clusters.Cluster(3, seed)
+    (await cluster.start("vm-1")).unwrap()
+    await asyncio.sleep(GRACE_S)
+    return cluster
+
+
+async def append(cluster, term, previous, previous_term, added, commit=0):
+    group = cluster.groups["vm-1"]
+    request = messages.AppendRequest(
+        clusters.GROUP,
+        term,
+        "vm-2",
+        "two",
+        group.replica.replica_id,
+        previous,
+        previous_term,
+        commit,
+        added,
+    )
+    return await group.answer_append(request)
+
+
+async def ask_vote(cluster, candidate, term, last=(0, 0), *, is_pre_vote=False):
+    group = cluster.groups["vm-1"]
+    request = messages.VoteRequest(
+        clusters.GROUP,
+        term,
+        "vm-2",
+        candidate,
+        group.replica.replica_id,
+        last[1],
+        last[0],
+        is_pre_vote,
+    )
+    return (await group.answer_vote(request)).is_granted
+
+
+@pytest.mark.looptime
+class TestVotes:
+    async def test_one_vote_in_a_term_also_after_a_crash(self):
+        for seed in range(10):
+            cluster = await lone(seed)
+            assert await ask_vote(cluster, "two", 5)
+            await cluster.restart("vm-1")
+            await asyncio.sleep(GRACE_S)
+            assert not await ask_vote(cluster, "three", 5)
+            assert await ask_vote(cluster, "two", 5)
+            assert await ask_vote(cluster, "three", 6)
+            await cluster.stop()
+
+    async def test_a_pre_vote_promises_nothing(self):
+        cluster = await lone()
+        assert await ask_vote(cluster, "two", 5, is_pre_vote=True)
+        assert cluster.groups["vm-1"].term == 0
+        assert await ask_vote(cluster, "three", 5)
+        await cluster.stop()
+
+    async def test_none_for_a_log_that_is_behind(self):
+        cluster = await lone()
+        await append(cluster, 3, 0, 0, [entry(1, 1), entry(2, 3)])
+        await asyncio.sleep(GRACE_S)
+        assert not await ask_vote(cluster, "three", 9, (3, 1))
+        assert not await ask_vote(cluster, "three", 9, (2, 7))
+        assert await ask_vote(cluster, "three", 9, (3, 2))
+        await cluster.stop()
+
+    async def test_none_for_another_disk_at_this_address(self):
+        cluster = await lone()
+        await cluster.wipe("vm-1")
+        await asyncio.sleep(GRACE_S)
+        old = messages.VoteRequest(
+            clusters.GROUP, 5, "vm-2", "two", "former disk", 0, 0, False
+        )
+        assert not (await cluster.groups["vm-1"].answer_vote(old)).is_granted
+        await cluster.stop()
+
+
+@pytest.mark.looptime
+class TestLogMatching:
+    async def test_entries_need_the_same_term_before_them(self):
+        cluster = await lone()
+        reply = await append(cluster, 3, 0, 0, [entry(1, 1), entry(2, 2), entry(3, 2)])
+        assert reply.match_index == 3
+        reply = await append(cluster, 4, 3, 4, [entry(4, 4)], commit=4)
+        assert not reply.is_matching
+        # The whole run of the term that doesn't match is skipped.
+        assert reply.next_index == 2
+        assert cluster.groups["vm-1"].replica.commit_index == 0
+        reply = await append(cluster, 4, 1, 1, [entry(2, 4), entry(3, 4)])
+        assert reply.match_index == 3
+        await cluster.stop()
+
+    async def test_a_gap_is_refused(self):
+        cluster = await lone()
+        reply = await append(cluster, 3, 7, 3, [entry(8, 3)])
+        assert (reply.is_matching, reply.next_index) == (False, 1)
+        await cluster.stop()
+
+    async def test_a_late_message_cuts_nothing_and_claims_nothing(self):
+        cluster = await lone()
+        added = [entry(index, 3) for index in range(1, 6)]
+        await append(cluster, 3, 0, 0, added)
+        reply = await append(cluster, 3, 0, 0, added[:2], commit=5)
+        assert reply.match_index == 2
+        held = cluster.groups["vm-1"].replica
+        assert held.log.last_index == 5
+        assert held.commit_index == 2
+        await cluster.stop()
+
+    async def test_a_former_leader_is_refused(self):
+        cluster = await lone()
+        await append(cluster, 4, 0, 0, [entry(1, 4)])
+        reply = await append(cluster, 3, 0, 0, [entry(1, 3)])
+        assert (reply.is_matching, reply.term) == (False, 4)
+        assert cluster.groups["vm-1"].replica.log.last_term == 4
+        await cluster.stop()
+
+    async def test_acknowledged_entries_survive_a_crash(self):
+        for seed in range(10):
+            cluster = await lone(seed)
+            await append(cluster, 3, 0, 0, [entry(1, 1), entry(2, 2), entry(3, 2)])
+            await append(cluster, 4, 1, 1, [entry(2, 4)])
+            await cluster.restart("vm-1")
+            held = cluster.groups["vm-1"].replica
+            assert held.term == 4
+            assert [item.term for item in held.log.entries] == [1, 4]
+            await cluster.stop()
+
+
+@pytest.mark.looptime
+class TestCommit:
+    async def test_entries_of_older_terms_count_only_through_one_of_this_term(self):
+        cluster = clusters.Cluster()
+        await cluster.start_all()
+        tenure = cluster.groups[await cluster.leader()].leadership
+        tenure.replica.commit_index = 1
+        tenure.first_index = tenure.replica.log.last_index + 1
+        tenure.advance()
+        assert tenure.replica.commit_index == 1
+        tenure.first_index = tenure.replica.log.last_index
+        tenure.advance()
+        assert tenure.replica.commit_index == tenure.first_index
+        await cluster.stop()
