--- a/src/quetzalpass/callers/completions.py
+++ b/src/quetzalpass/callers/completions.py
@@ -224,7 +224,7 @@
                 return
             ended = forwarded.unwrap() is base.Forwarded.ENDED
             if not ended and not await sink.wait_until_read(limits.slow_caller_s):
-                LOG.warn("callers: Caller of {} reads too slowly.", self.request_id)
+                LOG.warning("callers: Caller of {} reads too slowly.", self.request_id)
                 sink.cut()
                 await generation.cancel()
                 return
@@ -247,6 +247,7 @@
         self, response: web.StreamResponse, failure: failures.Failure
     ) -> None:
         """Tell the caller inside the stream why it ends without its end mark."""
-        LOG.warn("callers: Request {} failed: {}.", self.request_id, failure.message)
+        LOG.warning("callers: Request {} failed: {}.", self.request_id, failure.message)
+        self.request[errors.FAILED_KEY] = failure.code
         await response.write(encoding.failure_event(errors.error_answer(failure)))
         await response.write_eof()
--- a/src/quetzalpass/cli/output.py
+++ b/src/quetzalpass/cli/output.py
@@ -9,6 +9,8 @@
 from quetzalpass.control import messages
 from quetzalpass.results import codes, failures
 
+WHITE_SPACE = "\n\t"
+
 
 def show(value: msgspec.Struct, lines: Iterable[str], as_json: bool) -> None:
     """Print a value as one JSON object, or its lines of text."""
@@ -25,7 +27,7 @@
     if as_json:
         reply = messages.ErrorReply(
             code=failure.code.value,
-            name=failure.code.name,
+            name=failure.code.name.lower(),
             message=failure.message,
             advice=advice,
             retry_after_ms=failure.retry_after_ms,
@@ -33,16 +35,16 @@
         print(msgspec.json.encode(reply).decode(), flush=True)
     else:
         number = failure.code.value
-        name = failure.code.name
+        name = failure.code.name.lower()
         print(f"{number} {name}: {printable(failure.message)}", file=sys.stderr)
         print(advice, file=sys.stderr)
     return exits.exit_of(failure.code)
 
 
 def printable(text: str) -> str:
-    """Return a text with its control characters escaped, except line ends."""
+    """Return a text with its control characters escaped, except white space."""
     return "".join(
-        char if char.isprintable() or char == "\n" else repr(char)[1:-1]
+        char if char.isprintable() or char in WHITE_SPACE else repr(char)[1:-1]
         for char in text
     )
 
--- a/src/quetzalpass/daemon/operators.py
+++ b/src/quetzalpass/daemon/operators.py
@@ -10,7 +10,8 @@
 from quetzalpass import ids
 from quetzalpass.control import declared_state, messages
 from quetzalpass.daemon import groups, keys, peers
-from quetzalpass.declarations import schema
+from quetzalpass.declarations import checks, schema
+from quetzalpass.documents import problems
 from quetzalpass.results import codes, failures
 
 if TYPE_CHECKING:
@@ -18,6 +19,7 @@
 
 MAX_BODY_BYTES = 64_000_000
 STATUS_TIMEOUT_S = 2.0
+MAX_LISTED_PROBLEMS = 20
 
 
 class OperatorsInterface:
@@ -35,6 +37,7 @@
         app.router.add_post("/v1/declaration", self.handle_apply)
         app.router.add_get("/v1/declaration", self.handle_get)
         app.router.add_get("/status", self.handle_status)
+        app.router.add_get("/v1/explanations/{id}", self.handle_explanation)
         return app
 
     async def handle_health(self, request: web.Request) -> web.Response:
@@ -50,6 +53,9 @@
             return error_response(
                 failures.Failure(codes.Code.DECLARATION_INVALID, f"{error}")
             )
+        errors = checks.errors_among(checks.check_declaration(order.declaration))
+        if errors:
+            return error_response(invalid_failure(errors))
         command = declared_state.ApplyCommand(
             order.base_revision, schema.encode(order.declaration), order.author
         )
@@ -97,6 +103,29 @@
         )
         return peers.json_answer(reply)
 
+    async def handle_explanation(self, request: web.Request) -> web.Response:
+        """Answer why this gateway placed a request where it is."""
+        request_id = ids.RequestId(request.match_info["id"])
+        found = self.daemon.gateway.slots.explain(request_id)
+        if found is None:
+            return error_response(
+                failures.Failure(
+                    codes.Code.NOT_FOUND, "this VM has not placed that request lately"
+                )
+            )
+        now_s = asyncio.get_running_loop().time()
+        return peers.json_answer(
+            messages.ExplanationReply(
+                request_id=request_id,
+                vm=self.daemon.settings.id,
+                server=found.choice.server_id,
+                reason=found.choice.reason,
+                waited_s=found.waited_s,
+                age_s=now_s - found.decided_at_s,
+                report_age_s=found.choice.report_age_s,
+            )
+        )
+
     async def status_of_peer(
         self, vm: ids.VmId, data_centre: ids.DataCentreId
     ) -> messages.VmStatus:
@@ -106,6 +135,14 @@
         return answer.value_or(unknown) or unknown
 
 
+def invalid_failure(errors: tuple[problems.Problem, ...]) -> failures.Failure:
+    """Return the failure that lists what is wrong with a declaration."""
+    listed = "; ".join(each.text() for each in errors[:MAX_LISTED_PROBLEMS])
+    return failures.Failure(
+        codes.Code.DECLARATION_INVALID, f"{len(errors)} errors: {listed}"
+    )
+
+
 def conflict_failure(
     base: ids.Revision, outcome: declared_state.ApplyOutcome
 ) -> failures.Failure:
