Number every answer, bound connections and phases, close listeners without cuts

Cause: answers that aiohttp made by itself had no result code; a slow header, a silent caller or too many connections were not bounded; a caller's path could resolve to a route that may not run twice without a claim; certificates were read once. Limits has four new fields.

--- a/src/quetzalpass/callers/app.py
+++ b/src/quetzalpass/callers/app.py
@@ -15,6 +15,8 @@
 
 LOG = logbook.Logger("callers")
 
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
 STATUS_NOT_ALLOWED = 405
 
@@ -40,13 +42,18 @@
         """Return the aiohttp application of the callers' listener."""
         app = web.Application(client_max_size=self.gateway.limits.body_bytes)
         app.middlewares.append(self.number_unknown_paths)
+        app.on_response_prepare.append(self.number_answer)
         router = app.router
         router.add_get("/healthz", self.handle_health)
         router.add_get("/readyz", self.handle_ready)
-        router.add_post("/v1/completions", self.handle_completion)
-        router.add_post("/v1/chat/completions", self.handle_chat)
-        router.add_get("/v1/models", self.handle_models)
-        router.add_route("*", "/services/{service}/{path:.*}", self.handle_service)
+        routes = (
+            ("POST", "/v1/completions", self.handle_completion),
+            ("POST", "/v1/chat/completions", self.handle_chat),
+            ("GET", "/v1/models", self.handle_models),
+            ("*", "/services/{service}/{path:.*}", self.handle_service),
+        )
+        for method, path, handler in routes:
+            router.add_route(method, path, handler, expect_handler=self.handle_expect)
         return app
 
     @web.middleware
@@ -64,6 +71,39 @@
                 failure = failures.Failure(codes.Code.BAD_REQUEST, error.reason)
             return errors.error_response(failure, request_id)
 
+    async def number_answer(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Give an answer that has no result code the one of its status."""
+        if errors.RESULT_HEADER in response.headers:
+            return
+        code = codes.Code.OK
+        if response.status >= STATUS_BAD_REQUEST:
+            code = codes.Code.BAD_REQUEST
+        response.headers[errors.RESULT_HEADER] = str(code.value)
+        response.headers[errors.REQUEST_ID_HEADER] = self.gateway.new_request_id()
+
+    async def handle_expect(self, request: web.Request) -> web.Response | None:
+        """Ask for the body of a request that waits for it, or refuse it at once."""
+        request_id = self.gateway.new_request_id()
+        failure = self.gateway.refusal()
+        if request.headers["Expect"].lower() != "100-continue":
+            failure = failures.Failure(
+                codes.Code.BAD_HEADER, "Expect must be 100-continue"
+            )
+        limit = self.gateway.limits.body_bytes
+        if (request.content_length or 0) > limit:
+            failure = failures.Failure(
+                codes.Code.BODY_TOO_LARGE, f"the body is larger than {limit} bytes"
+            )
+        if failure is not None:
+            response = errors.error_response(failure, request_id)
+            response.force_close()
+            return response
+        assert request.transport is not None
+        request.transport.write(CONTINUE)
+        return None
+
     async def handle_health(self, request: web.Request) -> web.Response:
         """Answer that the process is alive."""
         return web.Response(text="ok\n")
@@ -160,10 +200,13 @@
         assert at is not None
         self.gateway.requests += 1
         try:
+            headers.check_repeats(request)
+            # Before the body is read: it may be large, and its sender unknown.
+            headers.read_organisation(request, at)
             body = await self.read_body(request)
             response = await answer(request, request_id, body, at)
             self.count_result(request, response)
-            return response
+            return await self.send(request, response)
         except failures.FailureError as error:
             return errors.error_response(error.failure, request_id)
         except (ConnectionError, asyncio.CancelledError):
@@ -175,6 +218,23 @@
         finally:
             self.gateway.requests -= 1
 
+    async def send(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> web.StreamResponse:
+        """Send an answer that is not a stream, to a caller that reads in time.
+
+        The request counts as under way until then, so that a drain waits for it.
+        """
+        try:
+            async with asyncio.timeout(self.gateway.limits.slow_caller_s):
+                await response.prepare(request)
+                await response.write_eof()
+        except TimeoutError:
+            LOG.warning("callers: Cut a caller that does not read its answer.")
+            if request.transport is not None:
+                request.transport.abort()
+        return response
+
     def count_result(self, request: web.Request, response: web.StreamResponse) -> None:
         """Count the result code of an answer for its organisation and class."""
         caller = request.get(headers.CALLER_KEY)
@@ -198,6 +258,10 @@
         limits = self.gateway.limits
         try:
             async with asyncio.timeout(limits.body_timeout_s):
+                if (request.content_length or 0) > limits.body_bytes:
+                    raise web.HTTPRequestEntityTooLarge(
+                        limits.body_bytes, request.content_length or 0
+                    )
                 return await request.read()
         except web.HTTPRequestEntityTooLarge:
             raise failures.FailureError(
--- a/src/quetzalpass/callers/completions.py
+++ b/src/quetzalpass/callers/completions.py
@@ -1,7 +1,6 @@
 """Handlers of the OpenAI-compatible completions interface."""
 
 import asyncio
-import math
 import time
 
 import logbook
@@ -178,8 +177,11 @@
         The first tokens are awaited before the headers go out, so that a request that
         fails before them still gets an error status.
         """
+        sink = streams.CallerSink(
+            self.request, generation, self.encoder, self.gateway.limits
+        )
         try:
-            first = await generation.next_batch()
+            first = await sink.wait_for_first()
             if isinstance(first, result.Failure):
                 return errors.error_response(first.failure(), self.request_id)
             response = web.StreamResponse(
@@ -190,56 +192,62 @@
                 }
             )
             await response.prepare(self.request)
-            await self.write_events(generation, response, first.unwrap())
+            # Only the first event goes through the response, which sends its headers.
+            await response.write(sink.first_event())
+            await self.write_events(generation, response, sink)
         except (asyncio.CancelledError, ConnectionError):
             LOG.info("callers: Caller of {} has gone.", self.request_id)
             generation.detach()
             raise
         return response
 
-    async def write_events(
-        self,
-        generation: generations.Generation,
-        response: web.StreamResponse,
-        first: base.TokenBatch,
-    ) -> None:
-        """Write the events of a generation until its end."""
+    def encoder(self, generation: generations.Generation) -> encoding.StreamEncoder:
+        """Return the encoder for tokens from the generation's present server."""
         assert generation.server_id is not None
-        encoder = encoding.StreamEncoder(
+        return encoding.StreamEncoder(
             self.shape,
             generation.id,
             generation.server_id,
             self.model_name,
             self.created,
         )
-        limits = self.gateway.limits
-        sink = streams.CallerSink(self.request, encoder, limits.slow_caller_bytes)
-        # Only the first event goes through the response, which sends its headers.
-        await response.write(sink.encode(first))
-        ended = first.ended
-        while not ended:
-            forwarded = await generation.forward(sink, math.inf)
+
+    async def write_events(
+        self,
+        generation: generations.Generation,
+        response: web.StreamResponse,
+        sink: streams.CallerSink,
+    ) -> None:
+        """Write the events of a generation until its end."""
+        while not sink.ended:
+            forwarded = await sink.forward()
             if isinstance(forwarded, result.Failure):
                 await self.write_failure(response, forwarded.failure())
                 return
-            ended = forwarded.unwrap() is base.Forwarded.ENDED
-            if not ended and not await sink.wait_until_read(limits.slow_caller_s):
-                LOG.warning("callers: Caller of {} reads too slowly.", self.request_id)
-                sink.cut()
-                await generation.cancel()
-                return
-        await self.write_end(generation, response, encoder)
+            if forwarded.unwrap() is base.Forwarded.PAUSED:
+                read = await sink.wait_until_read()
+                if not read:
+                    await self.cut(generation, sink)
+                    return
+        async with asyncio.timeout(self.gateway.limits.slow_caller_s):
+            await self.write_end(generation, response)
+
+    async def cut(
+        self, generation: generations.Generation, sink: streams.CallerSink
+    ) -> None:
+        """Close the connection of a caller that does not read."""
+        LOG.warning("callers: Caller of {} reads too slowly.", self.request_id)
+        self.request[errors.FAILED_KEY] = codes.Code.CALLER_TOO_SLOW
+        sink.cut()
+        await generation.cancel()
 
     async def write_end(
-        self,
-        generation: generations.Generation,
-        response: web.StreamResponse,
-        encoder: encoding.StreamEncoder,
+        self, generation: generations.Generation, response: web.StreamResponse
     ) -> None:
         """Write the token counts, if wanted, and the end mark."""
         tail = encoding.END_MARK
         if self.include_usage:
-            tail = encoder.usage(self.usage(generation)) + tail
+            tail = self.encoder(generation).usage(self.usage(generation)) + tail
         await response.write(tail)
         await response.write_eof()
 
--- /dev/null
+++ b/src/quetzalpass/callers/connections.py
@@ -0,0 +1,174 @@
+"""Connections of the callers' listener: caps, silent callers, numbered errors."""
+
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import logbook
+from aiohttp import http_exceptions, web, web_protocol
+
+from quetzalpass import ids
+from quetzalpass.callers import errors
+from quetzalpass.results import codes, failures
+from quetzalpass.settings import schema
+
+LOG = logbook.Logger("callers")
+
+KEEP_ALIVE_PROBES = 3
+MS_PER_S = 1000
+STATUS_SERVER_ERROR = 500
+
+
+class CallerConnection(web.RequestHandler):
+    """One caller's connection.
+
+    Parameters
+    ----------
+    limits : schema.Limits
+        Caps of this process.
+    new_request_id : callable
+        Gives the id of a request that could not be parsed.
+    """
+
+    def __init__(
+        self,
+        server: web.Server,
+        limits: schema.Limits,
+        new_request_id: Callable[[], ids.RequestId],
+        **options: Any,
+    ) -> None:
+        super().__init__(server, **options)
+        self.limits = limits
+        self.new_request_id = new_request_id
+
+    def connection_made(self, transport: Any) -> None:
+        """Note the connection, or close it if there are too many."""
+        super().connection_made(transport)
+        if len(self._manager.connections) > self.limits.connections:
+            LOG.warning(
+                "callers: Closed a connection above the limit of {}.",
+                self.limits.connections,
+            )
+            transport.abort()
+            return
+        watch_for_silence(transport, self.limits.silent_caller_s)
+        self._loop.call_later(self.limits.header_timeout_s, self.close_if_unused)
+
+    def close_if_unused(self) -> None:
+        """Close the connection unless its first request has arrived by now."""
+        if self._request_count == 0 and self.transport is not None:
+            LOG.info("callers: Closed a connection that sent no whole header.")
+            self.force_close()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = STATUS_SERVER_ERROR,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer a request that could not be parsed, or whose handler failed.
+
+        Nothing of the request or of the parser's message is echoed.
+        """
+        if request.writer.output_size > 0:
+            raise ConnectionError("the answer had begun before the error")
+        if status >= STATUS_SERVER_ERROR:
+            LOG.error("callers: A handler failed: {!r}.", exc)
+        failure = failure_of(status, exc, self.limits)
+        response = errors.error_response(failure, self.new_request_id())
+        response.force_close()
+        return response
+
+
+def failure_of(
+    status: int, error: BaseException | None, limits: schema.Limits
+) -> failures.Failure:
+    """Return the numbered failure of a request that could not be parsed."""
+    if status >= STATUS_SERVER_ERROR:
+        return failures.Failure(codes.Code.INTERNAL, "an internal error")
+    if isinstance(error, http_exceptions.LineTooLong):
+        return failures.Failure(
+            codes.Code.BAD_HEADER,
+            f"the request line is longer than {limits.line_bytes} bytes or a header "
+            f"than {limits.header_bytes}",
+        )
+    if isinstance(error, http_exceptions.InvalidHeader):
+        return failures.Failure(codes.Code.BAD_HEADER, "a header is malformed")
+    return failures.Failure(codes.Code.BAD_REQUEST, "the request is not valid HTTP/1.1")
+
+
+def watch_for_silence(transport: Any, silent_s: float) -> None:
+    """Let the kernel close a connection whose other end has gone without a word."""
+    connection = transport.get_extra_info("socket")
+    if connection is None:
+        return
+    idle_s = max(1, int(silent_s / 2))
+    interval_s = max(1, int(silent_s / 2 / KEEP_ALIVE_PROBES))
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, idle_s)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, interval_s)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+    connection.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(silent_s * MS_PER_S)
+    )
+
+
+class CallersServer(web.Server):
+    """Makes the connections of the callers' listener."""
+
+    def __init__(
+        self,
+        handler: Any,
+        *,
+        limits: schema.Limits,
+        new_request_id: Callable[[], ids.RequestId],
+        **options: Any,
+    ) -> None:
+        self.limits = limits
+        self.new_request_id = new_request_id
+        super().__init__(handler, **options)
+
+    def __call__(self) -> web_protocol.RequestHandler:
+        """Return the protocol of a new connection."""
+        return CallerConnection(
+            self, self.limits, self.new_request_id, loop=self._loop, **self._kwargs
+        )
+
+
+class CallersRunner(web.AppRunner):
+    """Runs the callers' application on connections of its own kind.
+
+    Parameters
+    ----------
+    app : web.Application
+        The callers' interface.
+    limits : schema.Limits
+        Caps of this process.
+    new_request_id : callable
+        Gives the id of a request that could not be parsed.
+    """
+
+    __slots__ = ("limits", "new_request_id")
+
+    def __init__(
+        self,
+        app: web.Application,
+        limits: schema.Limits,
+        new_request_id: Callable[[], ids.RequestId],
+        **options: Any,
+    ) -> None:
+        super().__init__(app, **options)
+        self.limits = limits
+        self.new_request_id = new_request_id
+
+    async def _make_server(self) -> web.Server:
+        plain = await super()._make_server()
+        return CallersServer(
+            plain.request_handler,
+            request_factory=plain.request_factory,
+            loop=plain._loop,
+            limits=self.limits,
+            new_request_id=self.new_request_id,
+            **plain._kwargs,
+        )
--- a/src/quetzalpass/callers/headers.py
+++ b/src/quetzalpass/callers/headers.py
@@ -19,7 +19,16 @@
 MAX_KEY_CHARACTERS = 200
 MS_PER_S = 1000
 KEY_CHARACTERS = frozenset(string.ascii_letters + string.digits + "-_.:/")
-EVENT_ID = re.compile(r"(gen-[0-9a-f]+-[0-9a-f]+)/([A-Za-z0-9._-]{1,100})/(\d{1,9})")
+EVENT_ID = re.compile(r"(gen-[0-9a-f]+-[0-9a-f]+)/([A-Za-z0-9._-]{1,100})/([0-9]{1,9})")
+SINGLE_HEADERS = (
+    "Authorization",
+    "Idempotency-Key",
+    "Last-Event-ID",
+    "Quetzalpass-Class",
+    "Quetzalpass-Delivery",
+    "Quetzalpass-Non-Idempotent",
+    "Quetzalpass-Timeout-Ms",
+)
 DEFAULT_CLASS = schema.PriorityClass(name=ids.ClassName("default"))
 
 
@@ -112,12 +121,26 @@
     return failures.FailureError(failures.Failure(code, message))
 
 
+def check_repeats(request: web.Request) -> None:
+    """Refuse a header of ours that comes twice: the copies may differ.
+
+    Raises
+    ------
+    failures.FailureError
+        If one does.
+    """
+    for name in SINGLE_HEADERS:
+        if len(request.headers.getall(name, ())) > 1:
+            raise refuse(codes.Code.BAD_HEADER, f"{name} is sent twice")
+
+
 def read_organisation(
     request: web.Request, at: configuration.Configuration
 ) -> schema.Organisation:
     """Return the organisation whose key the request carries."""
     scheme, _, key = request.headers.get("Authorization", "").partition(" ")
-    found = at.organisation_of_key(key.strip())
+    key = key.strip()
+    found = at.organisation_of_key(key) if key.isascii() else None
     if scheme.lower() != "bearer" or found is None:
         raise refuse(codes.Code.UNKNOWN_KEY, "the key is unknown or missing")
     return found
--- a/src/quetzalpass/callers/services.py
+++ b/src/quetzalpass/callers/services.py
@@ -1,5 +1,7 @@
 """Handler of calls to plain services."""
 
+from collections.abc import Mapping
+
 import msgspec
 from aiohttp import web
 from returns import result
@@ -16,6 +18,7 @@
 # Headers that are meant for this system, or that would reveal the caller's key.
 KEPT_HEADERS = frozenset({"authorization", "idempotency-key"})
 OWN_PREFIX = "quetzalpass-"
+FORBIDDEN = frozenset("%\\?#")
 
 
 async def answer_service_call(
@@ -37,7 +40,7 @@
         status=outcome.answer.status,
         body=outcome.answer.body,
         headers={
-            **outcome.answer.headers,
+            **answered_headers(outcome.answer.headers),
             errors.RESULT_HEADER: str(outcome.code.value),
             errors.REQUEST_ID_HEADER: request_id,
         },
@@ -64,6 +67,9 @@
             )
         )
     path = request.match_info["path"]
+    refused = refusal_of_path(path) or refusal_of_headers(request)
+    if refused is not None:
+        return result.Failure(refused)
     non_idempotent = caller.non_idempotent or is_non_idempotent(
         service, request.method, path
     )
@@ -96,6 +102,48 @@
     )
 
 
+def refusal_of_path(path: str) -> failures.Failure | None:
+    """Return why a decoded path is not passed on, or ``None``.
+
+    The path that is compared with the declared routes must be the one that the service
+    sees. A client library or a service that resolves ``..`` or a second encoding would
+    otherwise run a route that may not run twice without a claim.
+    """
+    segments = path.split("/")
+    strange = any(each in (".", "..") for each in segments) or "" in segments[:-1]
+    if strange or not path.isprintable() or not FORBIDDEN.isdisjoint(path):
+        return failures.Failure(
+            codes.Code.BAD_REQUEST,
+            "the path has empty or dotted segments, control characters, a percent "
+            "sign, or one of \\?# after decoding",
+        )
+    return None
+
+
+def refusal_of_headers(request: web.Request) -> failures.Failure | None:
+    """Return why the caller's headers are not passed on, or ``None``."""
+    for value in request.headers.values():
+        if not is_clean(value):
+            return failures.Failure(
+                codes.Code.BAD_HEADER, "a header has characters that are not printable"
+            )
+    return None
+
+
+def is_clean(value: str) -> bool:
+    """Return whether a header's value may be passed on."""
+    return value.replace("\t", " ").isprintable()
+
+
+def answered_headers(answered: Mapping[str, str]) -> dict[str, str]:
+    """Return the service's headers that the caller gets."""
+    return {
+        name: value
+        for name, value in answered.items()
+        if is_clean(value) and not name.lower().startswith(OWN_PREFIX)
+    }
+
+
 def is_non_idempotent(service: schema.Service, method: str, path: str) -> bool:
     """Return whether a route is declared as one that may not run twice."""
     return any(
--- a/src/quetzalpass/callers/streams.py
+++ b/src/quetzalpass/callers/streams.py
@@ -1,11 +1,20 @@
 """The caller's end of a stream."""
 
 import asyncio
+from collections.abc import Callable
 
 from aiohttp import web
+from returns import result
 
 from quetzalpass.backends import base
 from quetzalpass.callers import encoding
+from quetzalpass.lifecycle import generations
+from quetzalpass.results import failures
+from quetzalpass.settings import schema
+
+KEEP_ALIVE = b": keep-alive\n\n"
+
+EncoderFactory = Callable[[generations.Generation], encoding.StreamEncoder]
 
 
 class CallerSink(base.TokenSink):
@@ -14,36 +23,64 @@
     Parameters
     ----------
     request : web.Request
-        Request whose answer has been prepared.
-    encoder : encoding.StreamEncoder
-        Encoder of this answer.
-    max_buffer_bytes : int
-        Bytes held for the caller before the stream pauses.
+        The caller's request.
+    generation : generations.Generation
+        Where the tokens come from.
+    make_encoder : callable
+        Gives the encoder for tokens from the generation's present server.
+    limits : schema.Limits
+        Caps of this process.
+
+    Attributes
+    ----------
+    first : base.TokenBatch or None
+        Tokens that came before the headers of the answer went out.
+    ended : bool
+        Whether all tokens have been taken.
+    events : int
+        Events written.
     """
 
     def __init__(
         self,
         request: web.Request,
-        encoder: encoding.StreamEncoder,
-        max_buffer_bytes: int,
+        generation: generations.Generation,
+        make_encoder: EncoderFactory,
+        limits: schema.Limits,
     ) -> None:
-        assert request.transport is not None
-        request.transport.set_write_buffer_limits(high=max_buffer_bytes)
+        if request.transport is None:
+            raise ConnectionResetError("the caller has gone")
         self.transport = request.transport
+        self.transport.set_write_buffer_limits(high=limits.slow_caller_bytes)
         self.protocol = request.protocol
         self.writer = request.writer
-        self.encoder = encoder
+        self.generation = generation
+        self.make_encoder = make_encoder
+        self.limits = limits
+        self.encoder: encoding.StreamEncoder | None = None
+        self.server_id = generation.server_id
+        self.opened = False
+        self.first: base.TokenBatch | None = None
+        self.ended = False
+        self.events = 0
 
     def take(self, batch: base.TokenBatch) -> bool:
         """Write the tokens; return whether the caller keeps reading."""
+        if batch.ended:
+            self.ended = True
+        if not self.opened:
+            self.first = batch
+            return False
         if batch.texts and not self.write(self.encode(batch)):
             return False
+        # The public property is one more call per token.
         return not self.protocol._paused
 
     def encode(self, batch: base.TokenBatch) -> bytes:
-        """Return the event of a batch; empty if it has no tokens."""
-        if not batch.texts:
-            return b""
+        """Return the event of a batch, whose id names the server that sent it."""
+        if self.encoder is None or self.generation.server_id != self.server_id:
+            self.server_id = self.generation.server_id
+            self.encoder = self.make_encoder(self.generation)
         return self.encoder.tokens(batch.offset, batch.texts, batch.finish_reason)
 
     def write(self, event: bytes) -> bool:
@@ -54,10 +91,36 @@
         """
         if self.transport.is_closing():
             return False
+        self.events += 1
         self.transport.write(b"%x\r\n%b\r\n" % (len(event), event))
         return True
 
-    async def wait_until_read(self, timeout_s: float) -> bool:
+    async def wait_for_first(
+        self,
+    ) -> result.Result[base.Forwarded, failures.Failure]:
+        """Wait for the first tokens, or until the caller needs a sign of life."""
+        return await self.generation.forward(self, self.keep_alive_due_s())
+
+    def first_event(self) -> bytes:
+        """Return what follows the headers; from now on tokens are written at once."""
+        self.opened = True
+        if self.first is None or not self.first.texts:
+            return KEEP_ALIVE
+        return self.encode(self.first)
+
+    def keep_alive_due_s(self) -> float:
+        """Return the loop time at which the caller needs a sign of life."""
+        return asyncio.get_running_loop().time() + self.limits.caller_keep_alive_s
+
+    async def forward(self) -> result.Result[base.Forwarded, failures.Failure]:
+        """Write tokens as they arrive; write a comment if none came for long."""
+        events = self.events
+        forwarded = await self.generation.forward(self, self.keep_alive_due_s())
+        if forwarded == DUE and events == self.events:
+            self.write(KEEP_ALIVE)
+        return forwarded
+
+    async def wait_until_read(self) -> bool:
         """Wait until the caller has read; return whether it did in time.
 
         Raises
@@ -66,7 +129,7 @@
             If the caller has gone.
         """
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(self.limits.slow_caller_s):
                 await self.writer.drain()
         except TimeoutError:
             return False
@@ -77,3 +140,8 @@
     def cut(self) -> None:
         """Close the connection of a caller that does not read."""
         self.transport.abort()
+
+
+DUE: result.Result[base.Forwarded, failures.Failure] = result.Success(
+    base.Forwarded.DUE
+)
--- a/src/quetzalpass/daemon/process.py
+++ b/src/quetzalpass/daemon/process.py
@@ -2,15 +2,16 @@
 
 import asyncio
 import random
-import ssl
+from typing import Any
 
 import logbook
 from aiohttp import web
 
 from quetzalpass import ids
 from quetzalpass.callers import app as callers_app
+from quetzalpass.callers import connections
 from quetzalpass.control import declared_state, ledger, messages, proposers
-from quetzalpass.daemon import groups, keys, operators, peers
+from quetzalpass.daemon import groups, keys, listeners, operators, peers
 from quetzalpass.lifecycle import gateway as gateways
 from quetzalpass.lifecycle import ledger_client
 from quetzalpass.membership import (
@@ -44,7 +45,7 @@
     ----------
     groups : dict of GroupId to proposers.Proposer
         The replicated groups as this daemon reaches them.
-    runners : list of web.AppRunner
+    listeners : list of listeners.OpenListener
         The open listeners.
     """
 
@@ -55,7 +56,7 @@
         self.holder = configuration.ConfigurationHolder()
         self.groups: dict[ids.GroupId, proposers.Proposer] = {}
         self.clients: dict[ids.VmId, peer_client.PeerClient] = {}
-        self.runners: list[web.AppRunner] = []
+        self.listeners: list[listeners.OpenListener] = []
         self.declared = declared_state.DeclaredState()
 
     async def start(self) -> None:
@@ -71,10 +72,7 @@
         )
         await self.open_operators_listener()
         if schema.Role.GATEWAY in self.settings.roles:
-            await self.listen(
-                callers_app.CallersInterface(self.gateway).application(),
-                self.settings.callers,
-            )
+            await self.listen_to_callers()
         self.spread.start()
         self.fleet.start()
         self.summary_sender.start()
@@ -139,25 +137,36 @@
         await self.listen(operators.OperatorsInterface(self).application(key), listener)
 
     async def listen(self, app: web.Application, listener: schema.Listener) -> None:
-        """Open one listener."""
-        limits = self.settings.limits
-        runner = web.AppRunner(
-            app,
-            handler_cancellation=True,
-            access_log=None,
-            max_line_size=limits.line_bytes,
-            max_field_size=limits.header_bytes,
+        """Open one listener of peers or operators."""
+        await self.open_listener(web.AppRunner(app, **self.runner_options()), listener)
+
+    async def listen_to_callers(self) -> None:
+        """Open the callers' listener."""
+        runner = connections.CallersRunner(
+            callers_app.CallersInterface(self.gateway).application(),
+            self.settings.limits,
+            self.gateway.new_request_id,
+            **self.runner_options(),
         )
-        await runner.setup()
-        self.runners.append(runner)
-        context = None
-        if listener.tls is not None:
-            context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-            context.load_cert_chain(
-                listener.tls.certificate_file, listener.tls.key_file
-            )
-        site = web.TCPSite(runner, listener.host, listener.port, ssl_context=context)
-        await site.start()
+        await self.open_listener(runner, self.settings.callers)
+
+    def runner_options(self) -> dict[str, Any]:
+        """Return the options that all listeners share."""
+        limits = self.settings.limits
+        return {
+            "handler_cancellation": True,
+            "access_log": None,
+            "max_line_size": limits.line_bytes,
+            "max_field_size": limits.header_bytes,
+        }
+
+    async def open_listener(
+        self, runner: web.AppRunner, listener: schema.Listener
+    ) -> None:
+        """Open one listener and keep it until the daemon stops."""
+        opened = listeners.OpenListener(runner, listener)
+        self.listeners.append(opened)
+        await opened.start()
 
     def own_status(self) -> messages.VmStatus:
         """Return what this daemon reports of itself."""
@@ -199,8 +208,8 @@
         self.spread.stop()
         self.summary_sender.stop()
         self.fleet.stop()
-        for runner in reversed(self.runners):
-            await runner.cleanup()
+        for listener in reversed(self.listeners):
+            await listener.close(self.settings.limits.slow_caller_s)
         await self.gateway.close()
         self.metrics_sender.close()
         for client in self.clients.values():
--- a/src/quetzalpass/settings/schema.py
+++ b/src/quetzalpass/settings/schema.py
@@ -111,6 +111,14 @@
         Bytes held for a caller that does not read.
     slow_caller_s : float
         How long a caller may leave the buffer full before it is cut.
+    header_timeout_s : float
+        Longest time from a new connection to its first whole request header.
+    connections : int
+        Connections of callers at once on this VM.
+    caller_keep_alive_s : float
+        Silence towards the caller of a stream after which a comment is sent.
+    silent_caller_s : float
+        How long the other end of a caller's connection may give no sign of life.
     caller_grace_s : float
         How long a generation goes on after its caller has gone, so that the caller
         can come back at any gateway.
@@ -127,6 +135,10 @@
     silent_stream_s: float = 10.0
     slow_caller_bytes: int = 262_144
     slow_caller_s: float = 30.0
+    header_timeout_s: float = 20.0
+    connections: int = 10_000
+    caller_keep_alive_s: float = 15.0
+    silent_caller_s: float = 30.0
     caller_grace_s: float = 10.0
 
 
