Test the callers' interface: malformed requests, openai client, slow callers, TLS

Change: a body that ends early is answered although the caller has closed its sending half; idle connections close after 75 s; the kernel's send buffer of a caller is bounded; closing a listener twice is harmless; a key that is not UTF-8 is refused and no error. Each malformed kind gets its code and leaves a live daemon; fuzzed bytes end nothing; two certificates are swapped without cutting a stream.

--- a/src/quetzalpass/callers/completions.py
+++ b/src/quetzalpass/callers/completions.py
@@ -229,8 +229,11 @@
                 if not read:
                     await self.cut(generation, sink)
                     return
-        async with asyncio.timeout(self.gateway.limits.slow_caller_s):
-            await self.write_end(generation, response)
+        try:
+            async with asyncio.timeout(self.gateway.limits.slow_caller_s):
+                await self.write_end(generation, response)
+        except TimeoutError:
+            await self.cut(generation, sink)
 
     async def cut(
         self, generation: generations.Generation, sink: streams.CallerSink
--- a/src/quetzalpass/callers/connections.py
+++ b/src/quetzalpass/callers/connections.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import logbook
-from aiohttp import http_exceptions, web, web_protocol
+from aiohttp import http_exceptions, streams, web, web_protocol
 
 from quetzalpass import ids
 from quetzalpass.callers import errors
@@ -15,6 +15,7 @@
 LOG = logbook.Logger("callers")
 
 KEEP_ALIVE_PROBES = 3
+IDLE_CONNECTION_S = 75.0
 MS_PER_S = 1000
 STATUS_SERVER_ERROR = 500
 
@@ -28,6 +29,11 @@
         Caps of this process.
     new_request_id : callable
         Gives the id of a request that could not be parsed.
+
+    Attributes
+    ----------
+    latest_payload : aiohttp.StreamReader or None
+        Body of the newest request.
     """
 
     def __init__(
@@ -40,6 +46,7 @@
         super().__init__(server, **options)
         self.limits = limits
         self.new_request_id = new_request_id
+        self.latest_payload: streams.StreamReader | None = None
 
     def connection_made(self, transport: Any) -> None:
         """Note the connection, or close it if there are too many."""
@@ -52,6 +59,7 @@
             transport.abort()
             return
         watch_for_silence(transport, self.limits.silent_caller_s)
+        bound_send_buffer(transport, self.limits.slow_caller_bytes)
         self._loop.call_later(self.limits.header_timeout_s, self.close_if_unused)
 
     def close_if_unused(self) -> None:
@@ -60,6 +68,26 @@
             LOG.info("callers: Closed a connection that sent no whole header.")
             self.force_close()
 
+    def data_received(self, data: bytes) -> None:
+        """Take in bytes and remember which body is being received."""
+        super().data_received(data)
+        if self._messages:
+            self.latest_payload = self._messages[-1][1]
+
+    def eof_received(self) -> bool:
+        """Let a body that ended early be answered; else the caller has gone.
+
+        A caller that closes its sending half while it waits for an answer can't be
+        told from one that has gone, and counts as gone.
+        """
+        payload = self.latest_payload
+        if payload is None or payload.is_eof():
+            return False
+        payload.set_exception(web.RequestPayloadError("the body ended early"))
+        payload.feed_eof()
+        self.close()
+        return True
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -93,7 +121,9 @@
             f"the request line is longer than {limits.line_bytes} bytes or a header "
             f"than {limits.header_bytes}",
         )
-    if isinstance(error, http_exceptions.InvalidHeader):
+    # The parser's own errors differ only in their text.
+    in_header = "header" in str(error).lower()
+    if in_header or isinstance(error, http_exceptions.InvalidHeader):
         return failures.Failure(codes.Code.BAD_HEADER, "a header is malformed")
     return failures.Failure(codes.Code.BAD_REQUEST, "the request is not valid HTTP/1.1")
 
@@ -114,6 +144,13 @@
     )
 
 
+def bound_send_buffer(transport: Any, size_bytes: int) -> None:
+    """Keep the kernel from holding megabytes for a caller that does not read."""
+    connection = transport.get_extra_info("socket")
+    if connection is not None:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size_bytes)
+
+
 class CallersServer(web.Server):
     """Makes the connections of the callers' listener."""
 
@@ -158,6 +195,7 @@
         new_request_id: Callable[[], ids.RequestId],
         **options: Any,
     ) -> None:
+        options.setdefault("keepalive_timeout", IDLE_CONNECTION_S)
         super().__init__(app, **options)
         self.limits = limits
         self.new_request_id = new_request_id
--- a/src/quetzalpass/daemon/keys.py
+++ b/src/quetzalpass/daemon/keys.py
@@ -28,7 +28,7 @@
     async def check(request: web.Request, handler: Callable) -> web.StreamResponse:
         if request.path in OPEN_PATHS:
             return await handler(request)
-        sent = request.headers.get("Authorization", "").encode()
+        sent = request.headers.get("Authorization", "").encode(errors="surrogateescape")
         if not hmac.compare_digest(sent, f"Bearer {key}".encode()):
             return web.Response(status=STATUS_UNAUTHORISED, text="unknown key\n")
         return await handler(request)
--- a/src/quetzalpass/daemon/listeners.py
+++ b/src/quetzalpass/daemon/listeners.py
@@ -114,6 +114,7 @@
         self.runner = runner
         self.listener = listener
         self.site: web.TCPSite | None = None
+        self.opened_port = listener.port
         self.reloader: CertificateReloader | None = None
         self.reloading: asyncio.Task[None] | None = None
 
@@ -139,14 +140,17 @@
             backlog=BACKLOG,
         )
         await self.site.start()
+        self.opened_port = self.runner.addresses[0][1]
 
     def port(self) -> int:
         """Return the port that is open; of use where the settings say 0."""
-        return self.runner.addresses[0][1]
+        return self.opened_port
 
     async def close(self, flush_timeout_s: float) -> None:
         """Accept nothing more, let sent answers reach their readers, and close.
 
+        A second call has no effect.
+
         Parameters
         ----------
         flush_timeout_s : float
@@ -154,6 +158,7 @@
         """
         if self.site is not None:
             await self.site.stop()
+            self.site = None
         if self.reloading is not None:
             self.reloading.cancel()
         await self.flush(flush_timeout_s)
