--- a/src/quetzalpass/callers/completions.py
+++ b/src/quetzalpass/callers/completions.py
@@ -10,8 +10,14 @@
 from quetzalpass import ids
 from quetzalpass.backends import base
 from quetzalpass.callers import bodies, encoding, errors, headers, streams
+from quetzalpass.lifecycle import (
+    claimed_generations,
+    generations,
+    hedging,
+    requests,
+    resumption,
+)
 from quetzalpass.lifecycle import gateway as gateways
-from quetzalpass.lifecycle import generations, requests, resumption
 from quetzalpass.membership import configuration
 from quetzalpass.results import codes, failures
 
@@ -68,10 +74,10 @@
         checked = self.check(body, at)
         if isinstance(checked, result.Failure):
             return errors.error_response(checked.failure(), self.request_id)
-        generation = checked.unwrap()
-        opened = await generation.open()
+        opened = await hedging.open_generation(checked.unwrap())
         if isinstance(opened, result.Failure):
             return errors.error_response(opened.failure(), self.request_id)
+        generation = opened.unwrap()
         if generation.request.delivery is requests.Delivery.WHOLE:
             return await self.answer_whole(generation)
         return await self.answer_stream(generation)
@@ -97,8 +103,9 @@
         self.include_usage = options is not None and options.include_usage
         delivery = caller.delivery
         if delivery is None:
-            streams = body.stream
-            delivery = requests.Delivery.STREAM if streams else requests.Delivery.WHOLE
+            delivery = requests.Delivery.WHOLE
+            if body.stream:
+                delivery = requests.Delivery.STREAM
         request = requests.GenerationRequest(
             request_id=self.request_id,
             organisation=caller.organisation,
@@ -122,6 +129,8 @@
                 caller.last_event.server_id,
                 caller.last_event.offset + 1,
             )
+        if caller.non_idempotent:
+            return claimed_generations.claimed_generation(self.gateway, request)
         return result.Success(generations.Generation(self.gateway, request))
 
     async def answer_whole(self, generation: generations.Generation) -> web.Response:
@@ -164,7 +173,7 @@
     def answer_headers(self, generation: generations.Generation) -> dict[str, str]:
         """Return the headers of a successful answer."""
         return {
-            errors.RESULT_HEADER: str(codes.Code.OK.value),
+            errors.RESULT_HEADER: str(generation.code.value),
             errors.REQUEST_ID_HEADER: self.request_id,
             errors.GENERATION_ID_HEADER: generation.id,
         }
--- a/src/quetzalpass/lifecycle/gateway.py
+++ b/src/quetzalpass/lifecycle/gateway.py
@@ -3,10 +3,11 @@
 import asyncio
 import random
 from collections.abc import Coroutine
+from typing import TypeVar
 
 from quetzalpass import ids
 from quetzalpass.backends import base, registry
-from quetzalpass.lifecycle import generation_ids, ledger_client
+from quetzalpass.lifecycle import generation_ids, ledger_client, retry_budget
 from quetzalpass.membership import configuration
 from quetzalpass.metrics import recorder
 from quetzalpass.results import codes, failures
@@ -15,6 +16,8 @@
 
 RANDOM_ID_BITS = 96
 
+Answer = TypeVar("Answer")
+
 
 class Gateway:
     """Shared parts of a gateway.
@@ -38,6 +41,8 @@
         Claims of non-idempotent requests.
     recorder : recorder.Recorder
         Metrics by organisation and class.
+    retries : retry_budget.RetryBudgets
+        Bounds on retries by organisation and model.
     backends : dict of ServerId to base.Backend
         Open adapters.
     requests : int
@@ -60,6 +65,7 @@
         self.slots = slots
         self.ledger: ledger_client.Ledger = ledger_client.NoLedger()
         self.recorder = recorder.Recorder()
+        self.retries = retry_budget.RetryBudgets()
         self.rng = rng
         self.cluster_key = cluster_key
         self.backends: dict[ids.ServerId, base.Backend] = {}
@@ -119,9 +125,25 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def spawn_counted(
+        self, work: Coroutine[None, None, Answer]
+    ) -> asyncio.Task[Answer]:
+        """Run a task that a graceful shutdown waits for, also without its caller."""
+        self.requests += 1
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.on_counted_end)
+        return task
+
+    def on_counted_end(self, task: asyncio.Task) -> None:
+        """Note the end of a task that a graceful shutdown waits for."""
+        self.requests -= 1
+        self.tasks.discard(task)
+
     async def close(self) -> None:
         """Close all connections to backend servers."""
         for task in list(self.tasks):
             task.cancel()
+        self.ledger.close()
         for backend in self.backends.values():
             await backend.close()
