--- a/src/quetzalpass/backends/base.py
+++ b/src/quetzalpass/backends/base.py
@@ -161,6 +161,11 @@
     DUE = "due"
 
 
+def outcome_of(batch: TokenBatch) -> Forwarded:
+    """Return why a stream stops behind a batch that ended it or was not accepted."""
+    return Forwarded.ENDED if batch.ended else Forwarded.PAUSED
+
+
 class TokenStream(abc.ABC):
     """An open stream of one generation."""
 
@@ -190,10 +195,8 @@
                 return received
             batch = received.unwrap()
             accepted = sink.take(batch)
-            if batch.ended:
-                return result.Success(Forwarded.ENDED)
-            if not accepted:
-                return result.Success(Forwarded.PAUSED)
+            if batch.ended or not accepted:
+                return result.Success(outcome_of(batch))
         return result.Success(Forwarded.DUE)
 
     @abc.abstractmethod
--- a/src/quetzalpass/backends/engine_stream.py
+++ b/src/quetzalpass/backends/engine_stream.py
@@ -13,6 +13,7 @@
 END_MARK = b"[DONE]"
 EVENT_DECODER = msgspec.json.Decoder(engine_messages.EngineEvent)
 END_GRACE_S = 1.0
+TIMER_RESOLUTION_S = 0.001
 
 ForwardResult = result.Result[base.Forwarded, base.AttemptFailure]
 ENDED: ForwardResult = result.Success(base.Forwarded.ENDED)
@@ -90,7 +91,8 @@
         try:
             forwarded = self.pump()
             while forwarded is None:
-                now_s = self.loop.time()
+                # A timer may fire early by the resolution of the clock.
+                now_s = self.loop.time() + TIMER_RESOLUTION_S
                 if now_s >= until_s:
                     return result.Success(base.Forwarded.DUE)
                 silent_at_s = self.heard_s + silence_s
--- a/src/quetzalpass/callers/encoding.py
+++ b/src/quetzalpass/callers/encoding.py
@@ -88,8 +88,7 @@
                 "model": model,
             }
         )
-        self.generation_id = generation_id
-        self.move_to(server_id)
+        self.event_id = f"id: {generation_id}/{server_id}/".encode()
         self.head = b"\ndata: " + head[:-1]
         opening = b',"choices":[{"index":0,"delta":{"content":'
         if not chat:
