Quarantine requests that crash servers; keep an earlier attempt's deadline out

Cause: a crashing request was retried on up to four servers by each send. Besides, a request that waits for a server a second time was refused by the deadline of its first wait (the heap of deadlines is by request id), seen when all links of three servers failed in turn. Change: lifecycle.quarantine. A death weighs on all requests that were on the server, one over their number; known suspects take the blame alone; suspects run alone among suspects and one copy at a time; the second death refuses for 600 s with retry_after_ms. No suspicion where the end was announced or the server answers a new connection. A suspect that completes or gets 64 tokens further is cleared. Verdicts merge in any order and survive a restart at the peers (verdicts_since, merge). Trade: a request that crashes servers at random after more than 64 tokens costs more than two servers; without clearing, two unrelated deaths would refuse an innocent. Tests: tests/lifecycle/test_quarantine.py (before: up to 4 servers for one send), test_servers_whose_links_all_fail_are_tried_again (before: deadline after 2 s of 600).

--- a/src/quetzalpass/lifecycle/gateway.py
+++ b/src/quetzalpass/lifecycle/gateway.py
@@ -7,14 +7,20 @@
 
 from quetzalpass import ids
 from quetzalpass.backends import base, registry
-from quetzalpass.lifecycle import generation_ids, ledger_client, retry_budget
+from quetzalpass.lifecycle import (
+    generation_ids,
+    ledger_client,
+    quarantine,
+    retry_budget,
+)
 from quetzalpass.membership import configuration
 from quetzalpass.metrics import recorder
 from quetzalpass.results import codes, failures
-from quetzalpass.routing import admission
+from quetzalpass.routing import admission, servers
 from quetzalpass.settings import schema
 
 RANDOM_ID_BITS = 96
+HEALTH_TIMEOUT_S = 1.0
 
 Answer = TypeVar("Answer")
 
@@ -43,6 +49,8 @@
         Metrics by organisation and class.
     retries : retry_budget.RetryBudgets
         Bounds on retries by organisation and model.
+    quarantine : quarantine.Quarantine
+        Requests under which backend servers died.
     backends : dict of ServerId to base.Backend
         Open adapters.
     requests : int
@@ -66,6 +74,7 @@
         self.ledger: ledger_client.Ledger = ledger_client.NoLedger()
         self.recorder = recorder.Recorder()
         self.retries = retry_budget.RetryBudgets()
+        self.quarantine = quarantine.Quarantine(f"{settings.id}/{rng.getrandbits(32)}")
         self.rng = rng
         self.cluster_key = cluster_key
         self.backends: dict[ids.ServerId, base.Backend] = {}
@@ -101,6 +110,37 @@
             self.backends[server_id] = backend
         return backend
 
+    async def note_lost_server(
+        self,
+        server_id: ids.ServerId,
+        request_id: ids.RequestId,
+        at: configuration.Configuration,
+        restarted: bool,
+    ) -> None:
+        """Find out whether a server died under a request, and whom to suspect.
+
+        Parameters
+        ----------
+        server_id : ServerId
+            Server to which a link was lost.
+        request_id : RequestId
+            Request that was on it.
+        at : configuration.Configuration
+            The revision that decides the request.
+        restarted : bool
+            The server answers but no longer knows what it was running.
+        """
+        if self.is_leaving(server_id):
+            return
+        backend = self.backend_of(server_id, at)
+        if restarted or not await backend.check_health(HEALTH_TIMEOUT_S):
+            self.quarantine.observe_death(server_id, request_id)
+
+    def is_leaving(self, server_id: ids.ServerId) -> bool:
+        """Return whether the end of a server is announced or declared."""
+        record = self.slots.dispatcher.table.records.get(server_id)
+        return record is None or record.view.state is servers.ServerState.LEAVING
+
     def refusal(self) -> failures.Failure | None:
         """Return why no new request is taken at present, or ``None``."""
         if self.draining:
--- a/src/quetzalpass/lifecycle/generations.py
+++ b/src/quetzalpass/lifecycle/generations.py
@@ -13,7 +13,7 @@
 
 from quetzalpass import ids
 from quetzalpass.backends import base
-from quetzalpass.lifecycle import attempts, requests
+from quetzalpass.lifecycle import attempts, quarantine, requests
 from quetzalpass.lifecycle import gateway as gateways
 from quetzalpass.metrics import metering
 from quetzalpass.results import codes, failures
@@ -89,6 +89,9 @@
         self.meter = metering.StreamMeter(counted, asyncio.get_running_loop().time())
         self.resumes = 0
         self.links_lost = 0
+        self.start_offset = 0
+        self.restarted = False
+        self.fingerprint = request.fingerprint()
         self.ready_batch: base.TokenBatch | None = None
 
     def next_offset(self) -> int:
@@ -139,12 +142,24 @@
     async def attempt(self) -> result.Result[None, failures.Failure]:
         """Make one attempt at one backend server."""
         self.attempts += 1
+        deadline_s = self.request.deadline_s
+        suspects = self.gateway.quarantine
+        await suspects.wait_for_other_copy(self.fingerprint, deadline_s)
+        refusal = suspects.refusal(self.fingerprint)
+        if refusal is not None:
+            return result.Failure(refusal)
         acquired = await self.acquire_slot()
         if isinstance(acquired, result.Failure):
             return acquired
         self.slot = acquired.unwrap()
         self.meter.note_placed(asyncio.get_running_loop().time())
         self.server_id = self.slot.server_id
+        if suspects.is_suspect(self.fingerprint) and not self.slot.item.suspect:
+            # It became a suspect while it waited: choose anew.
+            self.leave_server(work.SlotOutcome.CANCELLED)
+            return await self.attempt()
+        suspects.enter(self.server_id, self.request.request_id, self.fingerprint)
+        self.start_offset = len(self.tokens)
         if not self.tokens:
             self.id = self.gateway.new_generation_id(self.request.organisation.id)
         if self.remaining_s() <= 0:
@@ -169,6 +184,7 @@
         if isinstance(started, result.Failure):
             return await self.note_failed_start(started.failure())
         self.stream = started.unwrap()
+        self.restarted = False
         self.execution = codes.Execution.RAN
         return result.Success(None)
 
@@ -206,6 +222,7 @@
             deadline_s=deadline_s,
             max_tokens=request.max_tokens,
             generated_tokens=len(self.tokens),
+            suspect=self.gateway.quarantine.is_suspect(self.fingerprint),
             excluded=excluded,
         )
 
@@ -257,6 +274,7 @@
         if execution is codes.Execution.MAY_HAVE_RUN:
             if await self.resume_on_same_server():
                 return result.Success(None)
+            await self.note_lost_server()
             self.gateway.spawn(self.engine().cancel(self.id))
         self.failed_server = self.server_id
         self.leave_server(attempts.slot_outcome_of(failure))
@@ -328,6 +346,8 @@
         if batch.texts:
             self.attempts = 0
             self.tokens.extend(batch.texts)
+            if len(self.tokens) - self.start_offset >= quarantine.CLEARING_TOKENS:
+                self.gateway.quarantine.clear(self.fingerprint)
             self.meter.note_tokens(asyncio.get_running_loop().time())
             if self.slot is not None:
                 self.slot.on_tokens(len(batch.texts))
@@ -336,9 +356,16 @@
             self.delivered = len(self.tokens)
         if batch.ended:
             self.meter.finish()
-            self.leave_server(work.SlotOutcome.COMPLETED)
+            self.note_whole()
         return batch
 
+    def note_whole(self) -> None:
+        """Leave the server after the last token."""
+        request = self.request
+        self.gateway.quarantine.clear(self.fingerprint)
+        self.gateway.retries.earn(request.organisation.id, request.model.name)
+        self.leave_server(work.SlotOutcome.COMPLETED)
+
     async def recover(
         self, failure: base.AttemptFailure
     ) -> result.Result[None, failures.Failure]:
@@ -378,6 +405,7 @@
         if isinstance(opened, result.Failure):
             if opened.failure().kind is base.FailureKind.UNKNOWN_GENERATION:
                 self.resumes = MAX_RESUMES_IN_A_ROW
+                self.restarted = self.stream is not None
             return False
         self.stream = opened.unwrap()
         self.execution = codes.Execution.RAN
@@ -388,6 +416,7 @@
     ) -> result.Result[None, failures.Failure]:
         """Continue or start anew on another server, where that is allowed."""
         assert self.server_id is not None
+        await self.note_lost_server()
         self.gateway.spawn(self.engine().cancel(self.id))
         self.failed_server = self.server_id
         continues = self.continues_elsewhere()
@@ -402,6 +431,16 @@
         self.resumes = 0
         return await self.open()
 
+    async def note_lost_server(self) -> None:
+        """Let the quarantine know if the server died under this generation."""
+        assert self.server_id is not None
+        await self.gateway.note_lost_server(
+            self.server_id,
+            self.request.request_id,
+            self.request.configuration,
+            self.restarted,
+        )
+
     def continues_elsewhere(self) -> bool:
         """Return whether any replica can continue from the tokens."""
         assert self.server_id is not None
@@ -411,6 +450,8 @@
     def leave_server(self, outcome: work.SlotOutcome) -> None:
         """Give the place on the server back."""
         if self.slot is not None:
+            server_id = self.slot.server_id
+            self.gateway.quarantine.leave(server_id, self.request.request_id)
             self.slot.release(outcome)
             self.slot = None
 
--- a/src/quetzalpass/lifecycle/hedging.py
+++ b/src/quetzalpass/lifecycle/hedging.py
@@ -72,7 +72,8 @@
     """
     request = generation.request
     delay_s = request.priority_class.hedge_after_s
-    if delay_s is None or not generation.hedges:
+    suspect = generation.gateway.quarantine.is_suspect(generation.fingerprint)
+    if delay_s is None or suspect or not generation.hedges:
         opened = await generation.open()
         return opened.map(lambda _: generation)
     second_request = msgspec.structs.replace(
--- /dev/null
+++ b/src/quetzalpass/lifecycle/quarantine.py
@@ -0,0 +1,279 @@
+"""Requests that crash backend servers: suspects, and verdicts between gateways.
+
+When a server dies, each request on it is a suspect, with a weight of one over their
+number. A suspect runs again only alone among suspects. If a server dies under it a
+second time it is refused for a time, whoever sends it. A suspect that completes, or
+gets well past where it was, is cleared. Nobody is suspected where the platform had
+announced the end of the server or where the server still answers.
+"""
+
+import asyncio
+
+import logbook
+import msgspec
+
+from quetzalpass import ids
+from quetzalpass.results import codes, failures
+
+LOG = logbook.Logger("quarantine")
+
+SUSPICION_S = 600.0
+QUARANTINE_S = 600.0
+REFUSAL_WEIGHT = 1.0
+REFUSAL_DEATHS = 2
+CLEARING_TOKENS = 64
+MAX_RECORDS = 10_000
+OTHER_COPY_POLL_S = 0.05
+MS_PER_S = 1000
+
+
+class Death(msgspec.Struct, frozen=True):
+    """A server's death as it weighs on one request.
+
+    Attributes
+    ----------
+    id : str
+        Unique among all gateways.
+    weight : float
+        One over the number of requests that share the blame.
+    """
+
+    id: str
+    weight: float
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """What one gateway holds against a request.
+
+    Attributes
+    ----------
+    fingerprint : str
+        Digest of the request's body.
+    deaths : tuple of Death
+        Deaths that it was in.
+    cleared : tuple of str
+        Ids of deaths of which it has been cleared since.
+    left_s : float
+        For how long this still counts, in seconds.
+    """
+
+    fingerprint: str
+    deaths: tuple[Death, ...]
+    cleared: tuple[str, ...]
+    left_s: float
+
+
+class Verdicts(msgspec.Struct, frozen=True):
+    """Verdicts that changed after a number; the peers merge them in any order.
+
+    Attributes
+    ----------
+    sequence : int
+        Number to ask with the next time.
+    verdicts : tuple of Verdict
+        The changed ones.
+    """
+
+    sequence: int
+    verdicts: tuple[Verdict, ...]
+
+
+class Record(msgspec.Struct):
+    """What is held against one request."""
+
+    deaths: dict[str, float]
+    cleared: set[str]
+    expires_s: float
+    sequence: int
+
+    def weight(self) -> float:
+        """Return the weight of the deaths that still count."""
+        return sum(self.deaths.values())
+
+    def refused(self) -> bool:
+        """Return whether the request is refused."""
+        many = len(self.deaths) >= REFUSAL_DEATHS
+        return many and self.weight() >= REFUSAL_WEIGHT
+
+
+class Quarantine:
+    """Suspects as one gateway knows them.
+
+    Parameters
+    ----------
+    name : str
+        Unique among gateways and their restarts; part of the ids of deaths.
+
+    Attributes
+    ----------
+    records : dict of str to Record
+        By fingerprint.
+    flights : dict of ServerId to dict of RequestId to str
+        Fingerprints of the requests on each server.
+    sequence : int
+        Counted up with each change.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.records: dict[str, Record] = {}
+        self.flights: dict[ids.ServerId, dict[ids.RequestId, str]] = {}
+        self.running: dict[str, int] = {}
+        self.sequence = 0
+        self.deaths = 0
+
+    def enter(
+        self, server_id: ids.ServerId, request_id: ids.RequestId, fingerprint: str
+    ) -> None:
+        """Note that a request is on a server."""
+        self.flights.setdefault(server_id, {})[request_id] = fingerprint
+        self.running[fingerprint] = self.running.get(fingerprint, 0) + 1
+
+    def leave(self, server_id: ids.ServerId, request_id: ids.RequestId) -> None:
+        """Note that a request has left a server."""
+        flights = self.flights.get(server_id, {})
+        fingerprint = flights.pop(request_id, None)
+        if fingerprint is not None:
+            self.end_run(fingerprint)
+        if not flights:
+            self.flights.pop(server_id, None)
+
+    def end_run(self, fingerprint: str) -> None:
+        """Count one running copy of a request less."""
+        self.running[fingerprint] -= 1
+        if not self.running[fingerprint]:
+            del self.running[fingerprint]
+
+    def observe_death(self, server_id: ids.ServerId, request_id: ids.RequestId) -> None:
+        """Hold a server's death against the requests on it.
+
+        Parameters
+        ----------
+        server_id : ServerId
+            The dead server.
+        request_id : RequestId
+            Request that found it dead. A death that was counted already is not
+            counted again by the others that were on it.
+        """
+        if request_id not in self.flights.get(server_id, {}):
+            return
+        fingerprints = set(self.flights.pop(server_id).values())
+        for fingerprint in fingerprints:
+            self.running.pop(fingerprint, None)
+        known = {each for each in fingerprints if self.is_suspect(each)}
+        blamed = known or fingerprints
+        self.deaths += 1
+        death = Death(f"{self.name}/{self.deaths}", 1 / len(blamed))
+        for fingerprint in blamed:
+            self.blame(fingerprint, death)
+        LOG.warning(
+            "quarantine: Server {} died with {} requests, {} suspected before.",
+            server_id,
+            len(fingerprints),
+            len(known),
+        )
+
+    def blame(self, fingerprint: str, death: Death) -> None:
+        """Hold a death against a request."""
+        record = self.record(fingerprint)
+        if death.id in record.cleared:
+            return
+        record.deaths[death.id] = death.weight
+        time_s = QUARANTINE_S if record.refused() else SUSPICION_S
+        self.touch(record, time_s)
+
+    def record(self, fingerprint: str) -> Record:
+        """Return the record of a request, made on first use."""
+        self.expire()
+        found = self.records.get(fingerprint)
+        if found is None:
+            if len(self.records) >= MAX_RECORDS:
+                del self.records[next(iter(self.records))]
+            found = self.records[fingerprint] = Record({}, set(), 0.0, 0)
+        return found
+
+    def touch(self, record: Record, time_s: float) -> None:
+        """Note a change, to be sent to the peers."""
+        now_s = asyncio.get_running_loop().time()
+        record.expires_s = max(record.expires_s, now_s + time_s)
+        self.sequence += 1
+        record.sequence = self.sequence
+
+    def expire(self) -> None:
+        """Forget what no longer counts."""
+        now_s = asyncio.get_running_loop().time()
+        expired = [
+            fingerprint
+            for fingerprint, record in self.records.items()
+            if record.expires_s <= now_s
+        ]
+        for fingerprint in expired:
+            del self.records[fingerprint]
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Return whether a request may run only alone among suspects."""
+        record = self.records.get(fingerprint)
+        if record is None or not record.deaths:
+            return False
+        return record.expires_s > asyncio.get_running_loop().time()
+
+    def refusal(self, fingerprint: str) -> failures.Failure | None:
+        """Return why a request is refused, or ``None``."""
+        if not self.is_suspect(fingerprint):
+            return None
+        record = self.records[fingerprint]
+        if not record.refused():
+            return None
+        left_s = record.expires_s - asyncio.get_running_loop().time()
+        return failures.Failure(
+            codes.Code.QUARANTINED,
+            f"backend servers died under this request {len(record.deaths)} times",
+            retry_after_ms=int(left_s * MS_PER_S) + 1,
+        )
+
+    def clear(self, fingerprint: str) -> None:
+        """Note that a suspect has run without harm; a refused one stays refused."""
+        record = self.records.get(fingerprint)
+        if record is None or not record.deaths or record.refused():
+            return
+        record.cleared.update(record.deaths)
+        record.deaths.clear()
+        self.touch(record, SUSPICION_S)
+
+    async def wait_for_other_copy(self, fingerprint: str, deadline_s: float) -> None:
+        """Wait until no other copy of a suspect runs here."""
+        loop = asyncio.get_running_loop()
+        while self.is_suspect(fingerprint) and fingerprint in self.running:
+            if loop.time() >= deadline_s or self.refusal(fingerprint):
+                return
+            await asyncio.sleep(OTHER_COPY_POLL_S)
+
+    def verdicts_since(self, sequence: int) -> Verdicts:
+        """Return what changed after a number; 0 asks for everything."""
+        self.expire()
+        now_s = asyncio.get_running_loop().time()
+        changed = tuple(
+            Verdict(
+                fingerprint,
+                tuple(Death(*each) for each in record.deaths.items()),
+                tuple(record.cleared),
+                record.expires_s - now_s,
+            )
+            for fingerprint, record in self.records.items()
+            if record.sequence > sequence
+        )
+        return Verdicts(self.sequence, changed)
+
+    def merge(self, message: Verdicts) -> None:
+        """Take in verdicts of a peer; the order and repeats do not matter."""
+        for verdict in message.verdicts:
+            record = self.record(verdict.fingerprint)
+            deaths = {each.id: each.weight for each in verdict.deaths}
+            cleared = record.cleared | set(verdict.cleared)
+            merged = {**deaths, **record.deaths}
+            merged = {each: merged[each] for each in merged if each not in cleared}
+            if merged == record.deaths and cleared == record.cleared:
+                continue
+            record.deaths = merged
+            record.cleared = cleared
+            self.touch(record, verdict.left_s)
--- a/src/quetzalpass/lifecycle/service_calls.py
+++ b/src/quetzalpass/lifecycle/service_calls.py
@@ -101,6 +101,12 @@
         The answer; a ``FailedAttempt``; or the numbered failure that ends the request
         because no server was found in time.
     """
+    fingerprint = request.fingerprint()
+    suspects = gateway.quarantine
+    await suspects.wait_for_other_copy(fingerprint, request.deadline_s)
+    refusal = suspects.refusal(fingerprint)
+    if refusal is not None:
+        return result.Failure(refusal)
     acquired = await acquire_slot(gateway, request, failed_server)
     if isinstance(acquired, result.Failure):
         return acquired
@@ -108,16 +114,23 @@
     backend = gateway.backend_of(slot.server_id, request.configuration)
     assert isinstance(backend, base.PlainService)
     remaining_s = request.deadline_s - asyncio.get_running_loop().time()
+    suspects.enter(slot.server_id, request.request_id, fingerprint)
+    outcome = work.SlotOutcome.CANCELLED
     try:
         answer = await backend.call(request.call, remaining_s)
-    except asyncio.CancelledError:
-        slot.release(work.SlotOutcome.CANCELLED)
-        raise
-    if isinstance(answer, result.Success):
-        slot.release(work.SlotOutcome.COMPLETED)
-        return answer
-    failure = answer.failure()
-    slot.release(attempts.slot_outcome_of(failure))
+        if isinstance(answer, result.Success):
+            outcome = work.SlotOutcome.COMPLETED
+            suspects.clear(fingerprint)
+            return answer
+        failure = answer.failure()
+        outcome = attempts.slot_outcome_of(failure)
+        if attempts.execution_of(failure) is codes.Execution.MAY_HAVE_RUN:
+            await gateway.note_lost_server(
+                slot.server_id, request.request_id, request.configuration, False
+            )
+    finally:
+        suspects.leave(slot.server_id, request.request_id)
+        slot.release(outcome)
     LOG.warning(
         "lifecycle: Call {} at {} failed: {}.",
         request.request_id,
@@ -142,6 +155,7 @@
         must_not_drop=request.priority_class.must_not_drop,
         deadline_s=request.deadline_s,
         max_tokens=0,
+        suspect=gateway.quarantine.is_suspect(request.fingerprint()),
     )
     if failed_server is not None:
         now_s = asyncio.get_running_loop().time()
--- a/src/quetzalpass/routing/dispatch.py
+++ b/src/quetzalpass/routing/dispatch.py
@@ -262,6 +262,10 @@
             queued = self.queued.get(request_id)
             if queued is None:
                 continue
+            deadline_s = queued.item.deadline_s
+            if deadline_s is not None and deadline_s > now_s:
+                # This deadline is of an earlier attempt of the same request.
+                continue
             self.unqueue(queued)
             failure = self.deadline_failure(queued.item)
             decisions.append(Refusal(queued.item, failure))
--- a/tests/lifecycle/test_generations.py
+++ b/tests/lifecycle/test_generations.py
@@ -51,6 +51,13 @@
         assert reply.whole(PROMPT) and reply.done
         assert engine.server.plan.struck == 2
 
+    async def test_servers_whose_links_all_fail_are_tried_again(self, open_cluster):
+        caller = await open_cluster(engines=3, resumes_across_replicas=True)
+        for engine in caller.cluster.engines:
+            engine.add_fault(KIND.CLOSE_STREAM, at_offset=3, times=3)
+        reply = await caller.generate(PROMPT)
+        assert reply.whole(PROMPT) and reply.done, reply.error
+
 
 class TestFailedStarts:
     @pytest.mark.parametrize("kind", [KIND.CLOSE_BEFORE_ANSWER, KIND.REFUSE, KIND.HANG])
--- /dev/null
+++ b/tests/lifecycle/test_quarantine.py
@@ -0,0 +1,144 @@
+import asyncio
+
+import pytest
+
+from quetzalpass import ids
+from quetzalpass.lifecycle import quarantine
+from quetzalpass.standin import faults
+
+pytestmark = pytest.mark.looptime
+KIND = faults.FaultKind
+BAD = "poison [tokens=30]"
+
+
+def entered(name, server, fingerprints):
+    found = quarantine.Quarantine(name)
+    for number, fingerprint in enumerate(fingerprints):
+        found.enter(ids.ServerId(server), ids.RequestId(f"r{number}"), fingerprint)
+    return found
+
+
+def die(found, server="s", request="r0"):
+    found.observe_death(ids.ServerId(server), ids.RequestId(request))
+
+
+class TestVerdicts:
+    async def test_weight_is_shared_and_a_death_counted_once(self):
+        found = entered("a", "s", ["f", "g"])
+        die(found)
+        die(found, request="r1")
+        assert found.records["f"].deaths == {"a/1": 0.5}
+        assert found.is_suspect("g") and found.refusal("f") is None
+
+    async def test_known_suspect_takes_the_blame_of_the_second_death(self):
+        found = entered("a", "s", ["f"])
+        die(found)
+        for number, fingerprint in enumerate(["f", "new"]):
+            found.enter(ids.ServerId("s"), ids.RequestId(f"r{number}"), fingerprint)
+        die(found)
+        assert found.refusal("f").retry_after_ms > 500_000
+        assert not found.is_suspect("new")
+        await asyncio.sleep(quarantine.QUARANTINE_S)
+        assert found.refusal("f") is None
+
+    async def test_verdicts_merge_in_any_order(self):
+        first, second = entered("a", "s", ["f"]), entered("b", "t", ["f"])
+        die(first)
+        die(second, "t")
+        messages = [first.verdicts_since(0), second.verdicts_since(0)]
+        for order in (messages, messages[::-1], messages * 2):
+            restarted = quarantine.Quarantine("c")
+            for message in order:
+                restarted.merge(message)
+            assert restarted.refusal("f") is not None
+            assert restarted.verdicts_since(restarted.sequence).verdicts == ()
+
+    async def test_cleared_suspect_is_cleared_at_the_peers_too(self):
+        first, second = entered("a", "s", ["f"]), quarantine.Quarantine("b")
+        die(first)
+        old = first.verdicts_since(0)
+        second.merge(old)
+        first.clear("f")
+        second.merge(first.verdicts_since(old.sequence))
+        second.merge(old)
+        assert not second.is_suspect("f")
+
+
+class TestCrashingRequests:
+    async def crash_all(self, caller):
+        for engine in caller.cluster.engines:
+            engine.add_fault(KIND.CRASH, times=99, marker="poison")
+
+    def crashes(self, caller):
+        return sum(each.crashes for each in caller.cluster.engines)
+
+    @pytest.mark.parametrize("stream", [True, False])
+    async def test_costs_two_servers_and_innocents_finish(self, open_cluster, stream):
+        caller = await open_cluster(engines=5, resumes_across_replicas=True)
+        innocents = [f"innocent {number} [tokens=60]" for number in range(20)]
+        calls = [asyncio.create_task(caller.generate(each)) for each in innocents]
+        await asyncio.sleep(0.2)
+        await self.crash_all(caller)
+        bad = await caller.generate(BAD, stream=stream)
+        assert bad.error_name == "quarantined"
+        again = await asyncio.gather(*[caller.generate(BAD) for _ in range(5)])
+        assert {each.error_name for each in again} == {"quarantined"}
+        assert {each.execution for each in again} == {"not_run"}
+        assert self.crashes(caller) == 2
+        for prompt, reply in zip(innocents, await asyncio.gather(*calls), strict=True):
+            assert reply.whole(prompt) and reply.done, reply.error
+
+    async def test_verdict_holds_at_peers_and_after_a_restart(self, open_cluster):
+        caller = await open_cluster(engines=5, gateways_count=3)
+        await self.crash_all(caller)
+        await caller.generate(BAD)
+        first, second, third = caller.cluster.gateways
+        second.gateway.quarantine.merge(first.gateway.quarantine.verdicts_since(0))
+        first.kill()
+        await first.start()
+        first.gateway.quarantine.merge(second.gateway.quarantine.verdicts_since(0))
+        for number in (0, 1):
+            reply = await caller.generate(BAD, number)
+            assert reply.error_name == "quarantined"
+        assert self.crashes(caller) == 2
+
+    async def test_lost_links_and_announced_ends_suspect_nobody(self, open_cluster):
+        caller = await open_cluster(engines=3, resumes_across_replicas=True)
+        for engine in caller.cluster.engines:
+            engine.add_fault(KIND.CLOSE_STREAM, at_offset=3)
+        gateway = caller.cluster.gateways[0].gateway
+        task = asyncio.create_task(caller.generate("draft [tokens=60]"))
+        await asyncio.sleep(0.6)
+        (server_id,) = gateway.quarantine.flights
+        engine = next(
+            each for each in caller.cluster.engines if each.config.id == server_id
+        )
+        caller.cluster.taken_away = frozenset((ids.VmId(f"vm-{server_id}"),))
+        caller.cluster.declare()
+        engine.kill()
+        reply = await task
+        assert reply.whole("draft [tokens=60]")
+        assert not gateway.quarantine.records
+
+    async def test_suspect_that_completes_is_cleared(self, open_cluster):
+        caller = await open_cluster(engines=3, resumes_across_replicas=True)
+        gateway = caller.cluster.gateways[0].gateway
+        prompt = "draft [tokens=60]"
+        task = asyncio.create_task(caller.generate(prompt))
+        await asyncio.sleep(0.3)
+        (server_id,) = gateway.quarantine.flights
+        for engine in caller.cluster.engines:
+            if engine.config.id == server_id:
+                engine.kill()
+        assert (await task).whole(prompt)
+        (record,) = gateway.quarantine.records.values()
+        assert record.cleared and not record.deaths
+        assert not gateway.quarantine.flights and not gateway.quarantine.running
+
+    async def test_crashing_call_costs_two_servers(self, open_cluster):
+        caller = await open_cluster(engines=1, services=4)
+        for service in caller.cluster.services:
+            service.add_fault(KIND.CRASH, times=99, marker="poison")
+        for _ in range(4):
+            await caller.call("look", method="POST", body="poison")
+        assert sum(each.crashes for each in caller.cluster.services) == 2
