Share limits per organisation between gateways by leased shares

Cause: requests_per_s, max_streams and tokens_per_s were declared and never enforced. Change: lifecycle.limits. Each gateway holds a share of each limit that follows what is asked of it, from periodic reports that state the whole (own_usage, observe_peer_usage); no message per request. A silent peer loses its part after 5 s; a gateway that hears less than half of its peers falls back to an equal part. Refusals carry retry_after_ms and come before anything is sent. Must-not-drop classes wait, and other work of that organisation is refused while they do. Tests: tests/lifecycle/test_limits.py: three gateways at uneven demand admit 26 to 33 requests/s at a limit of 30 (before: everything).

--- a/src/quetzalpass/callers/completions.py
+++ b/src/quetzalpass/callers/completions.py
@@ -73,7 +73,20 @@
         checked = self.check(body, at)
         if isinstance(checked, result.Failure):
             return errors.error_response(checked.failure(), self.request_id)
-        opened = await hedging.open_generation(checked.unwrap())
+        request = checked.unwrap().request
+        admitted = await self.gateway.limiter.admit(
+            request.organisation, request.priority_class, request.deadline_s, streams=1
+        )
+        if isinstance(admitted, result.Failure):
+            return errors.error_response(admitted.failure(), self.request_id)
+        with admitted.unwrap():
+            return await self.run_admitted(checked.unwrap())
+
+    async def run_admitted(
+        self, generation: generations.Generation
+    ) -> web.StreamResponse:
+        """Run a generation that the limits admit, and answer it."""
+        opened = await hedging.open_generation(generation)
         if isinstance(opened, result.Failure):
             return errors.error_response(opened.failure(), self.request_id)
         generation = opened.unwrap()
--- a/src/quetzalpass/lifecycle/gateway.py
+++ b/src/quetzalpass/lifecycle/gateway.py
@@ -10,6 +10,7 @@
 from quetzalpass.lifecycle import (
     generation_ids,
     ledger_client,
+    limits,
     quarantine,
     retry_budget,
 )
@@ -49,6 +50,8 @@
         Metrics by organisation and class.
     retries : retry_budget.RetryBudgets
         Bounds on retries by organisation and model.
+    limiter : limits.Limiter
+        Limits of organisations, shared with the data centre's other gateways.
     quarantine : quarantine.Quarantine
         Requests under which backend servers died.
     backends : dict of ServerId to base.Backend
@@ -74,6 +77,12 @@
         self.ledger: ledger_client.Ledger = ledger_client.NoLedger()
         self.recorder = recorder.Recorder()
         self.retries = retry_budget.RetryBudgets()
+        near = [
+            each
+            for each in settings.peer_vms
+            if each.data_centre == settings.data_centre
+        ]
+        self.limiter = limits.Limiter(settings.id, len(near) + 1)
         self.quarantine = quarantine.Quarantine(f"{settings.id}/{rng.getrandbits(32)}")
         self.rng = rng
         self.cluster_key = cluster_key
--- a/src/quetzalpass/lifecycle/generations.py
+++ b/src/quetzalpass/lifecycle/generations.py
@@ -348,6 +348,9 @@
             self.tokens.extend(batch.texts)
             if len(self.tokens) - self.start_offset >= quarantine.CLEARING_TOKENS:
                 self.gateway.quarantine.clear(self.fingerprint)
+            self.gateway.limiter.note_tokens(
+                self.request.organisation.id, len(batch.texts)
+            )
             self.meter.note_tokens(asyncio.get_running_loop().time())
             if self.slot is not None:
                 self.slot.on_tokens(len(batch.texts))
--- /dev/null
+++ b/src/quetzalpass/lifecycle/limits.py
@@ -0,0 +1,323 @@
+"""Limits per organisation that the gateways of a data centre share.
+
+Each gateway holds a share of each limit and decides alone by it, without a message
+per request. Gateways tell each other now and then how much is asked of them, and the
+shares follow that. A share is a lease: a peer that has been silent for ``LEASE_S``
+loses its part to the others, unless most peers are silent. In that case this gateway
+is probably the one that is cut off, and falls back to an equal part.
+"""
+
+import asyncio
+import enum
+import math
+from types import TracebackType
+
+import msgspec
+from returns import result
+
+from quetzalpass import ids
+from quetzalpass.declarations import schema
+from quetzalpass.results import codes, failures
+
+LEASE_S = 5.0
+# Part of each limit that is spread evenly, so that a new caller finds some anywhere.
+EVEN_PART = 0.1
+SMOOTHING = 0.5
+MIN_INTERVAL_S = 0.01
+MS_PER_S = 1000
+SHORTEST_RETRY_MS = 50
+MUST_NOT_DROP_POLL_S = 0.02
+
+
+class Resource(enum.Enum):
+    """What is limited; the values are the fields of ``Usage``."""
+
+    REQUESTS = "requests_per_s"
+    STREAMS = "streams"
+    TOKENS = "tokens_per_s"
+
+
+class Usage(msgspec.Struct, frozen=True):
+    """What is asked of one gateway by one organisation, refused work included."""
+
+    organisation: ids.OrganisationId
+    requests_per_s: float
+    streams: float
+    tokens_per_s: float
+
+
+class UsageReport(msgspec.Struct, frozen=True):
+    """Message between gateways of a data centre.
+
+    It states the whole, so that a lost message is repaired by the next.
+    """
+
+    vm: ids.VmId
+    sequence: int
+    usages: tuple[Usage, ...]
+
+
+class PeerUsage(msgspec.Struct):
+    """The last report of a peer."""
+
+    sequence: int
+    received_s: float
+    usages: dict[ids.OrganisationId, Usage]
+
+
+class Bucket:
+    """A token bucket whose rate may change at any time."""
+
+    def __init__(self) -> None:
+        self.level = math.inf
+        self.updated_s = 0.0
+
+    def refill(self, rate_per_s: float, capacity: float, now_s: float) -> None:
+        """Add what time has brought; a new bucket starts full."""
+        added = (now_s - self.updated_s) * rate_per_s
+        self.level = min(capacity, self.level + added)
+        self.updated_s = now_s
+
+
+class Account:
+    """One organisation at this gateway.
+
+    Attributes
+    ----------
+    asked, tokens, refused_streams : int
+        Counts since the last report.
+    streams : int
+        Generations under way.
+    waiting : int
+        Requests of must-not-drop classes that wait; other work yields to them.
+    usage : Usage
+        Smoothed figures of the last report.
+    """
+
+    def __init__(self, organisation: ids.OrganisationId) -> None:
+        self.requests = Bucket()
+        self.output = Bucket()
+        self.asked = 0
+        self.tokens = 0
+        self.refused_streams = 0
+        self.streams = 0
+        self.waiting = 0
+        self.usage = Usage(organisation, 0.0, 0.0, 0.0)
+
+    def idle(self) -> bool:
+        """Return whether nothing is asked at present."""
+        busy = self.asked + self.tokens + self.streams + self.waiting
+        settled = self.usage.requests_per_s < 1e-3 and self.output.level >= 0.0
+        return busy == 0 and settled
+
+
+class Admitted:
+    """A request that the limits admit; left as a context manager."""
+
+    def __init__(self, account: Account, streams: int) -> None:
+        self.account = account
+        self.streams = streams
+
+    def __enter__(self) -> "Admitted":
+        """Return itself."""
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Give the stream back."""
+        self.account.streams -= self.streams
+        self.streams = 0
+
+
+class Limiter:
+    """Limits of all organisations at one gateway.
+
+    Parameters
+    ----------
+    vm : VmId
+        This gateway.
+    gateways : int
+        Gateways of the data centre, this one included.
+    """
+
+    def __init__(self, vm: ids.VmId, gateways: int) -> None:
+        self.vm = vm
+        self.gateways = gateways
+        self.accounts: dict[ids.OrganisationId, Account] = {}
+        self.peers: dict[ids.VmId, PeerUsage] = {}
+        self.sequence = 0
+        self.reported_s = asyncio.get_running_loop().time()
+
+    def account(self, organisation: ids.OrganisationId) -> Account:
+        """Return the account of an organisation, made on first use."""
+        found = self.accounts.get(organisation)
+        if found is None:
+            found = self.accounts[organisation] = Account(organisation)
+        return found
+
+    async def admit(
+        self,
+        organisation: schema.Organisation,
+        priority_class: schema.PriorityClass,
+        deadline_s: float,
+        streams: int,
+    ) -> result.Result[Admitted, failures.Failure]:
+        """Admit a request, or refuse it at once.
+
+        Parameters
+        ----------
+        organisation : schema.Organisation
+            Whose limits count.
+        priority_class : schema.PriorityClass
+            A class that must not be dropped waits until its deadline instead.
+        deadline_s : float
+            Loop time after which the answer is of no use.
+        streams : int
+            1 for a generation, 0 for a call of a plain service.
+
+        Returns
+        -------
+        Result
+            The admission; ``RATE_LIMITED`` or ``TOO_MANY_STREAMS`` with the time to
+            come back. A refused request was not sent to any server.
+        """
+        account = self.account(organisation.id)
+        account.asked += 1
+        failure = self.refusal(account, organisation, streams)
+        if failure is None and account.waiting and not priority_class.must_not_drop:
+            failure = rate_limited("urgent work waits", MUST_NOT_DROP_POLL_S)
+        if failure is not None and priority_class.must_not_drop:
+            failure = await self.wait(account, organisation, streams, deadline_s)
+        if failure is not None:
+            account.refused_streams += streams
+            return result.Failure(failure)
+        account.requests.level -= 1.0
+        account.streams += streams
+        return result.Success(Admitted(account, streams))
+
+    async def wait(
+        self,
+        account: Account,
+        organisation: schema.Organisation,
+        streams: int,
+        deadline_s: float,
+    ) -> failures.Failure | None:
+        """Wait until the limits admit a request that must not be dropped."""
+        loop = asyncio.get_running_loop()
+        account.waiting += 1
+        try:
+            while True:
+                failure = self.refusal(account, organisation, streams)
+                if failure is None or loop.time() >= deadline_s:
+                    return failure
+                await asyncio.sleep(MUST_NOT_DROP_POLL_S)
+        finally:
+            account.waiting -= 1
+
+    def refusal(
+        self, account: Account, organisation: schema.Organisation, streams: int
+    ) -> failures.Failure | None:
+        """Return why a request is over a limit, or ``None``."""
+        now_s = asyncio.get_running_loop().time()
+        rate = organisation.requests_per_s * self.share(organisation, Resource.REQUESTS)
+        burst = organisation.burst_requests / self.gateways
+        account.requests.refill(rate, max(1.0, burst), now_s)
+        if account.requests.level < 1.0:
+            wait_s = (1.0 - account.requests.level) / max(rate, 1e-6)
+            return rate_limited(f"more than {rate:.3g} requests/s here", wait_s)
+        output = organisation.tokens_per_s * self.share(organisation, Resource.TOKENS)
+        account.output.refill(output, output, now_s)
+        if account.output.level <= 0.0:
+            wait_s = (1.0 - account.output.level) / max(output, 1e-6)
+            return rate_limited(f"more than {output:.3g} tokens/s here", wait_s)
+        part = organisation.max_streams * self.share(organisation, Resource.STREAMS)
+        if streams and account.streams >= max(1, math.floor(part + 1e-9)):
+            return failures.Failure(
+                codes.Code.TOO_MANY_STREAMS,
+                f"{account.streams} generations are under way here",
+                retry_after_ms=MS_PER_S,
+            )
+        return None
+
+    def note_tokens(self, organisation: ids.OrganisationId, count: int) -> None:
+        """Count output tokens; a debt is paid before the next request."""
+        account = self.account(organisation)
+        account.tokens += count
+        if account.output.level < math.inf:
+            account.output.level -= count
+
+    def share(self, organisation: schema.Organisation, resource: Resource) -> float:
+        """Return this gateway's part of a limit, from 0 to 1."""
+        now_s = asyncio.get_running_loop().time()
+        heard = [
+            each for each in self.peers.values() if now_s - each.received_s <= LEASE_S
+        ]
+        if 2 * len(heard) < self.gateways - 1:
+            return 1.0 / self.gateways
+        limit = limit_of(organisation, resource)
+        even = max(EVEN_PART * limit / self.gateways, 1e-9)
+        own = used(self.account(organisation.id).usage, resource)
+        total = own + even
+        for peer in heard:
+            usage = peer.usages.get(organisation.id)
+            total += even + (used(usage, resource) if usage else 0.0)
+        return (own + even) / total
+
+    def own_usage(self) -> UsageReport:
+        """Return the report for the peers; called at each interval of reports."""
+        now_s = asyncio.get_running_loop().time()
+        passed_s = max(MIN_INTERVAL_S, now_s - self.reported_s)
+        self.reported_s = now_s
+        self.sequence += 1
+        for name, account in list(self.accounts.items()):
+            account.usage = Usage(
+                name,
+                smoothed(account.usage.requests_per_s, account.asked / passed_s),
+                float(account.streams + account.refused_streams),
+                smoothed(account.usage.tokens_per_s, account.tokens / passed_s),
+            )
+            account.asked = account.tokens = account.refused_streams = 0
+            if account.idle():
+                del self.accounts[name]
+        usages = tuple(each.usage for each in self.accounts.values())
+        return UsageReport(self.vm, self.sequence, usages)
+
+    def observe_peer_usage(self, report: UsageReport) -> None:
+        """Take in the report of a peer; one that comes late is ignored."""
+        now_s = asyncio.get_running_loop().time()
+        known = self.peers.get(report.vm)
+        fresh = known is not None and now_s - known.received_s <= LEASE_S
+        if known is not None and fresh and known.sequence >= report.sequence:
+            return
+        usages = {each.organisation: each for each in report.usages}
+        self.peers[report.vm] = PeerUsage(report.sequence, now_s, usages)
+
+
+def used(usage: Usage, resource: Resource) -> float:
+    """Return how much is asked of a resource."""
+    return getattr(usage, resource.value)
+
+
+def limit_of(organisation: schema.Organisation, resource: Resource) -> float:
+    """Return the declared limit of a resource."""
+    match resource:
+        case Resource.REQUESTS:
+            return organisation.requests_per_s
+        case Resource.STREAMS:
+            return float(organisation.max_streams)
+    return organisation.tokens_per_s
+
+
+def smoothed(before: float, now: float) -> float:
+    """Return a figure that follows the new value in steps."""
+    return before + SMOOTHING * (now - before)
+
+
+def rate_limited(message: str, wait_s: float) -> failures.Failure:
+    """Return the refusal of a request over a rate, with the time to come back."""
+    wait_ms = max(SHORTEST_RETRY_MS, math.ceil(wait_s * MS_PER_S))
+    return failures.Failure(codes.Code.RATE_LIMITED, message, retry_after_ms=wait_ms)
--- a/src/quetzalpass/lifecycle/service_calls.py
+++ b/src/quetzalpass/lifecycle/service_calls.py
@@ -35,7 +35,12 @@
 async def run_call(
     gateway: gateways.Gateway, request: requests.ServiceRequest
 ) -> AnswerResult:
-    """Make a call, once only where the request is non-idempotent."""
+    """Make a call that the limits admit, once only where it is non-idempotent."""
+    admitted = await gateway.limiter.admit(
+        request.organisation, request.priority_class, request.deadline_s, streams=0
+    )
+    if isinstance(admitted, result.Failure):
+        return admitted
     if request.non_idempotent:
         return await run_at_most_once(gateway, request)
     delay_s = request.priority_class.hedge_after_s
--- /dev/null
+++ b/tests/lifecycle/test_limits.py
@@ -0,0 +1,117 @@
+import asyncio
+
+import pytest
+
+from quetzalpass import ids
+from quetzalpass.bench import local_cluster
+from quetzalpass.declarations import schema as declared
+from quetzalpass.lifecycle import limits
+from quetzalpass.results import codes
+
+pytestmark = pytest.mark.looptime
+CHECK = declared.PriorityClass(ids.ClassName("check"), must_not_drop=True)
+DRAFT = declared.PriorityClass(ids.ClassName("draft"))
+FAR_S = 1e6
+
+
+def organisation(**rest):
+    fields = {"requests_per_s": 30.0, "burst_requests": 3, **rest}
+    return local_cluster.organisation_of("org", **fields)
+
+
+def limiters(count):
+    return [limits.Limiter(ids.VmId(f"entry-{n}"), count) for n in range(count)]
+
+
+def exchange(gateways, heard=None):
+    reports = [each.own_usage() for each in gateways]
+    for number, gateway in enumerate(gateways):
+        for other, report in enumerate(reports):
+            if number != other and (heard is None or (number, other) in heard):
+                gateway.observe_peer_usage(report)
+
+
+async def press(gateway, rate, seconds, org, admitted):
+    """Ask for requests at a steady rate and count the admitted ones."""
+    for _ in range(int(rate * seconds)):
+        if gateway is not None:
+            taken = await gateway.admit(org, DRAFT, FAR_S, 0)
+            admitted.append(taken.value_or(None) is not None)
+        await asyncio.sleep(1 / rate)
+
+
+class TestShares:
+    @pytest.mark.parametrize("rates", [(90, 90, 90), (200, 10, 10), (200, 1, 1)])
+    async def test_sum_stays_at_the_limit_and_follows_the_demand(self, rates):
+        gateways = limiters(3)
+        org = organisation()
+        admitted = [[], [], []]
+
+        async def report():
+            while True:
+                await asyncio.sleep(1.0)
+                exchange(gateways)
+
+        reporter = asyncio.create_task(report())
+        presses = zip(gateways, rates, admitted, strict=True)
+        await asyncio.gather(*[press(g, r, 20, org, a) for g, r, a in presses])
+        reporter.cancel()
+        late = [sum(each[len(each) // 2 :]) / 10 for each in admitted]
+        assert 26 <= sum(late) <= 33, late
+        assert late[0] >= 8
+
+    async def test_silent_peer_loses_its_part(self):
+        gateways = limiters(3)
+        org = organisation()
+        for gateway in gateways:
+            for _ in range(50):
+                await gateway.admit(org, DRAFT, FAR_S, 0)
+        exchange(gateways)
+        exchange(gateways)
+        assert abs(gateways[0].share(org, limits.Resource.REQUESTS) - 1 / 3) < 0.05
+        await asyncio.sleep(limits.LEASE_S)
+        exchange(gateways[:2])
+        await asyncio.sleep(0.1)
+        assert 0.45 < gateways[0].share(org, limits.Resource.REQUESTS) < 0.55
+
+    async def test_gateway_that_is_cut_off_falls_back_to_an_equal_part(self):
+        gateways = limiters(4)
+        exchange(gateways, heard={(0, 1)})
+        assert gateways[0].share(organisation(), limits.Resource.STREAMS) == 0.25
+
+
+class TestRefusals:
+    async def test_rate_tells_when_to_come_back(self):
+        (limiter,) = limiters(1)
+        org = organisation(requests_per_s=2.0, burst_requests=1)
+        assert (await limiter.admit(org, DRAFT, FAR_S, 0)).unwrap()
+        failure = (await limiter.admit(org, DRAFT, FAR_S, 0)).failure()
+        assert failure.code is codes.Code.RATE_LIMITED
+        assert failure.retry_after_ms == 500
+        await asyncio.sleep(failure.retry_after_ms / 1000)
+        assert (await limiter.admit(org, DRAFT, FAR_S, 0)).unwrap()
+
+    async def test_must_not_drop_waits_while_other_work_yields(self):
+        (limiter,) = limiters(1)
+        org = organisation(requests_per_s=2.0, burst_requests=1)
+        await limiter.admit(org, DRAFT, FAR_S, 0)
+        waiting = asyncio.create_task(limiter.admit(org, CHECK, FAR_S, 0))
+        for _ in range(20):
+            await asyncio.sleep(0.03)
+            if waiting.done():
+                break
+            refused = await limiter.admit(org, DRAFT, FAR_S, 0)
+            assert refused.failure().code is codes.Code.RATE_LIMITED
+        assert waiting.done() and (await waiting).unwrap()
+
+    async def test_streams_and_tokens_are_refused_as_not_run(self, open_cluster):
+        org = local_cluster.organisation_of("org", max_streams=2, tokens_per_s=30.0)
+        caller = await open_cluster(engines=1, organisations=(org,))
+        calls = [caller.generate(f"d{n} [tokens=60]") for n in range(3)]
+        replies = await asyncio.gather(*calls)
+        assert [each.error_name for each in replies] == [None, None, "too_many_streams"]
+        late = await caller.generate("late [tokens=5]")
+        assert late.error_name == "rate_limited" and late.execution == "not_run"
+        await asyncio.sleep(late.error["retry_after_ms"] / 1000)
+        assert (await caller.generate("late [tokens=5]")).done
+        assert len(caller.cluster.engines[0].started) == 3
