Move work off leaving servers early and spread out; drain a gateway whole

Cause: a leaving server got no new work, but a draft longer than its deadline was cut with it and then recovered all at once; nothing waited for outcomes to be recorded. Change: lifecycle.drains watches generations by server. The old server stops only when the new one has started; with no place soon it goes on where it is. A withdrawn drain moves nothing more. Gateway.drain waits for requests, claimed calls and records. generations.py is split: starting.py finds a server and starts there. Tests: tests/lifecycle/test_drains.py (without the mover the late drafts stay until the kill: moves == 0 fails each of the moving tests).

--- a/src/quetzalpass/lifecycle/gateway.py
+++ b/src/quetzalpass/lifecycle/gateway.py
@@ -8,6 +8,7 @@
 from quetzalpass import ids
 from quetzalpass.backends import base, registry
 from quetzalpass.lifecycle import (
+    drains,
     generation_ids,
     ledger_client,
     limits,
@@ -22,6 +23,7 @@
 
 RANDOM_ID_BITS = 96
 HEALTH_TIMEOUT_S = 1.0
+DRAIN_POLL_S = 0.05
 
 Answer = TypeVar("Answer")
 
@@ -48,6 +50,8 @@
         Claims of non-idempotent requests.
     recorder : recorder.Recorder
         Metrics by organisation and class.
+    drains : drains.DrainMover
+        Moves generations off servers that are leaving.
     retries : retry_budget.RetryBudgets
         Bounds on retries by organisation and model.
     limiter : limits.Limiter
@@ -76,6 +80,7 @@
         self.slots = slots
         self.ledger: ledger_client.Ledger = ledger_client.NoLedger()
         self.recorder = recorder.Recorder()
+        self.drains = drains.DrainMover(self)
         self.retries = retry_budget.RetryBudgets()
         near = [
             each
@@ -189,6 +194,13 @@
         self.requests -= 1
         self.tasks.discard(task)
 
+    async def drain(self) -> None:
+        """Take no new requests; wait until all have ended and are recorded."""
+        self.draining = True
+        while self.requests:
+            await asyncio.sleep(DRAIN_POLL_S)
+        await self.ledger.drain()
+
     async def close(self) -> None:
         """Close all connections to backend servers."""
         for task in list(self.tasks):
--- a/src/quetzalpass/lifecycle/generations.py
+++ b/src/quetzalpass/lifecycle/generations.py
@@ -7,283 +7,28 @@
 """
 
 import asyncio
+import math
 
 import logbook
 from returns import result
 
-from quetzalpass import ids
 from quetzalpass.backends import base
-from quetzalpass.lifecycle import attempts, quarantine, requests
-from quetzalpass.lifecycle import gateway as gateways
-from quetzalpass.metrics import metering
-from quetzalpass.results import codes, failures
-from quetzalpass.routing import admission, work
+from quetzalpass.lifecycle import attempts, quarantine, requests, starting
+from quetzalpass.results import failures
+from quetzalpass.routing import work
 
 LOG = logbook.Logger("lifecycle")
 
-MAX_ATTEMPTS = 4
-MAX_RESUMES_IN_A_ROW = 2
 MAX_LINK_DELAY_S = 1.0
 LINK_DELAY_BASE_S = 0.02
-RESUME_TIMEOUT_S = 3.0
+# The old server goes on meanwhile, so a move that finds no place soon is given up.
+MOVE_WAIT_S = 1.0
 
 BatchResult = result.Result[base.TokenBatch, failures.Failure]
 
 
-class Generation:
-    """Runs one generation and gives its tokens in order, each once.
-
-    Parameters
-    ----------
-    gateway : gateways.Gateway
-        Shared parts.
-    request : requests.GenerationRequest
-        What the caller asked for.
-
-    Attributes
-    ----------
-    id : GenerationId
-        Changes only when the generation starts anew with nothing delivered.
-    code : codes.Code
-        Code of the answer if it succeeds.
-    tokens : list of str
-        Tokens received so far.
-    first_offset : int
-        Offset of the first of these; above 0 only where a caller came back.
-    delivered : int
-        Tokens that have been handed to the caller and can't be taken back.
-    finish_reason : str or None
-        Set once the last token has arrived.
-    execution : codes.Execution
-        What is known of all attempts so far.
-    server_id : ServerId or None
-        Where it runs.
-    failed_server : ServerId or None
-        Where the last attempt failed; the next one avoids it if it can.
-    ready_batch : base.TokenBatch or None
-        Tokens that were received while the generation was being opened.
-    """
-
-    hedges = True
-
-    def __init__(
-        self, gateway: gateways.Gateway, request: requests.GenerationRequest
-    ) -> None:
-        self.gateway = gateway
-        self.request = request
-        self.id = ids.GenerationId("")
-        self.code = codes.Code.OK
-        self.tokens: list[str] = []
-        self.first_offset = 0
-        self.delivered = 0
-        self.finish_reason: str | None = None
-        self.execution = codes.Execution.NOT_RUN
-        self.server_id: ids.ServerId | None = None
-        self.failed_server: ids.ServerId | None = None
-        self.slot: admission.Slot | None = None
-        self.stream: base.TokenStream | None = None
-        self.attempts = 0
-        counted = gateway.recorder.series_of(
-            request.organisation.id, request.priority_class.name
-        )
-        self.meter = metering.StreamMeter(counted, asyncio.get_running_loop().time())
-        self.resumes = 0
-        self.links_lost = 0
-        self.start_offset = 0
-        self.restarted = False
-        self.fingerprint = request.fingerprint()
-        self.ready_batch: base.TokenBatch | None = None
-
-    def next_offset(self) -> int:
-        """Return the offset of the next token."""
-        return self.first_offset + len(self.tokens)
-
-    async def open(self) -> result.Result[None, failures.Failure]:
-        """Find a backend server and start there.
-
-        Returns
-        -------
-        Result
-            Nothing, or the numbered failure that ends the request.
-        """
-        while True:
-            started = await self.attempt()
-            if isinstance(started, result.Success):
-                return started
-            failure = started.failure()
-            if not self.may_try_again(failure) or not self.spend_retry():
-                return result.Failure(self.final_failure(failure))
-            longest_s = attempts.longest_backoff_s(self.attempts)
-            await asyncio.sleep(self.gateway.rng.uniform(0.0, longest_s))
-
-    def may_try_again(self, failure: failures.Failure) -> bool:
-        """Return whether another attempt may be made after a failure."""
-        if self.attempts >= MAX_ATTEMPTS:
-            return False
-        if failure.code not in (codes.Code.SERVER_FAILED, codes.Code.REFUSED_BY_SERVER):
-            return False
-        if self.request.idempotency_key is None:
-            return True
-        return self.execution is codes.Execution.NOT_RUN
-
-    def spend_retry(self) -> bool:
-        """Take one retry from the budget; return whether there was one left."""
-        request = self.request
-        return self.gateway.retries.spend(request.organisation.id, request.model.name)
-
-    def final_failure(self, failure: failures.Failure) -> failures.Failure:
-        """Return the failure of the whole request, given that of the last attempt."""
-        if self.execution is codes.Execution.NOT_RUN:
-            return failure
-        if failure.code is codes.Code.DEADLINE_BEFORE_START:
-            return self.deadline_failure()
-        return attempts.with_execution(failure, self.execution)
-
-    async def attempt(self) -> result.Result[None, failures.Failure]:
-        """Make one attempt at one backend server."""
-        self.attempts += 1
-        deadline_s = self.request.deadline_s
-        suspects = self.gateway.quarantine
-        await suspects.wait_for_other_copy(self.fingerprint, deadline_s)
-        refusal = suspects.refusal(self.fingerprint)
-        if refusal is not None:
-            return result.Failure(refusal)
-        acquired = await self.acquire_slot()
-        if isinstance(acquired, result.Failure):
-            return acquired
-        self.slot = acquired.unwrap()
-        self.meter.note_placed(asyncio.get_running_loop().time())
-        self.server_id = self.slot.server_id
-        if suspects.is_suspect(self.fingerprint) and not self.slot.item.suspect:
-            # It became a suspect while it waited: choose anew.
-            self.leave_server(work.SlotOutcome.CANCELLED)
-            return await self.attempt()
-        suspects.enter(self.server_id, self.request.request_id, self.fingerprint)
-        self.start_offset = len(self.tokens)
-        if not self.tokens:
-            self.id = self.gateway.new_generation_id(self.request.organisation.id)
-        if self.remaining_s() <= 0:
-            self.leave_server(work.SlotOutcome.CANCELLED)
-            return result.Failure(
-                failures.Failure(
-                    codes.Code.DEADLINE_BEFORE_START, "no time was left to start"
-                )
-            )
-        return await self.start()
-
-    async def start(self) -> result.Result[None, failures.Failure]:
-        """Send the generation to the server that was chosen."""
-        timeout_s = min(self.remaining_s(), self.gateway.limits.silent_stream_s)
-        engine = self.engine()
-        try:
-            started = await engine.start(self.call(), timeout_s)
-        except asyncio.CancelledError:
-            self.leave_server(work.SlotOutcome.CANCELLED)
-            self.gateway.spawn(engine.cancel(self.id))
-            raise
-        if isinstance(started, result.Failure):
-            return await self.note_failed_start(started.failure())
-        self.stream = started.unwrap()
-        self.restarted = False
-        self.execution = codes.Execution.RAN
-        return result.Success(None)
-
-    async def acquire_slot(self) -> result.Result[admission.Slot, failures.Failure]:
-        """Wait for a place, for a while only on other servers than the failed one."""
-        if self.failed_server is not None:
-            now_s = asyncio.get_running_loop().time()
-            excluded = frozenset((self.failed_server,))
-            self.failed_server = None
-            deadline_s = min(self.request.deadline_s, now_s + attempts.AVOID_WAIT_S)
-            item = self.work_item(deadline_s, excluded)
-            acquired = await self.gateway.slots.acquire(item)
-            if isinstance(acquired, result.Success):
-                return acquired
-        return await self.gateway.slots.acquire(
-            self.work_item(self.request.deadline_s, frozenset())
-        )
-
-    def work_item(
-        self, deadline_s: float, excluded: frozenset[ids.ServerId]
-    ) -> work.WorkItem:
-        """Return what the routing needs to know of this generation."""
-        request = self.request
-        prompt = request.prompt_text()
-        return work.WorkItem(
-            request_id=request.request_id,
-            organisation=request.organisation.id,
-            class_name=request.priority_class.name,
-            model=request.model.name,
-            adapter=request.adapter,
-            prompt_tokens=requests.estimate_prompt_tokens(prompt),
-            prefix_hashes=requests.prefix_hashes_of(prompt),
-            priority=-request.priority_class.priority,
-            must_not_drop=request.priority_class.must_not_drop,
-            deadline_s=deadline_s,
-            max_tokens=request.max_tokens,
-            generated_tokens=len(self.tokens),
-            suspect=self.gateway.quarantine.is_suspect(self.fingerprint),
-            excluded=excluded,
-        )
-
-    def call(self) -> base.GenerationCall:
-        """Return the call that starts this generation, or continues it."""
-        request = self.request
-        return base.GenerationCall(
-            generation_id=self.id,
-            request_id=request.request_id,
-            model=request.model.name,
-            version=request.model.version,
-            adapter=request.adapter,
-            prompt=request.prompt,
-            messages=request.messages,
-            max_tokens=request.max_tokens,
-            priority=request.priority_class.priority,
-            tokens_so_far=tuple(self.tokens),
-            parameters=request.parameters,
-        )
-
-    def engine(self) -> base.ModelEngine:
-        """Return the adapter of the engine that runs this generation."""
-        assert self.server_id is not None
-        backend = self.gateway.backend_of(self.server_id, self.request.configuration)
-        assert isinstance(backend, base.ModelEngine)
-        return backend
-
-    def remaining_s(self) -> float:
-        """Return the time left until the deadline, in seconds."""
-        return self.request.deadline_s - asyncio.get_running_loop().time()
-
-    async def note_failed_start(
-        self, failure: base.AttemptFailure
-    ) -> result.Result[None, failures.Failure]:
-        """Go on after a start without an answer, or leave the server.
-
-        The engine knows the generation by the id that this gateway chose. So after a
-        lost answer a new connection tells whether the request had arrived.
-        """
-        assert self.server_id is not None
-        LOG.warning(
-            "lifecycle: Start of {} on {} failed: {}.",
-            self.request.request_id,
-            self.server_id,
-            failure.message,
-        )
-        execution = attempts.execution_of(failure)
-        self.execution = attempts.stronger(self.execution, execution)
-        if execution is codes.Execution.MAY_HAVE_RUN:
-            if await self.resume_on_same_server():
-                return result.Success(None)
-            await self.note_lost_server()
-            self.gateway.spawn(self.engine().cancel(self.id))
-        self.failed_server = self.server_id
-        self.leave_server(attempts.slot_outcome_of(failure))
-        rejected = failure.kind is base.FailureKind.REJECTED
-        if rejected and self.tokens and not self.delivered:
-            # This replica does not accept the tokens of the other: start anew.
-            self.tokens.clear()
-            return await self.attempt()
-        return result.Failure(attempts.numbered_failure_of(failure))
+class Generation(starting.StartingGeneration):
+    """Runs one generation and gives its tokens in order, each once."""
 
     async def next_batch(self) -> BatchResult:
         """Return the next tokens, over new links or servers where needed.
@@ -331,14 +76,6 @@
             )
         )
 
-    def deadline_failure(self) -> failures.Failure:
-        """Return the failure of a generation whose time is over."""
-        return failures.Failure(
-            codes.Code.DEADLINE_EXCEEDED,
-            f"the deadline passed after {len(self.tokens)} tokens",
-            codes.Execution.RAN if self.tokens else None,
-        )
-
     def note_batch(self, batch: base.TokenBatch) -> base.TokenBatch:
         """Keep the tokens of a batch; leave the server after the last."""
         assert batch.offset == self.next_offset()
@@ -373,6 +110,8 @@
         self, failure: base.AttemptFailure
     ) -> result.Result[None, failures.Failure]:
         """Go on after a broken stream, on a new link or another server."""
+        if self.moving:
+            return await self.move_on_purpose()
         LOG.warning(
             "lifecycle: Stream of {} from {} broke: {}.",
             self.request.request_id,
@@ -382,7 +121,7 @@
         assert self.stream is not None
         self.stream.close()
         await self.wait_before_new_link()
-        while self.resumes < MAX_RESUMES_IN_A_ROW:
+        while self.resumes < starting.MAX_RESUMES_IN_A_ROW:
             self.resumes += 1
             if await self.resume_on_same_server():
                 return result.Success(None)
@@ -399,21 +138,6 @@
         if self.links_lost > 1:
             await asyncio.sleep(self.gateway.rng.uniform(0.0, longest_s))
 
-    async def resume_on_same_server(self) -> bool:
-        """Open a new link to the running generation; return whether it opened."""
-        timeout_s = min(RESUME_TIMEOUT_S, self.remaining_s())
-        if timeout_s <= 0:
-            return False
-        opened = await self.engine().resume(self.id, self.next_offset(), timeout_s)
-        if isinstance(opened, result.Failure):
-            if opened.failure().kind is base.FailureKind.UNKNOWN_GENERATION:
-                self.resumes = MAX_RESUMES_IN_A_ROW
-                self.restarted = self.stream is not None
-            return False
-        self.stream = opened.unwrap()
-        self.execution = codes.Execution.RAN
-        return True
-
     async def move_to_another_server(
         self, failure: base.AttemptFailure
     ) -> result.Result[None, failures.Failure]:
@@ -434,15 +158,50 @@
         self.resumes = 0
         return await self.open()
 
-    async def note_lost_server(self) -> None:
-        """Let the quarantine know if the server died under this generation."""
+    def can_move(self) -> bool:
+        """Return whether it may be moved to another server now."""
+        if self.moving or self.stream is None or self.slot is None:
+            return False
+        if self.request.idempotency_key is not None or self.first_offset:
+            return False
+        return self.continues_elsewhere() or not self.delivered
+
+    def request_move(self) -> None:
+        """Have it moved to another server by the task that reads it."""
+        assert self.stream is not None
+        self.moving = True
+        self.stream.close()
+
+    async def move_on_purpose(self) -> result.Result[None, failures.Failure]:
+        """Go on at another server, or where it is if no other has a place soon.
+
+        The old server is told to stop only when the new one has started.
+        """
         assert self.server_id is not None
-        await self.gateway.note_lost_server(
-            self.server_id,
-            self.request.request_id,
-            self.request.configuration,
-            self.restarted,
-        )
+        old_id, old_server_id, old_engine = self.id, self.server_id, self.engine()
+        self.moving = False
+        old_tokens = list(self.tokens)
+        if not self.continues_elsewhere():
+            self.tokens.clear()
+        self.leave_server(work.SlotOutcome.MOVED)
+        self.failed_server = old_server_id
+        self.longest_wait_s = MOVE_WAIT_S
+        opened = await self.open()
+        self.longest_wait_s = math.inf
+        if isinstance(opened, result.Success):
+            LOG.info(
+                "lifecycle: Moved {} from {} to {} after {} tokens.",
+                self.request.request_id,
+                old_server_id,
+                self.server_id,
+                len(self.tokens),
+            )
+            self.gateway.spawn(old_engine.cancel(old_id))
+            return opened
+        self.id, self.server_id, self.tokens = old_id, old_server_id, old_tokens
+        if await self.resume_on_same_server():
+            return result.Success(None)
+        return opened
 
     def continues_elsewhere(self) -> bool:
         """Return whether any replica can continue from the tokens."""
@@ -450,14 +209,6 @@
         server = self.request.configuration.servers[self.server_id]
         return server.resumes_across_replicas
 
-    def leave_server(self, outcome: work.SlotOutcome) -> None:
-        """Give the place on the server back."""
-        if self.slot is not None:
-            server_id = self.slot.server_id
-            self.gateway.quarantine.leave(server_id, self.request.request_id)
-            self.slot.release(outcome)
-            self.slot = None
-
     async def cancel(self) -> None:
         """Stop the generation at the engine; the caller wants no more of it."""
         if self.server_id is None:
--- /dev/null
+++ b/tests/lifecycle/test_drains.py
@@ -0,0 +1,161 @@
+import asyncio
+import datetime
+
+import pytest
+
+from quetzalpass import ids
+from quetzalpass.bench import local_cluster
+from quetzalpass.declarations import schema as declared
+from quetzalpass.lifecycle import drains
+
+pytestmark = pytest.mark.looptime
+
+
+def vms_of(cluster, leaving, left_s):
+    """Return the declared VMs with one that leaves in a time."""
+    now = datetime.datetime.now(datetime.UTC)
+    deadline = (now + datetime.timedelta(seconds=left_s)).isoformat()
+    return tuple(
+        declared.Vm(
+            ids.VmId(f"vm-{each.config.id}"),
+            local_cluster.DATA_CENTRE,
+            declared.ServiceState.LEAVING
+            if each is leaving
+            else declared.ServiceState.IN_SERVICE,
+            deadline if each is leaving else None,
+        )
+        for each in (*cluster.engines, *cluster.services)
+    )
+
+
+class Drafts:
+    """Long drafts on three engines, one of which is to leave."""
+
+    def __init__(self, caller, count=12, tokens=900):
+        self.caller = caller
+        self.cluster = caller.cluster
+        self.leaving = caller.cluster.engines[0]
+        self.prompts = [f"draft {number} [tokens={tokens}]" for number in range(count)]
+
+    async def start(self, **rest):
+        self.tasks = [
+            asyncio.create_task(self.caller.generate(each, **rest))
+            for each in self.prompts
+        ]
+        await asyncio.sleep(0.5)
+        assert self.on_leaving()
+
+    def on_leaving(self):
+        watched = self.cluster.gateways[0].gateway.drains.watched
+        return len(watched.get(self.leaving.config.id, ()))
+
+    def drain(self, left_s):
+        self.cluster.declare(vms=vms_of(self.cluster, self.leaving, left_s))
+
+    async def check_whole(self):
+        replies = await asyncio.gather(*self.tasks)
+        for prompt, reply in zip(self.prompts, replies, strict=True):
+            assert reply.whole(prompt) and reply.done, reply.error
+
+    @property
+    def moves(self):
+        return self.cluster.gateways[0].gateway.drains.moves
+
+
+@pytest.fixture
+def open_drafts(open_cluster):
+    async def start(stream=True, resumes=True, **rest):
+        caller = await open_cluster(engines=3, resumes_across_replicas=resumes)
+        drafts = Drafts(caller, **rest)
+        await drafts.start(stream=stream)
+        return drafts
+
+    return start
+
+
+class TestServers:
+    async def test_late_work_is_moved_in_time_and_spread_out(self, open_drafts):
+        drafts = await open_drafts()
+        before = drafts.on_leaving()
+        drafts.drain(10.0)
+        await asyncio.sleep(1.0)
+        assert 0 < drafts.moves < before
+        await asyncio.sleep(6.5)
+        assert drafts.on_leaving() == 0
+        drafts.leaving.kill()
+        await drafts.check_whole()
+        gateway = drafts.cluster.gateways[0].gateway
+        assert not gateway.quarantine.records
+        assert drafts.moves == before
+
+    async def test_work_that_ends_in_time_is_left_there(self, open_drafts):
+        drafts = await open_drafts(tokens=100)
+        drafts.drain(60.0)
+        await drafts.check_whole()
+        assert drafts.moves == 0
+
+    async def test_withdrawn_drain_moves_nothing_more(self, open_drafts):
+        drafts = await open_drafts()
+        drafts.drain(10.0)
+        await asyncio.sleep(1.0)
+        drafts.cluster.declare()
+        moved = drafts.moves
+        await drafts.check_whole()
+        assert 0 < moved == drafts.moves
+
+    async def test_whole_answers_start_anew_where_no_replica_continues(
+        self, open_drafts
+    ):
+        drafts = await open_drafts(stream=False, resumes=False, tokens=600)
+        drafts.drain(10.0)
+        await asyncio.sleep(8.0)
+        drafts.leaving.kill()
+        await drafts.check_whole()
+
+    async def test_streams_that_cannot_move_are_left_to_run(self, open_drafts):
+        drafts = await open_drafts(resumes=False, tokens=600)
+        drafts.drain(5.0)
+        await drafts.check_whole()
+        assert drafts.moves == 0
+
+    async def test_short_notice_by_the_platform_moves_everything(self, open_drafts):
+        drafts = await open_drafts()
+        vm = ids.VmId(f"vm-{drafts.leaving.config.id}")
+        drafts.cluster.taken_away = frozenset((vm,))
+        drafts.cluster.declare()
+        await asyncio.sleep(drains.SHORT_NOTICE_S)
+        assert drafts.on_leaving() == 0
+        drafts.leaving.kill()
+        await drafts.check_whole()
+        assert not drafts.cluster.gateways[0].gateway.quarantine.records
+
+    async def test_move_without_another_place_goes_on_where_it_is(self, open_drafts):
+        drafts = await open_drafts(tokens=300)
+        for engine in drafts.cluster.engines[1:]:
+            engine.kill()
+        drafts.drain(4.0)
+        await drafts.tasks[0]
+        replies = await asyncio.gather(*drafts.tasks)
+        whole = [
+            reply.whole(prompt) and reply.done
+            for prompt, reply in zip(drafts.prompts, replies, strict=True)
+        ]
+        assert sum(whole) >= 1
+
+
+class TestGateways:
+    async def test_drain_refuses_new_work_and_cuts_nothing(self, open_cluster):
+        caller = await open_cluster(engines=1)
+        prompt = "draft [tokens=200]"
+        task = asyncio.create_task(caller.generate(prompt))
+        once = asyncio.create_task(caller.call(Idempotency_Key="k"))
+        await asyncio.sleep(0.3)
+        gateway = caller.cluster.gateways[0].gateway
+        drain = asyncio.create_task(gateway.drain())
+        await asyncio.sleep(0.1)
+        refused = await caller.generate("new")
+        assert (refused.error_name, refused.execution) == ("draining", "not_run")
+        assert not drain.done()
+        assert (await task).whole(prompt) and (await once).code == "0"
+        await drain
+        assert gateway.requests == 0
