Clear a suspect once it is past the place where its server died

Cause: clearing after 64 tokens left an innocent suspect for seconds, in which an unrelated second death would have refused it. Change: a death keeps the place in the output; four tokens past it, or completion, clear the request of that death. Repeatable service calls share their time between their tries, so that a hanging server does not use all of it.

--- a/src/quetzalpass/lifecycle/generations.py
+++ b/src/quetzalpass/lifecycle/generations.py
@@ -13,7 +13,7 @@
 from returns import result
 
 from quetzalpass.backends import base
-from quetzalpass.lifecycle import attempts, quarantine, requests, starting
+from quetzalpass.lifecycle import attempts, requests, starting
 from quetzalpass.results import failures
 from quetzalpass.routing import work
 
@@ -83,8 +83,8 @@
         if batch.texts:
             self.attempts = 0
             self.tokens.extend(batch.texts)
-            if len(self.tokens) - self.start_offset >= quarantine.CLEARING_TOKENS:
-                self.gateway.quarantine.clear(self.fingerprint)
+            self.flight.tokens = len(self.tokens)
+            self.gateway.quarantine.clear(self.fingerprint, len(self.tokens))
             self.gateway.limiter.note_tokens(
                 self.request.organisation.id, len(batch.texts)
             )
@@ -102,7 +102,7 @@
     def note_whole(self) -> None:
         """Leave the server after the last token."""
         request = self.request
-        self.gateway.quarantine.clear(self.fingerprint)
+        self.gateway.quarantine.clear(self.fingerprint, None)
         self.gateway.retries.earn(request.organisation.id, request.model.name)
         self.leave_server(work.SlotOutcome.COMPLETED)
 
--- a/src/quetzalpass/lifecycle/quarantine.py
+++ b/src/quetzalpass/lifecycle/quarantine.py
@@ -3,8 +3,9 @@
 When a server dies, each request on it is a suspect, with a weight of one over their
 number. A suspect runs again only alone among suspects. If a server dies under it a
 second time it is refused for a time, whoever sends it. A suspect that completes, or
-gets well past where it was, is cleared. Nobody is suspected where the platform had
-announced the end of the server or where the server still answers.
+gets past the place in its output where it was at the death, is cleared. Nobody is
+suspected where the platform had announced the end of the server or where the server
+still answers.
 """
 
 import asyncio
@@ -21,7 +22,9 @@
 QUARANTINE_S = 600.0
 REFUSAL_WEIGHT = 1.0
 REFUSAL_DEATHS = 2
-CLEARING_TOKENS = 64
+# Tokens past the place of a death that clear a request of it. What had been
+# generated and not yet received when the server died is less.
+CLEARING_TOKENS = 4
 MAX_RECORDS = 10_000
 OTHER_COPY_POLL_S = 0.05
 MS_PER_S = 1000
@@ -36,10 +39,20 @@
         Unique among all gateways.
     weight : float
         One over the number of requests that share the blame.
+    place : int
+        Tokens of the request's output that had been received.
     """
 
     id: str
     weight: float
+    place: int = 0
+
+
+class Flight(msgspec.Struct):
+    """A request on a server; its owner keeps the number of tokens up to date."""
+
+    fingerprint: str
+    tokens: int = 0
 
 
 class Verdict(msgspec.Struct, frozen=True):
@@ -81,14 +94,14 @@
 class Record(msgspec.Struct):
     """What is held against one request."""
 
-    deaths: dict[str, float]
+    deaths: dict[str, Death]
     cleared: set[str]
     expires_s: float
     sequence: int
 
     def weight(self) -> float:
         """Return the weight of the deaths that still count."""
-        return sum(self.deaths.values())
+        return sum(each.weight for each in self.deaths.values())
 
     def refused(self) -> bool:
         """Return whether the request is refused."""
@@ -108,8 +121,8 @@
     ----------
     records : dict of str to Record
         By fingerprint.
-    flights : dict of ServerId to dict of RequestId to str
-        Fingerprints of the requests on each server.
+    flights : dict of ServerId to dict of RequestId to Flight
+        The requests on each server.
     sequence : int
         Counted up with each change.
     """
@@ -117,24 +130,26 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self.records: dict[str, Record] = {}
-        self.flights: dict[ids.ServerId, dict[ids.RequestId, str]] = {}
+        self.flights: dict[ids.ServerId, dict[ids.RequestId, Flight]] = {}
         self.running: dict[str, int] = {}
         self.sequence = 0
         self.deaths = 0
 
     def enter(
         self, server_id: ids.ServerId, request_id: ids.RequestId, fingerprint: str
-    ) -> None:
+    ) -> Flight:
         """Note that a request is on a server."""
-        self.flights.setdefault(server_id, {})[request_id] = fingerprint
+        flight = Flight(fingerprint)
+        self.flights.setdefault(server_id, {})[request_id] = flight
         self.running[fingerprint] = self.running.get(fingerprint, 0) + 1
+        return flight
 
     def leave(self, server_id: ids.ServerId, request_id: ids.RequestId) -> None:
         """Note that a request has left a server."""
         flights = self.flights.get(server_id, {})
-        fingerprint = flights.pop(request_id, None)
-        if fingerprint is not None:
-            self.end_run(fingerprint)
+        flight = flights.pop(request_id, None)
+        if flight is not None:
+            self.end_run(flight.fingerprint)
         if not flights:
             self.flights.pop(server_id, None)
 
@@ -157,19 +172,25 @@
         """
         if request_id not in self.flights.get(server_id, {}):
             return
-        fingerprints = set(self.flights.pop(server_id).values())
-        for fingerprint in fingerprints:
-            self.running.pop(fingerprint, None)
-        known = {each for each in fingerprints if self.is_suspect(each)}
-        blamed = known or fingerprints
+        places: dict[str, int] = {}
+        for flight in self.flights.pop(server_id).values():
+            place = max(flight.tokens, places.get(flight.fingerprint, 0))
+            places[flight.fingerprint] = place
+            self.end_run(flight.fingerprint)
+        known = [each for each in places if self.is_suspect(each)]
+        blamed = known or list(places)
         self.deaths += 1
-        death = Death(f"{self.name}/{self.deaths}", 1 / len(blamed))
         for fingerprint in blamed:
-            self.blame(fingerprint, death)
+            self.blame(
+                fingerprint,
+                Death(
+                    f"{self.name}/{self.deaths}", 1 / len(blamed), places[fingerprint]
+                ),
+            )
         LOG.warning(
             "quarantine: Server {} died with {} requests, {} suspected before.",
             server_id,
-            len(fingerprints),
+            len(places),
             len(known),
         )
 
@@ -178,7 +199,7 @@
         record = self.record(fingerprint)
         if death.id in record.cleared:
             return
-        record.deaths[death.id] = death.weight
+        record.deaths[death.id] = death
         time_s = QUARANTINE_S if record.refused() else SUSPICION_S
         self.touch(record, time_s)
 
@@ -231,13 +252,29 @@
             retry_after_ms=int(left_s * MS_PER_S) + 1,
         )
 
-    def clear(self, fingerprint: str) -> None:
-        """Note that a suspect has run without harm; a refused one stays refused."""
+    def clear(self, fingerprint: str, tokens: int | None) -> None:
+        """Note that a suspect has run without harm; a refused one stays refused.
+
+        Parameters
+        ----------
+        fingerprint : str
+            The request.
+        tokens : int or None
+            How far it has got; ``None`` where it is complete.
+        """
         record = self.records.get(fingerprint)
         if record is None or not record.deaths or record.refused():
             return
-        record.cleared.update(record.deaths)
-        record.deaths.clear()
+        passed = [
+            each
+            for each, death in record.deaths.items()
+            if tokens is None or tokens >= death.place + CLEARING_TOKENS
+        ]
+        if not passed:
+            return
+        record.cleared.update(passed)
+        for each in passed:
+            del record.deaths[each]
         self.touch(record, SUSPICION_S)
 
     async def wait_for_other_copy(self, fingerprint: str, deadline_s: float) -> None:
@@ -255,7 +292,7 @@
         changed = tuple(
             Verdict(
                 fingerprint,
-                tuple(Death(*each) for each in record.deaths.items()),
+                tuple(record.deaths.values()),
                 tuple(record.cleared),
                 record.expires_s - now_s,
             )
@@ -268,7 +305,7 @@
         """Take in verdicts of a peer; the order and repeats do not matter."""
         for verdict in message.verdicts:
             record = self.record(verdict.fingerprint)
-            deaths = {each.id: each.weight for each in verdict.deaths}
+            deaths = {each.id: each for each in verdict.deaths}
             cleared = record.cleared | set(verdict.cleared)
             merged = {**deaths, **record.deaths}
             merged = {each: merged[each] for each in merged if each not in cleared}
--- a/src/quetzalpass/lifecycle/service_calls.py
+++ b/src/quetzalpass/lifecycle/service_calls.py
@@ -64,7 +64,8 @@
     failed_server: ids.ServerId | None = None
     execution = codes.Execution.NOT_RUN
     for attempt in range(1, MAX_ATTEMPTS + 1):
-        tried = await call_one_server(gateway, request, failed_server)
+        tries_left = MAX_ATTEMPTS + 1 - attempt
+        tried = await call_one_server(gateway, request, failed_server, tries_left)
         if isinstance(tried, result.Success):
             gateway.retries.earn(request.organisation.id, request.service.name)
             return tried.map(lambda answer: CallOutcome(codes.Code.OK, answer))
@@ -97,9 +98,21 @@
     gateway: gateways.Gateway,
     request: requests.ServiceRequest,
     failed_server: ids.ServerId | None,
+    tries_left: int,
 ) -> AttemptResult:
     """Make one attempt at one server of the service.
 
+    Parameters
+    ----------
+    gateway : gateways.Gateway
+        Shared parts.
+    request : requests.ServiceRequest
+        The call.
+    failed_server : ServerId or None
+        Server to avoid if another has a place soon.
+    tries_left : int
+        Tries, this one included, that share the time until the deadline.
+
     Returns
     -------
     Result
@@ -122,10 +135,10 @@
     suspects.enter(slot.server_id, request.request_id, fingerprint)
     outcome = work.SlotOutcome.CANCELLED
     try:
-        answer = await backend.call(request.call, remaining_s)
+        answer = await backend.call(request.call, remaining_s / tries_left)
         if isinstance(answer, result.Success):
             outcome = work.SlotOutcome.COMPLETED
-            suspects.clear(fingerprint)
+            suspects.clear(fingerprint, None)
             return answer
         failure = answer.failure()
         outcome = attempts.slot_outcome_of(failure)
@@ -220,7 +233,7 @@
     token: str,
 ) -> AnswerResult:
     """Make the one attempt of a granted claim and settle the claim."""
-    tried = await call_one_server(gateway, request, None)
+    tried = await call_one_server(gateway, request, None, tries_left=1)
     if isinstance(tried, result.Success):
         answer = tried.unwrap()
         retention = request.configuration.declaration.retention
--- a/src/quetzalpass/lifecycle/starting.py
+++ b/src/quetzalpass/lifecycle/starting.py
@@ -8,7 +8,7 @@
 
 from quetzalpass import ids
 from quetzalpass.backends import base
-from quetzalpass.lifecycle import attempts, requests
+from quetzalpass.lifecycle import attempts, quarantine, requests
 from quetzalpass.lifecycle import gateway as gateways
 from quetzalpass.metrics import metering
 from quetzalpass.results import codes, failures
@@ -92,6 +92,7 @@
         self.longest_wait_s = math.inf
         self.restarted = False
         self.fingerprint = request.fingerprint()
+        self.flight = quarantine.Flight(self.fingerprint)
         self.ready_batch: base.TokenBatch | None = None
 
     def next_offset(self) -> int:
@@ -158,7 +159,10 @@
             # It became a suspect while it waited: choose anew.
             self.leave_server(work.SlotOutcome.CANCELLED)
             return await self.attempt()
-        suspects.enter(self.server_id, self.request.request_id, self.fingerprint)
+        self.flight = suspects.enter(
+            self.server_id, self.request.request_id, self.fingerprint
+        )
+        self.flight.tokens = len(self.tokens)
         self.gateway.drains.watch(self.server_id, self)
         self.start_offset = len(self.tokens)
         self.started_s = asyncio.get_running_loop().time()
--- a/tests/lifecycle/test_quarantine.py
+++ b/tests/lifecycle/test_quarantine.py
@@ -27,7 +27,7 @@
         found = entered("a", "s", ["f", "g"])
         die(found)
         die(found, request="r1")
-        assert found.records["f"].deaths == {"a/1": 0.5}
+        assert found.records["f"].weight() == 0.5
         assert found.is_suspect("g") and found.refusal("f") is None
 
     async def test_known_suspect_takes_the_blame_of_the_second_death(self):
@@ -41,6 +41,15 @@
         await asyncio.sleep(quarantine.QUARANTINE_S)
         assert found.refusal("f") is None
 
+    async def test_suspect_is_cleared_past_its_place_only(self):
+        found = quarantine.Quarantine("a")
+        found.enter(ids.ServerId("s"), ids.RequestId("r0"), "f").tokens = 50
+        die(found)
+        found.clear("f", 50 + quarantine.CLEARING_TOKENS - 1)
+        assert found.is_suspect("f")
+        found.clear("f", 50 + quarantine.CLEARING_TOKENS)
+        assert not found.is_suspect("f")
+
     async def test_verdicts_merge_in_any_order(self):
         first, second = entered("a", "s", ["f"]), entered("b", "t", ["f"])
         die(first)
@@ -58,7 +67,7 @@
         die(first)
         old = first.verdicts_since(0)
         second.merge(old)
-        first.clear("f")
+        first.clear("f", None)
         second.merge(first.verdicts_since(old.sequence))
         second.merge(old)
         assert not second.is_suspect("f")
