--- a/src/quetzalpass/bench/local_cluster.py
+++ b/src/quetzalpass/bench/local_cluster.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from quetzalpass import ids
+from quetzalpass.bench import outcome_records
 from quetzalpass.callers import app as callers_app
 from quetzalpass.declarations import schema as declared
 from quetzalpass.lifecycle import gateway as gateways
@@ -94,6 +95,18 @@
             await asyncio.gather(*self.ended)
 
 
+class WatchedEngine(engine_server.EngineServer):
+    """A stand-in engine that notes each fresh start by its prompt."""
+
+    runs: outcome_records.Runs | None = None
+
+    def continues(self, prompt: str, tokens: tuple[str, ...]) -> bool:
+        """Note a start without earlier tokens."""
+        if self.runs is not None and not tokens:
+            self.runs.starts[prompt] += 1
+        return super().continues(prompt, tokens)
+
+
 class LocalStandin(Program):
     """A stand-in engine or plain service.
 
@@ -105,6 +118,8 @@
         How often a request crashed it.
     runs : dict of str to int
         Runs of a plain service by key, over all restarts.
+    standing_faults : list of faults.Fault
+        Faults that are switched on again after each restart.
     """
 
     def __init__(self, config: standin_settings.StandinSettings) -> None:
@@ -113,25 +128,45 @@
         self.crashes = 0
         self.runs: dict[str, int] = {}
         self.started: list[ids.GenerationId] = []
+        self.standing_faults: list[faults.Fault] = []
+        self.observer: outcome_records.Runs | None = None
+
+    def observe(self, runs: outcome_records.Runs) -> None:
+        """Note what runs here, over all restarts, in a record shared with others."""
+        self.observer = runs
+        self.runs = runs.calls
 
     async def start(self) -> None:
         """Start the program, or start it anew."""
         await self.wait_ended()
         if self.config.kind is standin_settings.StandinKind.ENGINE:
-            engine = engine_server.EngineServer(self.config, self.crash)
+            engine = WatchedEngine(self.config, self.crash)
+            engine.runs = self.observer
             engine.started = self.started
             self.server = engine
         else:
             service = service_server.ServiceServer(self.config, self.crash)
             service.runs = self.runs
             self.server = service
+        for fault in self.standing_faults:
+            self.server.plan.add(fault)
         await self.listen(self.server.application())
 
     def crash(self) -> None:
         """End the program because a request crashed it."""
         self.crashes += 1
+        if self.observer is not None:
+            self.observer.crashes[self.crashing_marker()] += 1
         self.kill()
 
+    def crashing_marker(self) -> str:
+        """Return the marker of the standing fault that has just struck."""
+        left = {each.marker: each.times for each in self.server.plan.pending}
+        for fault in self.standing_faults:
+            if left[fault.marker] < fault.times:
+                return fault.marker or ""
+        return ""
+
     def add_fault(self, kind: faults.FaultKind, **rest) -> None:
         """Switch a fault on."""
         self.server.plan.add(faults.Fault(kind, **rest))
