--- a/src/quetzalpass/lifecycle/service_calls.py
+++ b/src/quetzalpass/lifecycle/service_calls.py
@@ -35,7 +35,12 @@
 async def run_call(
     gateway: gateways.Gateway, request: requests.ServiceRequest
 ) -> AnswerResult:
-    """Make a call, once only where the request is non-idempotent."""
+    """Make a call that the limits admit, once only where it is non-idempotent."""
+    admitted = await gateway.limiter.admit(
+        request.organisation, request.priority_class, request.deadline_s, streams=0
+    )
+    if isinstance(admitted, result.Failure):
+        return admitted
     if request.non_idempotent:
         return await run_at_most_once(gateway, request)
     delay_s = request.priority_class.hedge_after_s
@@ -59,7 +64,8 @@
     failed_server: ids.ServerId | None = None
     execution = codes.Execution.NOT_RUN
     for attempt in range(1, MAX_ATTEMPTS + 1):
-        tried = await call_one_server(gateway, request, failed_server)
+        tries_left = MAX_ATTEMPTS + 1 - attempt
+        tried = await call_one_server(gateway, request, failed_server, tries_left)
         if isinstance(tried, result.Success):
             gateway.retries.earn(request.organisation.id, request.service.name)
             return tried.map(lambda answer: CallOutcome(codes.Code.OK, answer))
@@ -92,15 +98,33 @@
     gateway: gateways.Gateway,
     request: requests.ServiceRequest,
     failed_server: ids.ServerId | None,
+    tries_left: int,
 ) -> AttemptResult:
     """Make one attempt at one server of the service.
 
+    Parameters
+    ----------
+    gateway : gateways.Gateway
+        Shared parts.
+    request : requests.ServiceRequest
+        The call.
+    failed_server : ServerId or None
+        Server to avoid if another has a place soon.
+    tries_left : int
+        Tries, this one included, that share the time until the deadline.
+
     Returns
     -------
     Result
         The answer; a ``FailedAttempt``; or the numbered failure that ends the request
         because no server was found in time.
     """
+    fingerprint = request.fingerprint()
+    suspects = gateway.quarantine
+    await suspects.wait_for_other_copy(fingerprint, request.deadline_s)
+    refusal = suspects.refusal(fingerprint)
+    if refusal is not None:
+        return result.Failure(refusal)
     acquired = await acquire_slot(gateway, request, failed_server)
     if isinstance(acquired, result.Failure):
         return acquired
@@ -108,16 +132,23 @@
     backend = gateway.backend_of(slot.server_id, request.configuration)
     assert isinstance(backend, base.PlainService)
     remaining_s = request.deadline_s - asyncio.get_running_loop().time()
+    suspects.enter(slot.server_id, request.request_id, fingerprint)
+    outcome = work.SlotOutcome.CANCELLED
     try:
-        answer = await backend.call(request.call, remaining_s)
-    except asyncio.CancelledError:
-        slot.release(work.SlotOutcome.CANCELLED)
-        raise
-    if isinstance(answer, result.Success):
-        slot.release(work.SlotOutcome.COMPLETED)
-        return answer
-    failure = answer.failure()
-    slot.release(attempts.slot_outcome_of(failure))
+        answer = await backend.call(request.call, remaining_s / tries_left)
+        if isinstance(answer, result.Success):
+            outcome = work.SlotOutcome.COMPLETED
+            suspects.clear(fingerprint, None)
+            return answer
+        failure = answer.failure()
+        outcome = attempts.slot_outcome_of(failure)
+        if attempts.execution_of(failure) is codes.Execution.MAY_HAVE_RUN:
+            await gateway.note_lost_server(
+                slot.server_id, request.request_id, request.configuration, False
+            )
+    finally:
+        suspects.leave(slot.server_id, request.request_id)
+        slot.release(outcome)
     LOG.warning(
         "lifecycle: Call {} at {} failed: {}.",
         request.request_id,
@@ -142,6 +173,7 @@
         must_not_drop=request.priority_class.must_not_drop,
         deadline_s=request.deadline_s,
         max_tokens=0,
+        suspect=gateway.quarantine.is_suspect(request.fingerprint()),
     )
     if failed_server is not None:
         now_s = asyncio.get_running_loop().time()
@@ -201,7 +233,7 @@
     token: str,
 ) -> AnswerResult:
     """Make the one attempt of a granted claim and settle the claim."""
-    tried = await call_one_server(gateway, request, None)
+    tried = await call_one_server(gateway, request, None, tries_left=1)
     if isinstance(tried, result.Success):
         answer = tried.unwrap()
         retention = request.configuration.declaration.retention
