--- a/src/quetzalpass/routing/dispatch.py
+++ b/src/quetzalpass/routing/dispatch.py
@@ -80,6 +80,8 @@
     def __init__(self, weights: dict[ids.OrganisationId, float]) -> None:
         self.weights = weights
         self.priorities: dict[int, queues.FairQueue] = {}
+        # Place in the queue of the first request, when it last found no room.
+        self.stuck_place: int | None = None
         self.seconds_per_dispatch = 0.0
         self.last_dispatch_s: float | None = None
 
@@ -96,6 +98,10 @@
             self.priorities = dict(sorted(self.priorities.items()))
         return found
 
+    def first_place(self) -> int:
+        """Return the place of the most urgent requests that wait."""
+        return next(place for place, queue in self.priorities.items() if queue.size)
+
     def count_dispatch(self, now_s: float) -> None:
         """Learn how often a place becomes free."""
         if self.last_dispatch_s is not None:
@@ -182,7 +188,11 @@
         if deadline_s is None:
             deadline_s = now_s + self.rules.longest_wait_s
         heapq.heappush(self.deadlines, (deadline_s, item.request_id))
-        decisions = self.pump_lane(lane, now_s)
+        decisions: list[Decision] = []
+        stuck = lane.stuck_place
+        # While more urgent requests find no room this one needn't look for any.
+        if stuck is None or queue_priority(item) < stuck:
+            decisions = self.pump_lane(lane, now_s)
         if lane.size > self.rules.queue_limit:
             decisions += self.shed(lane)
         return decisions
@@ -285,9 +295,11 @@
     def pump_lane(self, lane: Lane, now_s: float) -> list[Decision]:
         """Place requests of one lane until the next has to wait."""
         decisions: list[Decision] = []
+        lane.stuck_place = None
         while lane.size:
             placement = self.place_next(lane, now_s)
             if placement is None:
+                lane.stuck_place = lane.first_place()
                 break
             lane.count_dispatch(now_s)
             decisions.append(placement)
@@ -295,7 +307,7 @@
 
     def place_next(self, lane: Lane, now_s: float) -> Placement | None:
         """Place the next request of a lane, if there's room for it."""
-        queue = next(queue for queue in lane.priorities.values() if queue.size)
+        queue = lane.priorities[lane.first_place()]
         for queued in queue.heads(HEADS_TRIED):
             choice = self.policy.choose(queued.item, self.table, now_s)
             if choice is None or not accepts(queued, choice, now_s):
@@ -321,11 +333,14 @@
         table.enter(flight.bucket, flight.bucket)
         self.flights[item.request_id] = flight
         record.flights[item.request_id] = flight
-        record.own.add(demand)
+        record.add_own(demand)
         record.suspects += item.suspect
         record.last_dispatch_s = now_s
         record.note_adapter(item.adapter)
-        self.table.prefixes.add(choice.server_id, item.prefix_hashes)
+        cached = self.table.prefixes.matched_blocks(
+            choice.server_id, item.prefix_hashes
+        )
+        self.table.prefixes.add(choice.server_id, item.prefix_hashes[cached:])
         self.explanations[item.request_id] = Explanation(
             item.request_id, choice, now_s - queued.queued_s, now_s
         )
@@ -352,8 +367,8 @@
         """Replace the prediction for a request in its server's sum."""
         record = self.table.records.get(flight.server_id)
         if record is not None and flight.item.request_id in record.flights:
-            record.own.subtract(flight.demand)
-            record.own.add(demand)
+            record.subtract_own(flight.demand)
+            record.add_own(demand)
         flight.demand = demand
 
     def release(
@@ -365,7 +380,7 @@
         record = self.table.records.get(flight.server_id)
         # The server may have been removed, and declared anew, in the meantime.
         if record is not None and record.flights.pop(request_id, None) is not None:
-            record.own.subtract(flight.demand)
+            record.subtract_own(flight.demand)
             record.suspects -= item.suspect
             self.judge(record, outcome, now_s)
         if outcome is work.SlotOutcome.COMPLETED and flight.generated > 0:
--- a/src/quetzalpass/routing/flights.py
+++ b/src/quetzalpass/routing/flights.py
@@ -7,7 +7,7 @@
 
 # Further tokens per sequence at which memory is predicted. A short horizon sees the
 # next fill, a long one whether drafts that are young now will meet in a full memory.
-HORIZONS_TOKENS = (0, 32, 128, 512, 2048)
+HORIZONS_TOKENS = (0, 64, 256, 1024)
 
 
 class Demand(msgspec.Struct):
@@ -82,13 +82,15 @@
         Prompt tokens that the server holds anyway, for other requests.
     """
     held = item.prompt_tokens - shared_tokens + generated
-    demand = Demand(1, prefill_tokens, [], [])
-    for horizon in HORIZONS_TOKENS:
-        chance = lengths.chance_of_more(table, generated, horizon, item.max_tokens)
-        tokens = held + horizon
-        demand.mean.append(tokens * chance)
-        demand.variance.append(tokens * tokens * chance * (1.0 - chance))
-    return demand
+    chances = lengths.chances_of_more(
+        table, generated, HORIZONS_TOKENS, item.max_tokens
+    )
+    later = [held + horizon for horizon in HORIZONS_TOKENS]
+    mean = [tokens * chance for tokens, chance in zip(later, chances, strict=True)]
+    variance = [
+        part * (tokens - part) for tokens, part in zip(later, mean, strict=True)
+    ]
+    return Demand(1, prefill_tokens, mean, variance)
 
 
 class Flight:
--- a/src/quetzalpass/routing/lengths.py
+++ b/src/quetzalpass/routing/lengths.py
@@ -42,6 +42,9 @@
         self.ends = [0.0] * size
         self.survival = [1.0] * (size + 1)
         self.unread = 0
+        # Results since the last refresh; most new requests ask for the same.
+        self.expectations: dict[tuple[int, int], float] = {}
+        self.chances: dict[tuple[int, int], list[float]] = {}
         self.refresh()
 
     def enter(self, first: int, last: int) -> None:
@@ -67,6 +70,8 @@
     def refresh(self) -> None:
         """Compute the share of generations that pass each bound."""
         self.unread = 0
+        self.expectations.clear()
+        self.chances.clear()
         alive = 1.0
         for index in range(len(BOUNDS)):
             ends = self.ends[index] + PRIOR_WEIGHT * PRIOR_HAZARD
@@ -111,10 +116,10 @@
     return min(bisect.bisect_left(BOUNDS, max(1, tokens)), len(BOUNDS) - 1)
 
 
-def chance_of_more(
-    table: LifeTable, generated: int, more: int, max_tokens: int
-) -> float:
-    """Return the chance that a generation gets more than ``more`` further tokens.
+def chances_of_more(
+    table: LifeTable, generated: int, horizons: tuple[int, ...], max_tokens: int
+) -> list[float]:
+    """Return the chances that a generation gets more than so many further tokens.
 
     Parameters
     ----------
@@ -122,21 +127,42 @@
         Life table of its class.
     generated : int
         Tokens that it has now.
-    more : int
-        Further tokens.
+    horizons : tuple of int
+        Numbers of further tokens; the same in all calls for one table.
     max_tokens : int
         Limit that the request states.
     """
-    if generated + more >= max_tokens:
+    key = (generated, max_tokens)
+    found = table.chances.get(key)
+    if found is None:
+        now = table.survival_at(generated)
+        found = [
+            chance_at(table, now, generated + horizon, max_tokens)
+            for horizon in horizons
+        ]
+        table.chances[key] = found
+    return found
+
+
+def chance_at(table: LifeTable, now: float, tokens: int, max_tokens: int) -> float:
+    """Return the chance to pass a length, given the share that is alive now."""
+    if tokens >= max_tokens or now <= 0.0:
         return 0.0
-    now = table.survival_at(generated)
-    if now <= 0.0:
-        return 0.0
-    return min(1.0, table.survival_at(generated + more) / now)
+    return min(1.0, table.survival_at(tokens) / now)
 
 
 def expected_more(table: LifeTable, generated: int, max_tokens: int) -> float:
     """Return the expected number of further tokens."""
+    key = (generated, max_tokens)
+    found = table.expectations.get(key)
+    if found is None:
+        found = integrate_survival(table, generated, max_tokens)
+        table.expectations[key] = found
+    return found
+
+
+def integrate_survival(table: LifeTable, generated: int, max_tokens: int) -> float:
+    """Return the area under the conditional survival curve, in tokens."""
     now = table.survival_at(generated)
     if now <= 0.0:
         return 0.0
--- a/src/quetzalpass/routing/predictive.py
+++ b/src/quetzalpass/routing/predictive.py
@@ -35,7 +35,10 @@
 # How much longer gaps of running streams, by prefill beside them, weigh against the
 # delay of the new request, at a full weight of the gap's tail.
 GAP_DISTURBANCE = 4.0
-LOCAL_SAMPLE, REMOTE_SAMPLE, HOLDER_SAMPLE = 6, 2, 4
+LOCAL_SAMPLE, REMOTE_SAMPLE, HOLDER_SAMPLE = 3, 1, 1
+# What a server in another data centre costs, in seconds: a round trip and the risk of
+# a partition in the middle of the stream.
+REMOTE_S = 0.02
 
 
 class Offer(msgspec.Struct):
@@ -140,16 +143,19 @@
         """Return what a server offers, also when it has no room now."""
         share = record.health.share(now_s)
         blocks = table.prefixes.matched_blocks(record.server_id, item.prefix_hashes)
-        trust = table.prefixes.confidence(record.server_id)
+        trust = table.prefixes.confidence(record.server_id) if blocks else 0.0
         matched = int(trust * blocks * record.view.block_tokens)
         occupancy = self.occupancy(demand, matched, record)
-        room = record.sequences < record.view.batch_limit * share
-        if record.sequences:
-            room = room and occupancy <= self.room(item) * share
-            room = room and self.in_time(record, table)
+        sequences = record.sequences
+        view = record.view
+        room = sequences < view.batch_limit * share
+        if sequences and room:
+            room = occupancy <= self.room(item) * share and self.in_time(record, table)
         prompt = item.prompt_tokens + item.generated_tokens - matched
-        cost_s = PREFILL_TOKEN_S * prompt * (1 + self.disturbance * record.sequences)
+        cost_s = PREFILL_TOKEN_S * prompt * (1 + self.disturbance * sequences)
         cost_s += OCCUPANCY_S * occupancy * occupancy
+        if view.data_centre != table.data_centre:
+            cost_s += REMOTE_S
         if item.adapter is not None and not record.has_adapter(item.adapter):
             cost_s += ADAPTER_LOAD_S
         return Offer(record, cost_s, occupancy, matched, room)
@@ -174,16 +180,20 @@
         """Return the largest predicted part of the memory in use, with the request."""
         if record.view.memory_blocks == 0:
             return record.sequences / record.view.batch_limit
-        worst = 0.0
+        total = record.total()
         unshared = 1.0 - matched / max(1.0, demand.mean[0])
-        now_held = demand.mean[0] - matched + record.own.mean[0] + record.peers.mean[0]
-        for index in range(len(flights.HORIZONS_TOKENS)):
-            mean = demand.mean[index] * unshared + record.own.mean[index]
-            mean += record.peers.mean[index]
-            mean -= (1.0 - record.sharing) * min(now_held, mean)
-            variance = demand.variance[index] + record.own.variance[index]
-            variance += record.peers.variance[index]
-            worst = max(worst, mean + RISK_DEVIATIONS * math.sqrt(max(0.0, variance)))
+        now_held = demand.mean[0] - matched + total.mean[0]
+        saved = 1.0 - record.sharing
+        parts = zip(
+            demand.mean, total.mean, demand.variance, total.variance, strict=True
+        )
+        worst = 0.0
+        for mine, others, my_variance, their_variance in parts:
+            mean = mine * unshared + others
+            mean -= saved * (mean if mean < now_held else now_held)
+            mean += RISK_DEVIATIONS * math.sqrt(my_variance + their_variance)
+            if mean > worst:
+                worst = mean
         return worst / record.view.memory_tokens
 
     def explain(self, offer: Offer, regret_s: float, now_s: float) -> work.Choice:
--- a/src/quetzalpass/routing/servers.py
+++ b/src/quetzalpass/routing/servers.py
@@ -116,6 +116,7 @@
         self.flights: dict[ids.RequestId, flights.Flight] = {}
         self.own = flights.no_demand()
         self.peers = flights.no_demand()
+        self.cached_total: flights.Demand | None = None
         self.health = ejection.Health()
         self.suspects = 0
         # Part of the predicted tokens that the engine really holds; below 1 where
@@ -136,6 +137,36 @@
         """Requests in flight from this gateway and its peers."""
         return self.own.sequences + self.peers.sequences
 
+    def total(self) -> flights.Demand:
+        """Return the demand of this gateway and its peers together."""
+        if self.cached_total is None:
+            total = self.own.copy()
+            total.add(self.peers)
+            # Sums that were added to and subtracted from may end just below zero.
+            total.variance = [max(0.0, part) for part in total.variance]
+            self.cached_total = total
+        return self.cached_total
+
+    def add_own(self, demand: flights.Demand) -> None:
+        """Count a request of this gateway."""
+        self.own.add(demand)
+        self.cached_total = None
+
+    def subtract_own(self, demand: flights.Demand) -> None:
+        """Take away a request of this gateway."""
+        self.own.subtract(demand)
+        self.cached_total = None
+
+    def add_peer(self, demand: flights.Demand) -> None:
+        """Count what a peer has in flight."""
+        self.peers.add(demand)
+        self.cached_total = None
+
+    def subtract_peer(self, demand: flights.Demand) -> None:
+        """Take away what a peer had in flight."""
+        self.peers.subtract(demand)
+        self.cached_total = None
+
     def report_age_s(self, now_s: float) -> float | None:
         """Return the age of the last report in seconds."""
         if self.report is None:
@@ -313,13 +344,13 @@
         }
         self.peers[message.vm] = PeerSummary(message.sequence, now_s, loads)
         for server_id, demand in loads.items():
-            self.records[server_id].peers.add(demand)
+            self.records[server_id].add_peer(demand)
 
     def forget_peer(self, vm: ids.VmId) -> None:
         """Drop a peer's summary."""
         summary = self.peers.pop(vm)
         for server_id, demand in summary.loads.items():
-            self.records[server_id].peers.subtract(demand)
+            self.records[server_id].subtract_peer(demand)
 
     def expire_peers(self, now_s: float) -> None:
         """Drop the summaries of peers that have been silent too long."""
