--- /dev/null
+++ b/tests/routing/test_lengths.py
@@ -0,0 +1,56 @@
+import random
+
+from quetzalpass.routing import lengths
+
+
+def run(table, tokens, finished=True):
+    last = lengths.bucket_of(tokens)
+    table.enter(0, last)
+    if finished:
+        table.end(last)
+
+
+class TestLifeTable:
+    def test_remaining_length_is_conditional_on_tokens_so_far(self):
+        table = lengths.LifeTable()
+        for _ in range(200):
+            run(table, 10)
+            run(table, 1000)
+        fresh = lengths.expected_more(table, 0, 4096)
+        old = lengths.expected_more(table, 50, 4096)
+        assert 300 < fresh < 700
+        assert 750 < old < 1100
+
+    def test_unfinished_generations_count(self):
+        table = lengths.LifeTable()
+        for _ in range(100):
+            run(table, 10)
+            run(table, 800, finished=False)
+        table.refresh()
+        assert 0.35 < table.survival_at(400) < 0.65
+
+    def test_old_observations_lose_weight(self):
+        table = lengths.LifeTable()
+        for _ in range(500):
+            run(table, 1000)
+        for _ in range(2000):
+            run(table, 20)
+        assert lengths.expected_more(table, 0, 4096) < 60
+
+    def test_survival_never_rises(self):
+        table = lengths.LifeTable()
+        generator = random.Random(5)
+        for _ in range(300):
+            run(table, round(generator.lognormvariate(5, 1)), generator.random() < 0.7)
+        table.refresh()
+        curve = [table.survival_at(tokens) for tokens in range(0, 70000, 7)]
+        assert curve == sorted(curve, reverse=True)
+
+    def test_limit_of_the_request_bounds_the_estimate(self):
+        table = lengths.LifeTable()
+        for _ in range(50):
+            run(table, 2000)
+        assert lengths.expected_more(table, 90, 100) <= 10
+        chances = lengths.chances_of_more(table, 0, (0, 64, 256), 100)
+        assert chances[1] > 0.9
+        assert chances[2] == 0.0
