--- /dev/null
+++ b/src/quetzalpass/daemon/operators.py
@@ -0,0 +1,168 @@
+"""The operators' listener of a daemon."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+from aiohttp import web
+from returns import result
+
+from quetzalpass import ids
+from quetzalpass.control import declared_state, messages
+from quetzalpass.daemon import groups, keys, peers
+from quetzalpass.declarations import checks, schema
+from quetzalpass.documents import problems
+from quetzalpass.results import codes, failures
+
+if TYPE_CHECKING:
+    from quetzalpass.daemon import process
+
+MAX_BODY_BYTES = 64_000_000
+STATUS_TIMEOUT_S = 2.0
+MAX_LISTED_PROBLEMS = 20
+
+
+class OperatorsInterface:
+    """Answers the operators' tool."""
+
+    def __init__(self, daemon: "process.Daemon") -> None:
+        self.daemon = daemon
+
+    def application(self, key: str) -> web.Application:
+        """Return the aiohttp application of the operators' listener."""
+        app = web.Application(
+            client_max_size=MAX_BODY_BYTES, middlewares=[keys.key_check(key)]
+        )
+        app.router.add_get("/healthz", self.handle_health)
+        app.router.add_post("/v1/declaration", self.handle_apply)
+        app.router.add_get("/v1/declaration", self.handle_get)
+        app.router.add_get("/status", self.handle_status)
+        app.router.add_get("/v1/explanations/{id}", self.handle_explanation)
+        return app
+
+    async def handle_health(self, request: web.Request) -> web.Response:
+        """Answer that the process is alive."""
+        return web.Response(text="ok\n")
+
+    async def handle_apply(self, request: web.Request) -> web.Response:
+        """Replace the declaration, whole or not at all."""
+        body = await request.read()
+        try:
+            order = msgspec.json.decode(body, type=messages.ApplyRequest)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            return error_response(
+                failures.Failure(codes.Code.DECLARATION_INVALID, f"{error}")
+            )
+        errors = checks.errors_among(checks.check_declaration(order.declaration))
+        if errors:
+            return error_response(invalid_failure(errors))
+        command = declared_state.ApplyCommand(
+            order.base_revision, schema.encode(order.declaration), order.author
+        )
+        answered = await self.daemon.groups[groups.DECLARATION_GROUP].propose(
+            declared_state.SESSION, order.operation_id, msgspec.msgpack.encode(command)
+        )
+        if isinstance(answered, result.Failure):
+            return error_response(answered.failure())
+        outcome = msgspec.msgpack.decode(
+            answered.unwrap(), type=declared_state.ApplyOutcome
+        )
+        if not outcome.accepted:
+            return error_response(conflict_failure(order.base_revision, outcome))
+        return peers.json_answer(messages.ApplyReply(outcome.revision, outcome.digest))
+
+    async def handle_get(self, request: web.Request) -> web.Response:
+        """Answer the newest declaration that is in force here."""
+        current = self.daemon.holder.current
+        if current is None:
+            empty = declared_state.EMPTY
+            return peers.json_answer(
+                messages.DeclarationReply(
+                    empty.revision, empty.digest, schema.Declaration()
+                )
+            )
+        return peers.json_answer(
+            messages.DeclarationReply(
+                current.revision, current.digest, current.declaration
+            )
+        )
+
+    async def handle_status(self, request: web.Request) -> web.Response:
+        """Answer the status of this daemon and of all its peers."""
+        own = self.daemon.own_status()
+        answers = await asyncio.gather(
+            *(
+                self.status_of_peer(peer.id, peer.data_centre)
+                for peer in self.daemon.settings.peer_vms
+            )
+        )
+        reply = messages.StatusReply(
+            vm=own,
+            vms=(own, *answers),
+            servers=self.daemon.server_statuses(),
+        )
+        return peers.json_answer(reply)
+
+    async def handle_explanation(self, request: web.Request) -> web.Response:
+        """Answer why this gateway placed a request where it is."""
+        request_id = ids.RequestId(request.match_info["id"])
+        found = self.daemon.gateway.slots.explain(request_id)
+        if found is None:
+            return error_response(
+                failures.Failure(
+                    codes.Code.NOT_FOUND, "this VM has not placed that request lately"
+                )
+            )
+        now_s = asyncio.get_running_loop().time()
+        return peers.json_answer(
+            messages.ExplanationReply(
+                request_id=request_id,
+                vm=self.daemon.settings.id,
+                server=found.choice.server_id,
+                reason=found.choice.reason,
+                waited_s=found.waited_s,
+                age_s=now_s - found.decided_at_s,
+                report_age_s=found.choice.report_age_s,
+            )
+        )
+
+    async def status_of_peer(
+        self, vm: ids.VmId, data_centre: ids.DataCentreId
+    ) -> messages.VmStatus:
+        """Return a peer's status; one that can't be reached is not ready."""
+        answer = await self.daemon.clients[vm].fetch_status(STATUS_TIMEOUT_S)
+        unknown = messages.VmStatus(vm, data_centre, False, ids.Revision(0), 0.0)
+        return answer.value_or(unknown) or unknown
+
+
+def invalid_failure(errors: tuple[problems.Problem, ...]) -> failures.Failure:
+    """Return the failure that lists what is wrong with a declaration."""
+    listed = "; ".join(each.text() for each in errors[:MAX_LISTED_PROBLEMS])
+    return failures.Failure(
+        codes.Code.DECLARATION_INVALID, f"{len(errors)} errors: {listed}"
+    )
+
+
+def conflict_failure(
+    base: ids.Revision, outcome: declared_state.ApplyOutcome
+) -> failures.Failure:
+    """Return the failure that names who was faster."""
+    author = outcome.author or "another operator"
+    return failures.Failure(
+        codes.Code.CONFLICT,
+        f"base revision {base} is not the newest: revision {outcome.revision} "
+        f"by {author} is",
+    )
+
+
+def error_response(failure: failures.Failure) -> web.Response:
+    """Return the answer that tells the operators' tool about a failure."""
+    spec = codes.spec_of(failure.code)
+    reply = messages.ErrorReply(
+        failure.code.value,
+        failure.code.name.lower(),
+        failure.message,
+        spec.advice,
+        failure.retry_after_ms,
+    )
+    return peers.json_answer(reply, spec.http_status)
--- a/src/quetzalpass/standin/__init__.py
+++ b/src/quetzalpass/standin/__init__.py
@@ -1,1 +1,1 @@
-"""A small backend server of our own for tests, the demo and the benchmark."""
+"""Stand-in backend servers for tests, the demo and benchmarks."""
