--- a/src/quetzalpass/consensus/applying.py
+++ b/src/quetzalpass/consensus/applying.py
@@ -61,9 +61,8 @@
             if replica.applied_index >= replica.commit_index:
                 await replica.commit_changed.wait()
                 continue
-            async with self.lock:
-                self.apply_batch()
-                await self.compact_if_due()
+            self.apply_batch()
+            self.compact_if_due()
             await asyncio.sleep(0)
 
     def apply_batch(self) -> None:
@@ -107,17 +106,27 @@
         failure = failures.Failure(codes.Code.NOT_LEADER, message)
         waiter.future.set_result(result.Failure(failure))
 
-    async def compact_if_due(self) -> None:
-        """Take a snapshot once enough entries were applied since the last."""
+    def compact_if_due(self) -> None:
+        """Take a snapshot once enough entries were applied since the last.
+
+        It is stored by a task of its own, as the next proposals should not wait.
+        """
         replica = self.replica
         grown = replica.applied_index - replica.log.snapshot_index
-        if grown < self.snapshot_every:
-            return
-        saved = await replica.log.compact(self.take_snapshot())
+        if grown >= self.snapshot_every and not self.lock.locked():
+            replica.spawn(self.compact(self.take_snapshot()))
+
+    async def compact(self, snapshot: logs.GroupSnapshot) -> None:
+        """Store a snapshot and drop the entries that it stands for."""
+        replica = self.replica
+        async with self.lock:
+            if snapshot.index <= replica.log.snapshot_index:
+                return
+            saved = await replica.log.compact(snapshot)
         if isinstance(saved, result.Failure):
             replica.fail(saved.failure())
             return
-        log.info("consensus: took a snapshot up to {}.", replica.log.snapshot_index)
+        log.info("consensus: took a snapshot up to {}.", snapshot.index)
 
     def take_snapshot(self) -> logs.GroupSnapshot:
         """Return the applied state."""
--- a/src/quetzalpass/consensus/following.py
+++ b/src/quetzalpass/consensus/following.py
@@ -185,7 +185,8 @@
             if isinstance(installed, result.Failure):
                 replica.fail(installed.failure())
                 return False
-            replica.restore(snapshot)
+            if snapshot.index > replica.applied_index:
+                replica.restore(snapshot)
             replica.reset_election()
         log.info("consensus: installed the snapshot up to {}.", snapshot.index)
         return True
--- a/tests/consensus/test_disks.py
+++ b/tests/consensus/test_disks.py
@@ -109,6 +109,18 @@
         assert cluster.voters(await cluster.leader()) == cluster.vms
         await cluster.stop()
 
+    async def test_becomes_a_voter_only_with_all_that_is_committed(self):
+        cluster, items = await filled(600)
+        leader = cluster.groups[await cluster.leader()]
+        wiped = next(vm for vm in cluster.vms if cluster.groups[vm] is not leader)
+        await cluster.wipe(wiped)
+        learner = cluster.groups[wiped].replica
+        await cluster.until(
+            lambda: leader.members().has_voter(learner.replica_id), step_s=0.001
+        )
+        assert learner.log.last_index >= len(items)
+        await cluster.stop()
+
     async def test_does_not_vote_before_it_holds_all(self):
         cluster, _ = await filled()
         leader = await cluster.leader()
--- a/tests/consensus/test_leaders.py
+++ b/tests/consensus/test_leaders.py
@@ -153,6 +153,15 @@
             await cluster.until_all_hold(items)
             await cluster.stop()
 
+    async def test_two_under_way_at_once_are_applied_once(self):
+        cluster = await formed()
+        leader = cluster.groups[await cluster.leader()]
+        calls = [leader.propose("client", "op", b"once") for _ in range(3)]
+        outcomes = await asyncio.gather(*calls)
+        assert {outcome.unwrap() for outcome in outcomes} == {b"2:once"}
+        await cluster.until_all_hold([b"first", b"once"])
+        await cluster.stop()
+
     async def test_gets_the_first_outcome_after_restarts_and_snapshots(self):
         cluster = await formed(snapshot_every=20)
         outcome = await cluster.propose(b"once", "op")
--- a/tests/consensus/test_rules.py
+++ b/tests/consensus/test_rules.py
@@ -3,9 +3,9 @@
 import pytest
 
 from fakes import clusters
-from quetzalpass.consensus import entries, messages
+from quetzalpass.consensus import entries, messages, timing
 
-GRACE_S = 0.7
+GRACE_S = timing.ELECTION_TIMEOUT_S + 0.1
 
 
 def entry(index, term):
@@ -20,14 +20,14 @@
     return cluster
 
 
-async def append(cluster, term, previous, previous_term, added, commit=0):
+async def append(cluster, term, previous, previous_term, added, commit=0, target=None):
     group = cluster.groups["vm-1"]
     request = messages.AppendRequest(
         clusters.GROUP,
         term,
         "vm-2",
         "two",
-        group.replica.replica_id,
+        target or group.replica.replica_id,
         previous,
         previous_term,
         commit,
@@ -123,6 +123,13 @@
         assert held.commit_index == 2
         await cluster.stop()
 
+    async def test_entries_for_another_disk_at_this_address_are_refused(self):
+        cluster = await lone()
+        reply = await append(cluster, 3, 0, 0, [entry(1, 3)], target="former disk")
+        assert (reply.is_matching, reply.replica) == (False, entries.NO_REPLICA)
+        assert cluster.groups["vm-1"].replica.log.is_blank
+        await cluster.stop()
+
     async def test_a_former_leader_is_refused(self):
         cluster = await lone()
         await append(cluster, 4, 0, 0, [entry(1, 4)])
