--- a/src/quetzalpass/consensus/log.py
+++ b/src/quetzalpass/consensus/log.py
@@ -115,7 +115,8 @@
         """Return entries from a position on, at least one if there is any."""
         found = []
         size = 0
-        for entry in self.entries[index - self.base_index - 1 :][:max_count]:
+        start = index - self.base_index - 1
+        for entry in self.entries[start : start + max_count]:
             size += len(entry.data)
             if found and size > max_bytes:
                 break
--- a/src/quetzalpass/consensus/peers.py
+++ b/src/quetzalpass/consensus/peers.py
@@ -42,6 +42,7 @@
         self.snapshot_index = 0
         self.snapshot_offset = 0
         self.snapshot_data = b""
+        self.snapshot_checksum = 0
 
     def wake(self) -> None:
         """Have the task send now rather than at the next heartbeat."""
@@ -131,6 +132,7 @@
         if self.snapshot_index == 0:
             self.snapshot_index = replica.log.snapshot_index
             self.snapshot_data = replica.log.snapshot_data
+            self.snapshot_checksum = crc32c.crc32c(self.snapshot_data)
             self.snapshot_offset = 0
         start = self.snapshot_offset
         request = messages.SnapshotRequest(
@@ -142,7 +144,7 @@
             index=ids.LogIndex(self.snapshot_index),
             offset=start,
             total_bytes=len(self.snapshot_data),
-            checksum=crc32c.crc32c(self.snapshot_data),
+            checksum=self.snapshot_checksum,
             data=self.snapshot_data[start : start + SNAPSHOT_CHUNK_BYTES],
         )
         reply = await self.call(request)
--- a/src/quetzalpass/wire/server.py
+++ b/src/quetzalpass/wire/server.py
@@ -22,7 +22,7 @@
 
     def __init__(self, table: handlers.HandlerTable, cluster_key: str) -> None:
         self.table = table
-        self.cluster_key = cluster_key.encode()
+        self.cluster_key = encode_key(cluster_key)
 
     def add_routes(self, application: web.Application) -> None:
         """Add the inner protocol's route to an application.
@@ -37,8 +37,8 @@
 
     async def answer(self, request: web.Request) -> web.Response:
         """Answer one message."""
-        key = request.headers.get(transport.CLUSTER_KEY_HEADER, "").encode()
-        if not hmac.compare_digest(key, self.cluster_key):
+        key = request.headers.get(transport.CLUSTER_KEY_HEADER, "")
+        if not hmac.compare_digest(encode_key(key), self.cluster_key):
             message = "The cluster key is wrong; compare the key files of the VMs."
             return response_of(failures.Failure(codes.Code.UNKNOWN_KEY, message))
         try:
@@ -53,6 +53,11 @@
         return web.Response(body=body, content_type="application/json")
 
 
+def encode_key(key: str) -> bytes:
+    """Return a key as bytes, whatever bytes a header may have held."""
+    return key.encode("utf-8", "surrogateescape")
+
+
 def response_of(failure: failures.Failure) -> web.Response:
     """Return the response that carries a failure."""
     return web.Response(
--- a/src/quetzalpass/wire/transport.py
+++ b/src/quetzalpass/wire/transport.py
@@ -108,13 +108,15 @@
         try:
             async with asyncio.timeout(timeout_s):
                 async with pool.session.post(url, data=data) as response:
-                    body = await response.read()
+                    body = await read_bounded(response)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             self.retire(peer, pool)
             return ConnectionProblem(f"{type(error).__name__} {error}".strip())
         finally:
             pool.call_count -= 1
             await pool.close_if_unused()
+        if len(body) > messages.MAX_MESSAGE_BYTES:
+            return unreachable(peer, "its answer is above the size limit")
         if response.status == 200:
             return messages.decode(body, message.reply_type)
         decoded = messages.decode(body, failures.Failure)
@@ -171,6 +173,17 @@
     """What went wrong with a connection before an answer came."""
 
 
+async def read_bounded(response: aiohttp.ClientResponse) -> bytes:
+    """Return an answer's body, cut once it is above the size limit."""
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > messages.MAX_MESSAGE_BYTES:
+            response.close()
+            break
+    return bytes(body)
+
+
 def unreachable(
     peer: ids.VmId, reason: str
 ) -> result.Result[messages.Reply, failures.Failure]:
--- a/tests/consensus/test_leaders.py
+++ b/tests/consensus/test_leaders.py
@@ -85,6 +85,19 @@
                 assert len(holders) <= 1, (seed, step)
             await cluster.stop()
 
+    async def test_a_leader_that_was_stopped_finds_its_lease_over(self):
+        cluster = await formed()
+        old = await cluster.leader()
+        tenure = cluster.groups[old].leadership
+        # As after SIGSTOP: none of its tasks has run when it is asked for its lease.
+        for task in [*tenure.own_tasks, *tenure.tasks.values()]:
+            task.cancel()
+        cluster.network.isolate(old)
+        await cluster.until(lambda: set(cluster.leaders()) - {old}, step_s=0.001)
+        assert cluster.groups[old].leadership is tenure
+        assert not cluster.groups[old].is_leader_with_lease()
+        await cluster.stop()
+
     async def test_a_restarted_voter_respects_the_lease(self):
         for seed in range(16):
             cluster = await formed(3, seed)
--- a/tests/consensus/test_rules.py
+++ b/tests/consensus/test_rules.py
@@ -1,9 +1,10 @@
 import asyncio
 
+import crc32c
 import pytest
 
 from fakes import clusters
-from quetzalpass.consensus import entries, messages, timing
+from quetzalpass.consensus import entries, log, messages, timing
 
 GRACE_S = timing.ELECTION_TIMEOUT_S + 0.1
 
@@ -150,6 +151,55 @@
             await cluster.stop()
 
 
+@pytest.mark.looptime
+class TestSnapshots:
+    async def send_snapshot(self, cluster, term, index, chunk_bytes=16):
+        group = cluster.groups["vm-1"]
+        snapshot = log.GroupSnapshot(index, term, entries.Configuration(), [], b"a\nb")
+        data = log.encode_snapshot(snapshot)
+        for start in range(0, len(data), chunk_bytes):
+            request = messages.SnapshotRequest(
+                clusters.GROUP,
+                term,
+                "vm-2",
+                "two",
+                group.replica.replica_id,
+                index,
+                start,
+                len(data),
+                crc32c.crc32c(data),
+                data[start : start + chunk_bytes],
+            )
+            # A chunk that arrives twice changes nothing.
+            await group.answer_snapshot(request)
+            reply = await group.answer_snapshot(request)
+        return reply
+
+    async def test_replaces_entries_that_conflict_with_it_also_after_a_crash(self):
+        for seed in range(10):
+            cluster = await lone(seed)
+            await append(cluster, 2, 0, 0, [entry(index, 2) for index in range(1, 6)])
+            assert (await self.send_snapshot(cluster, 4, 3)).is_installed
+            held = cluster.groups["vm-1"].replica.log
+            assert (held.last_index, held.last_term) == (3, 4)
+            reply = await append(cluster, 4, 3, 4, [entry(4, 4)])
+            assert reply.match_index == 4
+            for _ in range(2):
+                await cluster.restart("vm-1")
+                held = cluster.groups["vm-1"].replica.log
+                assert [item.term for item in held.entries] == [4]
+                assert cluster.items("vm-1") == [b"a", b"b"]
+            await cluster.stop()
+
+    async def test_keeps_the_entries_behind_it_that_agree(self):
+        cluster = await lone()
+        await append(cluster, 4, 0, 0, [entry(index, 4) for index in range(1, 6)])
+        assert (await self.send_snapshot(cluster, 4, 3)).is_installed
+        await cluster.restart("vm-1")
+        assert cluster.groups["vm-1"].replica.log.last_index == 5
+        await cluster.stop()
+
+
 @pytest.mark.looptime
 class TestCommit:
     async def test_entries_of_older_terms_count_only_through_one_of_this_term(self):
--- a/tests/wire/test_http.py
+++ b/tests/wire/test_http.py
@@ -89,6 +89,24 @@
             failure = (await client.call(PEER, huge)).failure()
             assert failure.code is codes.Code.BODY_TOO_LARGE
 
+    async def test_an_answer_above_the_limit_is_refused(self, monkeypatch):
+        async with served() as (client, _):
+            (await client.call(PEER, EchoRequest(bytes(3000)))).unwrap()
+            monkeypatch.setattr(messages, "MAX_MESSAGE_BYTES", 1000)
+            failure = (await client.call(PEER, EchoRequest(bytes(3000)))).failure()
+            assert failure.code is codes.Code.UNREACHABLE
+            assert "limit" in failure.message
+
+    async def test_any_bytes_as_key_are_refused(self):
+        async with served() as (client, port):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            path = transport.PATH_PREFIX + "EchoRequest"
+            writer.write(f"POST {path} HTTP/1.1\r\nHost: x\r\n".encode())
+            writer.write(transport.CLUSTER_KEY_HEADER.encode() + b": \xff\xfe\r\n")
+            writer.write(b"Content-Length: 0\r\n\r\n")
+            assert b" 401 " in await reader.readline()
+            writer.close()
+
     async def test_bad_json_and_unknown_names_are_refused(self):
         async with served() as (client, port):
             url = f"http://127.0.0.1:{port}{transport.PATH_PREFIX}"
