--- a/src/quetzalpass/lifecycle/claimed_generations.py
+++ b/src/quetzalpass/lifecycle/claimed_generations.py
@@ -122,6 +122,27 @@
         self.receiving = self.gateway.spawn_counted(self.receive())
         return await asyncio.shield(self.receiving)
 
+    async def forward(
+        self, sink: base.TokenSink, until_s: float
+    ) -> result.Result[base.Forwarded, failures.Failure]:
+        """Hand the tokens to a sink, the last ones once the outcome is recorded.
+
+        The tokens pass through a task of their own, so that they go on arriving
+        without the caller; the direct way of the base class ends with its caller.
+        """
+        loop = asyncio.get_running_loop()
+        while loop.time() < until_s:
+            received = await self.next_batch()
+            if isinstance(received, result.Failure):
+                return received
+            batch = received.unwrap()
+            accepted = sink.take(batch)
+            if batch.ended:
+                return result.Success(base.Forwarded.ENDED)
+            if not accepted:
+                return result.Success(base.Forwarded.PAUSED)
+        return result.Success(base.Forwarded.DUE)
+
     def replay_batch(self, replay: RecordedGeneration) -> base.TokenBatch:
         """Return the recorded generation as one batch."""
         self.tokens = replay.tokens
--- a/src/quetzalpass/lifecycle/generations.py
+++ b/src/quetzalpass/lifecycle/generations.py
@@ -26,6 +26,13 @@
 MAX_LINK_DELAY_S = 1.0
 LINK_DELAY_BASE_S = 0.02
 RESUME_TIMEOUT_S = 3.0
+REPORT_TOKENS = 16
+
+EARLY_END = base.AttemptFailure(
+    base.AttemptEnd.RAN,
+    base.FailureKind.MALFORMED,
+    "the end mark came before the last token",
+)
 
 BatchResult = result.Result[base.TokenBatch, failures.Failure]
 
@@ -90,6 +97,7 @@
         self.resumes = 0
         self.links_lost = 0
         self.ready_batch: base.TokenBatch | None = None
+        self.unreported = 0
 
     def next_offset(self) -> int:
         """Return the offset of the next token."""
@@ -292,8 +300,7 @@
                 return result.Success(self.note_batch(received.unwrap()))
             if self.finish_reason is not None:
                 # Only the end mark is missing; the answer is whole.
-                end = base.TokenBatch(self.next_offset(), [], None, ended=True)
-                return result.Success(self.note_batch(end))
+                return result.Success(self.note_batch(self.end_batch()))
             recovered = await self.recover(received.failure())
             if isinstance(recovered, result.Failure):
                 return recovered
@@ -302,16 +309,56 @@
         self, batch: base.TokenBatch
     ) -> result.Result[base.TokenBatch, base.AttemptFailure]:
         """Return a batch unless it ends a generation that has no last token."""
+        if self.ends_early(batch):
+            return result.Failure(EARLY_END)
+        return result.Success(batch)
+
+    def ends_early(self, batch: base.TokenBatch) -> bool:
+        """Return whether the end mark came before the last token."""
         finished = batch.finish_reason or self.finish_reason
-        if not batch.ended or finished or self.first_offset:
-            return result.Success(batch)
-        return result.Failure(
-            base.AttemptFailure(
-                base.AttemptEnd.RAN,
-                base.FailureKind.MALFORMED,
-                "the end mark came before the last token",
-            )
-        )
+        return batch.ended and not finished and not self.first_offset
+
+    def end_batch(self) -> base.TokenBatch:
+        """Return the batch that ends a generation whose end mark was lost."""
+        return base.TokenBatch(self.next_offset(), [], None, ended=True)
+
+    async def forward(
+        self, sink: base.TokenSink, until_s: float
+    ) -> result.Result[base.Forwarded, failures.Failure]:
+        """Hand the tokens to a sink as they arrive, over new links where needed.
+
+        Parameters
+        ----------
+        sink : base.TokenSink
+            Takes tokens that follow the earlier ones without a gap.
+        until_s : float
+            Loop time at which to return.
+
+        Returns
+        -------
+        Result
+            Why it stopped, or the numbered failure that ends the generation.
+        """
+        tap = TokenTap(self, sink)
+        while True:
+            remaining_s = self.remaining_s()
+            if remaining_s <= 0:
+                await self.cancel()
+                return result.Failure(self.deadline_failure())
+            assert self.stream is not None
+            due_s = min(until_s, self.request.deadline_s)
+            silence_s = self.gateway.limits.silent_stream_s
+            forwarded = await self.stream.forward(tap, silence_s, due_s)
+            forwarded = forwarded.bind(tap.check_end)
+            if isinstance(forwarded, result.Failure):
+                if self.finish_reason is not None:
+                    sink.take(self.note_batch(self.end_batch()))
+                    return result.Success(base.Forwarded.ENDED)
+                recovered = await self.recover(forwarded.failure())
+                if isinstance(recovered, result.Failure):
+                    return recovered
+            elif due_s == until_s or forwarded.unwrap() is not base.Forwarded.DUE:
+                return forwarded
 
     def deadline_failure(self) -> failures.Failure:
         """Return the failure of a generation whose time is over."""
@@ -329,8 +376,7 @@
             self.attempts = 0
             self.tokens.extend(batch.texts)
             self.meter.note_tokens(asyncio.get_running_loop().time())
-            if self.slot is not None:
-                self.slot.on_tokens(len(batch.texts))
+            self.report_tokens(len(batch.texts))
         self.finish_reason = batch.finish_reason or self.finish_reason
         if self.request.delivery is requests.Delivery.STREAM:
             self.delivered = len(self.tokens)
@@ -339,6 +385,15 @@
             self.leave_server(work.SlotOutcome.COMPLETED)
         return batch
 
+    def report_tokens(self, count: int) -> None:
+        """Tell the routing of new tokens: of the first at once, then of several."""
+        self.unreported += count
+        if self.unreported < REPORT_TOKENS and len(self.tokens) > count:
+            return
+        if self.slot is not None:
+            self.slot.on_tokens(self.unreported)
+        self.unreported = 0
+
     async def recover(
         self, failure: base.AttemptFailure
     ) -> result.Result[None, failures.Failure]:
@@ -440,3 +495,34 @@
         await asyncio.sleep(self.gateway.limits.caller_grace_s)
         self.leave_server(work.SlotOutcome.CANCELLED)
         await self.engine().cancel(self.id, only_if_detached=True)
+
+
+class TokenTap(base.TokenSink):
+    """Keeps the tokens of a generation on their way to the caller's sink.
+
+    Attributes
+    ----------
+    ended_early : bool
+        Whether the end mark came before the last token; that batch is dropped.
+    """
+
+    def __init__(self, generation: Generation, sink: base.TokenSink) -> None:
+        self.generation = generation
+        self.take_on = sink.take
+        self.ended_early = False
+
+    def take(self, batch: base.TokenBatch) -> bool:
+        """Keep the tokens, then pass them on."""
+        if batch.ended and self.generation.ends_early(batch):
+            self.ended_early = True
+            return False
+        return self.take_on(self.generation.note_batch(batch))
+
+    def check_end(
+        self, forwarded: base.Forwarded
+    ) -> result.Result[base.Forwarded, base.AttemptFailure]:
+        """Return why the stream stopped, unless it ended early."""
+        if self.ended_early:
+            self.ended_early = False
+            return result.Failure(EARLY_END)
+        return result.Success(forwarded)
