Replicate declarations and the ledger by consensus; one inner protocol for all

Cause: the first replica led for ever and kept everything in memory; daemons spoke two inner protocols, one of the thin path and one of consensus. Change: a role replica with one group for declarations and two for the ledger on the data folder; commands go to the leader from any daemon and are sent again under the same operation id; the reconciler acts under the lease of the declaration group; members can be listed and changed; all messages between daemons go over the package wire; summaries carry suspicions and usage; routing uses the predictive policy.

--- a/src/quetzalpass/control/declared_state.py
+++ b/src/quetzalpass/control/declared_state.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from quetzalpass import ids
+from quetzalpass.consensus import machine
 from quetzalpass.declarations import schema
 
 SESSION = "declaration"
@@ -64,7 +65,7 @@
 )
 
 
-class DeclaredState:
+class DeclaredState(machine.StateMachine):
     """The accepted declaration.
 
     Attributes
--- a/src/quetzalpass/control/ledger.py
+++ b/src/quetzalpass/control/ledger.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from quetzalpass import ids
+from quetzalpass.consensus import machine
 from quetzalpass.control import ledger_messages as messages
 
 # A gateway that holds claims and has been silent this long is taken for dead. That
@@ -73,7 +74,7 @@
     owners: dict[ids.VmId, Owner]
 
 
-class LedgerState:
+class LedgerState(machine.StateMachine):
     """Claims by organisation and key.
 
     Attributes
--- a/src/quetzalpass/daemon/groups.py
+++ b/src/quetzalpass/daemon/groups.py
@@ -5,66 +5,125 @@
 from returns import result
 
 from quetzalpass import ids
+from quetzalpass.consensus import group as consensus_group
 from quetzalpass.control import proposers
 from quetzalpass.membership import inner_messages, peer_client
 from quetzalpass.results import codes, failures
 
 PROPOSE_TIMEOUT_S = 5.0
+TRY_TIMEOUT_S = 2.0
+RETRY_PAUSE_S = 0.1
+LEDGER_GROUPS = 2
 
 DECLARATION_GROUP = ids.GroupId("declaration")
-LEDGER_GROUP = ids.GroupId("ledger")
+RETRIED = frozenset(
+    {codes.Code.NOT_LEADER, codes.Code.UNREACHABLE, codes.Code.NO_QUORUM}
+)
 
 
-class ForwardingProposer(proposers.Proposer):
-    """Passes commands on to the daemon that leads a group.
+def ledger_group_ids() -> list[ids.GroupId]:
+    """Return the ids of the groups that hold the ledger, in a fixed order."""
+    return [ids.GroupId(f"ledger-{number}") for number in range(LEDGER_GROUPS)]
+
+
+class GroupProposer(proposers.Proposer):
+    """Brings commands to the leader of a group, wherever it is.
+
+    A command is sent again with the same operation id until it has an outcome or the
+    time is over; the group applies it once.
 
     Parameters
     ----------
     group : GroupId
         The group.
-    client : peer_client.PeerClient
-        Client of the leader.
+    clients : dict of VmId to peer_client.PeerClient
+        Clients of the replicas on other VMs.
+    local : consensus_group.Group or None
+        The replica on this VM.
+
+    Attributes
+    ----------
+    leader : VmId or None
+        Where the last command found the leader.
     """
 
-    def __init__(self, group: ids.GroupId, client: peer_client.PeerClient) -> None:
+    def __init__(
+        self,
+        group: ids.GroupId,
+        clients: dict[ids.VmId, peer_client.PeerClient],
+        local: consensus_group.Group | None,
+    ) -> None:
         self.group = group
-        self.client = client
+        self.clients = clients
+        self.local = local
+        self.leader: ids.VmId | None = None
+        self.turn = 0
 
     async def propose(
         self, session: str, operation: ids.OperationId, command: bytes
     ) -> result.Result[bytes, failures.Failure]:
-        """Pass a command on; see the base class."""
-        message = inner_messages.ProposeMessage(self.group, session, operation, command)
-        answered = await self.client.propose(message, PROPOSE_TIMEOUT_S)
+        """Commit a command; see the base class."""
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + PROPOSE_TIMEOUT_S
+        request = inner_messages.ProposeRequest(self.group, session, operation, command)
+        while True:
+            reply = await self.propose_once(request)
+            if reply.failure is None:
+                return result.Success(reply.answer)
+            if reply.failure.code not in RETRIED:
+                return result.Failure(reply.failure)
+            if loop.time() + RETRY_PAUSE_S >= deadline_s:
+                return result.Failure(no_quorum(reply.failure))
+            await asyncio.sleep(RETRY_PAUSE_S)
+
+    async def propose_once(
+        self, request: inner_messages.ProposeRequest
+    ) -> inner_messages.ProposeReply:
+        """Try one replica: the leader where it is known, else each in turn."""
+        if self.local is not None:
+            reply = await propose_here(self.local, request)
+            if reply.failure is None or reply.failure.code is not (
+                codes.Code.NOT_LEADER
+            ):
+                return reply
+            self.leader = reply.leader
+        target = self.leader if self.leader in self.clients else self.next_replica()
+        if target is None:
+            failure = failures.Failure(codes.Code.NO_QUORUM, "no replica is known")
+            return inner_messages.ProposeReply(failure=failure)
+        answered = await self.clients[target].propose(request, TRY_TIMEOUT_S)
         if isinstance(answered, result.Failure):
-            return result.Failure(
-                failures.Failure(
-                    codes.Code.NO_QUORUM, answered.failure().message, None, 1_000
-                )
-            )
-        answer = answered.unwrap()
-        if answer.failure is not None:
-            return result.Failure(answer.failure)
-        return result.Success(answer.answer or b"")
-
-
-async def answer_proposal(
-    groups: dict[ids.GroupId, proposers.Proposer],
-    message: inner_messages.ProposeMessage,
-) -> inner_messages.ProposeAnswer:
-    """Propose a command that a peer passed on."""
-    proposer = groups.get(message.group)
-    if proposer is None:
-        failure = failures.Failure(codes.Code.NOT_LEADER, "not a replica")
-        return inner_messages.ProposeAnswer(failure=failure)
-    try:
-        async with asyncio.timeout(PROPOSE_TIMEOUT_S):
-            answer = await proposer.propose(
-                message.session, message.operation, message.command
-            )
-    except TimeoutError:
-        failure = failures.Failure(codes.Code.NO_QUORUM, "no majority answered")
-        return inner_messages.ProposeAnswer(failure=failure)
+            self.leader = None
+            return inner_messages.ProposeReply(failure=answered.failure())
+        reply = answered.unwrap()
+        self.leader = target if reply.failure is None else reply.leader
+        return reply
+
+    def next_replica(self) -> ids.VmId | None:
+        """Return the replicas in turn."""
+        if not self.clients:
+            return None
+        self.turn += 1
+        names = sorted(self.clients)
+        return names[self.turn % len(names)]
+
+
+def no_quorum(last: failures.Failure) -> failures.Failure:
+    """Return the failure of a command whose outcome is not known."""
+    return failures.Failure(
+        codes.Code.NO_QUORUM,
+        f"no majority answered within {PROPOSE_TIMEOUT_S:.0f} s: {last.message}",
+        retry_after_ms=1_000,
+    )
+
+
+async def propose_here(
+    group: consensus_group.Group, request: inner_messages.ProposeRequest
+) -> inner_messages.ProposeReply:
+    """Propose a command to the replica on this VM."""
+    answer = await group.propose(request.session, request.operation, request.command)
     if isinstance(answer, result.Failure):
-        return inner_messages.ProposeAnswer(failure=answer.failure())
-    return inner_messages.ProposeAnswer(answer=answer.unwrap())
+        return inner_messages.ProposeReply(
+            failure=answer.failure(), leader=group.leader()
+        )
+    return inner_messages.ProposeReply(answer.unwrap())
--- a/src/quetzalpass/daemon/main.py
+++ b/src/quetzalpass/daemon/main.py
@@ -11,6 +11,7 @@
 
 from quetzalpass import logs
 from quetzalpass.daemon import collector, process
+from quetzalpass.results import failures
 from quetzalpass.settings import loader, schema
 
 EXIT_OK = 0
@@ -38,7 +39,7 @@
     with logs.make_handler(chosen_format).applicationbound():
         try:
             return asyncio.run(serve(loaded.unwrap()))
-        except OSError as error:
+        except (OSError, failures.FailureError) as error:
             print(f"quetzalpassd: {error}", file=sys.stderr)
             return EXIT_FAILED
 
--- a/src/quetzalpass/daemon/operators.py
+++ b/src/quetzalpass/daemon/operators.py
@@ -37,6 +37,7 @@
         app.router.add_post("/v1/declaration", self.handle_apply)
         app.router.add_get("/v1/declaration", self.handle_get)
         app.router.add_get("/status", self.handle_status)
+        app.router.add_post("/v1/members", self.handle_members)
         app.router.add_get("/v1/explanations/{id}", self.handle_explanation)
         return app
 
@@ -100,9 +101,26 @@
             vm=own,
             vms=(own, *answers),
             servers=self.daemon.server_statuses(),
+            groups=self.daemon.replica.statuses() if self.daemon.replica else (),
         )
         return peers.json_answer(reply)
 
+    async def handle_members(self, request: web.Request) -> web.Response:
+        """Change the members of a consensus group by one; the leader does it."""
+        body = await request.read()
+        try:
+            order = msgspec.json.decode(body, type=messages.MembersRequest)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            return error_response(failures.Failure(codes.Code.BAD_REQUEST, f"{error}"))
+        if self.daemon.replica is None:
+            return error_response(
+                failures.Failure(codes.Code.NOT_LEADER, "this VM is no replica")
+            )
+        changed = await self.daemon.replica.change_members(order)
+        if isinstance(changed, result.Failure):
+            return error_response(changed.failure())
+        return peers.json_answer(changed.unwrap())
+
     async def handle_explanation(self, request: web.Request) -> web.Response:
         """Answer why this gateway placed a request where it is."""
         request_id = ids.RequestId(request.match_info["id"])
--- a/src/quetzalpass/daemon/process.py
+++ b/src/quetzalpass/daemon/process.py
@@ -5,26 +5,38 @@
 from typing import Any
 
 import logbook
+import msgspec
 from aiohttp import web
 
 from quetzalpass import ids
 from quetzalpass.callers import app as callers_app
 from quetzalpass.callers import connections
-from quetzalpass.control import declared_state, ledger, messages, proposers
-from quetzalpass.daemon import groups, keys, listeners, operators, peers
+from quetzalpass.consensus import timing
+from quetzalpass.control import messages, proposers
+from quetzalpass.daemon import (
+    groups,
+    keys,
+    listeners,
+    operators,
+    peers,
+    replica_role,
+)
 from quetzalpass.lifecycle import gateway as gateways
 from quetzalpass.lifecycle import ledger_client
 from quetzalpass.membership import (
     configuration,
     fleet,
+    inner_messages,
     peer_client,
     spread,
     summaries,
 )
 from quetzalpass.metrics import flusher, sender
+from quetzalpass.reconcile import reconciler
 from quetzalpass.routing import factory
 from quetzalpass.routing import settings as routing_settings
 from quetzalpass.settings import schema
+from quetzalpass.wire import handlers, transport
 
 LOG = logbook.Logger("daemon")
 
@@ -57,14 +69,19 @@
         self.groups: dict[ids.GroupId, proposers.Proposer] = {}
         self.clients: dict[ids.VmId, peer_client.PeerClient] = {}
         self.listeners: list[listeners.OpenListener] = []
-        self.declared = declared_state.DeclaredState()
+        self.table = handlers.HandlerTable()
+        self.channel = transport.HttpTransport(
+            {each.id: each.url for each in settings.peer_vms}, self.cluster_key
+        )
+        self.replica: replica_role.ReplicaRole | None = None
 
     async def start(self) -> None:
         """Open the listeners and start the tasks."""
         for peer in self.settings.peer_vms:
-            self.clients[peer.id] = peer_client.PeerClient(peer.url, self.cluster_key)
-        self.open_groups()
+            self.clients[peer.id] = peer_client.PeerClient(peer.id, self.channel)
+        await self.open_groups()
         self.gateway = self.build_gateway()
+        self.reconciler = self.build_reconciler()
         self.spread = spread.Spread(self.settings, self.holder, self.clients, self.rng)
         await self.listen(
             peers.PeersInterface(self).application(self.cluster_key),
@@ -73,6 +90,8 @@
         await self.open_operators_listener()
         if schema.Role.GATEWAY in self.settings.roles:
             await self.listen_to_callers()
+        if self.reconciler is not None:
+            self.reconciler.start()
         self.spread.start()
         self.fleet.start()
         self.summary_sender.start()
@@ -81,31 +100,42 @@
         self.gateway.spawn(flushing.run())
         LOG.info("daemon: {} has started.", self.settings.id)
 
-    def open_groups(self) -> None:
-        """Open the replicated groups, here or at the replica that leads them."""
-        replicas = sorted(each.id for each in self.settings.peer_vms if each.replica)
-        is_replica = schema.Role.REPLICA in self.settings.roles
-        if is_replica and (not replicas or self.settings.id < replicas[0]):
-            self.groups = {
-                groups.DECLARATION_GROUP: proposers.LocalProposer(self.declared),
-                groups.LEDGER_GROUP: proposers.LocalProposer(ledger.LedgerState()),
-            }
-            self.declared.observers.append(self.activate_accepted)
-            return
-        for group in (groups.DECLARATION_GROUP, groups.LEDGER_GROUP):
-            self.groups[group] = groups.ForwardingProposer(
-                group, self.clients[replicas[0]]
+    async def open_groups(self) -> None:
+        """Open the replicated groups, here or at the replicas on other VMs."""
+        if schema.Role.REPLICA in self.settings.roles:
+            self.replica = replica_role.ReplicaRole(
+                self.settings, self.table, self.channel, self.holder, self.rng
             )
+            await self.replica.start()
+        peers = {
+            each.id: self.clients[each.id]
+            for each in self.settings.peer_vms
+            if each.replica
+        }
+        for group_id in (groups.DECLARATION_GROUP, *groups.ledger_group_ids()):
+            local = None
+            if self.replica is not None:
+                local = self.replica.registry.groups[group_id]
+            self.groups[group_id] = groups.GroupProposer(group_id, peers, local)
 
-    def activate_accepted(self, accepted: declared_state.AcceptedDeclaration) -> None:
-        """Put an accepted revision in force here."""
-        self.holder.activate(accepted.revision, accepted.digest, accepted.data)
+    def build_reconciler(self) -> reconciler.Reconciler | None:
+        """Return the reconciler of a replica; it acts while that replica leads."""
+        if self.replica is None:
+            return None
+        group = self.replica.registry.groups[groups.DECLARATION_GROUP]
+        return reconciler.Reconciler(
+            replica_role.GroupLeadership(group),
+            self.holder,
+            self.gateway.backend_of,
+            self.fleet.taken_away,
+            timing.Timing().lease_s,
+        )
 
     def build_gateway(self) -> gateways.Gateway:
         """Return the gateway, which follows the revision in force."""
         slots = factory.make_admission(
             routing_settings.RoutingSettings(
-                policy=routing_settings.PolicyName.LEAST_IN_FLIGHT
+                policy=routing_settings.PolicyName.PREDICTIVE
             ),
             self.settings.data_centre,
             self.rng,
@@ -115,7 +145,7 @@
         )
         gateway.ledger = ledger_client.ReplicatedLedger(
             self.settings.id,
-            [self.groups[groups.LEDGER_GROUP]],
+            [self.groups[each] for each in groups.ledger_group_ids()],
             gateway.new_operation_id,
         )
         self.fleet = fleet.Fleet(
@@ -124,10 +154,26 @@
         self.holder.observers.append(lambda at: gateway.recorder.follow(at.declaration))
         told = summaries.summary_peers(self.settings)
         self.summary_sender = summaries.SummarySender(
-            {vm: self.clients[vm] for vm in told}, self.fleet.make_summary
+            {vm: self.clients[vm] for vm in told}, self.make_summary
         )
         return gateway
 
+    def make_summary(self) -> inner_messages.GatewaySummary:
+        """Return what the other gateways should know."""
+        return msgspec.structs.replace(
+            self.fleet.make_summary(),
+            verdicts=self.gateway.quarantine.verdicts_since(0),
+            usage=self.gateway.limiter.own_usage(),
+        )
+
+    def note_summary(self, summary: inner_messages.GatewaySummary) -> None:
+        """Take in another gateway's summary."""
+        self.fleet.note_summary(summary)
+        if summary.verdicts is not None:
+            self.gateway.quarantine.merge(summary.verdicts)
+        if summary.usage is not None:
+            self.gateway.limiter.observe_peer_usage(summary.usage)
+
     async def open_operators_listener(self) -> None:
         """Open the operators' listener with its own key."""
         listener = self.settings.operators
@@ -205,6 +251,8 @@
 
     async def stop(self) -> None:
         """Close all listeners and connections."""
+        if self.reconciler is not None:
+            self.reconciler.stop()
         self.spread.stop()
         self.summary_sender.stop()
         self.fleet.stop()
@@ -212,6 +260,7 @@
             await listener.close(self.settings.limits.slow_caller_s)
         await self.gateway.close()
         self.metrics_sender.close()
-        for client in self.clients.values():
-            await client.close()
+        if self.replica is not None:
+            await self.replica.stop()
+        await self.channel.close()
         LOG.info("daemon: {} has stopped.", self.settings.id)
--- /dev/null
+++ b/src/quetzalpass/daemon/replica_role.py
@@ -0,0 +1,197 @@
+"""The role replica: the consensus groups on this VM's disk."""
+
+import asyncio
+import pathlib
+import random
+
+from returns import result
+
+from quetzalpass import ids
+from quetzalpass.backends import base
+from quetzalpass.consensus import group as consensus_group
+from quetzalpass.consensus import machine, registry
+from quetzalpass.control import declared_state, ledger, messages
+from quetzalpass.daemon import groups
+from quetzalpass.membership import configuration, inner_messages
+from quetzalpass.reconcile import leadership
+from quetzalpass.results import codes, failures
+from quetzalpass.settings import schema
+from quetzalpass.storage import disk
+from quetzalpass.wire import handlers, transport
+
+
+class ReplicaRole:
+    """All groups of one VM.
+
+    Parameters
+    ----------
+    settings : schema.Settings
+        Names the data folder and the other replicas.
+    table : handlers.HandlerTable
+        Where the groups' messages are registered.
+    channel : transport.PeerTransport
+        Way to the other replicas.
+    holder : configuration.ConfigurationHolder
+        Where accepted revisions come into force.
+    rng : random.Random
+        Source of replica ids and election timeouts.
+
+    Raises
+    ------
+    failures.FailureError
+        If the data folder can't be used.
+    """
+
+    def __init__(
+        self,
+        settings: schema.Settings,
+        table: handlers.HandlerTable,
+        channel: transport.PeerTransport,
+        holder: configuration.ConfigurationHolder,
+        rng: random.Random,
+    ) -> None:
+        assert settings.data_folder is not None
+        self.settings = settings
+        self.holder = holder
+        self.disk = unwrap(disk.open_folder(pathlib.Path(settings.data_folder)))
+        self.channel = channel
+        self.rng = rng
+        self.registry = registry.GroupRegistry(table)
+        self.declared = declared_state.DeclaredState()
+        self.declared.observers.append(self.note_accepted)
+        self.activation: asyncio.Handle | None = None
+        self.add(groups.DECLARATION_GROUP, self.declared)
+        for group_id in groups.ledger_group_ids():
+            self.add(group_id, ledger.LedgerState())
+
+    def add(self, group_id: ids.GroupId, state: machine.StateMachine) -> None:
+        """Add one group."""
+        peers = [each.id for each in self.settings.peer_vms if each.replica]
+        members = sorted([self.settings.id, *peers])
+        self.registry.add(
+            consensus_group.Group(
+                group_id,
+                self.settings.id,
+                members,
+                self.disk,
+                self.channel,
+                state,
+                self.rng,
+            )
+        )
+
+    async def start(self) -> None:
+        """Read the disk and take part in all groups.
+
+        Raises
+        ------
+        failures.FailureError
+            If the disk is damaged or can't be read.
+        """
+        for group in self.registry.groups.values():
+            unwrap(await group.start())
+
+    async def stop(self) -> None:
+        """Stop taking part, then let go of the data folder."""
+        for group in self.registry.groups.values():
+            await group.stop()
+        self.disk.close()
+
+    def note_accepted(self, accepted: declared_state.AcceptedDeclaration) -> None:
+        """Put the newest accepted revision in force soon.
+
+        After a restart hundreds of revisions are applied in a row; only the last of
+        them is worth decoding.
+        """
+        if self.activation is None:
+            loop = asyncio.get_running_loop()
+            self.activation = loop.call_soon(self.activate_newest)
+
+    def activate_newest(self) -> None:
+        """Put the newest accepted revision in force."""
+        self.activation = None
+        newest = self.declared.current
+        self.holder.activate(newest.revision, newest.digest, newest.data)
+
+    async def answer_proposal(
+        self, request: inner_messages.ProposeRequest
+    ) -> handlers.Outcome:
+        """Propose a command that a peer passed on."""
+        group = self.registry.groups.get(request.group)
+        if group is None:
+            failure = failures.Failure(codes.Code.NOT_LEADER, "no such group here")
+            return result.Success(inner_messages.ProposeReply(failure=failure))
+        return result.Success(await groups.propose_here(group, request))
+
+    def statuses(self) -> tuple[messages.GroupStatus, ...]:
+        """Return the status of each group."""
+        return tuple(
+            messages.GroupStatus(
+                group.group_id,
+                group.leader(),
+                group.term,
+                group.applied_index,
+                tuple(each.vm for each in group.members().members),
+            )
+            for group in self.registry.groups.values()
+        )
+
+    async def change_members(
+        self, request: messages.MembersRequest
+    ) -> result.Result[messages.MembersReply, failures.Failure]:
+        """Add or remove one member of a group that this replica leads."""
+        group = self.registry.groups.get(request.group)
+        if group is None:
+            return result.Failure(
+                failures.Failure(codes.Code.NOT_FOUND, "there is no such group")
+            )
+        change = group.remove_member
+        if request.action is messages.MemberAction.ADD:
+            change = group.add_member
+        changed = await change(request.vm)
+        members = tuple(each.vm for each in group.members().members)
+        return changed.map(lambda _: messages.MembersReply(request.group, members))
+
+
+class GroupLeadership(leadership.Leadership):
+    """Leadership of the declaration group, as the reconciler asks for it."""
+
+    def __init__(self, group: consensus_group.Group) -> None:
+        self.group = group
+        self.seen_term = ids.Term(0)
+        self.since_s = 0.0
+        self.orders = 0
+
+    def holds_lease(self) -> bool:
+        """Return whether this replica leads and its lease has not expired."""
+        holds = self.group.is_leader_with_lease()
+        if holds and self.group.term != self.seen_term:
+            self.seen_term = self.group.term
+            self.since_s = asyncio.get_running_loop().time()
+            self.orders = 0
+        return holds
+
+    def led_since_s(self) -> float:
+        """Return the loop time at which this replica last became the leader."""
+        return self.since_s
+
+    def next_fencing_number(self) -> base.FencingNumber:
+        """Return a fencing number that is higher than all earlier ones.
+
+        There is one leader in a term, so that its own count continues the term.
+        """
+        self.orders += 1
+        return base.FencingNumber(self.group.term, ids.LogIndex(self.orders))
+
+
+def unwrap(outcome: result.Result):
+    """Return the value of a result.
+
+    Raises
+    ------
+    failures.FailureError
+        If it is a failure.
+    """
+    if isinstance(outcome, result.Failure):
+        raise failures.FailureError(outcome.failure())
+    return outcome.unwrap()
--- a/src/quetzalpass/membership/fleet.py
+++ b/src/quetzalpass/membership/fleet.py
@@ -15,13 +15,13 @@
 from quetzalpass.declarations import schema as declared
 from quetzalpass.membership import (
     configuration,
+    inner_messages,
     load_reports,
     observers,
     opinions,
     platform_list,
     server_monitor,
     server_views,
-    summaries,
 )
 from quetzalpass.routing import admission, servers
 from quetzalpass.settings import schema
@@ -135,7 +135,7 @@
             self.slots.observe_report(probe.server_id, report)
         self.act_on_verdict(probe.server_id, now_s)
 
-    def note_summary(self, summary: summaries.GatewaySummary) -> None:
+    def note_summary(self, summary: inner_messages.GatewaySummary) -> None:
         """Take in another gateway's summary."""
         now_s = asyncio.get_running_loop().time()
         self.slots.observe_peer_dispatches(summary.dispatches)
@@ -167,7 +167,7 @@
             opinions.Opinion.UNREACHABLE
         )
 
-    def make_summary(self) -> summaries.GatewaySummary:
+    def make_summary(self) -> inner_messages.GatewaySummary:
         """Return what the other gateways should know."""
         self.sequence += 1
         own = tuple(
@@ -177,4 +177,4 @@
         dispatches = servers.PeerDispatches(
             self.settings.id, self.sequence, self.slots.own_loads()
         )
-        return summaries.GatewaySummary(self.settings.id, dispatches, own)
+        return inner_messages.GatewaySummary(self.settings.id, dispatches, own)
--- a/src/quetzalpass/membership/inner_messages.py
+++ b/src/quetzalpass/membership/inner_messages.py
@@ -1,30 +1,106 @@
-"""Messages between daemons about declared state and status."""
-
-import msgspec
+"""Messages between daemons about declared state, status, commands and load."""
 
 from quetzalpass import ids
+from quetzalpass.control import messages as control_messages
+from quetzalpass.lifecycle import limits, quarantine
+from quetzalpass.membership import opinions
 from quetzalpass.results import failures
+from quetzalpass.routing import servers
+from quetzalpass.wire import messages
+
 
+class DeclarationReply(messages.Reply, frozen=True):
+    """A whole revision, or revision 0 where there is no newer one.
 
-class DeclarationMessage(msgspec.Struct, frozen=True):
-    """A whole revision; ``data`` is its canonical form."""
+    Attributes
+    ----------
+    revision : Revision
+        Number of the revision.
+    digest : str
+        Digest of ``data``.
+    data : bytes
+        Canonical form of the declaration.
+    """
 
     revision: ids.Revision
-    digest: str
-    data: bytes
+    digest: str = ""
+    data: bytes = b""
+
+
+class DeclarationRequest(messages.Request, frozen=True):
+    """Asks for a revision newer than one, and waits a while for it."""
+
+    reply_type = DeclarationReply
+    newer_than: ids.Revision
+    wait_s: float
+
+
+class VmStatusReply(messages.Reply, frozen=True):
+    """What a daemon reports of itself."""
+
+    status: control_messages.VmStatus
+
+
+class VmStatusRequest(messages.Request, frozen=True):
+    """Asks a daemon for its own status."""
+
+    reply_type = VmStatusReply
 
 
-class ProposeMessage(msgspec.Struct, frozen=True):
+class ProposeReply(messages.Reply, frozen=True):
+    """Answer of the state machine, or why there is none.
+
+    Attributes
+    ----------
+    answer : bytes
+        Answer of the state machine.
+    failure : failures.Failure or None
+        Set where there is no answer.
+    leader : VmId or None
+        Leader as far as the one who answers knows.
+    """
+
+    answer: bytes = b""
+    failure: failures.Failure | None = None
+    leader: ids.VmId | None = None
+
+
+class ProposeRequest(messages.Request, frozen=True):
     """A command that is passed on to the leader of a group."""
 
+    reply_type = ProposeReply
     group: ids.GroupId
     session: str
     operation: ids.OperationId
     command: bytes
 
 
-class ProposeAnswer(msgspec.Struct, frozen=True):
-    """Answer of the state machine, or why there is none."""
+class SummaryReply(messages.Reply, frozen=True):
+    """A summary was taken in."""
 
-    answer: bytes | None = None
-    failure: failures.Failure | None = None
+
+class GatewaySummary(messages.Request, frozen=True):
+    """What one gateway tells the others, always the whole state.
+
+    A lost summary is repaired by the next one.
+
+    Attributes
+    ----------
+    vm : VmId
+        The gateway.
+    dispatches : servers.PeerDispatches
+        What it has in flight on each backend server.
+    server_opinions : tuple of opinions.ServerOpinion
+        What its own probes say.
+    verdicts : quarantine.Verdicts or None
+        Requests that it suspects of crashing servers.
+    usage : limits.UsageReport or None
+        What the organisations use there.
+    """
+
+    reply_type = SummaryReply
+    vm: ids.VmId
+    dispatches: servers.PeerDispatches
+    server_opinions: tuple[opinions.ServerOpinion, ...] = ()
+    verdicts: quarantine.Verdicts | None = None
+    usage: limits.UsageReport | None = None
--- a/src/quetzalpass/membership/peer_client.py
+++ b/src/quetzalpass/membership/peer_client.py
@@ -1,22 +1,15 @@
-"""Client of another daemon's peers' listener."""
+"""What a daemon asks another one, in typed calls over the inner protocol."""
 
-import asyncio
-from typing import TypeVar
-
-import aiohttp
-import msgspec
 from returns import result
 
 from quetzalpass import ids
 from quetzalpass.control import messages
 from quetzalpass.membership import inner_messages
-from quetzalpass.results import codes, failures
-
-CONNECT_TIMEOUT_S = 2.0
-STATUS_OK = 200
-STATUS_NO_CONTENT = 204
+from quetzalpass.results import failures
+from quetzalpass.wire import transport
 
-Reply = TypeVar("Reply")
+# A call is tried on a kept connection first and on a fresh one after half its time.
+TRIES_PER_CALL = 2
 
 
 class PeerClient:
@@ -24,22 +17,19 @@
 
     Parameters
     ----------
-    url : str
-        Base address of its peers' listener.
-    cluster_key : str
-        Key that all daemons share.
+    vm : VmId
+        The peer.
+    channel : transport.PeerTransport
+        Way to all peers.
     """
 
-    def __init__(self, url: str, cluster_key: str) -> None:
-        self.url = url
-        self.session = aiohttp.ClientSession(
-            headers={"Authorization": f"Bearer {cluster_key}"},
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
-        )
+    def __init__(self, vm: ids.VmId, channel: transport.PeerTransport) -> None:
+        self.vm = vm
+        self.channel = channel
 
     async def fetch_declaration(
         self, newer_than: ids.Revision, wait_s: float, timeout_s: float
-    ) -> result.Result[inner_messages.DeclarationMessage | None, failures.Failure]:
+    ) -> result.Result[inner_messages.DeclarationReply, failures.Failure]:
         """Wait for a revision that is newer than the given one.
 
         Parameters
@@ -49,77 +39,32 @@
         wait_s : float
             How long the peer may wait for one.
         timeout_s : float
-            How long the answer may take in all.
+            How long one try may take.
 
         Returns
         -------
         Result
-            The revision; ``None`` if none came within ``wait_s`` seconds.
+            The revision; revision 0 if none came within ``wait_s`` seconds.
         """
-        path = f"/inner/declaration?newer_than={newer_than}&wait_s={wait_s}"
-        return await self.exchange(
-            "GET", path, None, inner_messages.DeclarationMessage, timeout_s
-        )
+        request = inner_messages.DeclarationRequest(newer_than, wait_s)
+        return await self.channel.call(self.vm, request, TRIES_PER_CALL * timeout_s)
 
     async def fetch_status(
         self, timeout_s: float
     ) -> result.Result[messages.VmStatus, failures.Failure]:
         """Ask the peer for its own status."""
-        return await self.exchange(
-            "GET", "/inner/status", None, messages.VmStatus, timeout_s
-        )
+        request = inner_messages.VmStatusRequest()
+        answer = await self.channel.call(self.vm, request, timeout_s)
+        return answer.map(lambda reply: reply.status)
 
     async def propose(
-        self, message: inner_messages.ProposeMessage, timeout_s: float
-    ) -> result.Result[inner_messages.ProposeAnswer, failures.Failure]:
+        self, request: inner_messages.ProposeRequest, timeout_s: float
+    ) -> result.Result[inner_messages.ProposeReply, failures.Failure]:
         """Pass a command on."""
-        return await self.exchange(
-            "POST",
-            "/inner/propose",
-            msgspec.json.encode(message),
-            inner_messages.ProposeAnswer,
-            timeout_s,
-        )
+        return await self.channel.call(self.vm, request, TRIES_PER_CALL * timeout_s)
 
     async def send_summary(
-        self, body: bytes, timeout_s: float
-    ) -> result.Result[None, failures.Failure]:
-        """Send an encoded summary."""
-        return await self.exchange(
-            "POST", "/inner/summary", body, type(None), timeout_s
-        )
-
-    async def exchange(
-        self,
-        method: str,
-        path: str,
-        body: bytes | None,
-        reply_type: type[Reply],
-        timeout_s: float,
-    ) -> result.Result[Reply | None, failures.Failure]:
-        """Send one request and decode its answer."""
-        try:
-            async with asyncio.timeout(timeout_s):
-                async with self.session.request(
-                    method, self.url + path, data=body
-                ) as answer:
-                    data = await answer.read()
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            return unreachable(f"{self.url}: {error!r}")
-        if answer.status == STATUS_NO_CONTENT:
-            return result.Success(None)
-        if answer.status != STATUS_OK:
-            return unreachable(f"{self.url} answered {answer.status}")
-        try:
-            return result.Success(msgspec.json.decode(data, type=reply_type))
-        except msgspec.MsgspecError as error:
-            return unreachable(f"{self.url} sent a malformed answer: {error}")
-
-    async def close(self) -> None:
-        """Close all connections."""
-        await self.session.close()
-
-
-def unreachable(message: str) -> result.Result[Reply, failures.Failure]:
-    """Return the failure of a peer that gave no answer."""
-    return result.Failure(failures.Failure(codes.Code.UNREACHABLE, message))
+        self, summary: inner_messages.GatewaySummary, timeout_s: float
+    ) -> result.Result[inner_messages.SummaryReply, failures.Failure]:
+        """Send a summary."""
+        return await self.channel.call(self.vm, summary, timeout_s)
--- a/src/quetzalpass/membership/spread.py
+++ b/src/quetzalpass/membership/spread.py
@@ -115,6 +115,6 @@
         if isinstance(answer, result.Failure):
             return False
         message = answer.unwrap()
-        if message is not None:
+        if message.revision:
             self.holder.activate(message.revision, message.digest, message.data)
         return True
--- a/src/quetzalpass/membership/summaries.py
+++ b/src/quetzalpass/membership/summaries.py
@@ -4,12 +4,10 @@
 from collections.abc import Callable
 
 import logbook
-import msgspec
 from returns import result
 
 from quetzalpass import ids
-from quetzalpass.membership import opinions, peer_client
-from quetzalpass.routing import servers
+from quetzalpass.membership import inner_messages, peer_client
 from quetzalpass.settings import schema
 
 LOG = logbook.Logger("membership")
@@ -19,26 +17,6 @@
 MAX_DIRECT_PEERS = 16
 
 
-class GatewaySummary(msgspec.Struct, frozen=True):
-    """What one gateway tells the others, always the whole state.
-
-    A lost summary is repaired by the next one.
-
-    Attributes
-    ----------
-    vm : VmId
-        The gateway.
-    dispatches : servers.PeerDispatches
-        What it has in flight on each backend server.
-    server_opinions : tuple of opinions.ServerOpinion
-        What its own probes say.
-    """
-
-    vm: ids.VmId
-    dispatches: servers.PeerDispatches
-    server_opinions: tuple[opinions.ServerOpinion, ...] = ()
-
-
 def summary_peers(settings: schema.Settings) -> list[ids.VmId]:
     """Return the peers that get this gateway's summaries.
 
@@ -66,7 +44,7 @@
     def __init__(
         self,
         clients: dict[ids.VmId, peer_client.PeerClient],
-        make_summary: Callable[[], GatewaySummary],
+        make_summary: Callable[[], inner_messages.GatewaySummary],
     ) -> None:
         self.clients = clients
         self.make_summary = make_summary
@@ -86,9 +64,8 @@
         """Send the present summary to one peer in a fixed interval."""
         reachable = True
         while True:
-            body = msgspec.json.encode(self.make_summary())
-            sent = await client.send_summary(body, SEND_TIMEOUT_S)
+            sent = await client.send_summary(self.make_summary(), SEND_TIMEOUT_S)
             if reachable and isinstance(sent, result.Failure):
-                LOG.warning("membership: {} does not take summaries.", client.url)
+                LOG.warning("membership: {} does not take summaries.", client.vm)
             reachable = isinstance(sent, result.Success)
             await asyncio.sleep(SEND_INTERVAL_S)
--- a/tests/membership/test_spread.py
+++ b/tests/membership/test_spread.py
@@ -19,7 +19,7 @@
 def message(revision):
     model = declared.Model(builders.MODEL, ids.VersionName(str(revision)))
     data = declared.encode(builders.declaration([], models=(model,)))
-    return inner_messages.DeclarationMessage(
+    return inner_messages.DeclarationReply(
         ids.Revision(revision), declared.digest_of(data), data
     )
 
@@ -46,10 +46,10 @@
             await asyncio.sleep(timeout_s - passed_s)
             return UNREACHABLE
         if current is None or current.revision <= newer_than:
-            return result.Success(None)
+            return result.Success(inner_messages.DeclarationReply(ids.Revision(0)))
         data = current.data + b" " if self.damage else current.data
         return result.Success(
-            inner_messages.DeclarationMessage(current.revision, current.digest, data)
+            inner_messages.DeclarationReply(current.revision, current.digest, data)
         )
 
 
