--- a/src/quetzalpass/callers/completions.py
+++ b/src/quetzalpass/callers/completions.py
@@ -208,6 +208,9 @@
             LOG.info("callers: Caller of {} has gone.", self.request_id)
             generation.detach()
             raise
+        except Exception:
+            generation.detach()
+            raise
         return response
 
     def encoder(self, generation: generations.Generation) -> encoding.StreamEncoder:
--- a/src/quetzalpass/callers/encoding.py
+++ b/src/quetzalpass/callers/encoding.py
@@ -88,7 +88,8 @@
                 "model": model,
             }
         )
-        self.event_id = f"id: {generation_id}/{server_id}/".encode()
+        self.generation_id = generation_id
+        self.move_to(server_id)
         self.head = b"\ndata: " + head[:-1]
         opening = b',"choices":[{"index":0,"delta":{"content":'
         if not chat:
@@ -96,6 +97,11 @@
         self.opening = self.head + opening
         self.closing = b'},"finish_reason":' if chat else b',"finish_reason":'
 
+    def move_to(self, server_id: ids.ServerId) -> None:
+        """Name another engine in the event ids from now on."""
+        self.server_id = server_id
+        self.event_id = f"id: {self.generation_id}/{server_id}/".encode()
+
     def tokens(self, offset: int, texts: list[str], finish_reason: str | None) -> bytes:
         """Return the events of consecutive tokens.
 
