Run the stand-in engine on the engine model

Cause: the stand-in generated a token for each sequence at a fixed clock; memory, preemption, prefill, priorities and lagging reports existed only in the routing bench. Change: standin/batch.py drives engine.EngineModel by the loop's clock; one model serves tests, demo and benchmarks of decisions. Load reports lag, cache events are served by GET /cache_events?after=N with lag and loss.

--- a/src/quetzalpass/standin/engine_server.py
+++ b/src/quetzalpass/standin/engine_server.py
@@ -9,6 +9,7 @@
 
 from quetzalpass import ids
 from quetzalpass.standin import (
+    batch,
     engine_streams,
     faults,
     generations,
@@ -45,6 +46,8 @@
 
     Attributes
     ----------
+    batch : batch.Batch
+        The engine model, which generates the tokens.
     running : dict of GenerationId to RunningGeneration
         Generations in the batch, in queue or finished but not yet dropped.
     started : list of GenerationId
@@ -65,7 +68,8 @@
         self.weights = weights.Weights(config)
         self.fencing_term = 0
         self.fencing_index = 0
-        self.decoder: asyncio.Task[None] | None = None
+        self.batch = batch.Batch(config)
+        self.tasks: list[asyncio.Task[None]] = []
 
     def application(self) -> web.Application:
         """Return the aiohttp application that serves this engine."""
@@ -76,6 +80,7 @@
         app.router.add_delete("/v1/generations/{id}", self.handle_cancel)
         app.router.add_get("/health", self.handle_health)
         app.router.add_get("/load", self.handle_load)
+        app.router.add_get("/cache_events", self.handle_cache_events)
         app.router.add_post("/orders", self.handle_order)
         app.router.add_get("/orders", self.handle_orders)
         app.router.add_get("/state", self.handle_state)
@@ -85,37 +90,36 @@
         return app
 
     async def start_decoding(self, app: web.Application) -> None:
-        """Start the task that generates tokens."""
-        self.decoder = asyncio.create_task(self.decode())
+        """Start the tasks that generate tokens and drop what nobody reads."""
+        self.tasks = [
+            asyncio.create_task(self.batch.run()),
+            asyncio.create_task(self.sweep()),
+        ]
 
     async def stop_decoding(self, app: web.Application) -> None:
-        """Stop the task that generates tokens."""
-        assert self.decoder is not None
-        self.decoder.cancel()
+        """Stop the tasks."""
+        for task in self.tasks:
+            task.cancel()
 
-    async def decode(self) -> None:
-        """Advance the batch by one token per step and drop abandoned generations."""
+    async def sweep(self) -> None:
+        """Drop abandoned generations, again and again."""
         loop = asyncio.get_running_loop()
-        next_step_s = loop.time()
         while True:
-            next_step_s += self.config.token_s
-            await asyncio.sleep(max(0.0, next_step_s - loop.time()))
-            self.advance_batch()
+            await asyncio.sleep(SWEEP_INTERVAL_S)
             self.drop_detached(loop.time())
 
-    def advance_batch(self) -> None:
-        """Generate one token for each sequence in the batch."""
-        active = [each for each in self.running.values() if not each.finished()]
-        for generation in active[: self.config.max_batch]:
-            generation.produce(1)
-
     def drop_detached(self, now_s: float) -> None:
         """Drop generations whose reader has been gone for too long."""
         oldest_s = now_s - self.config.detached_s
         for generation in list(self.running.values()):
             detached_at_s = generation.detached_at_s
             if detached_at_s is not None and detached_at_s < oldest_s:
-                del self.running[generation.id]
+                self.drop(generation)
+
+    def drop(self, generation: generations.RunningGeneration) -> None:
+        """Stop a generation and forget it."""
+        del self.running[generation.id]
+        self.batch.cancel(generation.id)
 
     async def handle_start(self, request: web.Request) -> web.StreamResponse:
         """Start a generation, or continue one from the tokens in the request."""
@@ -137,6 +141,9 @@
         generation = generations.RunningGeneration(
             ids.GenerationId(order.generation_id), prompt, order.max_tokens, done
         )
+        adapter = ids.AdapterName(order.model.partition(":")[2]) or None
+        if not self.batch.submit(generation, order.priority, adapter):
+            return web.json_response({"error": "larger than the memory"}, status=400)
         self.running[generation.id] = generation
         self.started.append(generation.id)
         writer = engine_streams.StreamWriter(self, generation, done)
@@ -190,7 +197,7 @@
             return web.Response(status=204)
         if only_if_detached and generation.detached_at_s is None:
             return web.Response(status=409)
-        del self.running[generation.id]
+        self.drop(generation)
         generation.attach()
         return web.Response(status=204)
 
@@ -200,17 +207,33 @@
 
     async def handle_load(self, request: web.Request) -> web.Response:
         """Answer the load."""
-        active = [each for each in self.running.values() if not each.finished()]
+        now_s = asyncio.get_running_loop().time()
+        report = self.batch.load_report(now_s)
+        if report is None:
+            reply = messages.LoadReply(0, 0, 0, self.config.memory_tokens, 0, 0.0)
+            return json_answer(reply)
         reply = messages.LoadReply(
-            running=min(len(active), self.config.max_batch),
-            waiting=max(0, len(active) - self.config.max_batch),
-            tokens_held=sum(each.produced for each in active),
-            memory_tokens=self.config.memory_tokens,
-            preemptions=0,
-            age_s=0.0,
+            running=report.running,
+            waiting=report.waiting,
+            tokens_held=report.held_blocks * report.block_tokens,
+            memory_tokens=report.memory_blocks * report.block_tokens,
+            preemptions=report.preemptions,
+            age_s=now_s - report.taken_at_s,
+            prefill_tokens=report.prefill_tokens,
+            step_s=report.step_s,
+            adapters=report.adapters,
         )
         return json_answer(reply)
 
+    async def handle_cache_events(self, request: web.Request) -> web.Response:
+        """Answer the published changes of the prefix cache behind a number."""
+        now_s = asyncio.get_running_loop().time()
+        after = request.query.get("after", "0")
+        if not after.isascii() or not after.isdigit():
+            return web.json_response({"error": "after is no number"}, status=400)
+        events = self.batch.cache_events(now_s, int(after))
+        return json_answer(messages.CacheEventsReply(events))
+
     async def handle_order(self, request: web.Request) -> web.Response:
         """Accept an order unless its fencing number is old and is checked."""
         order = msgspec.json.decode(await request.read(), type=messages.Order)
--- a/src/quetzalpass/standin/messages.py
+++ b/src/quetzalpass/standin/messages.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from quetzalpass.routing import reports
+
 
 class Message(msgspec.Struct, frozen=True):
     """One chat message."""
@@ -62,6 +64,15 @@
     memory_tokens: int
     preemptions: int
     age_s: float
+    prefill_tokens: int = 0
+    step_s: float = 0.0
+    adapters: tuple[str, ...] = ()
+
+
+class CacheEventsReply(msgspec.Struct, frozen=True):
+    """Answer of ``GET /cache_events?after=N``; a jump in the numbers is a loss."""
+
+    events: tuple[reports.CacheEvent, ...]
 
 
 class OrderAction(msgspec.Struct, frozen=True):
--- a/src/quetzalpass/standin/settings.py
+++ b/src/quetzalpass/standin/settings.py
@@ -35,6 +35,10 @@
         Size of the engine.
     token_s : float
         Time of one decoding step of an unloaded engine, in seconds.
+    report_lag_s, event_lag_s : float
+        Age of a load report, and delay of a cache event, in seconds.
+    event_loss : float
+        Share of cache events that are lost, from 0 to 1.
     checks_fencing : bool
         Refuses orders with an old fencing number.
     detached_s : float
@@ -51,5 +55,8 @@
     memory_tokens: int = 100_000
     max_batch: int = 64
     token_s: float = 0.02
+    report_lag_s: float = 0.5
+    event_lag_s: float = 0.5
+    event_loss: float = 0.02
     checks_fencing: bool = True
     detached_s: float = 15.0
