--- a/src/quetzalpass/backends/event_stream.py
+++ b/src/quetzalpass/backends/event_stream.py
@@ -46,9 +46,11 @@
             and len(chunk) <= self.max_event_bytes
         ):
             return [chunk[len(DATA_PREFIX) :].strip()]
-        if b"\r" in chunk:
-            chunk = chunk.replace(b"\r\n", b"\n")
-        events = (self.rest + chunk).split(EVENT_END)
+        data = self.rest + chunk
+        if b"\r" in data:
+            # Joined first, as the two bytes may come in two chunks.
+            data = data.replace(b"\r\n", b"\n")
+        events = data.split(EVENT_END)
         self.rest = events.pop()
         if len(self.rest) > self.max_event_bytes:
             raise EventTooLargeError
