--- a/src/quetzalpass/callers/app.py
+++ b/src/quetzalpass/callers/app.py
@@ -213,6 +213,8 @@
             raise
         except Exception:
             LOG.exception("callers: Request {} met an internal error.", request_id)
+            if request.writer.output_size > 0:
+                raise ConnectionError("the answer had begun before the error") from None
             failure = failures.Failure(codes.Code.INTERNAL, "an internal error")
             return errors.error_response(failure, request_id)
         finally:
--- a/src/quetzalpass/lifecycle/generations.py
+++ b/src/quetzalpass/lifecycle/generations.py
@@ -56,8 +56,7 @@
                 return result.Success(self.note_batch(received.unwrap()))
             if self.finish_reason is not None:
                 # Only the end mark is missing; the answer is whole.
-                end = base.TokenBatch(self.next_offset(), [], None, ended=True)
-                return result.Success(self.note_batch(end))
+                return result.Success(self.note_batch(self.end_batch()))
             recovered = await self.recover(received.failure())
             if isinstance(recovered, result.Failure):
                 return recovered
@@ -94,33 +93,36 @@
             due_s = min(until_s, self.request.deadline_s)
             silence_s = self.gateway.limits.silent_stream_s
             forwarded = await self.stream.forward(tap, silence_s, due_s)
-            if isinstance(forwarded, result.Success) and tap.failure is None:
-                if due_s < until_s and forwarded.unwrap() is base.Forwarded.DUE:
-                    continue
+            forwarded = forwarded.bind(tap.check_end)
+            if isinstance(forwarded, result.Failure):
+                if self.finish_reason is not None:
+                    sink.take(self.note_batch(self.end_batch()))
+                    return result.Success(base.Forwarded.ENDED)
+                recovered = await self.recover(forwarded.failure())
+                if isinstance(recovered, result.Failure):
+                    return recovered
+            elif due_s == until_s or forwarded.unwrap() is not base.Forwarded.DUE:
                 return forwarded
-            if self.finish_reason is not None:
-                # Only the end mark is missing; the answer is whole.
-                tap.take(base.TokenBatch(self.next_offset(), [], None, ended=True))
-                return result.Success(base.Forwarded.ENDED)
-            recovered = await self.recover(tap.failure or forwarded.failure())
-            if isinstance(recovered, result.Failure):
-                return recovered
-            tap.failure = None
+            else:
+                await self.cancel()
+                return result.Failure(self.deadline_failure())
 
     def check_end(
         self, batch: base.TokenBatch
     ) -> result.Result[base.TokenBatch, base.AttemptFailure]:
         """Return a batch unless it ends a generation that has no last token."""
+        if self.ends_early(batch):
+            return result.Failure(taps.EARLY_END)
+        return result.Success(batch)
+
+    def ends_early(self, batch: base.TokenBatch) -> bool:
+        """Return whether the end mark came before the last token."""
         finished = batch.finish_reason or self.finish_reason
-        if not batch.ended or finished or self.first_offset:
-            return result.Success(batch)
-        return result.Failure(
-            base.AttemptFailure(
-                base.AttemptEnd.RAN,
-                base.FailureKind.MALFORMED,
-                "the end mark came before the last token",
-            )
-        )
+        return batch.ended and not finished and not self.first_offset
+
+    def end_batch(self) -> base.TokenBatch:
+        """Return the batch that ends a generation whose end mark was lost."""
+        return base.TokenBatch(self.next_offset(), [], None, ended=True)
 
     def note_batch(self, batch: base.TokenBatch) -> base.TokenBatch:
         """Keep the tokens of a batch; leave the server after the last."""
