--- a/src/quetzalpass/routing/predictive.py
+++ b/src/quetzalpass/routing/predictive.py
@@ -7,6 +7,7 @@
 """
 
 import math
+import operator
 
 import msgspec
 
@@ -41,6 +42,9 @@
 REMOTE_S = 0.02
 
 
+get_cost_s = operator.attrgetter("cost_s")
+
+
 class Offer(msgspec.Struct):
     """What one server would mean for a request.
 
@@ -91,11 +95,18 @@
         """Choose the server with the least cost among those with room."""
         life = self.estimator.table(item.model, item.class_name)
         demand = flights.predict(item, item.generated_tokens, 0.0, life)
+        offers = [
+            self.offer(item, record, table) for record in self.candidates(item, table)
+        ]
+        offers.sort(key=get_cost_s)
         best: Offer | None = None
         least_s = math.inf
-        for record in self.candidates(item, table):
-            offer = self.offer(item, demand, record, table, now_s)
-            if record.slowness.factor <= SLOW_FACTOR:
+        for offer in offers:
+            # Occupancy only adds to the cost, so that none of the rest is better.
+            if best is not None and offer.cost_s >= best.cost_s:
+                break
+            self.add_occupancy(offer, item, demand, table, now_s)
+            if offer.record.slowness.factor <= SLOW_FACTOR:
                 least_s = min(least_s, offer.cost_s)
             if offer.room and (best is None or offer.cost_s < best.cost_s):
                 best = offer
@@ -135,30 +146,42 @@
     def offer(
         self,
         item: work.WorkItem,
-        demand: flights.Demand,
         record: servers.ServerRecord,
         table: servers.ServerTable,
-        now_s: float,
     ) -> Offer:
-        """Return what a server offers, also when it has no room now."""
-        share = record.health.share(now_s)
-        blocks = table.prefixes.matched_blocks(record.server_id, item.prefix_hashes)
-        trust = table.prefixes.confidence(record.server_id) if blocks else 0.0
-        matched = int(trust * blocks * record.view.block_tokens)
-        occupancy = self.occupancy(demand, matched, record)
-        sequences = record.sequences
+        """Return what a server offers, still without its occupancy."""
         view = record.view
-        room = sequences < view.batch_limit * share
-        if sequences and room:
-            room = occupancy <= self.room(item) * share and self.in_time(record, table)
+        matched = 0
+        blocks = table.prefixes.matched_blocks(view.server_id, item.prefix_hashes)
+        if blocks:
+            trust = table.prefixes.confidence(view.server_id)
+            matched = int(trust * blocks * view.block_tokens)
         prompt = item.prompt_tokens + item.generated_tokens - matched
-        cost_s = PREFILL_TOKEN_S * prompt * (1 + self.disturbance * sequences)
-        cost_s += OCCUPANCY_S * occupancy * occupancy
+        cost_s = PREFILL_TOKEN_S * prompt * (1 + self.disturbance * record.sequences)
         if view.data_centre != table.data_centre:
             cost_s += REMOTE_S
         if item.adapter is not None and not record.has_adapter(item.adapter):
             cost_s += ADAPTER_LOAD_S
-        return Offer(record, cost_s, occupancy, matched, room)
+        return Offer(record, cost_s, 0.0, matched, False)
+
+    def add_occupancy(
+        self,
+        offer: Offer,
+        item: work.WorkItem,
+        demand: flights.Demand,
+        table: servers.ServerTable,
+        now_s: float,
+    ) -> None:
+        """Add the predicted occupancy to an offer, and whether there is room."""
+        record = offer.record
+        occupancy = self.occupancy(demand, offer.matched_tokens, record)
+        offer.occupancy = occupancy
+        offer.cost_s += OCCUPANCY_S * occupancy * occupancy
+        share = record.health.share(now_s)
+        offer.room = record.sequences < record.view.batch_limit * share
+        if offer.room and record.sequences:
+            offer.room = occupancy <= self.room(item) * share
+            offer.room = offer.room and self.in_time(record, table)
 
     def in_time(self, record: servers.ServerRecord, table: servers.ServerTable) -> bool:
         """Return whether one more sequence keeps the step within the target."""
--- a/src/quetzalpass/routing/prefixes.py
+++ b/src/quetzalpass/routing/prefixes.py
@@ -1,12 +1,14 @@
 """Which server's cache holds which prompt prefix, as far as the events tell."""
 
 import collections
+import itertools
 
 from quetzalpass import ids
 from quetzalpass.routing import reports
 
 HASHES_PER_SERVER_LIMIT = 8192
 HOLDERS_PER_HASH_LIMIT = 32
+HOLDERS_NAMED_LIMIT = 4
 MISSED_EVENT_FACTOR = 0.9
 RECOVERY_PER_EVENT = 0.02
 
@@ -53,8 +55,10 @@
 
     def add_holder(self, block: int, server_id: ids.ServerId) -> None:
         """Note a holder of a hash, as long as few enough are known."""
-        holders = self.holders.setdefault(block, {})
-        if len(holders) < HOLDERS_PER_HASH_LIMIT:
+        holders = self.holders.get(block)
+        if holders is None:
+            self.holders[block] = {server_id: None}
+        elif len(holders) < HOLDERS_PER_HASH_LIMIT:
             holders[server_id] = None
 
     def remove_hash(
@@ -101,7 +105,7 @@
         return known.confidence if known else 0.0
 
     def deepest_holders(self, hashes: tuple[int, ...]) -> tuple[ids.ServerId, ...]:
-        """Return servers that are believed to cache the longest known prefix."""
+        """Return a few servers that are believed to cache the longest known prefix."""
         low, high = 0, len(hashes)
         while low < high:
             middle = (low + high) // 2
@@ -111,4 +115,5 @@
                 high = middle
         if low == 0:
             return ()
-        return tuple(self.holders[hashes[low - 1]])
+        holders = self.holders[hashes[low - 1]]
+        return tuple(itertools.islice(holders, HOLDERS_NAMED_LIMIT))
