--- a/src/quetzalpass/routing/policies.py
+++ b/src/quetzalpass/routing/policies.py
@@ -82,7 +82,9 @@
     def __init__(self) -> None:
         self.turn = itertools.count()
 
-    def choose(self, item, table, now_s):
+    def choose(
+        self, item: work.WorkItem, table: servers.ServerTable, now_s: float
+    ) -> work.Choice | None:
         """Choose the next server in turn."""
         pool = table.pool(item.model, item.version)
         if pool is None:
@@ -97,7 +99,9 @@
 class LeastInFlight(Policy):
     """Takes the server with the fewest requests in flight from this gateway."""
 
-    def choose(self, item, table, now_s):
+    def choose(
+        self, item: work.WorkItem, table: servers.ServerTable, now_s: float
+    ) -> work.Choice | None:
         """Choose the server with the fewest own requests; ties at random."""
         found = candidates(item, table)
         if not found:
@@ -111,7 +115,9 @@
 class PowerOfTwoChoices(Policy):
     """Draws two servers and takes the one that reported less load."""
 
-    def choose(self, item, table, now_s):
+    def choose(
+        self, item: work.WorkItem, table: servers.ServerTable, now_s: float
+    ) -> work.Choice | None:
         """Choose the less loaded of two servers drawn at random."""
         found = candidates(item, table)
         if not found:
@@ -134,7 +140,9 @@
     over; without that limit one popular prefix would keep a single server busy.
     """
 
-    def choose(self, item, table, now_s):
+    def choose(
+        self, item: work.WorkItem, table: servers.ServerTable, now_s: float
+    ) -> work.Choice | None:
         """Choose by cached prefix, bounded by the lead in requests in flight."""
         found = candidates(item, table)
         if not found:
--- a/src/quetzalpass/routing/predictive.py
+++ b/src/quetzalpass/routing/predictive.py
@@ -91,7 +91,9 @@
         )
         self.disturbance = 1.0 + GAP_DISTURBANCE * rules.objective.gap_tail
 
-    def choose(self, item, table, now_s):
+    def choose(
+        self, item: work.WorkItem, table: servers.ServerTable, now_s: float
+    ) -> work.Choice | None:
         """Choose the server with the least cost among those with room."""
         life = self.estimator.table(item.model, item.class_name)
         demand = flights.predict(item, item.generated_tokens, 0.0, life)
--- /dev/null
+++ b/tests/bench/test_routing_driver.py
@@ -0,0 +1,64 @@
+import collections
+
+import pytest
+
+from quetzalpass.bench import routing_driver, routing_figures, routing_workloads
+from quetzalpass.routing import settings
+
+CAPACITY = 3.0
+
+
+def finish(policy, condition, load=1.0):
+    cell = routing_driver.Cell(
+        routing_workloads.SCHELDEKAAI, load, condition, gateways=2
+    )
+    run = routing_driver.Run(cell, policy, CAPACITY, seed=5)
+    run.run()
+    return run
+
+
+class TestRun:
+    @pytest.mark.parametrize(
+        "condition",
+        [
+            routing_workloads.Condition.BASE,
+            routing_workloads.Condition.DATA_CENTRE_LOST,
+        ],
+    )
+    def test_each_request_ends_once_and_a_refused_one_never_ran(self, condition):
+        run = finish(settings.PolicyName.PREDICTIVE, condition, load=2.5)
+        assert not run.current
+        for stream in run.streams:
+            ended = (stream.finished_s is not None) + stream.refused
+            assert ended <= 1
+            if stream.refused and stream.attempt == 1:
+                assert stream.first_token_s is None
+        for place in run.engines.values():
+            assert place.dead or place.model.idle
+        for gateway in run.gateways:
+            assert not gateway.flights
+            assert not gateway.queued
+
+    def test_same_seed_gives_the_same_figures(self):
+        first, second = (
+            routing_figures.figures_of(
+                finish(settings.PolicyName.PREDICTIVE, routing_workloads.Condition.BASE)
+            )
+            for _ in range(2)
+        )
+        assert first.stall_s == second.stall_s
+        assert first.goodput == second.goodput
+        assert first.gap_p999_ms == second.gap_p999_ms
+
+
+class TestFigures:
+    def test_jain_is_one_for_weighted_shares_and_low_for_a_starved_one(self):
+        run = finish(settings.PolicyName.ROUND_ROBIN, routing_workloads.Condition.BASE)
+        whole = routing_figures.jain_index(run.streams)
+        by_name = collections.Counter(s.arrival.organisation for s in run.streams)
+        starved = by_name.most_common(1)[0][0]
+        for stream in run.streams:
+            if stream.arrival.organisation == starved:
+                stream.finished_s = None
+        assert 0.8 < whole <= 1.0
+        assert routing_figures.jain_index(run.streams) < whole
