--- a/src/quetzalpass/routing/dispatch.py
+++ b/src/quetzalpass/routing/dispatch.py
@@ -191,7 +191,8 @@
         decisions: list[Decision] = []
         stuck = lane.stuck_place
         # While more urgent requests find no room this one needn't look for any.
-        if stuck is None or queue_priority(item) < stuck:
+        alone = lane.size == 1
+        if stuck is None or alone or queue_priority(item) < stuck:
             decisions = self.pump_lane(lane, now_s)
         if lane.size > self.rules.queue_limit:
             decisions += self.shed(lane)
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -96,6 +96,30 @@
         assert len(refused) == 6
 
 
+class TestQueue:
+    def test_cancelled_head_does_not_hold_up_the_next(self, build):
+        dispatcher = build(names="a")
+        dispatcher.policy = OneEach()
+        dispatcher.submit(make_item("run"), 0.0)
+        waiting = make_item("wait")
+        dispatcher.submit(waiting, 0.0)
+        assert dispatcher.cancel(waiting.request_id)
+        dispatcher.table.update((make_view("a"), make_view("b")), 0.0)
+        (placed,) = dispatcher.submit(make_item("next"), 0.0)
+        assert placed.choice.server_id == "b"
+
+    def test_more_urgent_request_goes_before_those_that_wait(self, build):
+        dispatcher = build(names="a")
+        dispatcher.policy = OneEach()
+        (running,) = dispatcher.submit(make_item("run"), 0.0)
+        dispatcher.submit(make_item("draft", priority=2), 0.0)
+        dispatcher.submit(make_item("check", priority=0), 0.0)
+        (placed,) = dispatcher.release(
+            running.item.request_id, work.SlotOutcome.COMPLETED, 1.0
+        )
+        assert placed.item.request_id == "check"
+
+
 class TestServers:
     def test_leaving_server_gets_nothing(self, build):
         dispatcher = build(names="ab")
