--- a/src/quetzalpass/routing/dispatch.py
+++ b/src/quetzalpass/routing/dispatch.py
@@ -26,6 +26,7 @@
 # Requests of different organisations that are tried when the first can't be placed.
 HEADS_TRIED = 6
 REGRET_ALLOWED_S = 0.1
+OVERTAKING_S = 2.0
 RESUMED_PLACE = 1
 REFRESH_TOKENS = 32
 # What computing a prompt token costs, in generated tokens.
@@ -130,6 +131,19 @@
     return choice.regret_s <= now_s - queued.offered_s + REGRET_ALLOWED_S
 
 
+def blocks_others(queued: queues.QueuedWork, now_s: float) -> bool:
+    """Return whether a request without room has been overtaken long enough.
+
+    Smaller requests behind it would otherwise take each place that becomes free. One
+    that may not run everywhere doesn't block those that may.
+    """
+    if queued.item.excluded or queued.item.suspect:
+        return False
+    if queued.no_room_s is None:
+        queued.no_room_s = now_s
+    return now_s - queued.no_room_s > OVERTAKING_S
+
+
 class Dispatcher:
     """Queues requests and places them on servers.
 
@@ -311,6 +325,8 @@
         queue = lane.priorities[lane.first_place()]
         for queued in queue.heads(HEADS_TRIED):
             choice = self.policy.choose(queued.item, self.table, now_s)
+            if choice is None and blocks_others(queued, now_s):
+                break
             if choice is None or not accepts(queued, choice, now_s):
                 continue
             queue.take(queued)
--- a/src/quetzalpass/routing/queues.py
+++ b/src/quetzalpass/routing/queues.py
@@ -25,6 +25,8 @@
         self.removed = False
         # When it was first offered a place, which it may have declined.
         self.offered_s: float | None = None
+        # When it first found no room.
+        self.no_room_s: float | None = None
 
 
 class OrganisationQueue:
--- a/tests/routing/test_predictive.py
+++ b/tests/routing/test_predictive.py
@@ -73,6 +73,30 @@
         assert not dispatcher.queued
 
 
+class TestOvertaking:
+    def test_large_request_is_not_overtaken_for_ever(self, build):
+        dispatcher = build(PREDICTIVE, names="a")
+        learn(dispatcher, "draft", 300)
+        running = fill(dispatcher, "draft", prompt_tokens=600)
+        large = make_item("large", "small-org", class_name="draft", prompt_tokens=6000)
+        dispatcher.submit(large, 0.0)
+        now_s = 0.0
+        for number in range(300):
+            now_s += 0.2
+            small = make_item(
+                f"small-{number}", "flood", class_name="draft", prompt_tokens=600
+            )
+            dispatcher.submit(small, now_s)
+            flight = running.pop(0).item.request_id
+            dispatcher.on_tokens(flight, 300)
+            done = work.SlotOutcome.COMPLETED
+            placed = dispatcher.release(flight, done, now_s)
+            running += placed
+            if any(decision.item is large for decision in placed):
+                return
+        raise AssertionError("the large request was never placed")
+
+
 class TestLag:
     def test_stale_report_draws_no_herd(self, build):
         dispatcher = build(PREDICTIVE, names="abcd")
