Measure outcomes under faults; tell repeated deaths from chance ones

Those that shared a server with a crashing request started again in the same milliseconds as it did, on the next server it killed. A cancel left behind could stop the same generation started anew on the same server, which looked like a restart of the engine. Change: suspects start again spread over 1 s; a death counts as the second only at the same point (before or after the server began to answer); one token past the place clears; a start waits for the cancel of the attempt before it.

--- a/src/quetzalpass/bench/outcome_faults.py
+++ b/src/quetzalpass/bench/outcome_faults.py
@@ -11,7 +11,7 @@
 
 INTERVAL_S = 0.25
 DOWN_S = 1.0
-KILL_INTERVAL_S = 2.5
+KILL_INTERVAL_S = 2.0
 RECLAIM_NOTICE_S = 2.0
 QUORUM_LOST_S = 0.4
 COMMIT_S = 0.003
@@ -84,7 +84,19 @@
 
     async def run(self) -> None:
         """Cause small faults often and kill something now and then."""
-        await asyncio.gather(self.break_links(), self.kill_programs())
+        await asyncio.gather(
+            self.break_links(), self.kill_programs(), self.restart_crashed()
+        )
+
+    async def restart_crashed(self) -> None:
+        """Start engines and services anew that a request has crashed."""
+        standins = (*self.cluster.engines, *self.cluster.services)
+        while True:
+            dead = [each for each in standins if each.runner is None]
+            await asyncio.sleep(2 * DOWN_S)
+            for standin in dead:
+                if standin.runner is None:
+                    await standin.start()
 
     async def break_links(self) -> None:
         """Cause faults of links, tokens, starts, calls and quorums in turn."""
--- a/src/quetzalpass/bench/outcomes.py
+++ b/src/quetzalpass/bench/outcomes.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import logging
 import random
 import sys
 
@@ -22,7 +23,7 @@
 from quetzalpass.settings import schema
 from quetzalpass.standin import faults
 
-QUICK_REQUESTS = 600
+QUICK_REQUESTS = 900
 FULL_REQUESTS = 10_000
 CONCURRENCY = 60
 SEED = 7
@@ -56,11 +57,13 @@
     ----------
     count : int
         Requests besides the crashing ones.
+    seed : int
+        Seed of requests, faults and gateways.
     """
 
-    def __init__(self, count: int) -> None:
+    def __init__(self, count: int, seed: int) -> None:
         self.count = count
-        self.rng = random.Random(SEED)
+        self.rng = random.Random(seed)
         self.runs = outcome_records.Runs()
         self.requests: list[outcome_records.Request] = []
         self.claim_latencies_ms: list[float] = []
@@ -69,7 +72,7 @@
             SERVICES,
             GATEWAYS,
             LIMITS,
-            SEED,
+            seed,
             TOKEN_S,
             organisations=(
                 local_cluster.organisation_of(
@@ -175,21 +178,27 @@
                         receiver.quarantine.merge(verdicts)
 
 
-def run(quick: bool) -> outcome_records.OutcomesReport:
+def run(quick: bool, seed: int = SEED) -> outcome_records.OutcomesReport:
     """Run the benchmark.
 
     Parameters
     ----------
     quick : bool
         Fewer requests, the same faults and checks.
+    seed : int
+        Seed of requests, faults and gateways.
 
     Returns
     -------
     OutcomesReport
         Figures and the targets that were missed.
     """
+    # aiohttp logs each connection that a killed program leaves behind.
+    logging.getLogger("aiohttp").setLevel(logging.CRITICAL)
+    logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     with logbook.NullHandler().applicationbound():
-        return asyncio.run(Run(QUICK_REQUESTS if quick else FULL_REQUESTS).run())
+        count = QUICK_REQUESTS if quick else FULL_REQUESTS
+        return asyncio.run(Run(count, seed).run())
 
 
 def outcomes(quick: bool = False, json: bool = False) -> int:
--- a/src/quetzalpass/lifecycle/gateway.py
+++ b/src/quetzalpass/lifecycle/gateway.py
@@ -173,11 +173,12 @@
             )
         return None
 
-    def spawn(self, work: Coroutine[None, None, None]) -> None:
+    def spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
         """Run a task that outlives its request; it is kept until it ends."""
         task = asyncio.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+        return task
 
     def spawn_counted(
         self, work: Coroutine[None, None, Answer]
--- a/src/quetzalpass/lifecycle/generations.py
+++ b/src/quetzalpass/lifecycle/generations.py
@@ -198,7 +198,7 @@
         """Continue or start anew on another server, where that is allowed."""
         assert self.server_id is not None
         await self.note_lost_server()
-        self.gateway.spawn(self.engine().cancel(self.id))
+        self.cancel_behind()
         self.failed_server = self.server_id
         continues = self.continues_elsewhere()
         self.leave_server(attempts.slot_outcome_of(failure))
--- a/src/quetzalpass/lifecycle/quarantine.py
+++ b/src/quetzalpass/lifecycle/quarantine.py
@@ -22,9 +22,12 @@
 QUARANTINE_S = 600.0
 REFUSAL_WEIGHT = 1.0
 REFUSAL_DEATHS = 2
-# Tokens past the place of a death that clear a request of it. What had been
-# generated and not yet received when the server died is less.
-CLEARING_TOKENS = 4
+# Tokens past the place of a death that clear a request of it: a step that crashes the
+# engine emits nothing, and the tokens of the step before have arrived.
+CLEARING_TOKENS = 1
+# Suspects start again at random within this time. Else a request that crashes servers
+# would take the next one just when the innocents of the last one start there.
+SPREAD_S = 1.0
 MAX_RECORDS = 10_000
 OTHER_COPY_POLL_S = 0.05
 MS_PER_S = 1000
@@ -41,18 +44,30 @@
         One over the number of requests that share the blame.
     place : int
         Tokens of the request's output that had been received.
+    opened : bool
+        Whether the server had begun to answer.
     """
 
     id: str
     weight: float
     place: int = 0
+    opened: bool = False
 
 
 class Flight(msgspec.Struct):
-    """A request on a server; its owner keeps the number of tokens up to date."""
+    """A request on a server; its owner keeps the fields up to date.
+
+    Attributes
+    ----------
+    tokens : int
+        Tokens of its output that have been received.
+    opened : bool
+        Whether the server has begun to answer.
+    """
 
     fingerprint: str
     tokens: int = 0
+    opened: bool = False
 
 
 class Verdict(msgspec.Struct, frozen=True):
@@ -172,28 +187,31 @@
         """
         if request_id not in self.flights.get(server_id, {}):
             return
-        places: dict[str, int] = {}
+        lost: dict[str, Flight] = {}
         for flight in self.flights.pop(server_id).values():
-            place = max(flight.tokens, places.get(flight.fingerprint, 0))
-            places[flight.fingerprint] = place
+            lost[flight.fingerprint] = flight
             self.end_run(flight.fingerprint)
-        known = [each for each in places if self.is_suspect(each)]
-        blamed = known or list(places)
+        known = [each for each in lost.values() if self.repeats(each)]
+        blamed = known or list(lost.values())
         self.deaths += 1
-        for fingerprint in blamed:
-            self.blame(
-                fingerprint,
-                Death(
-                    f"{self.name}/{self.deaths}", 1 / len(blamed), places[fingerprint]
-                ),
-            )
+        name = f"{self.name}/{self.deaths}"
+        for flight in blamed:
+            death = Death(name, 1 / len(blamed), flight.tokens, flight.opened)
+            self.blame(flight.fingerprint, death)
         LOG.warning(
             "quarantine: Server {} died with {} requests, {} suspected before.",
             server_id,
-            len(places),
+            len(lost),
             len(known),
         )
 
+    def repeats(self, flight: Flight) -> bool:
+        """Return whether a suspect was again where a server died under it before."""
+        if not self.is_suspect(flight.fingerprint):
+            return False
+        deaths = self.records[flight.fingerprint].deaths.values()
+        return any(each.opened is flight.opened for each in deaths)
+
     def blame(self, fingerprint: str, death: Death) -> None:
         """Hold a death against a request."""
         record = self.record(fingerprint)
--- a/src/quetzalpass/lifecycle/starting.py
+++ b/src/quetzalpass/lifecycle/starting.py
@@ -86,6 +86,7 @@
         self.meter = metering.StreamMeter(counted, asyncio.get_running_loop().time())
         self.resumes = 0
         self.links_lost = 0
+        self.cancelling: asyncio.Task[None] | None = None
         self.start_offset = 0
         self.started_s = 0.0
         self.moving = False
@@ -147,6 +148,8 @@
         deadline_s = self.request.deadline_s
         suspects = self.gateway.quarantine
         await suspects.wait_for_other_copy(self.fingerprint, deadline_s)
+        if suspects.is_suspect(self.fingerprint):
+            await asyncio.sleep(self.gateway.rng.uniform(0.0, quarantine.SPREAD_S))
         refusal = suspects.refusal(self.fingerprint)
         if refusal is not None:
             return result.Failure(refusal)
@@ -169,6 +172,9 @@
         self.started_s = asyncio.get_running_loop().time()
         if not self.tokens:
             self.id = self.gateway.new_generation_id(self.request.organisation.id)
+        if self.cancelling is not None:
+            # It may name the same generation on the same server.
+            await asyncio.wait((self.cancelling,))
         if self.remaining_s() <= 0:
             self.leave_server(work.SlotOutcome.CANCELLED)
             return result.Failure(
@@ -191,10 +197,15 @@
         if isinstance(started, result.Failure):
             return await self.note_failed_start(started.failure())
         self.stream = started.unwrap()
+        self.flight.opened = True
         self.restarted = False
         self.execution = codes.Execution.RAN
         return result.Success(None)
 
+    def cancel_behind(self) -> None:
+        """Cancel what may still run on the server that is being left."""
+        self.cancelling = self.gateway.spawn(self.engine().cancel(self.id))
+
     async def acquire_slot(self) -> result.Result[admission.Slot, failures.Failure]:
         """Wait for a place, for a while only on other servers than the failed one."""
         if self.failed_server is not None:
@@ -282,7 +293,7 @@
             if await self.resume_on_same_server():
                 return result.Success(None)
             await self.note_lost_server()
-            self.gateway.spawn(self.engine().cancel(self.id))
+            self.cancel_behind()
         self.failed_server = self.server_id
         self.leave_server(attempts.slot_outcome_of(failure))
         rejected = failure.kind is base.FailureKind.REJECTED
--- a/tests/lifecycle/test_quarantine.py
+++ b/tests/lifecycle/test_quarantine.py
@@ -50,6 +50,15 @@
         found.clear("f", 50 + quarantine.CLEARING_TOKENS)
         assert not found.is_suspect("f")
 
+    async def test_death_at_another_point_is_not_a_second_one(self):
+        found = quarantine.Quarantine("a")
+        found.enter(ids.ServerId("s"), ids.RequestId("r0"), "f").opened = True
+        die(found)
+        found.enter(ids.ServerId("s"), ids.RequestId("r0"), "f")
+        found.enter(ids.ServerId("s"), ids.RequestId("r1"), "g")
+        die(found)
+        assert found.refusal("g") is None and found.records["g"].weight() == 0.5
+
     async def test_verdicts_merge_in_any_order(self):
         first, second = entered("a", "s", ["f"]), entered("b", "t", ["f"])
         die(first)
