--- a/src/quetzalpass/daemon/main.py
+++ b/src/quetzalpass/daemon/main.py
@@ -10,7 +10,8 @@
 from returns import result
 
 from quetzalpass import logs
-from quetzalpass.daemon import process
+from quetzalpass.daemon import collector, process
+from quetzalpass.results import failures
 from quetzalpass.settings import loader, schema
 
 EXIT_OK = 0
@@ -38,7 +39,7 @@
     with logs.make_handler(chosen_format).applicationbound():
         try:
             return asyncio.run(serve(loaded.unwrap()))
-        except OSError as error:
+        except (OSError, failures.FailureError) as error:
             print(f"quetzalpassd: {error}", file=sys.stderr)
             return EXIT_FAILED
 
@@ -62,6 +63,7 @@
     loop.add_signal_handler(signal.SIGTERM, note_terminate)
     loop.add_signal_handler(signal.SIGINT, note_interrupt)
     await daemon.start()
+    collector.tune()
     await drain_wanted.wait()
     drained = asyncio.create_task(daemon.drain())
     stopped = asyncio.create_task(stop_wanted.wait())
--- a/src/quetzalpass/lifecycle/claimed_generations.py
+++ b/src/quetzalpass/lifecycle/claimed_generations.py
@@ -125,23 +125,30 @@
     async def forward(
         self, sink: base.TokenSink, until_s: float
     ) -> result.Result[base.Forwarded, failures.Failure]:
-        """Hand the tokens to a sink, the last ones once the outcome is recorded.
+        """Hand the tokens to a sink; the last ones once the outcome is recorded.
 
-        The tokens pass through a task of their own, so that they go on arriving
-        without the caller; the direct way of the base class ends with its caller.
+        Each batch is received by a task that outlives the caller. Such generations are
+        few, so that the cost of a task for each token does not matter.
         """
         loop = asyncio.get_running_loop()
-        while loop.time() < until_s:
-            received = await self.next_batch()
-            if isinstance(received, result.Failure):
-                return received
-            batch = received.unwrap()
+        while True:
+            if self.replay is not None:
+                batch = self.replay_batch(self.replay)
+            else:
+                if self.receiving is None:
+                    self.receiving = self.gateway.spawn_counted(self.receive())
+                left_s = max(0.0, until_s - loop.time())
+                done, _ = await asyncio.wait({self.receiving}, timeout=left_s)
+                if not done:
+                    return result.Success(base.Forwarded.DUE)
+                received = self.receiving.result()
+                self.receiving = None
+                if isinstance(received, result.Failure):
+                    return received
+                batch = received.unwrap()
             accepted = sink.take(batch)
-            if batch.ended:
-                return result.Success(base.Forwarded.ENDED)
-            if not accepted:
-                return result.Success(base.Forwarded.PAUSED)
-        return result.Success(base.Forwarded.DUE)
+            if batch.ended or not accepted:
+                return result.Success(base.outcome_of(batch))
 
     def replay_batch(self, replay: RecordedGeneration) -> base.TokenBatch:
         """Return the recorded generation as one batch."""
--- a/src/quetzalpass/lifecycle/starting.py
+++ b/src/quetzalpass/lifecycle/starting.py
@@ -83,7 +83,8 @@
         counted = gateway.recorder.series_of(
             request.organisation.id, request.priority_class.name
         )
-        self.meter = metering.StreamMeter(counted, asyncio.get_running_loop().time())
+        self.loop = asyncio.get_running_loop()
+        self.meter = metering.StreamMeter(counted, self.loop.time())
         self.resumes = 0
         self.links_lost = 0
         self.cancelling: asyncio.Task[None] | None = None
