Pass the time left until the deadline on to backend servers

Cause: engines and services did not know when an answer is of no use any more. Change: Quetzalpass-Timeout-Ms on each start of a generation and each service call. Tests: tests/backends/test_single_sends.py reads the header from a raw socket.

--- a/src/quetzalpass/backends/base.py
+++ b/src/quetzalpass/backends/base.py
@@ -92,6 +92,8 @@
         Tokens already delivered, when a generation continues on another replica.
     parameters : dict
         Sampling parameters that are passed on unchanged.
+    time_left_ms : int or None
+        Time until the caller's deadline, told to the engine.
     """
 
     generation_id: ids.GenerationId
@@ -105,6 +107,7 @@
     priority: int
     tokens_so_far: tuple[str, ...] = ()
     parameters: Mapping[str, msgspec.Raw] = {}
+    time_left_ms: int | None = None
 
 
 class ChatMessage(msgspec.Struct, frozen=True):
--- a/src/quetzalpass/backends/engine_http.py
+++ b/src/quetzalpass/backends/engine_http.py
@@ -68,6 +68,7 @@
             call.generation_id,
             len(call.tokens_so_far),
             timeout_s,
+            call.time_left_ms,
         )
 
     async def resume(
@@ -87,15 +88,19 @@
         generation_id: ids.GenerationId,
         offset: int,
         timeout_s: float,
+        time_left_ms: int | None = None,
     ) -> result.Result[base.TokenStream, base.AttemptFailure]:
         """Send a request and return its stream once the headers are there."""
+        headers = {"Content-Type": "application/json"}
+        if time_left_ms is not None:
+            headers[http_client.TIME_LEFT_HEADER] = str(time_left_ms)
         try:
             async with asyncio.timeout(timeout_s):
                 response = await self.session.request(
                     method,
                     self.url + path,
                     data=body,
-                    headers={"Content-Type": "application/json"},
+                    headers=headers,
                     allow_redirects=False,
                 )
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
--- a/src/quetzalpass/backends/http_client.py
+++ b/src/quetzalpass/backends/http_client.py
@@ -7,6 +7,8 @@
 from quetzalpass.backends import connections
 from quetzalpass.settings import schema
 
+TIME_LEFT_HEADER = "Quetzalpass-Timeout-Ms"
+
 
 def open_session(limits: schema.Limits, reuse: bool) -> aiohttp.ClientSession:
     """Return a session for one backend server.
--- a/src/quetzalpass/backends/service_http.py
+++ b/src/quetzalpass/backends/service_http.py
@@ -25,6 +25,7 @@
         "upgrade",
     }
 )
+MS_PER_S = 1000
 NOT_RUN_HEADER = "Quetzalpass-Not-Run"
 
 
@@ -45,6 +46,7 @@
             url = f"{url}?{call.query}"
         headers = passed_headers(call.headers)
         headers["Quetzalpass-Request-Id"] = call.request_id
+        headers[http_client.TIME_LEFT_HEADER] = str(int(timeout_s * MS_PER_S))
         if call.idempotency_key is not None:
             headers["Idempotency-Key"] = call.idempotency_key
         answer = await self.exchange(call.method, url, headers, call.body, timeout_s)
--- a/src/quetzalpass/lifecycle/starting.py
+++ b/src/quetzalpass/lifecycle/starting.py
@@ -17,6 +17,7 @@
 LOG = logbook.Logger("lifecycle")
 
 MAX_ATTEMPTS = 4
+MS_PER_S = 1000
 MAX_RESUMES_IN_A_ROW = 2
 RESUME_TIMEOUT_S = 3.0
 
@@ -260,6 +261,7 @@
             priority=request.priority_class.priority,
             tokens_so_far=tuple(self.tokens),
             parameters=request.parameters,
+            time_left_ms=int(self.remaining_s() * MS_PER_S),
         )
 
     def engine(self) -> base.ModelEngine:
--- a/tests/backends/test_single_sends.py
+++ b/tests/backends/test_single_sends.py
@@ -12,6 +12,7 @@
 
     def __init__(self):
         self.read = []
+        self.heads = []
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -20,6 +21,7 @@
 
     async def serve(self, reader, writer):
         head = await reader.readuntil(b"\r\n\r\n")
+        self.heads.append(head.decode())
         self.read.append(head.split(b" ")[0].decode())
         if b"/answered" in head:
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
@@ -50,6 +52,12 @@
         assert failure.end is base.AttemptEnd.MAY_HAVE_RUN
         assert server.read.count(method) == 1
 
+    async def test_deadline_is_passed_on(self, server):
+        service = service_http.HttpService(server.url, schema.Limits())
+        await service.call(make_call("GET"), 2.0)
+        await service.close()
+        assert "Quetzalpass-Timeout-Ms: 2000\r\n" in server.heads[0]
+
 
 class TestEngines:
     async def test_start_and_resume_are_sent_once(self, server):
@@ -64,6 +72,7 @@
             (),
             5,
             0,
+            time_left_ms=1500,
         )
         started = await engine.start(call, 2.0)
         resumed = await engine.resume(ids.GenerationId("g"), 0, 2.0)
@@ -72,6 +81,7 @@
         assert started.failure().end is base.AttemptEnd.MAY_HAVE_RUN
         assert resumed.failure().end is base.AttemptEnd.MAY_HAVE_RUN
         assert server.read == ["POST", "GET", "DELETE"]
+        assert "Quetzalpass-Timeout-Ms: 1500\r\n" in server.heads[0]
 
 
 def make_call(method, path="waivers"):
