Test each kind of wrong token by name

Removing the check of ids fails one test here, removing that of offsets several; the fuzz alone had not met a crossed id at the right offset.

--- a/tests/backends/test_event_stream.py
+++ b/tests/backends/test_event_stream.py
@@ -169,6 +169,15 @@
             whole += ended
         assert 0 < whole < len(samples)
 
+    @pytest.mark.parametrize(
+        "wrong", [event(1, "another"), event(0), event(2), event(-1), event(10**30)]
+    )
+    async def test_wrong_token_closes_the_link(self, wrong):
+        sink, forwarded = await deliver([HEAD, event(0), wrong, event(1), END])
+        kinds = (base.FailureKind.CROSSED, base.FailureKind.MALFORMED)
+        assert forwarded.failure().kind in kinds
+        assert sink.texts in ([], ["t0 "])
+
     async def test_fuzzed_http_ends_in_a_failure(self):
         samples = samples_of(st.lists(st.binary(max_size=40), max_size=4))
         for chunks in samples:
