--- a/src/quetzalpass/backends/engine_stream.py
+++ b/src/quetzalpass/backends/engine_stream.py
@@ -223,7 +223,12 @@
             self.loop.call_later(END_GRACE_S, self.response.close)
 
     def close(self) -> None:
-        """Close the connection without cancelling the generation."""
+        """Close the connection without cancelling the generation.
+
+        A task that forwards is told at once: it may be asked to move elsewhere.
+        """
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(broken(base.FailureKind.CLOSED, "closed here"))
         if self.connection is not None:
             self.connection.leave()
             self.connection = None
