Spread revisions as differences, checked by the digest of the result

Change: a source that still knows the receiver's revision sends the difference; the receiver applies it, encodes the result and checks the digest; if it does not fit it asks for the whole. Unchanged entries are shared between revisions.

--- a/src/quetzalpass/daemon/peers.py
+++ b/src/quetzalpass/daemon/peers.py
@@ -6,7 +6,8 @@
 from aiohttp import web
 from returns import result
 
-from quetzalpass.membership import inner_messages
+from quetzalpass import ids
+from quetzalpass.membership import configuration, inner_messages
 from quetzalpass.wire import handlers, server
 
 if TYPE_CHECKING:
@@ -46,14 +47,7 @@
         wait_s = min(MAX_WAIT_S, request.wait_s)
         if holder.revision() <= request.newer_than and wait_s > 0:
             await holder.wait_newer(request.newer_than, wait_s)
-        current = holder.current
-        if current is None or current.revision <= request.newer_than:
-            return result.Success(inner_messages.DeclarationReply(0))
-        return result.Success(
-            inner_messages.DeclarationReply(
-                current.revision, current.digest, current.data
-            )
-        )
+        return result.Success(declaration_reply(holder, request))
 
     async def answer_status(
         self, request: inner_messages.VmStatusRequest
@@ -69,6 +63,24 @@
         return result.Success(inner_messages.SummaryReply())
 
 
+def declaration_reply(
+    holder: configuration.ConfigurationHolder,
+    request: inner_messages.DeclarationRequest,
+) -> inner_messages.DeclarationReply:
+    """Return the revision in force, as a difference where that can be had."""
+    current = holder.current
+    if current is None or current.revision <= request.newer_than:
+        return inner_messages.DeclarationReply(ids.Revision(0))
+    delta = None if request.whole else holder.delta_from(request.newer_than)
+    if delta is not None:
+        return inner_messages.DeclarationReply(
+            current.revision, current.digest, delta=delta
+        )
+    return inner_messages.DeclarationReply(
+        current.revision, current.digest, current.data
+    )
+
+
 def json_answer(value: msgspec.Struct, status: int = 200) -> web.Response:
     """Return a struct as a JSON answer."""
     return web.Response(
--- /dev/null
+++ b/src/quetzalpass/declarations/delta.py
@@ -0,0 +1,105 @@
+"""Difference between two declarations, small enough to send for each change.
+
+A whole declaration of a large deployment has megabytes, a change touches a few
+entries. The receiver applies the difference to its own revision and checks the digest
+of the result, so that a wrong base can't go unnoticed.
+"""
+
+import msgspec
+
+from quetzalpass.declarations import entries, schema
+
+WHOLE_FIELDS = tuple(
+    name
+    for name in schema.Declaration.__struct_fields__
+    if name not in entries.NAME_FIELDS
+)
+
+
+class Removed(msgspec.Struct, frozen=True):
+    """Names of the entries of one list that are gone."""
+
+    field: str
+    names: tuple[str, ...]
+
+
+class Delta(msgspec.Struct, frozen=True):
+    """What turns one declaration into another.
+
+    Attributes
+    ----------
+    changed : schema.Declaration
+        Entries that are new or different; fields that are no lists are given whole.
+    removed : tuple of Removed
+        Entries that are gone.
+    """
+
+    changed: schema.Declaration
+    removed: tuple[Removed, ...]
+
+
+def delta_between(
+    before: schema.Declaration, after: schema.Declaration
+) -> Delta | None:
+    """Return the difference, or ``None`` where only the whole will do.
+
+    Entries keep their order and new ones come last. Where an operator has moved entries
+    about, the result would differ from ``after``, and there is no difference to send.
+    """
+    changed = {name: getattr(after, name) for name in WHOLE_FIELDS}
+    removed = []
+    for field, key in entries.NAME_FIELDS.items():
+        old = {getattr(each, key): each for each in getattr(before, field)}
+        new = {getattr(each, key): each for each in getattr(after, field)}
+        changed[field] = tuple(
+            each for name, each in new.items() if not is_same(old.get(name), each)
+        )
+        gone = tuple(name for name in old if name not in new)
+        if gone:
+            removed.append(Removed(field, gone))
+    delta = Delta(schema.Declaration(**changed), tuple(removed))
+    return delta if apply_delta(before, delta) == after else None
+
+
+def is_same(old: schema.Strict | None, new: schema.Strict) -> bool:
+    """Return whether an entry is unchanged; shared entries need no comparison."""
+    return old is new or old == new
+
+
+def apply_delta(before: schema.Declaration, delta: Delta) -> schema.Declaration:
+    """Return the declaration that a difference makes of another.
+
+    Unchanged entries are shared with ``before``.
+    """
+    fields = {name: getattr(delta.changed, name) for name in WHOLE_FIELDS}
+    removed = {each.field: frozenset(each.names) for each in delta.removed}
+    for field, key in entries.NAME_FIELDS.items():
+        new = getattr(delta.changed, field)
+        gone = removed.get(field, frozenset())
+        if not new and not gone:
+            fields[field] = getattr(before, field)
+            continue
+        kept = {
+            getattr(each, key): each
+            for each in getattr(before, field)
+            if getattr(each, key) not in gone
+        }
+        kept.update((getattr(each, key), each) for each in new)
+        fields[field] = tuple(kept.values())
+    return schema.Declaration(**fields)
+
+
+def encode(delta: Delta) -> bytes:
+    """Return the JSON form of a difference."""
+    return msgspec.json.encode(delta)
+
+
+def decode(data: bytes) -> Delta:
+    """Return the difference in JSON form.
+
+    Raises
+    ------
+    msgspec.MsgspecError
+        If the data is none.
+    """
+    return msgspec.json.decode(data, type=Delta)
--- a/src/quetzalpass/membership/configuration.py
+++ b/src/quetzalpass/membership/configuration.py
@@ -8,10 +8,12 @@
 import msgspec
 
 from quetzalpass import ids
-from quetzalpass.declarations import schema
+from quetzalpass.declarations import delta, schema
 
 LOG = logbook.Logger("membership")
 
+EARLIER_REVISIONS = 4
+
 
 class Configuration:
     """One revision of the declaration with look-up tables.
@@ -35,8 +37,15 @@
         Organisation by the SHA-256 of its key, in hexadecimal.
     """
 
-    def __init__(self, revision: ids.Revision, digest: str, data: bytes) -> None:
-        declaration = schema.decode(data)
+    def __init__(
+        self,
+        revision: ids.Revision,
+        digest: str,
+        data: bytes,
+        declaration: schema.Declaration | None = None,
+    ) -> None:
+        if declaration is None:
+            declaration = schema.decode(data)
         self.revision = revision
         self.digest = digest
         self.data = data
@@ -79,6 +88,10 @@
         The revision in force; ``None`` until the first arrives.
     in_force_since_s : float
         Loop time at which it came into force.
+    earlier : list of Configuration
+        The last revisions before it, from which differences can be made.
+    deltas : dict of Revision to bytes
+        Differences to the current revision that were asked for.
     """
 
     def __init__(self) -> None:
@@ -86,6 +99,8 @@
         self.in_force_since_s = 0.0
         self.observers: list[Callable[[Configuration], None]] = []
         self.changed = asyncio.Event()
+        self.earlier: list[Configuration] = []
+        self.deltas: dict[ids.Revision, bytes] = {}
 
     def revision(self) -> ids.Revision:
         """Return the revision in force; 0 if there is none."""
@@ -109,13 +124,61 @@
         except msgspec.MsgspecError as error:
             LOG.error("membership: Refused revision {}: {}.", revision, error)
             return False
+        self.put_in_force(configuration)
+        return True
+
+    def activate_delta(
+        self, base: ids.Revision, revision: ids.Revision, digest: str, data: bytes
+    ) -> bool:
+        """Put a revision in force that is given by its difference from another.
+
+        Returns
+        -------
+        bool
+            Whether it is in force now. If not, the whole revision is needed.
+        """
+        if self.current is None or self.current.revision != base:
+            return False
+        try:
+            change = delta.decode(data)
+        except msgspec.MsgspecError as error:
+            LOG.error("membership: Refused a difference: {}.", error)
+            return False
+        declaration = delta.apply_delta(self.current.declaration, change)
+        whole = schema.encode(declaration)
+        if revision <= base or schema.digest_of(whole) != digest:
+            LOG.error("membership: Refused the difference to {}.", revision)
+            return False
+        self.put_in_force(Configuration(revision, digest, whole, declaration))
+        return True
+
+    def delta_from(self, base: ids.Revision) -> bytes | None:
+        """Return the difference from an earlier revision, if it is still known."""
+        if base in self.deltas:
+            return self.deltas[base]
+        assert self.current is not None
+        for each in self.earlier:
+            if each.revision == base:
+                change = delta.delta_between(each.declaration, self.current.declaration)
+                if change is None:
+                    return None
+                self.deltas[base] = delta.encode(change)
+                return self.deltas[base]
+        return None
+
+    def put_in_force(self, configuration: Configuration) -> None:
+        """Make a checked revision the one in force and tell everyone who waits."""
+        revision = configuration.revision
+        if self.current is not None:
+            self.earlier.append(self.current)
+            del self.earlier[:-EARLIER_REVISIONS]
+        self.deltas.clear()
         self.current = configuration
         self.in_force_since_s = asyncio.get_running_loop().time()
         LOG.info("membership: Revision {} is in force.", revision)
         for observer in self.observers:
             observer(configuration)
         self.wake_waiters()
-        return True
 
     def wake_waiters(self) -> None:
         """Wake everyone who waits for a newer revision."""
--- a/src/quetzalpass/membership/inner_messages.py
+++ b/src/quetzalpass/membership/inner_messages.py
@@ -19,20 +19,34 @@
     digest : str
         Digest of ``data``.
     data : bytes
-        Canonical form of the declaration.
+        Canonical form of the declaration; empty where a difference is given.
+    delta : bytes
+        Difference from the revision that was named in the request.
     """
 
     revision: ids.Revision
     digest: str = ""
     data: bytes = b""
+    delta: bytes = b""
 
 
 class DeclarationRequest(messages.Request, frozen=True):
-    """Asks for a revision newer than one, and waits a while for it."""
+    """Asks for a revision newer than one, and waits a while for it.
+
+    Attributes
+    ----------
+    newer_than : Revision
+        Revision that the sender has.
+    wait_s : float
+        How long to wait for a newer one, in seconds.
+    whole : bool
+        Asks for the whole revision, because a difference did not fit.
+    """
 
     reply_type = DeclarationReply
     newer_than: ids.Revision
     wait_s: float
+    whole: bool = False
 
 
 class VmStatusReply(messages.Reply, frozen=True):
--- a/src/quetzalpass/membership/peer_client.py
+++ b/src/quetzalpass/membership/peer_client.py
@@ -28,7 +28,11 @@
         self.channel = channel
 
     async def fetch_declaration(
-        self, newer_than: ids.Revision, wait_s: float, timeout_s: float
+        self,
+        newer_than: ids.Revision,
+        wait_s: float,
+        timeout_s: float,
+        whole: bool = False,
     ) -> result.Result[inner_messages.DeclarationReply, failures.Failure]:
         """Wait for a revision that is newer than the given one.
 
@@ -40,13 +44,15 @@
             How long the peer may wait for one.
         timeout_s : float
             How long one try may take.
+        whole : bool
+            Ask for the whole revision rather than a difference.
 
         Returns
         -------
         Result
             The revision; revision 0 if none came within ``wait_s`` seconds.
         """
-        request = inner_messages.DeclarationRequest(newer_than, wait_s)
+        request = inner_messages.DeclarationRequest(newer_than, wait_s, whole)
         return await self.channel.call(self.vm, request, TRIES_PER_CALL * timeout_s)
 
     async def fetch_status(
--- a/src/quetzalpass/membership/spread.py
+++ b/src/quetzalpass/membership/spread.py
@@ -109,12 +109,21 @@
         self, client: peer_client.PeerClient, wait_s: float, timeout_s: float
     ) -> bool:
         """Ask a peer for a newer revision; return whether it answered."""
-        answer = await client.fetch_declaration(
-            self.holder.revision(), wait_s, timeout_s
-        )
+        base = self.holder.revision()
+        answer = await client.fetch_declaration(base, wait_s, timeout_s)
         if isinstance(answer, result.Failure):
             return False
-        message = answer.unwrap()
-        if message.revision:
-            self.holder.activate(message.revision, message.digest, message.data)
+        reply = answer.unwrap()
+        if reply.delta:
+            taken = self.holder.activate_delta(
+                base, reply.revision, reply.digest, reply.delta
+            )
+            if taken or self.holder.revision() >= reply.revision:
+                return True
+            answer = await client.fetch_declaration(base, 0.0, timeout_s, whole=True)
+            if isinstance(answer, result.Failure):
+                return False
+            reply = answer.unwrap()
+        if reply.revision:
+            self.holder.activate(reply.revision, reply.digest, reply.data)
         return True
--- /dev/null
+++ b/tests/declarations/test_delta.py
@@ -0,0 +1,47 @@
+import hypothesis
+from hypothesis import strategies
+
+import builders
+from quetzalpass import ids
+from quetzalpass.declarations import delta, schema
+
+
+def organisations(weights):
+    return tuple(
+        schema.Organisation(ids.OrganisationId(name), ("0" * 64,), weight=weight)
+        for name, weight in weights.items()
+    )
+
+
+DECLARATIONS = strategies.builds(
+    lambda weights, rate: builders.declaration(
+        [],
+        organisations=organisations(weights),
+        weight_store=schema.WeightStore(rate),
+    ),
+    strategies.dictionaries(
+        strategies.sampled_from("abcdef"), strategies.floats(1, 9), max_size=6
+    ),
+    strategies.floats(1, 9),
+)
+
+
+class TestDelta:
+    @hypothesis.given(DECLARATIONS, DECLARATIONS)
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+    def test_gives_the_new_declaration_or_nothing(self, before, after):
+        change = delta.delta_between(before, after)
+        if change is None:
+            names = [each.id for each in after.organisations]
+            kept = [each.id for each in before.organisations if each.id in names]
+            assert names[: len(kept)] != kept
+            return
+        sent = delta.decode(delta.encode(change))
+        assert delta.apply_delta(before, sent) == after
+
+    def test_holds_only_what_changed(self):
+        before = builders.declaration([], organisations=organisations({"a": 1, "b": 1}))
+        after = builders.declaration([], organisations=organisations({"a": 1, "b": 2}))
+        change = delta.delta_between(before, after)
+        assert [each.id for each in change.changed.organisations] == ["b"]
+        assert change.changed.models == ()
--- a/tests/membership/test_spread.py
+++ b/tests/membership/test_spread.py
@@ -1,11 +1,13 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 from returns import result
 
 import builders
 from quetzalpass import ids
+from quetzalpass.daemon import peers as peers_interface
 from quetzalpass.declarations import schema as declared
 from quetzalpass.membership import configuration, inner_messages, spread
 from quetzalpass.results import codes, failures
@@ -32,25 +34,25 @@
         self.cut = False
         self.silent = False
         self.damage = False
+        self.bytes_sent = 0
 
-    async def fetch_declaration(self, newer_than, wait_s, timeout_s):
+    async def fetch_declaration(self, newer_than, wait_s, timeout_s, whole=False):
         started_s = asyncio.get_running_loop().time()
         await asyncio.sleep(0.001)
         if self.cut:
             return UNREACHABLE
         if wait_s:
             await self.holder.wait_newer(newer_than, wait_s)
-        current = self.holder.current
         if self.silent:
             passed_s = asyncio.get_running_loop().time() - started_s
             await asyncio.sleep(timeout_s - passed_s)
             return UNREACHABLE
-        if current is None or current.revision <= newer_than:
-            return result.Success(inner_messages.DeclarationReply(ids.Revision(0)))
-        data = current.data + b" " if self.damage else current.data
-        return result.Success(
-            inner_messages.DeclarationReply(current.revision, current.digest, data)
-        )
+        request = inner_messages.DeclarationRequest(newer_than, wait_s, whole)
+        reply = peers_interface.declaration_reply(self.holder, request)
+        self.bytes_sent += len(reply.data) + len(reply.delta)
+        if self.damage and reply.delta:
+            return result.Success(msgspec.structs.replace(reply, digest="0" * 64))
+        return result.Success(reply)
 
 
 class Site:
@@ -104,6 +106,9 @@
     def revisions(self):
         return {holder.revision() for holder in self.holders.values()}
 
+    def digests(self):
+        return {holder.current.digest for holder in self.holders.values()}
+
     def stop(self):
         for each in self.spreads.values():
             each.stop()
@@ -171,6 +176,30 @@
         assert site.holders["b-3"].revision() == 1
 
 
+@pytest.mark.looptime
+class TestDifferences:
+    async def test_a_change_costs_less_than_the_whole(self, site):
+        site.start_all()
+        await asyncio.sleep(20)
+        for revision in (1, 2):
+            site.accept(revision)
+            await asyncio.sleep(TARGET_S)
+        assert site.revisions() == {2}
+        follower = site.peers["b-3"]["b-0"]
+        whole = len(site.holders["a-0"].current.data)
+        assert whole < follower.bytes_sent < 2 * whole
+
+    async def test_a_difference_that_does_not_fit_is_followed_by_the_whole(self, site):
+        for peer in site.peers["b-3"].values():
+            peer.damage = True
+        site.start_all()
+        for revision in (1, 2, 3):
+            site.accept(revision)
+            await asyncio.sleep(TARGET_S)
+            assert site.revisions() == {revision}
+            assert len(site.digests()) == 1
+
+
 @pytest.mark.looptime
 class TestHolder:
     async def test_a_damaged_revision_is_refused_whole(self):
