--- a/src/quetzalpass/callers/bodies.py
+++ b/src/quetzalpass/callers/bodies.py
@@ -74,6 +74,8 @@
 ) -> result.Result[CompletionBody, failures.Failure]:
     """Return the checked body of a request for a generation."""
     try:
+        # The decoder skips unknown fields without looking at their encoding.
+        data.decode()
         body = msgspec.json.decode(data, type=CompletionBody)
     except msgspec.ValidationError as error:
         return refuse(codes.Code.BAD_REQUEST, str(error))
