--- /dev/null
+++ b/src/quetzalpass/bench/control_spread.py
@@ -0,0 +1,263 @@
+"""Time until a revision is in force on nine daemons, and what control costs them.
+
+The daemons run in one process over loopback, three of them as replicas on real disks.
+CPU figures are those of the process divided by the daemons, so that the replicas' work
+is spread over all.
+"""
+
+import asyncio
+import pathlib
+import random
+import resource
+import socket
+import tempfile
+import time
+
+import msgspec
+from returns import result
+
+from quetzalpass import ids
+from quetzalpass.bench import fleet_declaration
+from quetzalpass.control import declared_state
+from quetzalpass.daemon import groups, process
+from quetzalpass.declarations import schema as declared
+from quetzalpass.settings import schema
+
+GATEWAYS = 9
+REPLICAS = 3
+HOST = "127.0.0.1"
+CHANGES, CHANGES_QUICK = 40, 10
+CHANGES_PER_DAY = 8_500
+DAY_S = 86_400.0
+FAST_FACTOR = 100
+SLOW_PAUSE_S = 0.5
+SEED = 1
+POLL_S = 0.002
+START_TIMEOUT_S = 30.0
+
+
+class SpreadFigures(msgspec.Struct, frozen=True):
+    """What was measured with one size of declaration.
+
+    Attributes
+    ----------
+    organisations, servers : int
+        Size of the declaration.
+    in_force_p99_s : float
+        From the apply to the last of nine daemons, one change at a time.
+    in_force_p99_s_at_100x : float
+        The same at a hundred times the users' rate of changes.
+    idle_cpu_share : float
+        Share of a core for each daemon without changes.
+    change_cpu_ms : float
+        CPU time of one change for each daemon, in milliseconds.
+    rss_mb : float
+        Peak memory of the process divided by the daemons, in megabytes.
+    """
+
+    organisations: int
+    servers: int
+    in_force_p99_s: float
+    in_force_p99_s_at_100x: float
+    idle_cpu_share: float
+    change_cpu_ms: float
+    rss_mb: float
+
+
+class Site:
+    """Nine daemons in three data centres.
+
+    Parameters
+    ----------
+    folder : Path
+        Where keys and data folders go.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.names = [ids.VmId(f"entry-{n}") for n in range(GATEWAYS)]
+        self.ports = dict(zip(self.names, free_ports(GATEWAYS), strict=True))
+        (folder / "key").write_text("bench-cluster-key")
+        self.daemons: list[process.Daemon] = []
+        self.operations = 0
+
+    def settings(self, vm: ids.VmId) -> schema.Settings:
+        """Return the settings of one daemon."""
+        number = self.names.index(vm)
+        peers = tuple(
+            schema.Peer(
+                each,
+                self.data_centre_of(each),
+                f"http://{HOST}:{self.ports[each]}",
+                self.names.index(each) < REPLICAS,
+            )
+            for each in self.names
+            if each != vm
+        )
+        role = schema.Role.REPLICA if number < REPLICAS else schema.Role.GATEWAY
+        anywhere = schema.Listener(HOST, 0)
+        key_file = str(self.folder / "key")
+        return schema.Settings(
+            id=vm,
+            data_centre=self.data_centre_of(vm),
+            roles=(schema.Role.GATEWAY, role),
+            callers=anywhere,
+            peers=schema.Listener(HOST, self.ports[vm]),
+            operators=schema.Listener(HOST, 0, key_file=key_file),
+            cluster_key_file=key_file,
+            peer_vms=peers,
+            data_folder=str(self.folder / vm) if number < REPLICAS else None,
+        )
+
+    def data_centre_of(self, vm: ids.VmId) -> ids.DataCentreId:
+        """Return the data centre of a daemon."""
+        return fleet_declaration.data_centre_of(self.names.index(vm) % REPLICAS)
+
+    async def start(self) -> None:
+        """Start all daemons."""
+        for vm in self.names:
+            daemon = process.Daemon(self.settings(vm), random.Random(f"{SEED}/{vm}"))
+            self.daemons.append(daemon)
+        await asyncio.gather(*(each.start() for each in self.daemons))
+
+    async def stop(self) -> None:
+        """Stop all daemons."""
+        await asyncio.gather(*(each.stop() for each in self.daemons))
+
+    async def apply(
+        self, base: ids.Revision, declaration: declared.Declaration
+    ) -> ids.Revision:
+        """Apply a declaration at a daemon that is no replica."""
+        self.operations += 1
+        command = declared_state.ApplyCommand(
+            base, declared.encode(declaration), "bench"
+        )
+        operation = ids.OperationId(f"bench-{self.operations}")
+        proposer = self.daemons[-1].groups[groups.DECLARATION_GROUP]
+        answered = await proposer.propose(
+            declared_state.SESSION, operation, msgspec.msgpack.encode(command)
+        )
+        assert isinstance(answered, result.Success), answered
+        outcome = msgspec.msgpack.decode(
+            answered.unwrap(), type=declared_state.ApplyOutcome
+        )
+        assert outcome.accepted
+        return outcome.revision
+
+    async def wait_in_force(self, revision: ids.Revision) -> None:
+        """Wait until a revision or a newer one is in force on all daemons."""
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while any(each.holder.revision() < revision for each in self.daemons):
+                await asyncio.sleep(POLL_S)
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind((HOST, 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+async def measure(organisations: int, servers: int, quick: bool) -> SpreadFigures:
+    """Measure nine daemons with a declaration of one size.
+
+    The engines are declared out of service: what probing them costs is measured by the
+    benchmark ``capacity``.
+    """
+    declaration = fleet_declaration.fleet_declaration(organisations, servers)
+    idle = declared.ServiceState.OUT_OF_SERVICE
+    declaration = msgspec.structs.replace(
+        declaration,
+        vms=tuple(
+            msgspec.structs.replace(each, state=idle) for each in declaration.vms
+        ),
+    )
+    with tempfile.TemporaryDirectory() as folder:
+        site = Site(pathlib.Path(folder))
+        await site.start()
+        try:
+            return await measure_site(site, declaration, quick)
+        finally:
+            await site.stop()
+
+
+async def measure_site(
+    site: Site, declaration: declared.Declaration, quick: bool
+) -> SpreadFigures:
+    """Measure started daemons."""
+    changes = CHANGES_QUICK if quick else CHANGES
+    revision = await site.apply(ids.Revision(0), declaration)
+    await site.wait_in_force(revision)
+    idle_share = await measure_idle(3.0 if quick else 10.0)
+    slow_s, change_cpu_s = [], []
+    for number in range(changes):
+        changed = with_change(declaration, number)
+        cpu_s = time.process_time()
+        started_s = time.monotonic()
+        revision = await site.apply(revision, changed)
+        await site.wait_in_force(revision)
+        slow_s.append(time.monotonic() - started_s)
+        change_cpu_s.append(time.process_time() - cpu_s)
+        await asyncio.sleep(SLOW_PAUSE_S)
+    fast_s = await measure_fast(site, declaration, revision, changes)
+    peak_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+    return SpreadFigures(
+        len(declaration.organisations),
+        len(declaration.servers),
+        percentile_99(slow_s),
+        percentile_99(fast_s),
+        idle_share / GATEWAYS,
+        sum(change_cpu_s) / changes / GATEWAYS * 1e3,
+        peak_mb / GATEWAYS,
+    )
+
+
+async def measure_idle(duration_s: float) -> float:
+    """Return the share of a core that the process takes without changes."""
+    started_s = time.process_time()
+    await asyncio.sleep(duration_s)
+    return (time.process_time() - started_s) / duration_s
+
+
+async def measure_fast(
+    site: Site,
+    declaration: declared.Declaration,
+    revision: ids.Revision,
+    changes: int,
+) -> list[float]:
+    """Return the times to in force at a hundred times the users' rate."""
+    interval_s = DAY_S / (CHANGES_PER_DAY * FAST_FACTOR)
+    waits = []
+
+    async def wait(started_s: float, accepted: ids.Revision) -> float:
+        await site.wait_in_force(accepted)
+        return time.monotonic() - started_s
+
+    next_s = time.monotonic()
+    for number in range(changes):
+        next_s += interval_s
+        await asyncio.sleep(max(0.0, next_s - time.monotonic()))
+        started_s = time.monotonic()
+        revision = await site.apply(revision, with_change(declaration, -number - 1))
+        waits.append(asyncio.create_task(wait(started_s, revision)))
+    return list(await asyncio.gather(*waits))
+
+
+def with_change(declaration: declared.Declaration, number: int) -> declared.Declaration:
+    """Return a declaration with one organisation changed."""
+    organisations = list(declaration.organisations)
+    place = number % len(organisations)
+    organisations[place] = msgspec.structs.replace(
+        organisations[place], weight=2.0 + abs(number)
+    )
+    return msgspec.structs.replace(declaration, organisations=tuple(organisations))
+
+
+def percentile_99(values_s: list[float]) -> float:
+    """Return the 99th percentile of a few values."""
+    ordered = sorted(values_s)
+    return ordered[min(len(ordered) - 1, int(0.99 * len(ordered)))]
