--- a/src/quetzalpass/callers/encoding.py
+++ b/src/quetzalpass/callers/encoding.py
@@ -88,7 +88,8 @@
                 "model": model,
             }
         )
-        self.event_id = f"id: {generation_id}/{server_id}/".encode()
+        self.generation_id = generation_id
+        self.move_to(server_id)
         self.head = b"\ndata: " + head[:-1]
         opening = b',"choices":[{"index":0,"delta":{"content":'
         if not chat:
@@ -97,7 +98,7 @@
         self.closing = b'},"finish_reason":' if chat else b',"finish_reason":'
 
     def move_to(self, server_id: ids.ServerId) -> None:
-        """Name the engine that runs the generation from now on in the event ids."""
+        """Name another engine in the event ids from now on."""
         self.server_id = server_id
         self.event_id = f"id: {self.generation_id}/{server_id}/".encode()
 
