Revert 'Ask the peers before a suspect is refused after a second death'

A failed try. Cause: an innocent that starts on the server within the milliseconds between the crashing request's arrival and its crash is the later one, so that the crashing request goes free for a third server. Ruled out: delay of the verdicts (they pass every 50 ms and 300 ms are waited). Conclusion: which of two suspects on one server is the cause can't be told from times; they must not meet, which needs the routing to know the peers' suspects on each server before it places one.

--- a/src/quetzalpass/lifecycle/quarantine.py
+++ b/src/quetzalpass/lifecycle/quarantine.py
@@ -28,9 +28,6 @@
 # Suspects start again at random within this time. Else a request that crashes servers
 # would take the next one just when the innocents of the last one start there.
 SPREAD_S = 1.0
-# After a death, the peers' view of it is waited for before the request goes on.
-PEERS_WAIT_S = 0.3
-SAME_DEATH_S = 2.0
 MAX_RECORDS = 10_000
 OTHER_COPY_POLL_S = 0.05
 MS_PER_S = 1000
@@ -49,21 +46,12 @@
         Tokens of the request's output that had been received.
     opened : bool
         Whether the server had begun to answer.
-    server_id : ServerId
-        The dead server.
-    flight_s : float
-        How long the request had been there, in seconds.
-    at_s : float
-        Loop time of the death; in a message, how many seconds ago it was.
     """
 
     id: str
     weight: float
     place: int = 0
     opened: bool = False
-    server_id: ids.ServerId = ids.ServerId("")
-    flight_s: float = 0.0
-    at_s: float = 0.0
 
 
 class Flight(msgspec.Struct):
@@ -71,8 +59,6 @@
 
     Attributes
     ----------
-    started_s : float
-        Loop time of its start there.
     tokens : int
         Tokens of its output that have been received.
     opened : bool
@@ -80,7 +66,6 @@
     """
 
     fingerprint: str
-    started_s: float = 0.0
     tokens: int = 0
     opened: bool = False
 
@@ -131,16 +116,13 @@
 
     def refused(self) -> bool:
         """Return whether servers died under the request at one point repeatedly."""
-        return bool(self.repeated())
-
-    def repeated(self) -> list[Death]:
-        """Return the deaths at one point that suffice for a refusal."""
         for opened in (False, True):
-            alike = [each for each in self.deaths.values() if each.opened is opened]
-            weight = sum(each.weight for each in alike)
-            if len(alike) >= REFUSAL_DEATHS and weight >= REFUSAL_WEIGHT:
-                return alike
-        return []
+            weights = [
+                each.weight for each in self.deaths.values() if each.opened is opened
+            ]
+            if len(weights) >= REFUSAL_DEATHS and sum(weights) >= REFUSAL_WEIGHT:
+                return True
+        return False
 
 
 class Quarantine:
@@ -177,7 +159,7 @@
         self, server_id: ids.ServerId, request_id: ids.RequestId, fingerprint: str
     ) -> Flight:
         """Note that a request is on a server."""
-        flight = Flight(fingerprint, asyncio.get_running_loop().time())
+        flight = Flight(fingerprint)
         self.flights.setdefault(server_id, {})[request_id] = flight
         self.running[fingerprint] = self.running.get(fingerprint, 0) + 1
         return flight
@@ -210,7 +192,6 @@
         """
         if request_id not in self.flights.get(server_id, {}):
             return
-        now_s = asyncio.get_running_loop().time()
         lost: dict[str, Flight] = {}
         for flight in self.flights.pop(server_id).values():
             lost[flight.fingerprint] = flight
@@ -220,15 +201,7 @@
         self.deaths += 1
         name = f"{self.name}/{self.deaths}"
         for flight in blamed:
-            death = Death(
-                name,
-                1 / len(blamed),
-                flight.tokens,
-                flight.opened,
-                server_id,
-                now_s - flight.started_s,
-                now_s,
-            )
+            death = Death(name, 1 / len(blamed), flight.tokens, flight.opened)
             self.blame(flight.fingerprint, death)
         LOG.warning(
             "quarantine: Server {} died with {} requests, {} suspected before.",
@@ -294,7 +267,7 @@
         if not self.is_suspect(fingerprint):
             return None
         record = self.records[fingerprint]
-        if not record.refused() or self.has_rival(fingerprint):
+        if not record.refused():
             return None
         left_s = record.expires_s - asyncio.get_running_loop().time()
         return failures.Failure(
@@ -303,21 +276,6 @@
             retry_after_ms=int(left_s * MS_PER_S) + 1,
         )
 
-    def has_rival(self, fingerprint: str) -> bool:
-        """Return whether another repeated suspect explains a death of this one.
-
-        Suspects of two gateways can meet on a server. The one that had come later is
-        the likelier cause, as a crashing request does not last there.
-        """
-        deaths = self.records[fingerprint].repeated()
-        return any(
-            explains(rival, death)
-            for other, record in self.records.items()
-            if other != fingerprint
-            for rival in record.repeated()
-            for death in deaths
-        )
-
     def clear(self, fingerprint: str, tokens: int | None) -> None:
         """Note that a suspect has run without harm; a refused one stays refused.
 
@@ -358,10 +316,7 @@
         changed = tuple(
             Verdict(
                 fingerprint,
-                tuple(
-                    msgspec.structs.replace(each, at_s=now_s - each.at_s)
-                    for each in record.deaths.values()
-                ),
+                tuple(record.deaths.values()),
                 tuple(record.cleared),
                 record.expires_s - now_s,
             )
@@ -372,13 +327,9 @@
 
     def merge(self, message: Verdicts) -> None:
         """Take in verdicts of a peer; the order and repeats do not matter."""
-        now_s = asyncio.get_running_loop().time()
         for verdict in message.verdicts:
             record = self.record(verdict.fingerprint)
-            deaths = {
-                each.id: msgspec.structs.replace(each, at_s=now_s - each.at_s)
-                for each in verdict.deaths
-            }
+            deaths = {each.id: each for each in verdict.deaths}
             cleared = record.cleared | set(verdict.cleared)
             merged = {**deaths, **record.deaths}
             merged = {each: merged[each] for each in merged if each not in cleared}
@@ -387,10 +338,3 @@
             record.deaths = merged
             record.cleared = cleared
             self.touch(record, verdict.left_s)
-
-
-def explains(rival: Death, death: Death) -> bool:
-    """Return whether a death that two requests are blamed for is the rival's."""
-    same = rival.server_id == death.server_id and rival.id != death.id
-    near = abs(rival.at_s - death.at_s) <= SAME_DEATH_S
-    return same and near and rival.flight_s < death.flight_s
--- a/src/quetzalpass/lifecycle/starting.py
+++ b/src/quetzalpass/lifecycle/starting.py
@@ -150,7 +150,9 @@
         deadline_s = self.request.deadline_s
         suspects = self.gateway.quarantine
         await suspects.wait_for_other_copy(self.fingerprint, deadline_s)
-        refusal = await self.wait_as_suspect()
+        if suspects.is_suspect(self.fingerprint):
+            await asyncio.sleep(self.gateway.rng.uniform(0.0, quarantine.SPREAD_S))
+        refusal = suspects.refusal(self.fingerprint)
         if refusal is not None:
             return result.Failure(refusal)
         acquired = await self.acquire_slot()
@@ -184,22 +186,6 @@
             )
         return await self.start()
 
-    async def wait_as_suspect(self) -> failures.Failure | None:
-        """Wait for the peers' view of a death, and spread out; return a refusal."""
-        suspects = self.gateway.quarantine
-        if not suspects.is_suspect(self.fingerprint):
-            return None
-        least_s = quarantine.PEERS_WAIT_S
-        if self.execution is codes.Execution.NOT_RUN:
-            # Sent again by its caller: what is known is answered at once.
-            least_s = 0.0
-            refusal = suspects.refusal(self.fingerprint)
-            if refusal is not None:
-                return refusal
-        spread_s = self.gateway.rng.uniform(0.0, quarantine.SPREAD_S)
-        await asyncio.sleep(least_s + spread_s)
-        return suspects.refusal(self.fingerprint)
-
     async def start(self) -> result.Result[None, failures.Failure]:
         """Send the generation to the server that was chosen."""
         timeout_s = min(self.remaining_s(), self.gateway.limits.silent_stream_s)
--- a/tests/lifecycle/test_quarantine.py
+++ b/tests/lifecycle/test_quarantine.py
@@ -60,21 +60,6 @@
         assert found.records["g"].deaths["a/2"].weight == 0.5
         assert found.refusal("f") is None and found.refusal("g") is None
 
-    async def test_later_of_two_suspects_is_the_cause(self):
-        first, second = entered("a", "s", ["f"]), entered("b", "t", ["g"])
-        die(first)
-        die(second, "t")
-        second.enter(ids.ServerId("u"), ids.RequestId("r0"), "g")
-        await asyncio.sleep(0.05)
-        first.enter(ids.ServerId("u"), ids.RequestId("r0"), "f")
-        die(first, "u")
-        die(second, "u")
-        assert second.refusal("g") is not None
-        second.merge(first.verdicts_since(0))
-        first.merge(second.verdicts_since(0))
-        assert second.refusal("g") is None and first.refusal("g") is None
-        assert first.refusal("f") is not None and second.refusal("f") is not None
-
     async def test_verdicts_merge_in_any_order(self):
         first, second = entered("a", "s", ["f"]), entered("b", "t", ["f"])
         die(first)
