--- a/src/quetzalpass/bench/relay_processes.py
+++ b/src/quetzalpass/bench/relay_processes.py
@@ -205,8 +205,9 @@
         )
         self.processes["reader"] = reader
         assert reader.stdout is not None
-        if reader.stdout.readline() != "begin\n":
-            raise RuntimeError(f"the streams through the {relay} relay do not flow")
+        said = reader.stdout.readline()
+        if said != "begin\n":
+            raise RuntimeError(f"the streams through {relay} do not flow: {said}")
         relay_pid = self.processes[relay].pid
         source_pid = self.processes["source"].pid
         relay_cpu_s, source_cpu_s = cpu_s_of(relay_pid), cpu_s_of(source_pid)
--- a/src/quetzalpass/bench/relay_reader.py
+++ b/src/quetzalpass/bench/relay_reader.py
@@ -14,7 +14,8 @@
 TOKEN = re.compile(rb"(\d+)\.(\d{9,}) ")
 OPEN_PER_S = 600
 SETTLE_S = 1.0
-OPEN_TIMEOUT_S = 30.0
+OPEN_TIMEOUT_S = 10.0
+LATEST_BYTES = 400
 NS_PER_MS = 1e6
 
 
@@ -60,6 +61,8 @@
     ----------
     next_offset : int
         Offset that the next token must have.
+    latest : bytes
+        What came before the first token, to tell why there is none.
     arrived_ns, sent_ns : int
         When the latest token arrived here, and when it left the source.
     """
@@ -68,6 +71,7 @@
         self.request = request
         self.window = window
         self.rest = b""
+        self.latest = b""
         self.next_offset = 0
         self.arrived_ns = 0
         self.sent_ns = 0
@@ -79,6 +83,8 @@
     def data_received(self, data: bytes) -> None:
         """Note the tokens that arrived."""
         now_ns = time.monotonic_ns()
+        if not self.next_offset:
+            self.latest = data[:LATEST_BYTES]
         data = self.rest + data
         end = data.rfind(b"\n") + 1
         self.rest = data[end:]
@@ -133,9 +139,12 @@
         await loop.create_connection(lambda made=caller: made, host, port)
         callers.append(caller)
         await asyncio.sleep(1 / OPEN_PER_S)
-    async with asyncio.timeout(OPEN_TIMEOUT_S):
-        while not all(each.next_offset for each in callers):
-            await asyncio.sleep(0.05)
+    opened_s = loop.time()
+    while late := [each for each in callers if not each.next_offset]:
+        if loop.time() > opened_s + OPEN_TIMEOUT_S:
+            print(f"{len(late)} streams have no token: {late[0].latest!r}")
+            raise TimeoutError("the streams do not flow")
+        await asyncio.sleep(0.05)
     await asyncio.sleep(SETTLE_S)
     gc.freeze()
     print("begin", flush=True)
