--- a/tests/lifecycle/test_quarantine.py
+++ b/tests/lifecycle/test_quarantine.py
@@ -27,7 +27,7 @@
         found = entered("a", "s", ["f", "g"])
         die(found)
         die(found, request="r1")
-        assert found.records["f"].weight() == 0.5
+        assert found.records["f"].deaths["a/1"].weight == 0.5
         assert found.is_suspect("g") and found.refusal("f") is None
 
     async def test_known_suspect_takes_the_blame_of_the_second_death(self):
@@ -50,6 +50,16 @@
         found.clear("f", 50 + quarantine.CLEARING_TOKENS)
         assert not found.is_suspect("f")
 
+    async def test_death_at_another_point_is_not_a_second_one(self):
+        found = quarantine.Quarantine("a")
+        found.enter(ids.ServerId("s"), ids.RequestId("r0"), "f").opened = True
+        die(found)
+        found.enter(ids.ServerId("s"), ids.RequestId("r0"), "f")
+        found.enter(ids.ServerId("s"), ids.RequestId("r1"), "g")
+        die(found)
+        assert found.records["g"].deaths["a/2"].weight == 0.5
+        assert found.refusal("f") is None and found.refusal("g") is None
+
     async def test_verdicts_merge_in_any_order(self):
         first, second = entered("a", "s", ["f"]), entered("b", "t", ["f"])
         die(first)
