--- a/src/quetzalpass/routing/dispatch.py
+++ b/src/quetzalpass/routing/dispatch.py
@@ -13,6 +13,7 @@
 from quetzalpass.results import codes, failures
 from quetzalpass.routing import (
     flights,
+    lanes,
     lengths,
     policies,
     queues,
@@ -27,14 +28,10 @@
 HEADS_TRIED = 6
 REGRET_ALLOWED_S = 0.1
 OVERTAKING_S = 2.0
-RESUMED_PLACE = 1
 REFRESH_TOKENS = 32
 # What computing a prompt token costs, in generated tokens.
 PREFILL_COST = 0.1
 EXPLANATIONS_KEPT = 1024
-SHORTEST_RETRY_MS = 100
-LONGEST_RETRY_MS = 30_000
-RATE_WEIGHT = 0.05
 
 
 class Placement(msgspec.Struct, frozen=True):
@@ -75,55 +72,6 @@
     decided_at_s: float
 
 
-class Lane:
-    """Queue of one model and version, with a fair queue for each priority."""
-
-    def __init__(self, weights: dict[ids.OrganisationId, float]) -> None:
-        self.weights = weights
-        self.priorities: dict[int, queues.FairQueue] = {}
-        # Place in the queue of the first request, when it last found no room.
-        self.stuck_place: int | None = None
-        self.seconds_per_dispatch = 0.0
-        self.last_dispatch_s: float | None = None
-
-    @property
-    def size(self) -> int:
-        """Requests that wait."""
-        return sum(queue.size for queue in self.priorities.values())
-
-    def queue(self, priority: int) -> queues.FairQueue:
-        """Return the fair queue of a priority, made on first use."""
-        found = self.priorities.get(priority)
-        if found is None:
-            self.priorities[priority] = found = queues.FairQueue(self.weights)
-            self.priorities = dict(sorted(self.priorities.items()))
-        return found
-
-    def first_place(self) -> int:
-        """Return the place of the most urgent requests that wait."""
-        return next(place for place, queue in self.priorities.items() if queue.size)
-
-    def count_dispatch(self, now_s: float) -> None:
-        """Learn how often a place becomes free."""
-        if self.last_dispatch_s is not None:
-            passed_s = now_s - self.last_dispatch_s
-            self.seconds_per_dispatch += RATE_WEIGHT * (
-                passed_s - self.seconds_per_dispatch
-            )
-        self.last_dispatch_s = now_s
-
-    def retry_after_ms(self) -> int:
-        """Return when a refused request should come back: once the queue is served."""
-        wait_ms = round(1000 * self.size * self.seconds_per_dispatch)
-        return max(SHORTEST_RETRY_MS, min(LONGEST_RETRY_MS, wait_ms))
-
-
-def queue_priority(item: work.WorkItem) -> int:
-    """Return the place in the queue: resumed streams stall, so only 0 goes first."""
-    place = 2 * item.priority
-    return min(place, RESUMED_PLACE) if item.generated_tokens else place
-
-
 def accepts(queued: queues.QueuedWork, choice: work.Choice, now_s: float) -> bool:
     """Return whether a request takes a place, or waits for a better one."""
     if queued.offered_s is None:
@@ -170,7 +118,7 @@
         self.table = table
         self.rules = rules
         self.estimator = estimator
-        self.lanes: dict[servers.PoolKey, Lane] = {}
+        self.lanes: dict[servers.PoolKey, lanes.Lane] = {}
         self.queued: dict[ids.RequestId, queues.QueuedWork] = {}
         self.flights: dict[ids.RequestId, flights.Flight] = {}
         self.deadlines: list[tuple[float, ids.RequestId]] = []
@@ -197,7 +145,7 @@
         cost = estimate + PREFILL_COST * item.prompt_tokens
         queued = queues.QueuedWork(item, cost, now_s)
         self.queued[item.request_id] = queued
-        lane.queue(queue_priority(item)).push(queued)
+        lane.queue(lanes.queue_priority(item)).push(queued)
         deadline_s = item.deadline_s
         if deadline_s is None:
             deadline_s = now_s + self.rules.longest_wait_s
@@ -206,7 +154,7 @@
         stuck = lane.stuck_place
         # While more urgent requests find no room this one needn't look for any.
         alone = lane.size == 1
-        if stuck is None or alone or queue_priority(item) < stuck:
+        if stuck is None or alone or lanes.queue_priority(item) < stuck:
             decisions = self.pump_lane(lane, now_s)
         if lane.size > self.rules.queue_limit:
             decisions += self.shed(lane)
@@ -222,7 +170,7 @@
         return failures.Failure(
             codes.Code.NO_SERVER,
             f"No backend server may run this request for model {item.model}.",
-            retry_after_ms=LONGEST_RETRY_MS,
+            retry_after_ms=lanes.LONGEST_RETRY_MS,
         )
 
     def declared_for(self, item: work.WorkItem, pool: servers.Pool) -> bool:
@@ -245,19 +193,19 @@
             retry_after_ms=lane.retry_after_ms(),
         )
 
-    def lane(self, item: work.WorkItem) -> Lane:
+    def lane(self, item: work.WorkItem) -> lanes.Lane:
         """Return the queue of a request's model and version, made on first use."""
         key = servers.PoolKey(item.model, item.version)
         found = self.lanes.get(key)
         if found is None:
-            found = self.lanes[key] = Lane(self.rules.organisation_weights)
+            found = self.lanes[key] = lanes.Lane(self.rules.organisation_weights)
         return found
 
     def table_of(self, item: work.WorkItem) -> lengths.LifeTable:
         """Return the life table of a request's class."""
         return self.estimator.table(item.model, item.class_name)
 
-    def shed(self, lane: Lane) -> list[Decision]:
+    def shed(self, lane: lanes.Lane) -> list[Decision]:
         """Give up on the newest request of the least urgent priority, at once."""
         for queue in reversed(lane.priorities.values()):
             victim = queue.newest_of_longest()
@@ -275,7 +223,7 @@
     def unqueue(self, queued: queues.QueuedWork) -> None:
         """Take a request out of its queue."""
         del self.queued[queued.item.request_id]
-        self.lane(queued.item).queue(queue_priority(queued.item)).remove(queued)
+        self.lane(queued.item).queue(lanes.queue_priority(queued.item)).remove(queued)
 
     def cancel(self, request_id: ids.RequestId) -> bool:
         """Drop a request that waits; return False if it doesn't wait."""
@@ -307,7 +255,7 @@
             decisions.append(Refusal(queued.item, failure))
         return decisions
 
-    def pump_lane(self, lane: Lane, now_s: float) -> list[Decision]:
+    def pump_lane(self, lane: lanes.Lane, now_s: float) -> list[Decision]:
         """Place requests of one lane until the next has to wait."""
         decisions: list[Decision] = []
         lane.stuck_place = None
@@ -320,7 +268,7 @@
             decisions.append(placement)
         return decisions
 
-    def place_next(self, lane: Lane, now_s: float) -> Placement | None:
+    def place_next(self, lane: lanes.Lane, now_s: float) -> Placement | None:
         """Place the next request of a lane, if there's room for it."""
         queue = lane.priorities[lane.first_place()]
         for queued in queue.heads(HEADS_TRIED):
