--- a/src/quetzalpass/callers/streams.py
+++ b/src/quetzalpass/callers/streams.py
@@ -58,7 +58,6 @@
         self.make_encoder = make_encoder
         self.limits = limits
         self.encoder: encoding.StreamEncoder | None = None
-        self.server_id = generation.server_id
         self.opened = False
         self.first: base.TokenBatch | None = None
         self.ended = False
@@ -86,9 +85,12 @@
 
     def encode(self, batch: base.TokenBatch) -> bytes:
         """Return the event of a batch, whose id names the server that sent it."""
-        if self.encoder is None or self.generation.server_id != self.server_id:
-            self.server_id = self.generation.server_id
+        server_id = self.generation.server_id
+        if self.encoder is None:
             self.encoder = self.make_encoder(self.generation)
+        elif server_id != self.encoder.server_id:
+            assert server_id is not None
+            self.encoder.move_to(server_id)
         return self.encoder.tokens(batch.offset, batch.texts, batch.finish_reason)
 
     async def wait_for_first(
--- a/src/quetzalpass/lifecycle/gateway.py
+++ b/src/quetzalpass/lifecycle/gateway.py
@@ -7,14 +7,23 @@
 
 from quetzalpass import ids
 from quetzalpass.backends import base, registry
-from quetzalpass.lifecycle import generation_ids, ledger_client, retry_budget
+from quetzalpass.lifecycle import (
+    drains,
+    generation_ids,
+    ledger_client,
+    limits,
+    quarantine,
+    retry_budget,
+)
 from quetzalpass.membership import configuration
 from quetzalpass.metrics import recorder
 from quetzalpass.results import codes, failures
-from quetzalpass.routing import admission
+from quetzalpass.routing import admission, servers
 from quetzalpass.settings import schema
 
 RANDOM_ID_BITS = 96
+HEALTH_TIMEOUT_S = 1.0
+DRAIN_POLL_S = 0.05
 
 Answer = TypeVar("Answer")
 
@@ -41,8 +50,14 @@
         Claims of non-idempotent requests.
     recorder : recorder.Recorder
         Metrics by organisation and class.
+    drains : drains.DrainMover
+        Moves generations off servers that are leaving.
     retries : retry_budget.RetryBudgets
         Bounds on retries by organisation and model.
+    limiter : limits.Limiter
+        Limits of organisations, shared with the data centre's other gateways.
+    quarantine : quarantine.Quarantine
+        Requests under which backend servers died.
     backends : dict of ServerId to base.Backend
         Open adapters.
     requests : int
@@ -65,7 +80,15 @@
         self.slots = slots
         self.ledger: ledger_client.Ledger = ledger_client.NoLedger()
         self.recorder = recorder.Recorder()
+        self.drains = drains.DrainMover(self)
         self.retries = retry_budget.RetryBudgets()
+        near = [
+            each
+            for each in settings.peer_vms
+            if each.data_centre == settings.data_centre
+        ]
+        self.limiter = limits.Limiter(settings.id, len(near) + 1)
+        self.quarantine = quarantine.Quarantine(f"{settings.id}/{rng.getrandbits(32)}")
         self.rng = rng
         self.cluster_key = cluster_key
         self.backends: dict[ids.ServerId, base.Backend] = {}
@@ -101,6 +124,37 @@
             self.backends[server_id] = backend
         return backend
 
+    async def note_lost_server(
+        self,
+        server_id: ids.ServerId,
+        request_id: ids.RequestId,
+        at: configuration.Configuration,
+        restarted: bool,
+    ) -> None:
+        """Find out whether a server died under a request, and whom to suspect.
+
+        Parameters
+        ----------
+        server_id : ServerId
+            Server to which a link was lost.
+        request_id : RequestId
+            Request that was on it.
+        at : configuration.Configuration
+            The revision that decides the request.
+        restarted : bool
+            The server answers but no longer knows what it was running.
+        """
+        if self.is_leaving(server_id):
+            return
+        backend = self.backend_of(server_id, at)
+        if restarted or not await backend.check_health(HEALTH_TIMEOUT_S):
+            self.quarantine.observe_death(server_id, request_id)
+
+    def is_leaving(self, server_id: ids.ServerId) -> bool:
+        """Return whether the end of a server is announced or declared."""
+        record = self.slots.dispatcher.table.records.get(server_id)
+        return record is None or record.view.state is servers.ServerState.LEAVING
+
     def refusal(self) -> failures.Failure | None:
         """Return why no new request is taken at present, or ``None``."""
         if self.draining:
@@ -119,11 +173,12 @@
             )
         return None
 
-    def spawn(self, work: Coroutine[None, None, None]) -> None:
+    def spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
         """Run a task that outlives its request; it is kept until it ends."""
         task = asyncio.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+        return task
 
     def spawn_counted(
         self, work: Coroutine[None, None, Answer]
@@ -140,6 +195,13 @@
         self.requests -= 1
         self.tasks.discard(task)
 
+    async def drain(self) -> None:
+        """Take no new requests; wait until all have ended and are recorded."""
+        self.draining = True
+        while self.requests:
+            await asyncio.sleep(DRAIN_POLL_S)
+        await self.ledger.drain()
+
     async def close(self) -> None:
         """Close all connections to backend servers."""
         for task in list(self.tasks):
--- a/src/quetzalpass/lifecycle/taps.py
+++ b/src/quetzalpass/lifecycle/taps.py
@@ -10,13 +10,20 @@
     from quetzalpass.lifecycle import generations
 
 
+EARLY_END = base.AttemptFailure(
+    base.AttemptEnd.RAN,
+    base.FailureKind.MALFORMED,
+    "the end mark came before the last token",
+)
+
+
 class TokenTap(base.TokenSink):
     """Keeps the tokens of a generation on their way to the caller's sink.
 
     Attributes
     ----------
-    failure : base.AttemptFailure or None
-        Set when the stream ended although the generation had not.
+    ended_early : bool
+        Whether the end mark came before the last token; that batch is dropped.
     """
 
     def __init__(
@@ -24,13 +31,20 @@
     ) -> None:
         self.generation = generation
         self.take_on = sink.take
-        self.failure: base.AttemptFailure | None = None
+        self.ended_early = False
 
     def take(self, batch: base.TokenBatch) -> bool:
         """Keep the tokens, then pass them on."""
-        if batch.ended:
-            checked = self.generation.check_end(batch)
-            if isinstance(checked, result.Failure):
-                self.failure = checked.failure()
-                return False
+        if batch.ended and self.generation.ends_early(batch):
+            self.ended_early = True
+            return False
         return self.take_on(self.generation.note_batch(batch))
+
+    def check_end(
+        self, forwarded: base.Forwarded
+    ) -> result.Result[base.Forwarded, base.AttemptFailure]:
+        """Return why the stream stopped, unless it ended early."""
+        if self.ended_early:
+            self.ended_early = False
+            return result.Failure(EARLY_END)
+        return result.Success(forwarded)
--- a/tests/callers/test_streams.py
+++ b/tests/callers/test_streams.py
@@ -57,7 +57,7 @@
 class TestLongWaits:
     @pytest.mark.parametrize("at_offset", [0, 3])
     async def test_comments_come_while_no_token_does(self, open_site, at_offset):
-        site = await open_site()
+        site = await open_site(engines=1)
         site.engine.add_fault(faults.FaultKind.SILENCE, at_offset=at_offset)
         prompt = "a draft [tokens=6]"
         answer = await site.send(stream_post(prompt))
--- a/tests/consensus/test_leaders.py
+++ b/tests/consensus/test_leaders.py
@@ -85,6 +85,19 @@
                 assert len(holders) <= 1, (seed, step)
             await cluster.stop()
 
+    async def test_a_leader_that_was_stopped_finds_its_lease_over(self):
+        cluster = await formed()
+        old = await cluster.leader()
+        tenure = cluster.groups[old].leadership
+        # As after SIGSTOP: none of its tasks has run when it is asked for its lease.
+        for task in [*tenure.own_tasks, *tenure.tasks.values()]:
+            task.cancel()
+        cluster.network.isolate(old)
+        await cluster.until(lambda: set(cluster.leaders()) - {old}, step_s=0.001)
+        assert cluster.groups[old].leadership is tenure
+        assert not cluster.groups[old].is_leader_with_lease()
+        await cluster.stop()
+
     async def test_a_restarted_voter_respects_the_lease(self):
         for seed in range(16):
             cluster = await formed(3, seed)
@@ -153,6 +166,15 @@
             await cluster.until_all_hold(items)
             await cluster.stop()
 
+    async def test_two_under_way_at_once_are_applied_once(self):
+        cluster = await formed()
+        leader = cluster.groups[await cluster.leader()]
+        calls = [leader.propose("client", "op", b"once") for _ in range(3)]
+        outcomes = await asyncio.gather(*calls)
+        assert {outcome.unwrap() for outcome in outcomes} == {b"2:once"}
+        await cluster.until_all_hold([b"first", b"once"])
+        await cluster.stop()
+
     async def test_gets_the_first_outcome_after_restarts_and_snapshots(self):
         cluster = await formed(snapshot_every=20)
         outcome = await cluster.propose(b"once", "op")
