Put the difference into the log instead of the whole declaration

Change: the daemon that takes an apply sends the difference from the base where it knows the base; the state machine applies it to its own copy. A wrong base is a conflict before the difference is looked at.

--- a/src/quetzalpass/bench/control_spread.py
+++ b/src/quetzalpass/bench/control_spread.py
@@ -139,14 +139,11 @@
     ) -> ids.Revision:
         """Apply a declaration at a daemon that is no replica."""
         self.operations += 1
-        command = declared_state.ApplyCommand(
-            base, declared.encode(declaration), "bench"
-        )
+        known = self.daemons[-1].holder.declaration_of(base)
+        command = declared_state.command_for(base, known, declaration, "bench")
         operation = ids.OperationId(f"bench-{self.operations}")
         proposer = self.daemons[-1].groups[groups.DECLARATION_GROUP]
-        answered = await proposer.propose(
-            declared_state.SESSION, operation, msgspec.msgpack.encode(command)
-        )
+        answered = await proposer.propose(declared_state.SESSION, operation, command)
         assert isinstance(answered, result.Success), answered
         outcome = msgspec.msgpack.decode(
             answered.unwrap(), type=declared_state.ApplyOutcome
--- a/src/quetzalpass/control/declared_state.py
+++ b/src/quetzalpass/control/declared_state.py
@@ -6,7 +6,7 @@
 
 from quetzalpass import ids
 from quetzalpass.consensus import machine
-from quetzalpass.declarations import schema
+from quetzalpass.declarations import delta, schema
 
 SESSION = "declaration"
 
@@ -19,14 +19,45 @@
     base_revision : Revision
         Revision that the change was made from.
     declaration : bytes
-        Canonical form of the new declaration.
+        Canonical form of the new declaration; empty where a difference is given.
     author : str
         Who applies it.
+    delta : bytes
+        Difference from the base revision. A whole declaration has megabytes, which
+        would go to each replica's disk for each change.
     """
 
     base_revision: ids.Revision
     declaration: bytes
     author: str
+    delta: bytes = b""
+
+
+def command_for(
+    base_revision: ids.Revision,
+    base: schema.Declaration | None,
+    new: schema.Declaration,
+    author: str,
+) -> bytes:
+    """Return the encoded command that applies a declaration.
+
+    Parameters
+    ----------
+    base_revision : Revision
+        Revision that the change was made from.
+    base : schema.Declaration or None
+        That revision, if it is known here; the command is small then.
+    new : schema.Declaration
+        The new declaration.
+    author : str
+        Who applies it.
+    """
+    change = None if base is None else delta.delta_between(base, new)
+    if change is None:
+        command = ApplyCommand(base_revision, schema.encode(new), author)
+    else:
+        command = ApplyCommand(base_revision, b"", author, delta.encode(change))
+    return msgspec.msgpack.encode(command)
 
 
 class ApplyOutcome(msgspec.Struct, frozen=True):
@@ -72,12 +103,15 @@
     ----------
     current : AcceptedDeclaration
         The newest accepted revision.
+    declaration : schema.Declaration
+        The same, decoded.
     observers : list of callable
         Called with each revision that becomes the newest.
     """
 
     def __init__(self) -> None:
         self.current = EMPTY
+        self.declaration = schema.Declaration()
         self.observers: list[Callable[[AcceptedDeclaration], None]] = []
 
     def replace(self, accepted: AcceptedDeclaration) -> None:
@@ -91,12 +125,13 @@
         order = msgspec.msgpack.decode(command, type=ApplyCommand)
         accepted = order.base_revision == self.current.revision
         if accepted:
+            data = self.declared_by(order)
             self.replace(
                 AcceptedDeclaration(
                     ids.Revision(self.current.revision + 1),
-                    schema.digest_of(order.declaration),
+                    schema.digest_of(data),
                     order.author,
-                    order.declaration,
+                    data,
                 )
             )
         now = self.current
@@ -104,10 +139,22 @@
             ApplyOutcome(accepted, now.revision, now.digest, now.author)
         )
 
+    def declared_by(self, order: ApplyCommand) -> bytes:
+        """Return the canonical form of the declaration that a command makes."""
+        if not order.delta:
+            self.declaration = schema.decode(order.declaration)
+            return order.declaration
+        self.declaration = delta.apply_delta(
+            self.declaration, delta.decode(order.delta)
+        )
+        return schema.encode(self.declaration)
+
     def snapshot(self) -> bytes:
         """Return the whole state."""
         return msgspec.msgpack.encode(self.current)
 
     def restore(self, data: bytes) -> None:
         """Replace the whole state by a snapshot."""
-        self.replace(msgspec.msgpack.decode(data, type=AcceptedDeclaration))
+        restored = msgspec.msgpack.decode(data, type=AcceptedDeclaration)
+        self.declaration = schema.decode(restored.data)
+        self.replace(restored)
--- a/src/quetzalpass/daemon/operators.py
+++ b/src/quetzalpass/daemon/operators.py
@@ -57,11 +57,14 @@
         errors = checks.errors_among(checks.check_declaration(order.declaration))
         if errors:
             return error_response(invalid_failure(errors))
-        command = declared_state.ApplyCommand(
-            order.base_revision, schema.encode(order.declaration), order.author
+        command = declared_state.command_for(
+            order.base_revision,
+            self.daemon.holder.declaration_of(order.base_revision),
+            order.declaration,
+            order.author,
         )
         answered = await self.daemon.groups[groups.DECLARATION_GROUP].propose(
-            declared_state.SESSION, order.operation_id, msgspec.msgpack.encode(command)
+            declared_state.SESSION, order.operation_id, command
         )
         if isinstance(answered, result.Failure):
             return error_response(answered.failure())
--- a/src/quetzalpass/membership/configuration.py
+++ b/src/quetzalpass/membership/configuration.py
@@ -152,19 +152,27 @@
         self.put_in_force(Configuration(revision, digest, whole, declaration))
         return True
 
+    def declaration_of(self, revision: ids.Revision) -> schema.Declaration | None:
+        """Return the declaration of a revision that is still known here."""
+        known = [*self.earlier, self.current]
+        for each in known:
+            if each is not None and each.revision == revision:
+                return each.declaration
+        return None
+
     def delta_from(self, base: ids.Revision) -> bytes | None:
         """Return the difference from an earlier revision, if it is still known."""
         if base in self.deltas:
             return self.deltas[base]
         assert self.current is not None
-        for each in self.earlier:
-            if each.revision == base:
-                change = delta.delta_between(each.declaration, self.current.declaration)
-                if change is None:
-                    return None
-                self.deltas[base] = delta.encode(change)
-                return self.deltas[base]
-        return None
+        earlier = self.declaration_of(base)
+        change = None
+        if earlier is not None:
+            change = delta.delta_between(earlier, self.current.declaration)
+        if change is None:
+            return None
+        self.deltas[base] = delta.encode(change)
+        return self.deltas[base]
 
     def put_in_force(self, configuration: Configuration) -> None:
         """Make a checked revision the one in force and tell everyone who waits."""
--- /dev/null
+++ b/tests/control/test_declared_state.py
@@ -0,0 +1,43 @@
+import msgspec
+
+import builders
+from quetzalpass import ids
+from quetzalpass.control import declared_state
+from quetzalpass.declarations import schema
+
+
+def declaration(version):
+    model = schema.Model(builders.MODEL, ids.VersionName(version))
+    return builders.declaration([], models=(model,))
+
+
+def apply(state, index, base_revision, base, new, author="anna"):
+    command = declared_state.command_for(ids.Revision(base_revision), base, new, author)
+    answer = state.apply(ids.LogIndex(index), command)
+    return msgspec.msgpack.decode(answer, type=declared_state.ApplyOutcome)
+
+
+class TestApply:
+    def test_of_equal_bases_exactly_one_wins(self):
+        state = declared_state.DeclaredState()
+        first = apply(state, 1, 0, None, declaration("1"), "anna")
+        second = apply(state, 2, 0, None, declaration("2"), "ben")
+        assert (first.accepted, second.accepted) == (True, False)
+        assert second.author == "anna"
+        assert state.current.data == schema.encode(declaration("1"))
+
+    def test_a_difference_makes_the_same_revision_as_the_whole(self):
+        by_whole, by_delta = (declared_state.DeclaredState() for _ in range(2))
+        for state in (by_whole, by_delta):
+            apply(state, 1, 0, None, declaration("1"))
+        apply(by_whole, 2, 1, None, declaration("2"))
+        apply(by_delta, 2, 1, declaration("1"), declaration("2"))
+        assert by_delta.current == by_whole.current
+
+    def test_a_difference_applies_after_a_snapshot(self):
+        state, restored = (declared_state.DeclaredState() for _ in range(2))
+        apply(state, 1, 0, None, declaration("1"))
+        restored.restore(state.snapshot())
+        for each in (state, restored):
+            apply(each, 2, 1, declaration("1"), declaration("2"))
+        assert restored.current == state.current
