Test whole daemons in one process; hand leadership over; follow a server's new address

Cause: nothing tested daemons as a whole; a planned stop cost an election; a backend server declared under another address kept its old adapter for ever. Change: five tests with nine daemons on the virtual clock (leader stopped and restarted, a daemon without a disk and without replicas, a claim across restarts of all replicas, no majority, drain); a replica hands leadership over before it stops; adapters are kept by server, kind and address.

--- a/src/quetzalpass/daemon/replica_role.py
+++ b/src/quetzalpass/daemon/replica_role.py
@@ -92,8 +92,10 @@
             unwrap(await group.start())
 
     async def stop(self) -> None:
-        """Stop taking part, then let go of the data folder."""
-        for group in self.registry.groups.values():
+        """Hand leadership over, stop taking part, let go of the data folder."""
+        running = self.registry.groups.values()
+        await asyncio.gather(*(group.hand_over() for group in running))
+        for group in running:
             await group.stop()
         self.disk.close()
 
--- a/src/quetzalpass/lifecycle/gateway.py
+++ b/src/quetzalpass/lifecycle/gateway.py
@@ -5,8 +5,11 @@
 from collections.abc import Coroutine
 from typing import TypeVar
 
+import msgspec
+
 from quetzalpass import ids
 from quetzalpass.backends import base, registry
+from quetzalpass.declarations import schema as declared
 from quetzalpass.lifecycle import (
     drains,
     generation_ids,
@@ -28,6 +31,14 @@
 Answer = TypeVar("Answer")
 
 
+class BackendKey(msgspec.Struct, frozen=True):
+    """What decides which adapter and address a backend server is reached by."""
+
+    server_id: ids.ServerId
+    kind: declared.ServerKind
+    url: str
+
+
 class Gateway:
     """Shared parts of a gateway.
 
@@ -58,7 +69,7 @@
         Limits of organisations, shared with the data centre's other gateways.
     quarantine : quarantine.Quarantine
         Requests under which backend servers died.
-    backends : dict of ServerId to base.Backend
+    backends : dict of BackendKey to base.Backend
         Open adapters.
     requests : int
         Requests under way.
@@ -91,7 +102,7 @@
         self.quarantine = quarantine.Quarantine(f"{settings.id}/{rng.getrandbits(32)}")
         self.rng = rng
         self.cluster_key = cluster_key
-        self.backends: dict[ids.ServerId, base.Backend] = {}
+        self.backends: dict[BackendKey, base.Backend] = {}
         self.requests = 0
         self.tasks: set[asyncio.Task[None]] = set()
         self.draining = False
@@ -117,11 +128,17 @@
     def backend_of(
         self, server_id: ids.ServerId, at: configuration.Configuration
     ) -> base.Backend:
-        """Return the adapter of a backend server, opened on first use."""
-        backend = self.backends.get(server_id)
+        """Return the adapter of a backend server, opened on first use.
+
+        A server that is declared under another address gets another adapter; requests
+        that an earlier revision decides keep the one that they started with.
+        """
+        server = at.servers[server_id]
+        key = BackendKey(server.id, server.kind, server.url)
+        backend = self.backends.get(key)
         if backend is None:
-            backend = registry.open_backend(at.servers[server_id], self.limits)
-            self.backends[server_id] = backend
+            backend = registry.open_backend(server, self.limits)
+            self.backends[key] = backend
         return backend
 
     async def note_lost_server(
--- /dev/null
+++ b/tests/daemon/test_site.py
@@ -0,0 +1,153 @@
+"""Whole daemons in one process, over loopback and with disks in memory."""
+
+import asyncio
+import random
+
+import pytest
+from returns import result
+
+from fakes import disks
+from quetzalpass import ids
+from quetzalpass.bench import control_spread, fleet_declaration
+from quetzalpass.control import ledger_messages
+from quetzalpass.daemon import groups, process
+from quetzalpass.declarations import schema
+from quetzalpass.results import codes
+from quetzalpass.storage import disk
+
+pytestmark = pytest.mark.looptime
+DECLARED = fleet_declaration.fleet_declaration(3, 0)
+RETENTION = schema.Retention()
+WAIT_S = 60.0
+
+
+@pytest.fixture
+async def start_site(tmp_path, monkeypatch):
+    # The virtual clock runs during the test only, so the daemons start there. A real
+    # disk would do its work in threads, while the virtual clock runs ahead.
+    kept = {}
+
+    def open_folder(path):
+        return result.Success(kept.setdefault(path, disks.FakeDisk()))
+
+    monkeypatch.setattr(disk, "open_folder", open_folder)
+    made = control_spread.Site(tmp_path)
+
+    async def start():
+        await made.start()
+        return made
+
+    yield start
+    await made.stop()
+
+
+async def until(condition):
+    async with asyncio.timeout(WAIT_S):
+        while not condition():
+            await asyncio.sleep(0.05)
+
+
+def leader_of(site, group=groups.DECLARATION_GROUP):
+    for daemon in site.daemons:
+        if daemon.replica is None:
+            continue
+        if daemon.replica.registry.groups[group].is_leader_with_lease():
+            return daemon
+    return None
+
+
+async def stop_daemon(site, daemon):
+    site.daemons.remove(daemon)
+    await daemon.stop()
+
+
+async def restart(site, vm):
+    daemon = process.Daemon(site.settings(vm), random.Random(str(vm)))
+    await daemon.start()
+    site.daemons.insert(0, daemon)
+    return daemon
+
+
+def claim_key(name):
+    return ledger_messages.ClaimKey(
+        ids.OrganisationId("carrier-1"), ids.IdempotencyKey(name)
+    )
+
+
+class TestDeclarations:
+    async def test_accepted_is_in_force_everywhere_and_survives_the_leader(
+        self, start_site
+    ):
+        site = await start_site()
+        first = await site.apply(ids.Revision(0), DECLARED)
+        await site.wait_in_force(first)
+        leader = leader_of(site)
+        await stop_daemon(site, leader)
+        second = await site.apply(first, control_spread.with_change(DECLARED, 1))
+        await site.wait_in_force(second)
+        back = await restart(site, leader.settings.id)
+        await until(lambda: back.holder.revision() == second)
+        digests = {each.holder.current.digest for each in site.daemons}
+        assert len(digests) == 1
+
+    async def test_a_daemon_without_a_disk_starts_from_its_peers(self, start_site):
+        site = await start_site()
+        revision = await site.apply(ids.Revision(0), DECLARED)
+        await site.wait_in_force(revision)
+        vm = site.names[-1]
+        await stop_daemon(site, site.daemons[-1])
+        for daemon in [each for each in site.daemons if each.replica is not None]:
+            await stop_daemon(site, daemon)
+        back = await restart(site, vm)
+        await until(lambda: back.holder.revision() == revision)
+        assert back.gateway.refusal() is None
+
+
+class TestLedger:
+    async def test_a_claim_is_known_at_another_gateway_after_a_restart(
+        self, start_site
+    ):
+        site = await start_site()
+        first, other = site.daemons[-1].gateway, site.daemons[-2].gateway
+        key = claim_key("waiver-1")
+        granted = (await first.ledger.claim(key, "print", RETENTION)).unwrap()
+        assert granted.state is ledger_messages.ClaimState.GRANTED
+        outcome = ledger_messages.Outcome(200, {}, b"filed", "digest", True)
+        await first.ledger.record(key, granted.token, outcome)
+        for vm in site.names[: control_spread.REPLICAS]:
+            running = next(each for each in site.daemons if each.settings.id == vm)
+            await stop_daemon(site, running)
+            await restart(site, vm)
+        again = (await other.ledger.claim(key, "print", RETENTION)).unwrap()
+        assert again.state is ledger_messages.ClaimState.RECORDED
+        assert again.outcome.body == b"filed"
+
+    async def test_without_a_majority_a_claim_is_refused_as_not_run(self, start_site):
+        site = await start_site()
+        revision = await site.apply(ids.Revision(0), DECLARED)
+        await site.wait_in_force(revision)
+        replicas = [each for each in site.daemons if each.replica is not None]
+        for daemon in replicas[:2]:
+            await stop_daemon(site, daemon)
+        gateway = site.daemons[-1].gateway
+        refused = await gateway.ledger.claim(claim_key("waiver-2"), "print", RETENTION)
+        failure = refused.failure()
+        assert failure.code is codes.Code.LEDGER_UNAVAILABLE
+        assert failure.effective_execution() is codes.Execution.NOT_RUN
+        assert failure.retry_after_ms
+        assert gateway.refusal() is None
+
+
+class TestShutdown:
+    async def test_drain_refuses_new_and_waits_for_running_requests(self, start_site):
+        site = await start_site()
+        daemon = site.daemons[-1]
+        revision = await site.apply(ids.Revision(0), DECLARED)
+        await site.wait_in_force(revision)
+        daemon.gateway.requests += 1
+        draining = asyncio.create_task(daemon.drain())
+        await asyncio.sleep(1.0)
+        assert not draining.done()
+        assert daemon.gateway.refusal().code is codes.Code.DRAINING
+        daemon.gateway.requests -= 1
+        await asyncio.wait_for(draining, 5.0)
