Deal the servers out among gateways for their suspects

Change: a suspect is placed first, for 1 s, on the servers that this gateway has in a deal of the model's servers among the data centre's gateways; no message is needed. Where there are fewer servers than gateways, or none of them is free, any may take it.

--- a/src/quetzalpass/bench/local_cluster.py
+++ b/src/quetzalpass/bench/local_cluster.py
@@ -203,12 +203,24 @@
             )
         )
         self.gateway = gateways.Gateway(
-            settings_of(self.id, self.limits), holder, slots, rng, CLUSTER_KEY
+            settings_of(self.id, self.limits, self.peers()),
+            holder,
+            slots,
+            rng,
+            CLUSTER_KEY,
         )
         self.gateway.ledger = self.cluster.open_ledger(self.gateway)
         self.activate()
         await self.listen(callers_app.CallersInterface(self.gateway).application())
 
+    def peers(self) -> tuple[schema.Peer, ...]:
+        """Return the other gateways."""
+        return tuple(
+            schema.Peer(each.id, DATA_CENTRE, "")
+            for each in self.cluster.gateways
+            if each is not self
+        )
+
     def activate(self) -> None:
         """Put the cluster's declaration in force here."""
         data = declared.encode(self.cluster.declaration)
@@ -358,7 +370,9 @@
     )
 
 
-def settings_of(vm_id: ids.VmId, limits: schema.Limits) -> schema.Settings:
+def settings_of(
+    vm_id: ids.VmId, limits: schema.Limits, peers: tuple[schema.Peer, ...]
+) -> schema.Settings:
     """Return the settings of a gateway whose listeners are opened by others."""
     listener = schema.Listener(HOST, 0)
     return schema.Settings(
@@ -369,5 +383,6 @@
         listener,
         listener,
         cluster_key_file="",
+        peer_vms=peers,
         limits=limits,
     )
--- a/src/quetzalpass/lifecycle/gateway.py
+++ b/src/quetzalpass/lifecycle/gateway.py
@@ -87,6 +87,7 @@
             for each in settings.peer_vms
             if each.data_centre == settings.data_centre
         ]
+        self.near_gateways = sorted([settings.id, *(each.id for each in near)])
         self.limiter = limits.Limiter(settings.id, len(near) + 1)
         self.quarantine = quarantine.Quarantine(f"{settings.id}/{rng.getrandbits(32)}")
         self.rng = rng
@@ -150,6 +151,27 @@
         if restarted or not await backend.check_health(HEALTH_TIMEOUT_S):
             self.quarantine.observe_death(server_id, request_id)
 
+    def servers_for_peers_suspects(
+        self, model: ids.ModelName
+    ) -> frozenset[ids.ServerId]:
+        """Return the servers on which other gateways place their suspects first.
+
+        The servers of a model are dealt out among the data centre's gateways, so that
+        suspects of two gateways don't meet on one and share a death.
+        """
+        at = self.holder.current
+        assert at is not None
+        serving = sorted(
+            each.id for each in at.declaration.servers if model in each.models
+        )
+        count = len(self.near_gateways)
+        own = self.near_gateways.index(self.settings.id)
+        if len(serving) < count:
+            return frozenset()
+        return frozenset(
+            each for place, each in enumerate(serving) if place % count != own
+        )
+
     def is_leaving(self, server_id: ids.ServerId) -> bool:
         """Return whether the end of a server is announced or declared."""
         record = self.slots.dispatcher.table.records.get(server_id)
--- a/src/quetzalpass/lifecycle/starting.py
+++ b/src/quetzalpass/lifecycle/starting.py
@@ -210,10 +210,9 @@
 
     async def acquire_slot(self) -> result.Result[admission.Slot, failures.Failure]:
         """Wait for a place, for a while only on other servers than the failed one."""
-        if self.failed_server is not None:
+        excluded = self.servers_to_avoid()
+        if excluded:
             now_s = asyncio.get_running_loop().time()
-            excluded = frozenset((self.failed_server,))
-            self.failed_server = None
             deadline_s = min(self.request.deadline_s, now_s + attempts.AVOID_WAIT_S)
             item = self.work_item(deadline_s, excluded)
             acquired = await self.gateway.slots.acquire(item)
@@ -223,6 +222,17 @@
         deadline_s = min(self.request.deadline_s, now_s + self.longest_wait_s)
         return await self.gateway.slots.acquire(self.work_item(deadline_s, frozenset()))
 
+    def servers_to_avoid(self) -> frozenset[ids.ServerId]:
+        """Return the server that failed, and those of the peers' suspects."""
+        excluded: frozenset[ids.ServerId] = frozenset()
+        if self.failed_server is not None:
+            excluded = frozenset((self.failed_server,))
+            self.failed_server = None
+        if self.gateway.quarantine.is_suspect(self.fingerprint):
+            model = self.request.model.name
+            excluded |= self.gateway.servers_for_peers_suspects(model)
+        return excluded
+
     def work_item(
         self, deadline_s: float, excluded: frozenset[ids.ServerId]
     ) -> work.WorkItem:
--- a/tests/lifecycle/test_quarantine.py
+++ b/tests/lifecycle/test_quarantine.py
@@ -107,6 +107,14 @@
         for prompt, reply in zip(innocents, await asyncio.gather(*calls), strict=True):
             assert reply.whole(prompt) and reply.done, reply.error
 
+    async def test_suspects_of_two_gateways_have_different_servers(self, open_cluster):
+        caller = await open_cluster(engines=5, gateways_count=2)
+        first, second = (each.gateway for each in caller.cluster.gateways)
+        model = caller.cluster.declaration.models[0].name
+        avoided = [each.servers_for_peers_suspects(model) for each in (first, second)]
+        assert not avoided[0] & avoided[1]
+        assert len(avoided[0] | avoided[1]) == 5
+
     async def test_verdict_holds_at_peers_and_after_a_restart(self, open_cluster):
         caller = await open_cluster(engines=5, gateways_count=3)
         await self.crash_all(caller)
