Fuzz: one installation of real gateways and replicas on one loop

Cause: the whole (gateways with replicated claims, spread of revisions, restarts) was never run together on the virtual clock, so nothing could fuzz it. Change: tests/fuzz/world.py and processes.py start 2 gateways and 3 replicas of the real code (consensus groups, DeclaredState, LedgerState, GroupProposer, ReplicatedLedger, Spread, peers' interface) over the fake disk and transport; tests/fakes/backends.py holds engines and a plain service at the abstract base classes. A fake stream's events pass the product's own check of ids and offsets. The daemons' HTTP listeners, Fleet and the summaries between gateways are left out. Conclusion: a base for the state machine.

--- /dev/null
+++ b/tests/fakes/backends.py
@@ -0,0 +1,260 @@
+"""Engines and a plain service at the abstract base classes of backend servers."""
+
+import asyncio
+import collections
+import json
+
+from returns import result
+
+from quetzalpass.backends import base, engine_stream
+
+TOKEN_S = 0.02
+LATENCY_S = 0.002
+CRASHING = "crash"
+
+
+def token_of(prompt, generation_id, offset):
+    return f"{prompt}|{generation_id}|{offset}"
+
+
+def length_of(prompt):
+    """Return the whole length of an answer, which the prompt carries at its end."""
+    return int(prompt.rpartition("=")[2])
+
+
+def lost(end, kind, message="lost"):
+    return result.Failure(base.AttemptFailure(end, kind, message))
+
+
+NOT_SENT = lost(base.AttemptEnd.NOT_SENT, base.FailureKind.UNREACHABLE, "it is down")
+LOST = lost(base.AttemptEnd.MAY_HAVE_RUN, base.FailureKind.CLOSED)
+
+
+class Run:
+    """One generation on an engine; its tokens come at a fixed pace."""
+
+    def __init__(self, call, now_s):
+        self.call = call
+        self.begun_s = now_s
+        self.first = len(call.tokens_so_far)
+
+    def produced(self, now_s):
+        count = self.first + int((now_s - self.begun_s) / TOKEN_S)
+        return min(count, length_of(self.call.prompt))
+
+
+class Process:
+    """What both kinds of backend server share; a kill is a new epoch."""
+
+    def __init__(self, server_id, record):
+        self.id = server_id
+        self.record = record
+        self.is_alive = True
+        self.ended = asyncio.Event()
+        self.fault = None
+
+    def kill(self):
+        self.is_alive = False
+        self.ended.set()
+
+    def restart(self):
+        if not self.is_alive:
+            self.is_alive = True
+            self.ended = asyncio.Event()
+
+    def take_fault(self):
+        fault, self.fault = self.fault, None
+        return fault
+
+    async def serve(self, work, timeout_s):
+        """Serve a call that goes on when its caller has gone, until the server dies."""
+        ended = asyncio.create_task(self.ended.wait())
+        task = asyncio.create_task(work)
+        self.record.strays |= {task, ended}
+        await asyncio.wait(
+            {task, ended}, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+        )
+        is_done = task.done()
+        if ended.done() and not is_done:
+            task.cancel()
+        ended.cancel()
+        return task.result() if is_done else LOST
+
+
+class FakeEngine(Process):
+    def __init__(self, server_id, record):
+        super().__init__(server_id, record)
+        self.runs = {}
+        self.streams = set()
+
+    def kill(self):
+        super().kill()
+        self.runs.clear()
+
+    def stall(self):
+        """Let every open stream go silent for good; new ones work."""
+        for stream in self.streams:
+            stream.is_silent = True
+
+
+class FakeService(Process):
+    async def run(self, call):
+        await asyncio.sleep(LATENCY_S)
+        fault = self.take_fault()
+        if fault == "refuse":
+            return lost(base.AttemptEnd.REFUSED, base.FailureKind.OVERLOADED)
+        self.record.note_run(self.id, call.request_id, call.idempotency_key)
+        await asyncio.sleep(LATENCY_S)
+        if fault == "lose":
+            return LOST
+        return result.Success(base.ServiceAnswer(200, {}, call.body))
+
+
+class Link(base.Backend):
+    """How one gateway reaches one backend server."""
+
+    def __init__(self, server):
+        self.server = server
+
+    async def check_health(self, timeout_s):
+        await asyncio.sleep(LATENCY_S)
+        return self.server.is_alive
+
+    async def close(self):
+        pass
+
+
+class ServiceLink(Link, base.PlainService):
+    async def call(self, call, timeout_s):
+        if not self.server.is_alive:
+            return NOT_SENT
+        return await self.server.serve(self.server.run(call), timeout_s)
+
+    async def find_outcome(self, path, timeout_s):
+        return NOT_SENT
+
+
+class EngineLink(Link, base.ModelEngine):
+    async def start(self, call, timeout_s):
+        if not self.server.is_alive:
+            return NOT_SENT
+        await asyncio.sleep(LATENCY_S)
+        server = self.server
+        if not server.is_alive:
+            return LOST
+        server.record.note_run(server.id, call.request_id)
+        if call.prompt.startswith(CRASHING):
+            server.kill()
+            return LOST
+        now_s = asyncio.get_running_loop().time()
+        server.runs[call.generation_id] = Run(call, now_s)
+        return self.open(call.generation_id, len(call.tokens_so_far))
+
+    def open(self, generation_id, offset):
+        return result.Success(FakeStream(self.server, generation_id, offset))
+
+    async def resume(self, generation_id, offset, timeout_s):
+        await asyncio.sleep(LATENCY_S)
+        if not self.server.is_alive:
+            return NOT_SENT
+        if generation_id not in self.server.runs:
+            kind = base.FailureKind.UNKNOWN_GENERATION
+            return lost(base.AttemptEnd.REFUSED, kind)
+        return self.open(generation_id, offset)
+
+    async def cancel(self, generation_id, only_if_detached=False):
+        open_ids = {each.generation_id for each in self.server.streams}
+        if not (only_if_detached and generation_id in open_ids):
+            self.server.runs.pop(generation_id, None)
+
+    async def load_report(self, timeout_s):
+        return NOT_SENT
+
+    async def order(self, order, timeout_s):
+        return NOT_SENT
+
+    async def state(self, timeout_s):
+        return NOT_SENT
+
+
+class FakeStream(base.TokenStream):
+    """Sends what the engine has generated; the events pass the product's own check."""
+
+    def __init__(self, engine, generation_id, offset):
+        self.engine = engine
+        self.epoch = engine.ended
+        self.generation_id = generation_id
+        self.next_offset = offset
+        self.is_silent = False
+        self.closed = asyncio.Event()
+        engine.streams.add(self)
+
+    async def next_batch(self, silence_s):
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + silence_s
+        while loop.time() < until_s:
+            run = self.engine.runs.get(self.generation_id)
+            if self.closed.is_set() or self.epoch.is_set():
+                return lost(base.AttemptEnd.RAN, base.FailureKind.CLOSED)
+            ready = 0 if run is None else run.produced(loop.time())
+            if not self.is_silent and ready > self.next_offset:
+                return self.receive(run, ready)
+            await asyncio.sleep(TOKEN_S)
+        return lost(base.AttemptEnd.RAN, base.FailureKind.SILENT)
+
+    def receive(self, run, ready):
+        events = self.events(run, ready)
+        checked = engine_stream.HttpTokenStream.check_events(self, events)
+        if isinstance(checked, base.AttemptFailure):
+            return result.Failure(checked)
+        return result.Success(checked)
+
+    def events(self, run, ready):
+        first = self.next_offset
+        size = length_of(run.call.prompt)
+        offsets = list(range(first, ready))
+        generation_id = self.generation_id
+        match self.engine.take_fault():
+            case "repeat":
+                offsets = [first, *offsets]
+            case "skip":
+                offsets = [each + 1 for each in offsets]
+            case "cross":
+                generation_id = "another"
+        events = [
+            event_of(run.call.prompt, generation_id, each, each + 1 >= size)
+            for each in offsets
+        ]
+        if ready == size:
+            events.append(engine_stream.END_MARK)
+        return events
+
+    def close(self):
+        self.closed.set()
+        self.engine.streams.discard(self)
+
+
+def event_of(prompt, generation_id, offset, is_last):
+    choice = {
+        "text": token_of(prompt, generation_id, offset),
+        "finish_reason": "stop" if is_last else None,
+    }
+    event = {"id": generation_id, "offset": offset, "choices": [choice]}
+    return json.dumps(event).encode()
+
+
+class Record:
+    """What the backend servers saw."""
+
+    def __init__(self):
+        self.runs_of_request = collections.Counter()
+        self.runs_of_key = collections.Counter()
+        self.runs = []
+        self.strays = set()
+
+    def note_run(self, server_id, request_id, key=None):
+        now_s = asyncio.get_running_loop().time()
+        self.runs.append((now_s, server_id, request_id))
+        self.runs_of_request[request_id] += 1
+        if key is not None:
+            self.runs_of_key[key] += 1
--- /dev/null
+++ b/tests/fuzz/world.py
@@ -0,0 +1,144 @@
+"""Gateways, replicas and backend servers of one installation on one loop.
+
+The gateways, the replicas, the proposers and the spread of revisions are the real
+ones. Fakes stand at the disk, the peer transport and the backend servers only.
+"""
+
+import asyncio
+
+import msgspec
+from returns import result
+
+import builders
+from fakes import backends, disks, transports
+from fuzz import processes
+from quetzalpass import ids
+from quetzalpass.control import declared_state
+from quetzalpass.daemon import groups
+from quetzalpass.declarations import schema as declared
+from quetzalpass.settings import schema
+
+LIMITS = schema.Limits(silent_stream_s=2.0, caller_grace_s=3.0)
+
+
+class World:
+    def __init__(self, seed):
+        self.seed = seed
+        self.starts = 0
+        self.network = transports.FakeNetwork(seed)
+        self.replica_vms = [ids.VmId(f"vm-r{number}") for number in range(3)]
+        self.gateway_vms = [ids.VmId(f"vm-g{number}") for number in range(2)]
+        self.disks = {vm: disks.FakeDisk() for vm in self.replica_vms}
+        self.record = backends.Record()
+        names = [ids.ServerId(f"engine-{number}") for number in range(3)]
+        self.engines = [backends.FakeEngine(each, self.record) for each in names]
+        self.services = [
+            backends.FakeService(ids.ServerId(f"service-{number}"), self.record)
+            for number in range(2)
+        ]
+        self.daemons = {}
+
+    @property
+    def servers(self):
+        return [*self.engines, *self.services]
+
+    def links(self):
+        links = {each.id: backends.EngineLink(each) for each in self.engines}
+        return links | {each.id: backends.ServiceLink(each) for each in self.services}
+
+    def settings_of(self, vm):
+        listener = schema.Listener("127.0.0.1", 0)
+        is_replica = vm in self.replica_vms
+        return schema.Settings(
+            vm,
+            processes.DATA_CENTRE,
+            (schema.Role.REPLICA if is_replica else schema.Role.GATEWAY,),
+            listener,
+            listener,
+            listener,
+            peer_vms=tuple(
+                schema.Peer(each, processes.DATA_CENTRE, "", each in self.replica_vms)
+                for each in (*self.replica_vms, *self.gateway_vms)
+                if each != vm
+            ),
+            cluster_key_file="",
+            limits=LIMITS,
+        )
+
+    async def start(self, vm):
+        kind = processes.Replica if vm in self.replica_vms else processes.Gateway
+        self.daemons[vm] = kind(self, vm)
+        await self.daemons[vm].start()
+
+    async def start_all(self):
+        for vm in (*self.replica_vms, *self.gateway_vms):
+            await self.start(vm)
+
+    async def crash(self, vm):
+        daemon = self.daemons.pop(vm, None)
+        if daemon is not None:
+            await daemon.crash()
+
+    async def wipe(self, vm):
+        await self.crash(vm)
+        self.disks[vm] = disks.FakeDisk()
+        await self.start(vm)
+
+    async def stop(self):
+        for vm in list(self.daemons):
+            await self.crash(vm)
+        strays = [*self.network.strays, *self.record.strays]
+        for task in strays:
+            task.cancel()
+        await asyncio.gather(*strays, return_exceptions=True)
+
+    def gateways(self):
+        return [self.daemons[vm] for vm in self.gateway_vms if vm in self.daemons]
+
+    def replicas(self):
+        return [self.daemons[vm] for vm in self.replica_vms if vm in self.daemons]
+
+    def healthy_replicas(self):
+        cut = {vm for pair in self.network.cut for vm in pair}
+        return [
+            each for each in self.replicas() if each.vm not in cut and each.is_voter()
+        ]
+
+    def declaration(self, leaving=(), author=""):
+        """Return a declaration of all servers; the author makes it unique."""
+        service_fields = {
+            "kind": declared.ServerKind.SERVICE,
+            "models": (),
+            "service": processes.SERVICE,
+        }
+        servers = [
+            builders.engine(each.id, resumes_across_replicas=True)
+            for each in self.engines
+        ]
+        servers += [
+            builders.engine(each.id, **service_fields) for each in self.services
+        ]
+        route = declared.Route("POST", "/waivers")
+        return builders.declaration(
+            servers,
+            leaving,
+            services=(declared.Service(processes.SERVICE, (route,)),),
+            retention=declared.Retention(outcome_s=86_400.0 + len(author)),
+        )
+
+    async def apply(self, gateway, operation, base_revision, data, author):
+        """Apply a declaration as the operators' interface does."""
+        command = declared_state.ApplyCommand(base_revision, data, author)
+        answered = await gateway.proposer(groups.DECLARATION_GROUP).propose(
+            declared_state.SESSION, operation, msgspec.msgpack.encode(command)
+        )
+        if isinstance(answered, result.Failure):
+            return None
+        return msgspec.msgpack.decode(
+            answered.unwrap(), type=declared_state.ApplyOutcome
+        )
+
+    async def until(self, condition, timeout_s=60.0):
+        async with asyncio.timeout(timeout_s):
+            while not condition():
+                await asyncio.sleep(0.1)
