--- a/tests/fakes/backends.py
+++ b/tests/fakes/backends.py
@@ -249,12 +249,12 @@
     def __init__(self):
         self.runs_of_request = collections.Counter()
         self.runs_of_key = collections.Counter()
-        self.runs = []
         self.strays = set()
+        self.on_run = None
 
     def note_run(self, server_id, request_id, key=None):
-        now_s = asyncio.get_running_loop().time()
-        self.runs.append((now_s, server_id, request_id))
+        if self.on_run is not None:
+            self.on_run(server_id, request_id)
         self.runs_of_request[request_id] += 1
         if key is not None:
             self.runs_of_key[key] += 1
--- a/tests/fuzz/processes.py
+++ b/tests/fuzz/processes.py
@@ -134,10 +134,13 @@
     ----------
     tasks : set of asyncio.Task
         Requests of callers under way here.
+    fresh_s : float
+        When it began, or could last reach a majority only with an older revision.
     """
 
     async def start(self):
         self.tasks = set()
+        self.fresh_s = asyncio.get_running_loop().time()
         rules = routing_settings.RoutingSettings(policy=POLICY)
         slots = factory.make_admission(rules, DATA_CENTRE, self.rng)
         self.holder.observers.append(
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -38,6 +38,9 @@
         ]
         self.daemons = {}
 
+    def now_s(self):
+        return asyncio.get_running_loop().time()
+
     @property
     def servers(self):
         return [*self.engines, *self.services]
