--- a/tests/fakes/backends.py
+++ b/tests/fakes/backends.py
@@ -213,17 +213,16 @@
         first = self.next_offset
         size = length_of(run.call.prompt)
         offsets = list(range(first, ready))
-        generation_id = self.generation_id
+        generation_id, prompt = self.generation_id, run.call.prompt
         match self.engine.take_fault():
             case "repeat":
                 offsets = [first, *offsets]
             case "skip":
                 offsets = [each + 1 for each in offsets]
             case "cross":
-                generation_id = "another"
+                generation_id, prompt = "another", f"other={size}"
         events = [
-            event_of(run.call.prompt, generation_id, each, each + 1 >= size)
-            for each in offsets
+            event_of(prompt, generation_id, each, each + 1 >= size) for each in offsets
         ]
         if ready == size:
             events.append(engine_stream.END_MARK)
--- a/tests/fuzz/session.py
+++ b/tests/fuzz/session.py
@@ -9,6 +9,7 @@
 from fuzz import oracle, world
 from quetzalpass import ids
 from quetzalpass.declarations import schema
+from quetzalpass.lifecycle import requests
 
 WATCH_INTERVAL_S = 0.25
 END_TIMEOUT_S = 150.0
@@ -208,6 +209,18 @@
                 await again.task
                 assert again.answer == earlier.body, f"{earlier.key}: {again.failure}"
 
+        await self.check_serving()
+
+    async def check_serving(self):
+        """With all faults gone, every gateway serves both kinds of request."""
+        for number in range(len(self.world.gateway_vms)):
+            whole = requests.Delivery.WHOLE
+            generation = self.send_generation(number, f"last-{number}=3", whole)
+            call = self.send_call(number, f"last-{number}", b"last")
+            for sent in (generation, call):
+                await sent.task
+                assert sent.end is oracle.End.WHOLE, f"not served: {sent.failure}"
+
     async def stop(self):
         self.watch.cancel()
         await self.world.stop()
--- a/tests/fuzz/test_whole.py
+++ b/tests/fuzz/test_whole.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import random
 
 import hypothesis
 import pytest
@@ -206,6 +207,11 @@
             self.session.close()
 
 
+if LONG:
+    SEED = int(os.environ.get("QUETZALPASS_FUZZ_SEED") or random.getrandbits(32))
+    print(f"QUETZALPASS_FUZZ_SEED={SEED}")
+    WholeMachine = hypothesis.seed(SEED)(WholeMachine)
+
 TestWholeMachine = pytest.mark.long(WholeMachine.TestCase)
 TestWholeMachine.settings = settings(
     derandomize=not LONG,
