Tell peers of suspected requests at once; drain waits for the ledger's records

Cause: a suspicion waited up to 1.5 s for the next summary, in which the caller can send the crashing request to another gateway; the daemon's drain did not wait for outcomes that were still being recorded. Change: a change of the suspicions sends the summaries at once; drain calls the gateway's. Measured: 28 tests of daemon and membership pass, make demo passes.

--- a/src/quetzalpass/daemon/process.py
+++ b/src/quetzalpass/daemon/process.py
@@ -40,8 +40,6 @@
 
 LOG = logbook.Logger("daemon")
 
-DRAIN_POLL_S = 0.05
-
 
 class Daemon:
     """One daemon process.
@@ -95,6 +93,7 @@
         self.spread.start()
         self.fleet.start()
         self.summary_sender.start()
+        self.gateway.spawn(self.send_new_verdicts())
         self.metrics_sender = sender.make_sender(self.settings.statsd)
         flushing = flusher.Flusher(self.gateway.recorder, self.metrics_sender)
         self.gateway.spawn(flushing.run())
@@ -244,10 +243,19 @@
 
     async def drain(self) -> None:
         """Take no new requests and wait until all running ones have ended."""
-        self.gateway.draining = True
         LOG.info("daemon: Draining {} requests.", self.gateway.requests)
-        while self.gateway.requests:
-            await asyncio.sleep(DRAIN_POLL_S)
+        await self.gateway.drain()
+
+    async def send_new_verdicts(self) -> None:
+        """Tell the peers at once of requests that crash servers.
+
+        The caller of such a request may already be sending it to another gateway.
+        """
+        changed = self.gateway.quarantine.changed
+        while True:
+            await changed.wait()
+            changed.clear()
+            self.summary_sender.send_now()
 
     async def stop(self) -> None:
         """Close all listeners and connections."""
--- a/src/quetzalpass/membership/summaries.py
+++ b/src/quetzalpass/membership/summaries.py
@@ -50,19 +50,29 @@
         self.clients = clients
         self.make_summary = make_summary
         self.tasks: list[asyncio.Task[None]] = []
+        self.hurry: list[asyncio.Event] = []
 
     def start(self) -> None:
         """Start one task for each peer."""
         for client in self.clients.values():
-            self.tasks.append(asyncio.create_task(self.send_for_ever(client)))
+            hurry = asyncio.Event()
+            self.hurry.append(hurry)
+            self.tasks.append(asyncio.create_task(self.send_for_ever(client, hurry)))
+
+    def send_now(self) -> None:
+        """Have the next summaries sent without waiting for their interval."""
+        for hurry in self.hurry:
+            hurry.set()
 
     def stop(self) -> None:
         """Stop all tasks."""
         for task in self.tasks:
             task.cancel()
 
-    async def send_for_ever(self, client: peer_client.PeerClient) -> None:
-        """Send the present summary to one peer in a fixed interval."""
+    async def send_for_ever(
+        self, client: peer_client.PeerClient, hurry: asyncio.Event
+    ) -> None:
+        """Send the present summary to one peer in an interval, or when told to."""
         reachable = True
         while True:
             summary = self.make_summary()
@@ -70,7 +80,12 @@
             if reachable and isinstance(sent, result.Failure):
                 LOG.warning("membership: {} does not take summaries.", client.vm)
             reachable = isinstance(sent, result.Success)
-            await asyncio.sleep(interval_after(summary))
+            try:
+                async with asyncio.timeout(interval_after(summary)):
+                    await hurry.wait()
+            except TimeoutError:
+                continue
+            hurry.clear()
 
 
 def interval_after(summary: inner_messages.GatewaySummary) -> float:
