Refuse a stray file among the segments by name

Cause: a file named segment-zzz.log ended both a start and quetzalpass storage verify with a ValueError; an engineer who tried the CLI saw it. Change: a name that is no segment's is damage with its file name.

--- a/src/quetzalpass/storage/recovery.py
+++ b/src/quetzalpass/storage/recovery.py
@@ -1,5 +1,6 @@
 """Reading of segments after a start: torn ends are told from damage."""
 
+import re
 import struct
 
 import crc32c
@@ -12,6 +13,7 @@
 
 SEGMENT_MAGIC = b"QZSEG001"
 SEGMENT_PREFIX = "segment-"
+SEGMENT_NAME = re.compile(r"segment-[0-9]{12}")
 SYNCED_NAME = "synced"
 SYNCED = struct.Struct("<QQI")
 
@@ -118,6 +120,9 @@
         What was found, or ``STORAGE_DAMAGED`` naming file and offset.
     """
     names = [name for name in disk.names() if name.startswith(SEGMENT_PREFIX)]
+    strangers = [name for name in names if not SEGMENT_NAME.fullmatch(name)]
+    if strangers:
+        return damaged(strangers[0], 0, "it is no segment; move it elsewhere")
     synced = read_synced(disk)
     recovered = Recovered()
     for position, name in enumerate(names):
--- a/tests/storage/test_segments.py
+++ b/tests/storage/test_segments.py
@@ -6,7 +6,7 @@
 
 from fakes import disks
 from quetzalpass.results import codes
-from quetzalpass.storage import frames, segments
+from quetzalpass.storage import frames, recovery, segments
 
 HEAD = frames.Record(0, b"head")
 
@@ -128,3 +128,12 @@
         keys = await records_of(disk)
         assert keys[0] > 1
         assert set(range(6, 10)) <= set(keys)
+
+
+class TestStrangers:
+    def test_a_file_that_only_looks_like_a_segment_is_refused_by_name(self):
+        folder = disks.FakeDisk()
+        folder.files["segment-zzz.log"] = disks.FakeFile(b"")
+        failure = recovery.read_segments(folder).failure()
+        assert failure.code is codes.Code.STORAGE_DAMAGED
+        assert "segment-zzz.log" in failure.message
