Fuzz: gateways are isolated too, both ways and one way

Cause: only replicas were cut off; a gateway behind a silent partition was not run. Change: the rule `isolate` takes any entry VM. The oracle counts a gateway's bound from the end of its isolation; a replica is whole if it isn't itself isolated.

--- a/tests/fuzz/processes.py
+++ b/tests/fuzz/processes.py
@@ -135,7 +135,7 @@
     tasks : set of asyncio.Task
         Requests of callers under way here.
     fresh_s : float
-        When it began, or could last reach a majority only with an older revision.
+        When it began, or was last cut off or behind for lack of a majority.
     """
 
     async def start(self):
--- a/tests/fuzz/session.py
+++ b/tests/fuzz/session.py
@@ -49,6 +49,9 @@
         while True:
             if len(self.world.healthy_replicas()) < MAJORITY:
                 self.oracle.postpone()
+            for gateway in self.world.gateways():
+                if gateway.vm in self.world.isolated:
+                    gateway.fresh_s = self.world.now_s()
             await asyncio.sleep(WATCH_INTERVAL_S)
 
     def spawn(self, work):
@@ -176,7 +179,7 @@
 
     async def finish(self):
         """Heal everything; all that was accepted ends and everything converges."""
-        self.world.network.heal()
+        self.world.heal()
         self.world.network.jitter_s = 0.0
         for server in self.world.servers:
             server.fault = None
--- a/tests/fuzz/test_whole.py
+++ b/tests/fuzz/test_whole.py
@@ -149,18 +149,18 @@
             self.run(self.world.wipe(self.world.replica_vms[number]))
 
     @stateful.rule(
-        number=strategies.integers(0, 2),
+        number=strategies.integers(0, 4),
         ways=strategies.sampled_from([(True, True), (True, False), (False, True)]),
     )
     def isolate(self, number, ways):
-        vm = self.world.replica_vms[number]
+        """Cut a replica or a gateway off from all other entry VMs."""
+        vm = [*self.world.replica_vms, *self.world.gateway_vms][number]
         if vm in self.world.daemons:
-            inbound, outbound = ways
-            self.world.network.isolate(vm, inbound=inbound, outbound=outbound)
+            self.world.isolate(vm, *ways)
 
     @stateful.rule()
     def heal(self):
-        self.world.network.heal()
+        self.world.heal()
 
     @stateful.rule(jitter_ms=strategies.sampled_from([0, 5, 100]))
     def disturb(self, jitter_ms):
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -37,6 +37,7 @@
             for number in range(2)
         ]
         self.daemons = {}
+        self.isolated = set()
 
     def now_s(self):
         return asyncio.get_running_loop().time()
@@ -87,6 +88,14 @@
         self.disks[vm] = disks.FakeDisk()
         await self.start(vm)
 
+    def isolate(self, vm, inbound, outbound):
+        self.isolated.add(vm)
+        self.network.isolate(vm, inbound=inbound, outbound=outbound)
+
+    def heal(self):
+        self.isolated.clear()
+        self.network.heal()
+
     async def stop(self):
         for vm in list(self.daemons):
             await self.crash(vm)
@@ -102,9 +111,10 @@
         return [self.daemons[vm] for vm in self.replica_vms if vm in self.daemons]
 
     def healthy_replicas(self):
-        cut = {vm for pair in self.network.cut for vm in pair}
         return [
-            each for each in self.replicas() if each.vm not in cut and each.is_voter()
+            each
+            for each in self.replicas()
+            if each.vm not in self.isolated and each.is_voter()
         ]
 
     def declaration(self, leaving=(), author=""):
