Fuzz: a background task that dies of an error fails the run

Cause: an exception in a task that nobody awaits was only printed. Change: the session's loop notes such errors, but for the fake disk's own crash, and fails after healing.

--- a/tests/fuzz/session.py
+++ b/tests/fuzz/session.py
@@ -6,6 +6,7 @@
 import looptime
 from returns import result
 
+from fakes import disks
 from fuzz import oracle, world
 from quetzalpass import ids
 from quetzalpass.declarations import schema
@@ -22,6 +23,8 @@
     def __init__(self, seed):
         self.loop = looptime.new_event_loop()
         asyncio.set_event_loop(self.loop)
+        self.loop.set_exception_handler(self.note_background_error)
+        self.background_errors = []
         self.world = world.World(seed)
         self.oracle = oracle.Oracle(self.world)
         self.count = 0
@@ -54,6 +57,12 @@
                     gateway.fresh_s = self.world.now_s()
             await asyncio.sleep(WATCH_INTERVAL_S)
 
+    def note_background_error(self, loop, context):
+        """Note what ended a task that nobody waits for; a crash of a disk may."""
+        error = context.get("exception")
+        if error is not None and not isinstance(error, disks.CrashError):
+            self.background_errors.append(error)
+
     def spawn(self, work):
         task = self.loop.create_task(work)
         self.tasks.append(task)
@@ -213,6 +222,7 @@
                 assert again.answer == earlier.body, f"{earlier.key}: {again.failure}"
 
         await self.check_serving()
+        assert not self.background_errors, f"tasks died: {self.background_errors}"
 
     async def check_serving(self):
         """With all faults gone, every gateway serves both kinds of request."""
