Feed the routing from the declaration: objective, weights, priorities, queue timeouts

Cause: on the read-through, declared objective weights, organisations' weights and the classes' queue timeouts reached no decision, and declared priorities became negative, so that a stream that goes on after a move had no precedence over new work of its class. Change: each revision replaces rules and policy of the dispatcher; the most urgent class is priority 0; a class's queue timeout bounds the first wait and refuses with queue_full and when to come back.

--- a/src/quetzalpass/daemon/process.py
+++ b/src/quetzalpass/daemon/process.py
@@ -21,6 +21,7 @@
     peers,
     replica_role,
 )
+from quetzalpass.declarations import schema as declared
 from quetzalpass.lifecycle import gateway as gateways
 from quetzalpass.lifecycle import ledger_client
 from quetzalpass.membership import (
@@ -28,13 +29,13 @@
     fleet,
     inner_messages,
     peer_client,
+    routing_rules,
     spread,
     summaries,
 )
 from quetzalpass.metrics import flusher, sender
 from quetzalpass.reconcile import reconciler
 from quetzalpass.routing import factory
-from quetzalpass.routing import settings as routing_settings
 from quetzalpass.settings import schema
 from quetzalpass.wire import handlers, transport
 
@@ -133,9 +134,7 @@
     def build_gateway(self) -> gateways.Gateway:
         """Return the gateway, which follows the revision in force."""
         slots = factory.make_admission(
-            routing_settings.RoutingSettings(
-                policy=routing_settings.PolicyName.PREDICTIVE
-            ),
+            routing_rules.rules_of(declared.Declaration()),
             self.settings.data_centre,
             self.rng,
         )
@@ -151,6 +150,11 @@
             self.settings, self.holder, slots, gateway.backend_of, self.rng
         )
         self.holder.observers.append(lambda at: gateway.recorder.follow(at.declaration))
+        self.holder.observers.append(
+            lambda at: factory.adopt_rules(
+                slots, routing_rules.rules_of(at.declaration)
+            )
+        )
         told = summaries.summary_peers(self.settings)
         self.summary_sender = summaries.SummarySender(
             {vm: self.clients[vm] for vm in told}, self.make_summary
--- a/src/quetzalpass/lifecycle/service_calls.py
+++ b/src/quetzalpass/lifecycle/service_calls.py
@@ -10,7 +10,14 @@
 from quetzalpass import ids
 from quetzalpass.backends import base
 from quetzalpass.control import ledger_messages as messages
-from quetzalpass.lifecycle import attempts, claims, hedging, ledger_client, requests
+from quetzalpass.lifecycle import (
+    attempts,
+    claims,
+    hedging,
+    ledger_client,
+    queueing,
+    requests,
+)
 from quetzalpass.lifecycle import gateway as gateways
 from quetzalpass.results import codes, failures
 from quetzalpass.routing import admission, work
@@ -169,7 +176,7 @@
         organisation=request.organisation.id,
         class_name=request.priority_class.name,
         model=ids.ModelName(request.service.name),
-        priority=-request.priority_class.priority,
+        priority=queueing.queue_priority(request.configuration, request.priority_class),
         must_not_drop=request.priority_class.must_not_drop,
         deadline_s=request.deadline_s,
         max_tokens=0,
@@ -185,7 +192,9 @@
         acquired = await gateway.slots.acquire(avoiding)
         if isinstance(acquired, result.Success):
             return acquired
-    return await gateway.slots.acquire(item)
+    return await queueing.acquire_within_class(
+        gateway.slots, item, request.priority_class
+    )
 
 
 async def run_at_most_once(
--- a/src/quetzalpass/lifecycle/starting.py
+++ b/src/quetzalpass/lifecycle/starting.py
@@ -8,7 +8,7 @@
 
 from quetzalpass import ids
 from quetzalpass.backends import base
-from quetzalpass.lifecycle import attempts, quarantine, requests
+from quetzalpass.lifecycle import attempts, quarantine, queueing, requests
 from quetzalpass.lifecycle import gateway as gateways
 from quetzalpass.metrics import metering
 from quetzalpass.results import codes, failures
@@ -220,7 +220,11 @@
                 return acquired
         now_s = asyncio.get_running_loop().time()
         deadline_s = min(self.request.deadline_s, now_s + self.longest_wait_s)
-        return await self.gateway.slots.acquire(self.work_item(deadline_s, frozenset()))
+        return await queueing.acquire_within_class(
+            self.gateway.slots,
+            self.work_item(deadline_s, frozenset()),
+            self.request.priority_class,
+        )
 
     def servers_to_avoid(self) -> frozenset[ids.ServerId]:
         """Return the server that failed, and those of the peers' suspects."""
@@ -247,7 +251,9 @@
             adapter=request.adapter,
             prompt_tokens=requests.estimate_prompt_tokens(prompt),
             prefix_hashes=requests.prefix_hashes_of(prompt),
-            priority=-request.priority_class.priority,
+            priority=queueing.queue_priority(
+                request.configuration, request.priority_class
+            ),
             must_not_drop=request.priority_class.must_not_drop,
             deadline_s=deadline_s,
             max_tokens=request.max_tokens,
--- a/src/quetzalpass/membership/configuration.py
+++ b/src/quetzalpass/membership/configuration.py
@@ -33,6 +33,8 @@
         The declared values.
     models, classes, services, servers, vms, organisations : dict
         Declared values by name or id.
+    highest_priority : int
+        Priority of the most urgent class; 0 if none is declared.
     organisations_by_key : dict of str to Organisation
         Organisation by the SHA-256 of its key, in hexadecimal.
     """
@@ -52,6 +54,9 @@
         self.declaration = declaration
         self.models = {each.name: each for each in declaration.models}
         self.classes = {each.name: each for each in declaration.classes}
+        self.highest_priority = max(
+            (each.priority for each in declaration.classes), default=0
+        )
         self.services = {each.name: each for each in declaration.services}
         self.servers = {each.id: each for each in declaration.servers}
         self.vms = {each.id: each for each in declaration.vms}
--- a/src/quetzalpass/routing/dispatch.py
+++ b/src/quetzalpass/routing/dispatch.py
@@ -125,6 +125,18 @@
         self.explanations: collections.OrderedDict[ids.RequestId, Explanation]
         self.explanations = collections.OrderedDict()
 
+    def adopt(self, rules: settings.RoutingSettings, policy: policies.Policy) -> None:
+        """Use other weights and another policy from now on.
+
+        What waits stays in its queue, and what was learned of lengths stays.
+        """
+        # The queues hold the mapping itself.
+        weights = self.rules.organisation_weights
+        weights.clear()
+        weights.update(rules.organisation_weights)
+        self.rules = msgspec.structs.replace(rules, organisation_weights=weights)
+        self.policy = policy
+
     def submit(self, item: work.WorkItem, now_s: float) -> list[Decision]:
         """Queue a request and place what can be placed.
 
--- a/src/quetzalpass/routing/factory.py
+++ b/src/quetzalpass/routing/factory.py
@@ -43,6 +43,12 @@
     return dispatch.Dispatcher(policy, table, rules, estimator)
 
 
+def adopt_rules(made: admission.Admission, rules: settings.RoutingSettings) -> None:
+    """Have an admission use other weights and another policy from now on."""
+    dispatcher = made.dispatcher
+    dispatcher.adopt(rules, make_policy(rules, dispatcher.estimator))
+
+
 def make_admission(
     rules: settings.RoutingSettings,
     data_centre: ids.DataCentreId,
--- a/tests/lifecycle/test_limits.py
+++ b/tests/lifecycle/test_limits.py
@@ -115,3 +115,18 @@
         await asyncio.sleep(late.error["retry_after_ms"] / 1000)
         assert (await caller.generate("late [tokens=5]")).done
         assert len(caller.cluster.engines[0].started) == 3
+
+
+class TestQueueTimeout:
+    async def test_a_class_bounds_the_wait_and_tells_when_to_come_back(
+        self, open_cluster
+    ):
+        impatient = declared.PriorityClass(ids.ClassName("check"), queue_timeout_s=2.0)
+        caller = await open_cluster(engines=1, classes=(impatient,))
+        for each in caller.cluster.gateways:
+            each.gateway.slots.eject(ids.ServerId("engine-0"), "test")
+        started_s = asyncio.get_running_loop().time()
+        reply = await caller.generate("a check", Quetzalpass_Class="check")
+        assert asyncio.get_running_loop().time() - started_s < 3.0
+        assert (reply.error_name, reply.execution) == ("queue_full", "not_run")
+        assert reply.error["retry_after_ms"] >= 500
--- /dev/null
+++ b/tests/membership/test_routing_rules.py
@@ -0,0 +1,44 @@
+import random
+
+import builders
+from quetzalpass import ids
+from quetzalpass.declarations import schema
+from quetzalpass.lifecycle import queueing
+from quetzalpass.membership import routing_rules
+from quetzalpass.routing import factory
+
+HERE = ids.DataCentreId("north-a")
+
+
+class TestRules:
+    def test_objective_and_weights_come_from_the_declaration(self):
+        organisation = schema.Organisation(ids.OrganisationId("a"), ("0" * 64,), 3.0)
+        declared = builders.declaration(
+            [],
+            organisations=(organisation,),
+            objective=schema.Objective(stall_weight=3.0, gap_weight=1.0),
+        )
+        rules = routing_rules.rules_of(declared)
+        assert (rules.objective.stall, rules.objective.gap_tail) == (0.75, 0.25)
+        assert rules.organisation_weights == {"a": 3.0}
+
+    def test_a_revision_changes_the_weights_of_queues_that_exist(self):
+        slots = factory.make_admission(
+            routing_rules.rules_of(schema.Declaration()), HERE, random.Random(1)
+        )
+        held = slots.dispatcher.rules.organisation_weights
+        organisation = schema.Organisation(ids.OrganisationId("a"), ("0" * 64,), 3.0)
+        rules = routing_rules.rules_of(
+            builders.declaration([], organisations=(organisation,))
+        )
+        factory.adopt_rules(slots, rules)
+        assert held == {"a": 3.0}
+
+    def test_the_most_urgent_class_has_priority_zero(self):
+        classes = tuple(
+            schema.PriorityClass(ids.ClassName(name), priority)
+            for name, priority in (("draft", 0), ("check", 5))
+        )
+        at = builders.configuration_of(builders.declaration([], classes=classes))
+        found = [queueing.queue_priority(at, each) for each in classes]
+        assert found == [5, 0]
