--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -131,10 +131,18 @@
         servers += [
             builders.engine(each.id, **service_fields) for each in self.services
         ]
+        # No run comes near the limits, so that refusals tell of faults.
+        organisation = declared.Organisation(
+            ids.OrganisationId("carrier-1"),
+            (),
+            requests_per_s=10_000.0,
+            burst_requests=10_000,
+        )
         route = declared.Route("POST", "/waivers")
         return builders.declaration(
             servers,
             leaving,
+            organisations=(organisation,),
             services=(declared.Service(processes.SERVICE, (route,)),),
             retention=declared.Retention(outcome_s=86_400.0 + len(author)),
         )
