--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -167,16 +167,25 @@
                 ["--settings-file", str(self.folder / f"{name}.yaml")],
             )
         for name in self.daemons:
-            self.spawn(
-                name,
-                "quetzalpass.daemon.main",
-                ["--settings", str(self.folder / f"{name}.yaml")],
-            )
-        for port in (*self.servers.values(),):
+            self.spawn_daemon(name)
+        for port in self.servers.values():
             wait_for(f"http://{HOST}:{port}/health")
         for port in self.callers.values():
             wait_for(f"http://{HOST}:{port}/healthz")
 
+    def spawn_daemon(self, name: str) -> None:
+        """Start the process of one daemon."""
+        self.spawn(
+            name,
+            "quetzalpass.daemon.main",
+            ["--settings", str(self.folder / f"{name}.yaml")],
+        )
+
+    def start_daemon(self, name: str) -> None:
+        """Start one daemon again and wait until it answers."""
+        self.spawn_daemon(name)
+        wait_for(f"http://{HOST}:{self.callers[name]}/healthz")
+
     def spawn(self, name: str, module: str, arguments: list[str]) -> None:
         """Start one process; its output goes to a file."""
         log = (self.folder / f"{name}.log").open("ab")
--- a/demo/run.py
+++ b/demo/run.py
@@ -17,6 +17,7 @@
 
 HOST = clusters.HOST
 RESULT = "Quetzalpass-Result"
+STATUS_TRIES = 12
 
 
 class Demonstration:
@@ -155,6 +156,33 @@
             whole and bool(killed),
         )
 
+    async def kill_daemon(self) -> None:
+        """Kill a replica, change the declaration without it, start it again."""
+        await asyncio.to_thread(self.cluster.kill, "entry-1")
+        self.cluster.write_declaration({})
+        arguments = ("apply", str(self.cluster.folder / "declaration"))
+        applied = await asyncio.to_thread(self.cluster.operator, *arguments)
+        await asyncio.to_thread(self.cluster.start_daemon, "entry-1")
+        revisions = await self.revisions_once_equal()
+        self.note(
+            "kill entry-1, apply without it, start it again",
+            f"exit code {applied.returncode}, revisions {sorted(revisions)}",
+            applied.returncode == 0 and len(revisions) == 1 and 0 not in revisions,
+        )
+
+    async def revisions_once_equal(self) -> set[int]:
+        """Return the revisions in force, when all are equal or time is over."""
+        revisions: set[int] = set()
+        for _ in range(STATUS_TRIES):
+            done = await asyncio.to_thread(self.cluster.operator, "status", "--json")
+            if done.returncode == 0:
+                vms = json.loads(done.stdout)["vms"]
+                revisions = {each["revision"] for each in vms}
+                if len(revisions) == 1:
+                    break
+            await asyncio.sleep(0.5)
+        return revisions
+
     async def run(self) -> bool:
         """Run all steps; return whether everything held."""
         applied = await asyncio.to_thread(self.apply)
@@ -163,6 +191,7 @@
         await self.file_once()
         await self.drain_vm()
         await self.kill_engine()
+        await self.kill_daemon()
         return all(held for _, _, held in self.rows)
 
 
