Bring the last usable server back after a short ejection

All servers of the pool were ejected, by then for up to 60 s each, although they had come back; since classes bound the wait to 30 s this is a refusal rather than a long wait. Ruled out: the queue timeout itself, which did what is declared. Change: where an ejection leaves a pool without a usable server, it ends after 5 s.

--- a/src/quetzalpass/routing/ejection.py
+++ b/src/quetzalpass/routing/ejection.py
@@ -43,6 +43,12 @@
         self.ejected_until_s = now_s + duration_s
         return self.ejected_until_s
 
+    def shorten(self, now_s: float) -> float:
+        """Have the server come back as after a first ejection; return when."""
+        assert self.ejected_until_s is not None
+        self.ejected_until_s = min(self.ejected_until_s, now_s + FIRST_EJECTION_S)
+        return self.ejected_until_s
+
     def give_back(self, now_s: float) -> None:
         """Begin the slow return."""
         self.ejected_until_s = None
--- a/src/quetzalpass/routing/servers.py
+++ b/src/quetzalpass/routing/servers.py
@@ -295,10 +295,15 @@
         if record is None or record.health.ejected_until_s is not None:
             return
         until_s = record.health.eject(reason, now_s)
-        heapq.heappush(self.returns, (until_s, server_id))
         log.warning("routing: server {} is ejected: {}.", server_id, reason)
         self.prefixes.forget(server_id)
         self.rebuild(now_s)
+        pool = self.pool(record.view.model, record.view.version)
+        if pool is not None and not pool.usable:
+            # With no server left a long ejection only adds to the outage: requests
+            # would be refused while a server that has come back stands idle.
+            until_s = record.health.shorten(now_s)
+        heapq.heappush(self.returns, (until_s, server_id))
 
     def observe_report(
         self, server_id: ids.ServerId, report: reports.LoadReport
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -5,9 +5,9 @@
 from returns import result
 
 from quetzalpass.results import codes
-from quetzalpass.routing import admission, policies, servers, work
+from quetzalpass.routing import admission, ejection, policies, servers, work
 
-from .conftest import make_item, make_view
+from .conftest import MODEL, make_item, make_view
 
 
 class OneEach(policies.Policy):
@@ -140,6 +140,16 @@
         }
         assert chosen[2] == []
 
+    def test_the_last_usable_server_is_back_after_a_first_ejection(self, build):
+        table = build().table
+        now_s = 0.0
+        for _ in range(6):
+            for name in "ab":
+                table.eject(name, "test", now_s)
+            now_s += ejection.FIRST_EJECTION_S
+            table.advance(now_s)
+            assert table.pool(MODEL, None).usable
+
     def test_ejected_server_returns_later_and_longer_each_time(self, build):
         dispatcher = build(names="ab")
         table = dispatcher.table
