--- a/src/quetzalpass/declarations/schema.py
+++ b/src/quetzalpass/declarations/schema.py
@@ -92,9 +92,11 @@
     must_not_drop : bool
         Queued rather than refused while other work yields.
     reserved_share : float
-        Share of an engine's memory kept for this class, 0 to 1.
+        Share of an engine's memory kept for this class, 0 to 1. Checked only: the
+        routing does not read it yet.
     expected_tokens : int
-        Output length assumed before anything was observed.
+        Output length assumed before anything was observed. Checked only: the
+        routing does not read it yet.
     queue_timeout_s : float
         Longest wait in the gateway before a refusal.
     hedge_after_s : float or None
