Refuse empty key files; test probes of backend servers

Cause: on the read-through, an empty key file let in every client that sends no key; the probes had no test of their own.

--- a/src/quetzalpass/control/proposers.py
+++ b/src/quetzalpass/control/proposers.py
@@ -5,6 +5,7 @@
 from returns import result
 
 from quetzalpass import ids
+from quetzalpass.consensus import machine
 from quetzalpass.results import failures
 
 
@@ -41,11 +42,11 @@
 
     Parameters
     ----------
-    state_machine : object
-        State machine with ``apply(index, command) -> bytes``.
+    state_machine : machine.StateMachine
+        Applies the commands.
     """
 
-    def __init__(self, state_machine) -> None:
+    def __init__(self, state_machine: machine.StateMachine) -> None:
         self.state_machine = state_machine
         self.applied = ids.LogIndex(0)
         self.answers: dict[tuple[str, ids.OperationId], bytes] = {}
--- a/src/quetzalpass/daemon/keys.py
+++ b/src/quetzalpass/daemon/keys.py
@@ -6,6 +6,8 @@
 
 from aiohttp import web
 
+from quetzalpass.results import codes, failures
+
 STATUS_UNAUTHORISED = 401
 OPEN_PATHS = frozenset({"/healthz"})
 
@@ -17,8 +19,15 @@
     ------
     OSError
         If the file can't be read.
+    failures.FailureError
+        If it is empty: every client without a key would then be let in.
     """
-    return pathlib.Path(path).read_text().strip()
+    key = pathlib.Path(path).read_text().strip()
+    if not key:
+        raise failures.FailureError(
+            failures.Failure(codes.Code.BAD_SETTINGS, f"the key file {path} is empty")
+        )
+    return key
 
 
 def key_check(key: str) -> Callable:
--- /dev/null
+++ b/tests/membership/test_server_monitor.py
@@ -0,0 +1,74 @@
+import asyncio
+import random
+
+import pytest
+from returns import result
+
+from quetzalpass import ids
+from quetzalpass.backends import base
+from quetzalpass.membership import opinions, server_monitor
+
+SERVER = ids.ServerId("desk")
+LOST = base.AttemptFailure(
+    base.AttemptEnd.NOT_SENT, base.FailureKind.UNREACHABLE, "refused"
+)
+
+
+class FakeEngine(base.ModelEngine):
+    """Answers on its kept link, on a new one, on both or on neither."""
+
+    def __init__(self):
+        self.kept_link = True
+        self.new_link = True
+        self.models = (
+            base.LoadedModel(ids.ModelName("m"), ids.VersionName("1"), True),
+        )
+
+    async def load_report(self, timeout_s):
+        if not self.kept_link:
+            return result.Failure(LOST)
+        return result.Success(base.LoadReport(0, 0, 0, 1000))
+
+    async def check_health(self, timeout_s):
+        return self.new_link
+
+    async def state(self, timeout_s):
+        zero = base.FencingNumber(ids.Term(0), ids.LogIndex(0))
+        return result.Success(base.EngineState(zero, self.models, "serve"))
+
+    async def start(self, call, timeout_s): ...
+    async def resume(self, generation_id, offset, timeout_s): ...
+    async def cancel(self, generation_id, only_if_detached=False): ...
+    async def order(self, order, timeout_s): ...
+    async def close(self): ...
+
+
+@pytest.mark.looptime
+class TestProbes:
+    async def watch(self, engine, seconds):
+        seen = []
+        monitor = server_monitor.ServerMonitor(
+            random.Random(1), lambda probe: seen.append(probe.opinion)
+        )
+        probe = server_monitor.ServerProbe(SERVER, ids.ModelName("m"), engine)
+        monitor.replace({SERVER: probe})
+        await asyncio.sleep(seconds)
+        monitor.stop()
+        return seen
+
+    async def test_a_broken_kept_link_is_not_a_dead_server(self):
+        engine = FakeEngine()
+        engine.kept_link = False
+        assert set(await self.watch(engine, 10)) == {opinions.Opinion.ALIVE}
+
+    async def test_a_server_that_refuses_new_links_is_unreachable_after_two(self):
+        engine = FakeEngine()
+        engine.kept_link = engine.new_link = False
+        seen = await self.watch(engine, 10)
+        assert seen[0] is opinions.Opinion.ALIVE
+        assert set(seen[1:]) == {opinions.Opinion.UNREACHABLE}
+
+    async def test_an_engine_without_its_model_is_loading(self):
+        engine = FakeEngine()
+        engine.models = ()
+        assert set(await self.watch(engine, 10)) == {opinions.Opinion.LOADING}
