Use one piece of code for free ports and waiting; drop a dead fallback

Change: bench.local_ports serves the demo and both benchmarks; json_answer moved; the fallback is an assertion. Behaviour is as before.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -7,33 +7,20 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
-import time
-import urllib.request
 
 import yaml
 
+from quetzalpass.bench import local_ports
+
 OPERATOR_KEY = "demo-operator-key"
 CLUSTER_KEY = "demo-cluster-key"
 ORGANISATION_KEY = "demo-organisation-key"
 HOST = "127.0.0.1"
-START_TIMEOUT_S = 15.0
 STOP_TIMEOUT_S = 10.0
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((HOST, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
 class Cluster:
     """Three daemons in two data centres, three engines and one plain service.
 
@@ -46,7 +33,7 @@
     def __init__(self, folder: pathlib.Path) -> None:
         self.folder = folder
         self.processes: dict[str, subprocess.Popen] = {}
-        ports = iter(free_ports(13))
+        ports = iter(local_ports.free_ports(13))
         self.daemons = ("entry-1", "entry-2", "entry-3")
         self.data_centres = dict(
             zip(self.daemons, ("north-a", "north-a", "north-b"), strict=True)
@@ -169,9 +156,9 @@
         for name in self.daemons:
             self.spawn_daemon(name)
         for port in self.servers.values():
-            wait_for(f"http://{HOST}:{port}/health")
+            local_ports.wait_for(f"http://{HOST}:{port}/health")
         for port in self.callers.values():
-            wait_for(f"http://{HOST}:{port}/healthz")
+            local_ports.wait_for(f"http://{HOST}:{port}/healthz")
 
     def spawn_daemon(self, name: str) -> None:
         """Start the process of one daemon."""
@@ -184,7 +171,7 @@
     def start_daemon(self, name: str) -> None:
         """Start one daemon again and wait until it answers."""
         self.spawn_daemon(name)
-        wait_for(f"http://{HOST}:{self.callers[name]}/healthz")
+        local_ports.wait_for(f"http://{HOST}:{self.callers[name]}/healthz")
 
     def spawn(self, name: str, module: str, arguments: list[str]) -> None:
         """Start one process; its output goes to a file."""
@@ -232,21 +219,3 @@
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
-
-
-def wait_for(url: str) -> None:
-    """Wait until an address answers.
-
-    Raises
-    ------
-    TimeoutError
-        If it does not within the start timeout.
-    """
-    deadline_s = time.monotonic() + START_TIMEOUT_S
-    while time.monotonic() < deadline_s:
-        try:
-            with urllib.request.urlopen(url, timeout=1.0):
-                return
-        except OSError:
-            time.sleep(0.05)
-    raise TimeoutError(f"{url} does not answer; see the logs in the run's folder")
--- a/src/quetzalpass/bench/control_spread.py
+++ b/src/quetzalpass/bench/control_spread.py
@@ -9,7 +9,6 @@
 import pathlib
 import random
 import resource
-import socket
 import tempfile
 import time
 
@@ -17,7 +16,7 @@
 from returns import result
 
 from quetzalpass import ids
-from quetzalpass.bench import fleet_declaration
+from quetzalpass.bench import fleet_declaration, local_ports
 from quetzalpass.control import declared_state
 from quetzalpass.daemon import groups, process
 from quetzalpass.declarations import schema as declared
@@ -82,7 +81,9 @@
     def __init__(self, folder: pathlib.Path) -> None:
         self.folder = folder
         self.names = [ids.VmId(f"entry-{n}") for n in range(GATEWAYS)]
-        self.ports = dict(zip(self.names, free_ports(GATEWAYS), strict=True))
+        self.ports = dict(
+            zip(self.names, local_ports.free_ports(GATEWAYS), strict=True)
+        )
         (folder / "key").write_text("bench-cluster-key")
         self.daemons: list[process.Daemon] = []
         self.operations = 0
@@ -158,17 +159,6 @@
                 await asyncio.sleep(POLL_S)
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((HOST, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
 async def measure(organisations: int, servers: int, quick: bool) -> SpreadFigures:
     """Measure nine daemons with a declaration of one size.
 
--- a/src/quetzalpass/bench/relay_processes.py
+++ b/src/quetzalpass/bench/relay_processes.py
@@ -7,16 +7,13 @@
 import os
 import pathlib
 import re
-import socket
 import subprocess
 import sys
-import time
-import urllib.request
 
 import msgspec
 import yaml
 
-from quetzalpass.bench import relay_reader
+from quetzalpass.bench import local_ports, relay_reader
 
 HOST = "127.0.0.1"
 CALLER_KEY = "bench-caller-key"
@@ -65,7 +62,7 @@
         self.folder = folder
         self.batch = batch
         self.processes: dict[str, subprocess.Popen] = {}
-        ports = free_ports(engines + 4)
+        ports = local_ports.free_ports(engines + 4)
         self.gateway_port, self.bare_port, self.peers_port, self.operators_port = ports[
             :4
         ]
@@ -82,11 +79,11 @@
         )
         settings = str(self.folder / "gateway.yaml")
         self.spawn("gateway", "quetzalpass.daemon.main", ["--settings", settings])
-        wait_for(f"{urls[-1]}/health")
-        wait_for(f"http://{HOST}:{self.bare_port}/healthz")
-        wait_for(f"http://{HOST}:{self.gateway_port}/healthz")
+        local_ports.wait_for(f"{urls[-1]}/health")
+        local_ports.wait_for(f"http://{HOST}:{self.bare_port}/healthz")
+        local_ports.wait_for(f"http://{HOST}:{self.gateway_port}/healthz")
         self.apply()
-        wait_for(f"http://{HOST}:{self.gateway_port}/readyz")
+        local_ports.wait_for(f"http://{HOST}:{self.gateway_port}/readyz")
 
     def write_files(self) -> None:
         """Write the key, the settings and the declaration."""
@@ -240,35 +237,6 @@
                 process.wait()
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((HOST, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
-def wait_for(url: str) -> None:
-    """Wait until an address answers without an error.
-
-    Raises
-    ------
-    TimeoutError
-        If it does not within the start timeout.
-    """
-    deadline_s = time.monotonic() + START_TIMEOUT_S
-    while time.monotonic() < deadline_s:
-        try:
-            with urllib.request.urlopen(url, timeout=1.0):
-                return
-        except OSError:
-            time.sleep(0.05)
-    raise TimeoutError(f"{url} does not answer; see the logs in the run's folder")
-
-
 def cpu_s_of(pid: int) -> float:
     """Return the processor time that a process has used, in seconds."""
     fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
--- a/src/quetzalpass/daemon/operators.py
+++ b/src/quetzalpass/daemon/operators.py
@@ -9,7 +9,7 @@
 
 from quetzalpass import ids
 from quetzalpass.control import declared_state, messages
-from quetzalpass.daemon import groups, keys, peers
+from quetzalpass.daemon import groups, keys
 from quetzalpass.declarations import checks, schema
 from quetzalpass.documents import problems
 from quetzalpass.results import codes, failures
@@ -73,19 +73,19 @@
         )
         if not outcome.accepted:
             return error_response(conflict_failure(order.base_revision, outcome))
-        return peers.json_answer(messages.ApplyReply(outcome.revision, outcome.digest))
+        return json_answer(messages.ApplyReply(outcome.revision, outcome.digest))
 
     async def handle_get(self, request: web.Request) -> web.Response:
         """Answer the newest declaration that is in force here."""
         current = self.daemon.holder.current
         if current is None:
             empty = declared_state.EMPTY
-            return peers.json_answer(
+            return json_answer(
                 messages.DeclarationReply(
                     empty.revision, empty.digest, schema.Declaration()
                 )
             )
-        return peers.json_answer(
+        return json_answer(
             messages.DeclarationReply(
                 current.revision, current.digest, current.declaration
             )
@@ -106,7 +106,7 @@
             servers=self.daemon.server_statuses(),
             groups=self.daemon.replica.statuses() if self.daemon.replica else (),
         )
-        return peers.json_answer(reply)
+        return json_answer(reply)
 
     async def handle_members(self, request: web.Request) -> web.Response:
         """Change the members of a consensus group by one; the leader does it."""
@@ -122,7 +122,7 @@
         changed = await self.daemon.replica.change_members(order)
         if isinstance(changed, result.Failure):
             return error_response(changed.failure())
-        return peers.json_answer(changed.unwrap())
+        return json_answer(changed.unwrap())
 
     async def handle_explanation(self, request: web.Request) -> web.Response:
         """Answer why this gateway placed a request where it is."""
@@ -135,7 +135,7 @@
                 )
             )
         now_s = asyncio.get_running_loop().time()
-        return peers.json_answer(
+        return json_answer(
             messages.ExplanationReply(
                 request_id=request_id,
                 vm=self.daemon.settings.id,
@@ -186,4 +186,13 @@
         spec.advice,
         failure.retry_after_ms,
     )
-    return peers.json_answer(reply, spec.http_status)
+    return json_answer(reply, spec.http_status)
+
+
+def json_answer(value: msgspec.Struct, status: int = 200) -> web.Response:
+    """Return a struct as a JSON answer."""
+    return web.Response(
+        status=status,
+        body=msgspec.json.encode(value),
+        content_type="application/json",
+    )
--- a/src/quetzalpass/daemon/peers.py
+++ b/src/quetzalpass/daemon/peers.py
@@ -2,7 +2,6 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
 from aiohttp import web
 from returns import result
 
@@ -79,12 +78,3 @@
     return inner_messages.DeclarationReply(
         current.revision, current.digest, current.data
     )
-
-
-def json_answer(value: msgspec.Struct, status: int = 200) -> web.Response:
-    """Return a struct as a JSON answer."""
-    return web.Response(
-        status=status,
-        body=msgspec.json.encode(value),
-        content_type="application/json",
-    )
--- a/src/quetzalpass/daemon/process.py
+++ b/src/quetzalpass/daemon/process.py
@@ -180,9 +180,8 @@
     async def open_operators_listener(self) -> None:
         """Open the operators' listener with its own key."""
         listener = self.settings.operators
-        key = self.cluster_key
-        if listener.key_file is not None:
-            key = keys.read_key(listener.key_file)
+        assert listener.key_file is not None, "checked when settings are loaded"
+        key = keys.read_key(listener.key_file)
         await self.listen(operators.OperatorsInterface(self).application(key), listener)
 
     async def listen(self, app: web.Application, listener: schema.Listener) -> None:
