Declare routes that are relayed to services; publish revisions that the operator numbers

Routes have a host, a path prefix, a kind, weights, a timeout and objectives; services may name their engines' traits.

The declaration's state machine takes publish commands (highest revision wins, the same content is held, other content under a held revision conflicts) and barriers for reads.

--- a/src/quetzalpass/control/declared_state.py
+++ b/src/quetzalpass/control/declared_state.py
@@ -1,5 +1,6 @@
 """Replicated state machine that holds the accepted declaration."""
 
+import enum
 from collections.abc import Callable
 
 import msgspec
@@ -11,7 +12,7 @@
 SESSION = "declaration"
 
 
-class ApplyCommand(msgspec.Struct, frozen=True):
+class ApplyCommand(msgspec.Struct, frozen=True, tag="apply"):
     """Replaces the declaration if the base revision is still the newest.
 
     Attributes
@@ -81,13 +82,86 @@
     author: str
 
 
+class PublishCommand(msgspec.Struct, frozen=True, tag="publish"):
+    """Replaces the declaration if its revision is the highest.
+
+    Operators who number the revisions themselves use it instead of ``ApplyCommand``.
+
+    Attributes
+    ----------
+    revision : Revision
+        Number that the operator chose.
+    declaration : bytes
+        Canonical form of the declaration.
+    document : bytes
+        What the operator sent; it is returned as it is when the operator reads it.
+    author : str
+        Who publishes it.
+    """
+
+    revision: ids.Revision
+    declaration: bytes
+    document: bytes
+    author: str
+
+
+class BarrierCommand(msgspec.Struct, frozen=True, tag="barrier"):
+    """Changes nothing; its outcome names the newest revision at its place."""
+
+
+class PublishVerdict(enum.Enum):
+    """What became of a published revision.
+
+    ``ACCEPTED``: it is the newest now. ``HELD``: it was the newest already.
+    ``OVERTAKEN``: a higher one is. ``CONFLICT``: another content has its number.
+    """
+
+    ACCEPTED = "accepted"
+    HELD = "held"
+    OVERTAKEN = "overtaken"
+    CONFLICT = "conflict"
+
+
+class PublishOutcome(msgspec.Struct, frozen=True):
+    """Answer to a ``PublishCommand``.
+
+    Attributes
+    ----------
+    verdict : PublishVerdict
+        What became of it.
+    revision : Revision
+        The newest revision after the command.
+    """
+
+    verdict: PublishVerdict
+    revision: ids.Revision
+
+
+Command = ApplyCommand | PublishCommand | BarrierCommand
+
+
 class AcceptedDeclaration(msgspec.Struct, frozen=True):
-    """A revision with its canonical form."""
+    """A revision with its canonical form.
+
+    Attributes
+    ----------
+    revision : Revision
+        Its number.
+    digest : str
+        Digest of ``data``.
+    author : str
+        Who made it.
+    data : bytes
+        Canonical form.
+    document : bytes
+        What the operator sent, where that had another form.
+    """
 
     revision: ids.Revision
     digest: str
     author: str
     data: bytes
+    document: bytes = b""
 
 
 EMPTY_DATA = schema.encode(schema.Declaration())
@@ -122,7 +196,15 @@
 
     def apply(self, index: ids.LogIndex, command: bytes) -> bytes:
         """Apply one committed command and return the encoded outcome."""
-        order = msgspec.msgpack.decode(command, type=ApplyCommand)
+        order = msgspec.msgpack.decode(command, type=Command)
+        if isinstance(order, PublishCommand):
+            return msgspec.msgpack.encode(self.publish(order))
+        if isinstance(order, BarrierCommand):
+            return msgspec.msgpack.encode(self.current.revision)
+        return msgspec.msgpack.encode(self.apply_change(order))
+
+    def apply_change(self, order: ApplyCommand) -> ApplyOutcome:
+        """Replace the declaration if the base revision is still the newest."""
         accepted = order.base_revision == self.current.revision
         if accepted:
             data = self.declared_by(order)
@@ -135,9 +217,28 @@
                 )
             )
         now = self.current
-        return msgspec.msgpack.encode(
-            ApplyOutcome(accepted, now.revision, now.digest, now.author)
+        return ApplyOutcome(accepted, now.revision, now.digest, now.author)
+
+    def publish(self, order: PublishCommand) -> PublishOutcome:
+        """Replace the declaration if the given revision is the highest."""
+        now = self.current
+        if order.revision < now.revision:
+            return PublishOutcome(PublishVerdict.OVERTAKEN, now.revision)
+        if order.revision == now.revision:
+            same = order.document == now.document and order.declaration == now.data
+            verdict = PublishVerdict.HELD if same else PublishVerdict.CONFLICT
+            return PublishOutcome(verdict, now.revision)
+        self.declaration = schema.decode(order.declaration)
+        self.replace(
+            AcceptedDeclaration(
+                order.revision,
+                schema.digest_of(order.declaration),
+                order.author,
+                order.declaration,
+                order.document,
+            )
         )
+        return PublishOutcome(PublishVerdict.ACCEPTED, order.revision)
 
     def declared_by(self, order: ApplyCommand) -> bytes:
         """Return the canonical form of the declaration that a command makes."""
--- a/src/quetzalpass/declarations/bounds.py
+++ b/src/quetzalpass/declarations/bounds.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from quetzalpass.declarations import entries, schema
+from quetzalpass.declarations import entries, relays, schema, strict
 from quetzalpass.documents import problems, shape
 
 
@@ -25,7 +25,7 @@
         Largest value.
     """
 
-    kind: type[schema.Strict]
+    kind: type[strict.Strict]
     field: str
     minimum: float = 0
     above: bool = False
@@ -68,12 +68,30 @@
     Bound(schema.Retention, "body_bytes"),
     Bound(schema.Retention, "max_claims", 1),
     Bound(schema.WeightStore, "megabytes_per_s", above=True),
+    Bound(schema.Organisation, "priority"),
+    Bound(schema.Service, "max_connections", 1),
+    Bound(relays.HostRoute, "timeout_ms", 1),
+    Bound(relays.HostRoute, "objective_ms", 1),
+    Bound(relays.HostRoute, "gap_objective_ms", 1),
+    Bound(relays.HostRoute, "priority"),
+    Bound(relays.HostRoute, "attempts", 1),
+    Bound(relays.EngineTraits, "max_batch", 1),
+    Bound(relays.EngineTraits, "memory_tokens", 1),
+    Bound(relays.EngineTraits, "tokens_per_event", 1),
+    Bound(relays.EngineTraits, "token_bytes"),
+    Bound(relays.EngineTraits, "link_mbps"),
+    Bound(relays.EngineTraits, "copy_lifetime_s", above=True),
+    Bound(relays.CallerLimits, "header_bytes", 1),
+    Bound(relays.CallerLimits, "body_bytes", 1),
+    Bound(relays.CallerLimits, "header_timeout_ms", 1),
+    Bound(relays.CallerLimits, "idle_timeout_ms", 1),
 )
 
-SINGLE_KINDS: dict[str, type[schema.Strict]] = {
+SINGLE_KINDS: dict[str, type[strict.Strict]] = {
     "objective": schema.Objective,
     "retention": schema.Retention,
     "weight_store": schema.WeightStore,
+    "caller_limits": relays.CallerLimits,
 }
 
 
@@ -85,6 +103,9 @@
     for model in document.entries("models"):
         for index, adapter in enumerate(model.value.adapters):
             yield from value_faults(model, adapter, f"adapters[{index}].")
+    for service in document.entries("services"):
+        if service.value.engine is not None:
+            yield from value_faults(service, service.value.engine, "engine.")
     for field, kind in SINGLE_KINDS.items():
         value = document.value(field, kind)
         if value is not None:
@@ -92,7 +113,7 @@
 
 
 def value_faults(
-    entry: entries.Entry, value: schema.Strict, prefix: str
+    entry: entries.Entry, value: strict.Strict, prefix: str
 ) -> Iterator[problems.Problem]:
     """Yield the numbers of one struct that are out of range."""
     for bound in BOUNDS:
--- a/src/quetzalpass/declarations/checks.py
+++ b/src/quetzalpass/declarations/checks.py
@@ -3,7 +3,14 @@
 import re
 from collections.abc import Callable, Iterable, Iterator
 
-from quetzalpass.declarations import bounds, entries, fleet_checks, names, schema
+from quetzalpass.declarations import (
+    bounds,
+    entries,
+    fleet_checks,
+    names,
+    relay_checks,
+    schema,
+)
 from quetzalpass.documents import problems
 
 KEY_SHA256 = re.compile(r"^[0-9a-f]{64}\Z")
@@ -121,7 +128,7 @@
         organisation = entry.value
         if not organisation.key_sha256:
             message = "the organisation has no key, so none of its calls is accepted"
-            yield entry.problem("key_sha256", message, "add the SHA-256 of a key")
+            yield entry.warning("key_sha256", message)
         for index, digest in enumerate(organisation.key_sha256):
             key = f"key_sha256[{index}]"
             if not KEY_SHA256.match(digest):
@@ -165,5 +172,6 @@
     fleet_checks.check_servers,
     fleet_checks.check_models,
     fleet_checks.check_services,
+    relay_checks.check,
     check_objective,
 )
--- a/src/quetzalpass/declarations/delta.py
+++ b/src/quetzalpass/declarations/delta.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from quetzalpass.declarations import entries, schema
+from quetzalpass.declarations import entries, schema, strict
 
 WHOLE_FIELDS = tuple(
     name
@@ -61,7 +61,7 @@
     return delta if apply_delta(before, delta) == after else None
 
 
-def is_same(old: schema.Strict | None, new: schema.Strict) -> bool:
+def is_same(old: strict.Strict | None, new: strict.Strict) -> bool:
     """Return whether an entry is unchanged; shared entries need no comparison."""
     return old is new or old == new
 
--- a/src/quetzalpass/declarations/diff.py
+++ b/src/quetzalpass/declarations/diff.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from quetzalpass.declarations import entries, schema
+from quetzalpass.declarations import entries, schema, strict
 
 
 class Kind(enum.Enum):
@@ -95,7 +95,7 @@
 
 
 def list_changes(
-    section: str, before: tuple[schema.Strict, ...], after: tuple[schema.Strict, ...]
+    section: str, before: tuple[strict.Strict, ...], after: tuple[strict.Strict, ...]
 ) -> Iterator[ItemChange]:
     """Yield the items of a list that were removed, changed or added."""
     key = entries.NAME_FIELDS[section]
@@ -113,7 +113,7 @@
 
 
 def field_changes(
-    before: schema.Strict, after: schema.Strict
+    before: strict.Strict, after: strict.Strict
 ) -> tuple[FieldChange, ...]:
     """Return the fields of an item that differ."""
     names = before.__struct_fields__
@@ -124,6 +124,6 @@
     )
 
 
-def text_of(item: schema.Strict, name: str) -> str:
+def text_of(item: strict.Strict, name: str) -> str:
     """Return the JSON form of a field."""
     return msgspec.json.encode(getattr(item, name)).decode()
--- a/src/quetzalpass/declarations/entries.py
+++ b/src/quetzalpass/declarations/entries.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from quetzalpass.declarations import schema
+from quetzalpass.declarations import relays, schema, strict
 from quetzalpass.documents import nodes, problems, shape
 
 INDEX = re.compile(r"^(?P<name>\w+)\[(?P<index>\d+)\]$")
@@ -22,8 +22,9 @@
     "vms": "id",
     "servers": "id",
     "services": "name",
+    "routes": "name",
 }
-ITEM_KINDS: dict[str, type[schema.Strict]] = {
+ITEM_KINDS: dict[str, type[strict.Strict]] = {
     "models": schema.Model,
     "classes": schema.PriorityClass,
     "organisations": schema.Organisation,
@@ -31,6 +32,7 @@
     "vms": schema.Vm,
     "servers": schema.BackendServer,
     "services": schema.Service,
+    "routes": relays.HostRoute,
 }
 MAX_SUGGESTIONS = 20
 
@@ -44,13 +46,13 @@
         Path, such as ``servers[3]``.
     node : Node
         Where it stands.
-    value : schema.Strict
+    value : strict.Strict
         The typed item.
     """
 
     field: str
     node: nodes.Node
-    value: schema.Strict
+    value: strict.Strict
 
     def problem(
         self,
@@ -109,7 +111,7 @@
     @functools.cached_property
     def whole(self) -> Entry:
         """The entry of the declaration itself, for fields that are no lists."""
-        return Entry("", self.node, schema.Strict())
+        return Entry("", self.node, strict.Strict())
 
     def entries(self, field: str) -> tuple[Entry, ...]:
         """Return the entries of a list that have no faults of their own."""
--- a/src/quetzalpass/declarations/schema.py
+++ b/src/quetzalpass/declarations/schema.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from quetzalpass import ids
+from quetzalpass.declarations import relays, strict
 
 
 class ServiceState(enum.Enum):
@@ -28,11 +29,7 @@
     SERVICE = "service"
 
 
-class Strict(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Base of all declared values: immutable, unknown fields are errors."""
-
-
-class Adapter(Strict, frozen=True):
+class Adapter(strict.Strict, frozen=True):
     """A low-rank adapter of a model.
 
     Attributes
@@ -47,7 +44,7 @@
     size_mb: int = 100
 
 
-class Model(Strict, frozen=True):
+class Model(strict.Strict, frozen=True):
     """A model that callers may ask for.
 
     Attributes
@@ -80,7 +77,7 @@
     default_class: ids.ClassName | None = None
 
 
-class PriorityClass(Strict, frozen=True):
+class PriorityClass(strict.Strict, frozen=True):
     """A class of requests that are treated alike.
 
     Attributes
@@ -112,7 +109,7 @@
     hedge_after_s: float | None = None
 
 
-class Organisation(Strict, frozen=True):
+class Organisation(strict.Strict, frozen=True):
     """An organisation whose callers use the system.
 
     Attributes
@@ -131,6 +128,8 @@
         Generations under way at once.
     tokens_per_s : float
         Limit on output tokens.
+    priority : int or None
+        Rank of its requests on routes, 0 first; the route's own rank if not given.
     """
 
     id: ids.OrganisationId
@@ -140,9 +139,10 @@
     burst_requests: int = 200
     max_streams: int = 1_000
     tokens_per_s: float = 100_000.0
+    priority: int | None = None
 
 
-class DataCentre(Strict, frozen=True):
+class DataCentre(strict.Strict, frozen=True):
     """A data centre and the region it lies in.
 
     Attributes
@@ -157,7 +157,7 @@
     region: ids.RegionId
 
 
-class Vm(Strict, frozen=True):
+class Vm(strict.Strict, frozen=True):
     """A VM that carries backend servers.
 
     Attributes
@@ -178,7 +178,7 @@
     deadline: str | None = None
 
 
-class BackendServer(Strict, frozen=True):
+class BackendServer(strict.Strict, frozen=True):
     """A model engine or a plain service on a VM.
 
     Attributes
@@ -218,7 +218,7 @@
     resumes_across_replicas: bool = False
 
 
-class Route(Strict, frozen=True):
+class Route(strict.Strict, frozen=True):
     """A route of a plain service whose calls may not be repeated.
 
     Attributes
@@ -233,7 +233,7 @@
     path_prefix: str
 
 
-class Service(Strict, frozen=True):
+class Service(strict.Strict, frozen=True):
     """A plain service beside the engines.
 
     Attributes
@@ -246,15 +246,21 @@
         Path with ``{key}`` that tells whether a call ran, where the service has one.
     default_class : ClassName or None
         Class of calls that name none.
+    max_connections : int or None
+        Connections that one of its servers accepts from all gateways together.
+    engine : EngineTraits or None
+        Given where its servers are model engines that routes reach.
     """
 
     name: ids.ServiceName
     non_idempotent_routes: tuple[Route, ...] = ()
     outcome_path: str | None = None
     default_class: ids.ClassName | None = None
+    max_connections: int | None = None
+    engine: relays.EngineTraits | None = None
 
 
-class Objective(Strict, frozen=True):
+class Objective(strict.Strict, frozen=True):
     """What routing weighs: stall time against the tail of gaps between tokens.
 
     Attributes
@@ -269,7 +275,7 @@
     gap_weight: float = 1.0
 
 
-class Retention(Strict, frozen=True):
+class Retention(strict.Strict, frozen=True):
     """How long and how much the ledger keeps.
 
     Attributes
@@ -287,7 +293,7 @@
     max_claims: int = 200_000
 
 
-class WeightStore(Strict, frozen=True):
+class WeightStore(strict.Strict, frozen=True):
     """The rate-limited store that engines load weights from.
 
     Attributes
@@ -299,7 +305,7 @@
     megabytes_per_s: float = 1_000.0
 
 
-class Declaration(Strict, frozen=True):
+class Declaration(strict.Strict, frozen=True):
     """Everything that operators declare, applied whole or not at all.
 
     Attributes
@@ -324,6 +330,10 @@
         What the ledger keeps.
     weight_store : WeightStore
         Where engines load weights from.
+    routes : tuple of HostRoute
+        Hosts and paths whose requests are relayed to a service.
+    caller_limits : CallerLimits
+        What callers of routes may send, and how long they may take.
     """
 
     models: tuple[Model, ...] = ()
@@ -336,6 +346,8 @@
     objective: Objective = Objective()
     retention: Retention = Retention()
     weight_store: WeightStore = WeightStore()
+    routes: tuple[relays.HostRoute, ...] = ()
+    caller_limits: relays.CallerLimits = relays.CallerLimits()
 
 
 def encode(declaration: Declaration) -> bytes:
--- /dev/null
+++ b/tests/declarations/test_relay_checks.py
@@ -0,0 +1,48 @@
+import pytest
+from declarations import relay_builders
+
+from quetzalpass.declarations import checks, relays, schema
+
+
+def faults_of(declaration):
+    found = checks.errors_among(checks.check_declaration(declaration))
+    return [problem.text() for problem in found]
+
+
+class TestRouteChecks:
+    def test_a_valid_declaration_has_no_faults(self):
+        assert faults_of(relay_builders.declaration()) == []
+
+    @pytest.mark.parametrize(
+        ("changes", "expected"),
+        [
+            ({"host": ""}, "must not be empty"),
+            ({"path_prefix": "/x"}, "must begin and end with"),
+            ({"path_prefix": "x/"}, "must begin and end with"),
+            ({"shares": ()}, "add up to more than 0"),
+            ({"shares": (relays.ServiceShare("ledger", 0),)}, "more than 0"),
+            ({"shares": (relays.ServiceShare("ledgr"),)}, "did you mean 'ledger'"),
+            ({"shares": (relays.ServiceShare("ledger", -1),)}, "at least 0"),
+            ({"timeout_ms": 0}, "timeout_ms: must be at least 1"),
+            ({"attempts": 0}, "attempts: must be at least 1"),
+        ],
+    )
+    def test_each_fault_is_found(self, changes, expected):
+        declaration = relay_builders.declaration(relay_builders.route(**changes))
+        assert any(expected in text for text in faults_of(declaration))
+
+    def test_two_routes_at_one_place_are_refused(self):
+        declaration = relay_builders.declaration(
+            relay_builders.route(name="a"), relay_builders.route(name="b")
+        )
+        assert any("same host and path" in each for each in faults_of(declaration))
+
+    def test_a_key_of_two_organisations_is_refused(self):
+        digest = "b" * 64
+        declaration = schema.Declaration(
+            organisations=(
+                schema.Organisation("one", (digest,)),
+                schema.Organisation("two", (digest,)),
+            )
+        )
+        assert any("given to 'one' already" in each for each in faults_of(declaration))
