--- a/src/quetzalpass/consensus/group.py
+++ b/src/quetzalpass/consensus/group.py
@@ -16,6 +16,7 @@
     leading,
     machine,
     messages,
+    upkeep,
 )
 from quetzalpass.consensus import replica as replicas
 from quetzalpass.consensus import timing as timings
@@ -24,6 +25,7 @@
 from quetzalpass.wire import transport as transports
 
 MAX_COMMAND_BYTES = 4 * 1024 * 1024
+STATIC_MEMBERS = replicas.MembershipRules()
 
 log = logbook.Logger("consensus")
 
@@ -52,6 +54,8 @@
         Times, equal on all members.
     snapshot_every : int
         Entries after which a snapshot is taken.
+    rules : replicas.MembershipRules
+        Who may become a member.
     """
 
     def __init__(
@@ -65,10 +69,12 @@
         rng: random.Random,
         timing: timings.Timing | None = None,
         snapshot_every: int = applying.SNAPSHOT_EVERY_ENTRIES,
+        rules: replicas.MembershipRules = STATIC_MEMBERS,
     ) -> None:
-        assert vm in initial_members, "initial_members includes this VM"
+        is_named = vm in initial_members
+        assert is_named or not rules.may_form, "initial_members includes this VM"
         settings = replicas.Settings(
-            group_id, vm, initial_members, timing or timings.Timing()
+            group_id, vm, initial_members, timing or timings.Timing(), rules
         )
         folder = disk.folder(f"group-{group_id}")
         self.group_id = group_id
@@ -93,6 +99,8 @@
         self.replica.spawn(self.applier.run())
         self.replica.spawn(self.elections.run())
         self.replica.spawn(self.joining.run())
+        if self.replica.settings.rules.is_open:
+            self.replica.spawn(upkeep.Upkeep(self.replica, self.joining).run())
         return result.Success(None)
 
     async def stop(self) -> None:
--- a/src/quetzalpass/consensus/joining.py
+++ b/src/quetzalpass/consensus/joining.py
@@ -47,6 +47,8 @@
         answers = await asyncio.gather(*[self.ask(vm) for vm in others])
         if not replica.is_running or not replica.log.is_blank:
             return
+        if not replica.settings.rules.may_form:
+            return
         if replica.settings.vm != min(replica.settings.initial_members):
             return
         if all(answer is not None and answer.is_blank for answer in answers):
@@ -98,6 +100,7 @@
         The request may be late, and from a disk that has been replaced since.
         """
         if self.replica.log.configuration.member_at(request.vm) is None:
+            self.note_candidate(request)
             return
         status = await self.ask(request.vm)
         tenure = self.replica.tenure
@@ -105,3 +108,10 @@
             return
         if isinstance(tenure, leading.Leadership):
             tenure.replace(request.vm, request.replica)
+
+    def note_candidate(self, request: messages.StatusRequest) -> None:
+        """Remember a disk at an unknown address, if the group is open to it."""
+        if self.replica.settings.rules.is_open:
+            heard_at = self.replica.now()
+            candidate = replicas.Candidate(request.replica, heard_at)
+            self.replica.candidates[request.vm] = candidate
--- a/src/quetzalpass/consensus/leading.py
+++ b/src/quetzalpass/consensus/leading.py
@@ -25,6 +25,7 @@
     def __init__(self, replica: replicas.Replica) -> None:
         self.replica = replica
         self.term = replica.term
+        self.began_at = replica.now()
         self.peers: dict[ids.ReplicaId, peers.Peer] = {}
         self.tasks: dict[ids.ReplicaId, asyncio.Task] = {}
         self.synced_index = replica.log.last_index
@@ -250,11 +251,35 @@
             return
         if peer.match_index < self.replica.commit_index:
             return
+        if not self.needs_voter():
+            return
         member = entries.Member(peer.member.vm, peer.member.replica, True)
         peer.member = member
         log.info("consensus: {} becomes a voter.", member.vm)
         self.change_members(self.replica.log.configuration.with_member(member))
 
+    def needs_voter(self) -> bool:
+        """Return whether a learner should become a voter.
+
+        In an open group only where voters are too few or one of them is gone.
+        """
+        rules = self.replica.settings.rules
+        voters = self.replica.log.configuration.voters
+        if not rules.is_open or len(voters) < rules.wanted_voters:
+            return True
+        is_at_limit = len(voters) > rules.wanted_voters
+        return not is_at_limit and any(self.is_gone(member) for member in voters)
+
+    def is_gone(self, member: entries.Member) -> bool:
+        """Return whether a member has not been heard from for too long."""
+        if member.replica == self.replica.replica_id:
+            return False
+        heard_at = self.began_at
+        if member.replica in self.peers:
+            heard_at = max(heard_at, self.peers[member.replica].acknowledged_at)
+        gone_after_s = self.replica.settings.rules.gone_after_s
+        return self.replica.now() - heard_at > gone_after_s
+
     def replace(self, vm: ids.VmId, replica_id: ids.ReplicaId) -> None:
         """Put the disk that a VM has now in the place of its former one.
 
--- a/src/quetzalpass/consensus/replica.py
+++ b/src/quetzalpass/consensus/replica.py
@@ -18,6 +18,8 @@
 from quetzalpass.storage import disk as disks
 from quetzalpass.wire import transport as transports
 
+GONE_AFTER_S = 3.0
+
 log = logbook.Logger("consensus")
 
 
@@ -31,6 +33,43 @@
     FAILED = "failed"
 
 
+class MembershipRules(msgspec.Struct, frozen=True):
+    """Who may become a member of a group, and who decides it.
+
+    Attributes
+    ----------
+    is_open : bool
+        VMs that nobody named may join as learners; the leader then keeps the number of
+        voters. Without it the members change only by an operator's order.
+    may_form : bool
+        This VM may take part in forming the group at its first start.
+    wanted_voters : int
+        Number of voters that the leader of an open group keeps.
+    gone_after_s : float
+        A voter that was not heard from for so long gives way to a learner.
+    """
+
+    is_open: bool = False
+    may_form: bool = True
+    wanted_voters: int = 0
+    gone_after_s: float = GONE_AFTER_S
+
+
+class Candidate(msgspec.Struct, frozen=True):
+    """A disk that has asked to become a member.
+
+    Attributes
+    ----------
+    replica : ids.ReplicaId
+        Id of the disk.
+    heard_at : float
+        Loop time of its last question.
+    """
+
+    replica: ids.ReplicaId
+    heard_at: float
+
+
 class Settings(msgspec.Struct, frozen=True):
     """What does not change while a replica runs.
 
@@ -44,12 +83,15 @@
         VMs that form the group at its first start, and that a new one asks.
     timing : timings.Timing
         Times.
+    rules : MembershipRules
+        Who may become a member.
     """
 
     group: ids.GroupId
     vm: ids.VmId
     initial_members: list[ids.VmId]
     timing: timings.Timing
+    rules: MembershipRules = MembershipRules()
 
 
 class Signal:
@@ -127,6 +169,7 @@
         self.leader_contact_at = 0.0
         self.election_due_at = 0.0
         self.seen_replicas: dict[ids.VmId, ids.ReplicaId] = {}
+        self.candidates: dict[ids.VmId, Candidate] = {}
         self.tasks: set[asyncio.Task] = set()
 
     @property
--- a/tests/fakes/clusters.py
+++ b/tests/fakes/clusters.py
@@ -8,7 +8,7 @@
 
 from fakes import disks, transports
 from quetzalpass import ids
-from quetzalpass.consensus import entries, group, machine, registry
+from quetzalpass.consensus import entries, group, machine, registry, replica
 
 GROUP = ids.GroupId("test")
 
@@ -29,42 +29,57 @@
 
 
 class Cluster:
-    def __init__(self, count=3, seed=0, snapshot_every=4096):
+    def __init__(self, count=3, seed=0, snapshot_every=4096, open_voters=0):
         self.seed = seed
+        self.open_voters = open_voters
         self.snapshot_every = snapshot_every
         self.network = transports.FakeNetwork(seed)
         self.vms = [ids.VmId(f"vm-{number}") for number in range(1, count + 1)]
+        self.seeds = list(self.vms)
         self.disks = {vm: disks.FakeDisk() for vm in self.vms}
         self.groups = {}
         self.start_count = 0
 
-    async def start(self, vm):
+    def rules(self, vm, is_first_start):
+        return replica.MembershipRules(
+            is_open=True,
+            may_form=is_first_start and vm in self.seeds,
+            wanted_voters=self.open_voters,
+        )
+
+    async def start(self, vm, is_first_start=False):
         self.start_count += 1
         table = self.network.table(vm)
+        rules = group.STATIC_MEMBERS
+        known = sorted({*self.vms, vm})
+        if self.open_voters:
+            rules = self.rules(vm, is_first_start)
+            known = sorted(self.seeds)
         self.groups[vm] = group.Group(
             GROUP,
             vm,
-            sorted({*self.vms, vm}),
+            known,
             self.disks[vm],
             transports.FakeTransport(self.network, vm),
             ListMachine(),
             random.Random(f"{self.seed}-{self.start_count}"),
             snapshot_every=self.snapshot_every,
+            rules=rules,
         )
         registry.GroupRegistry(table).add(self.groups[vm])
         return await self.groups[vm].start()
 
     async def start_all(self):
         for vm in self.vms:
-            (await self.start(vm)).unwrap()
+            (await self.start(vm, is_first_start=True)).unwrap()
 
     async def crash(self, vm):
         """Stop a replica; what its disk had not synced may be lost."""
-        replica = self.groups.pop(vm)
+        crashed = self.groups.pop(vm)
         del self.network.tables[vm]
         self.disks[vm].faults.is_crashed = True
         with contextlib.suppress(disks.CrashError):
-            await replica.stop()
+            await crashed.stop()
         rng = random.Random(f"{self.seed}-crash-{self.start_count}")
         self.disks[vm] = self.disks[vm].after_crash(rng)
 
