--- a/src/quetzalpass/consensus/group.py
+++ b/src/quetzalpass/consensus/group.py
@@ -103,6 +103,10 @@
             self.replica.spawn(upkeep.Upkeep(self.replica, self.joining).run())
         return result.Success(None)
 
+    def adopt_contacts(self, vms: list[ids.VmId]) -> None:
+        """Ask other VMs from now on, for as long as this disk is no member."""
+        self.joining.contacts = vms
+
     async def stop(self) -> None:
         """Stop taking part; proposals that wait end as unknown."""
         self.applier.abandon()
--- a/src/quetzalpass/consensus/joining.py
+++ b/src/quetzalpass/consensus/joining.py
@@ -29,6 +29,7 @@
 
     def __init__(self, replica: replicas.Replica) -> None:
         self.replica = replica
+        self.contacts = replica.settings.initial_members
 
     async def run(self) -> None:
         """Ask until this disk is a member, and again should it no longer be one."""
@@ -42,7 +43,7 @@
         """Tell all peers of this disk, and form the group if all are blank."""
         replica = self.replica
         known = [member.vm for member in replica.log.configuration.members]
-        vms = sorted({*replica.settings.initial_members, *known})
+        vms = sorted({*self.contacts, *known})
         others = [vm for vm in vms if vm != replica.settings.vm]
         answers = await asyncio.gather(*[self.ask(vm) for vm in others])
         if not replica.is_running or not replica.log.is_blank:
--- a/src/quetzalpass/consensus/upkeep.py
+++ b/src/quetzalpass/consensus/upkeep.py
@@ -28,9 +28,7 @@
         Asks a candidate whether it is still there.
     """
 
-    def __init__(
-        self, replica: replicas.Replica, questions: joining.Joining
-    ) -> None:
+    def __init__(self, replica: replicas.Replica, questions: joining.Joining) -> None:
         self.replica = replica
         self.questions = questions
 
--- /dev/null
+++ b/src/quetzalpass/daemon/gateway_site.py
@@ -0,0 +1,155 @@
+"""A gateway for declared routes that finds the control nodes by seeds."""
+
+import asyncio
+import random
+
+import logbook
+import msgspec
+
+from quetzalpass import ids
+from quetzalpass.lifecycle import relay_gateway, relay_places, shared_budget
+from quetzalpass.membership import (
+    configuration,
+    control_links,
+    discovery,
+    fleet_messages,
+    fleet_view,
+)
+from quetzalpass.wire import transport
+
+LOG = logbook.Logger("daemon")
+
+# The balancer takes a gateway out after two missed questions, a second apart.
+BALANCER_S = 2.5
+DRAIN_POLL_S = 0.05
+
+
+class GatewaySettings(msgspec.Struct, frozen=True):
+    """Settings of a gateway for declared routes.
+
+    Attributes
+    ----------
+    vm : VmId
+        Its identifier.
+    data_centre : DataCentreId
+        Where it runs.
+    seeds : tuple of VmId
+        Some control nodes, ``host:port``.
+    budget : shared_budget.BudgetRules
+        Repeats that a service may get.
+    drain_s : float
+        Longest time that a graceful stop may take.
+    """
+
+    vm: ids.VmId
+    data_centre: ids.DataCentreId
+    seeds: tuple[ids.VmId, ...]
+    budget: shared_budget.BudgetRules
+    drain_s: float
+
+
+class GatewaySite:
+    """One gateway.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Its settings.
+    source : discovery.ServerSource
+        The list of backend servers.
+    connect : relay_gateway.Connect
+        Makes the adapter of a backend server.
+    cluster_key : str
+        Key that daemons send to each other.
+    rng : random.Random
+        Source of all randomness.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        source: discovery.ServerSource,
+        connect: relay_gateway.Connect,
+        cluster_key: str,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.source = source
+        self.holder = configuration.ConfigurationHolder()
+        self.view = fleet_view.FleetView()
+        self.channel = transport.HttpTransport(transport.DirectAddresses(), cluster_key)
+        self.places = relay_places.Places(self.view, settings.data_centre, rng)
+        self.budget = shared_budget.SharedBudget(settings.budget)
+        self.gateway = relay_gateway.RelayGateway(
+            settings.vm,
+            self.holder,
+            self.view,
+            self.places,
+            self.budget,
+            connect,
+            rng,
+        )
+        self.links = control_links.ControlLinks(
+            settings.vm,
+            settings.seeds,
+            self.holder,
+            self.view,
+            self.channel,
+            source,
+            self.make_request,
+            rng,
+        )
+        self.links.verdict_observers.append(self.note_reply)
+
+    def start(self) -> None:
+        """Start to follow the control nodes."""
+        self.links.start()
+        LOG.info("daemon: {} has started.", self.settings.vm)
+
+    def is_ready(self) -> bool:
+        """Return whether new connections are welcome."""
+        return self.links.is_informed() and not self.gateway.is_draining
+
+    def make_request(
+        self, known_version: int, wait_s: float
+    ) -> fleet_messages.FleetRequest:
+        """Return this gateway's load as a question for the fleet."""
+        verdicts = self.gateway.suspects.verdicts_since(0)
+        return fleet_messages.FleetRequest(
+            self.settings.vm,
+            known_version,
+            wait_s,
+            self.places.own_uses(),
+            tuple(self.view.own_announcements),
+            verdicts if verdicts.verdicts else None,
+        )
+
+    def note_reply(self, reply: fleet_messages.FleetReply) -> None:
+        """Take in what concerns the requests from a control node's reply."""
+        self.budget.gateways = max(1, reply.gateways)
+        if reply.verdicts is not None:
+            self.gateway.suspects.merge(reply.verdicts)
+
+    async def drain(self) -> None:
+        """Serve on until the balancer sends nothing more and all requests have ended.
+
+        Connections that are kept may still bring requests; these are served too.
+        """
+        self.gateway.is_draining = True
+        loop = asyncio.get_running_loop()
+        LOG.info("daemon: Draining {} requests.", self.gateway.running)
+        earliest_s = loop.time() + BALANCER_S
+        latest_s = loop.time() + self.settings.drain_s
+        while loop.time() < latest_s:
+            if loop.time() >= earliest_s and not self.gateway.running:
+                break
+            await asyncio.sleep(DRAIN_POLL_S)
+        LOG.info("daemon: {} requests are left.", self.gateway.running)
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        self.links.stop()
+        await self.gateway.close()
+        await self.source.close()
+        await self.channel.close()
+        LOG.info("daemon: {} has stopped.", self.settings.vm)
--- a/src/quetzalpass/logs.py
+++ b/src/quetzalpass/logs.py
@@ -7,7 +7,7 @@
 import logbook
 import msgspec
 
-from quetzalpass import escaping
+from quetzalpass import escaping, event_log
 from quetzalpass.settings import schema
 
 MAX_MESSAGE_LENGTH = 8_192
@@ -124,3 +124,37 @@
         To be used as ``with logs.make_handler(...).applicationbound():``.
     """
     return LineHandler(stream or sys.stderr, log_format)
+
+
+class LogLine(event_log.Event, frozen=True, tag="log"):
+    """A sentence of a part of the program, among the typed events.
+
+    Attributes
+    ----------
+    part : str
+        Part of the program that logs.
+    message : str
+        The sentence.
+    exception : str or None
+        Traceback, if one was logged.
+    """
+
+    part: str
+    message: str
+    exception: str | None = None
+
+
+class EventLogHandler(logbook.Handler):
+    """Puts log records into the event log of the process."""
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Queue one record."""
+        level = event_log.Level.ROUTINE
+        if record.level >= logbook.WARNING:
+            level = event_log.Level.NOTICE
+        line = LogLine(
+            record.channel or "",
+            shortened(record.message),
+            safe_traceback(record.formatted_exception),
+        )
+        event_log.record(line, level)
--- a/src/quetzalpass/membership/configuration.py
+++ b/src/quetzalpass/membership/configuration.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from quetzalpass import ids
-from quetzalpass.declarations import delta, schema
+from quetzalpass.declarations import delta, relays, schema
 
 LOG = logbook.Logger("membership")
 
@@ -33,6 +33,8 @@
         The declared values.
     models, classes, services, servers, vms, organisations : dict
         Declared values by name or id.
+    routes_by_host : dict of str to dict of str to HostRoute
+        Routes by host in lower case, then by path prefix.
     highest_priority : int
         Priority of the most urgent class; 0 if none is declared.
     organisations_by_key : dict of str to Organisation
@@ -67,6 +69,30 @@
             for digest in each.key_sha256
         }
 
+        self.routes_by_host: dict[str, dict[str, relays.HostRoute]] = {}
+        for route in declaration.routes:
+            by_prefix = self.routes_by_host.setdefault(route.host.lower(), {})
+            by_prefix[route.path_prefix] = route
+
+    def route_of(self, host: str, path: str) -> relays.HostRoute | None:
+        """Return the route of a host whose path prefix is the longest that fits.
+
+        Parameters
+        ----------
+        host : str
+            Host without a port, in any case.
+        path : str
+            Path of the request without its query.
+        """
+        by_prefix = self.routes_by_host.get(host.lower(), {})
+        end = path.rfind("/")
+        while end >= 0:
+            route = by_prefix.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
     def organisation_of_key(self, key: str) -> schema.Organisation | None:
         """Return the organisation that a caller's key belongs to.
 
--- /dev/null
+++ b/src/quetzalpass/membership/control_links.py
@@ -0,0 +1,206 @@
+"""A gateway's links to the control nodes, which it learns from its seeds."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import logbook
+from returns import result
+
+from quetzalpass import ids
+from quetzalpass.membership import (
+    configuration,
+    discovery,
+    fleet_messages,
+    fleet_view,
+    peer_client,
+    spread,
+)
+from quetzalpass.wire import transport
+
+LOG = logbook.Logger("membership")
+
+REVISION_WAIT_S = 1.0
+REVISION_TIMEOUT_S = 0.6
+RETRY_S = 0.25
+FLEET_WAIT_S = 0.25
+FLEET_TIMEOUT_S = 1.2
+# Without news for so long a gateway reads the list of servers itself.
+FLEET_SILENCE_S = 1.5
+OWN_READ_INTERVAL_S = 1.5
+OWN_READ_TIMEOUT_S = 1.0
+# Most control nodes answer at once; one that is cut off must not hold up a start.
+FIRST_ANSWERS_S = 1.0
+
+
+class ControlLinks:
+    """Follows the declaration at all control nodes and the fleet at the leading one.
+
+    Parameters
+    ----------
+    vm : VmId
+        This gateway.
+    seeds : tuple of VmId
+        Control nodes to begin with; some may be stale.
+    holder : configuration.ConfigurationHolder
+        Where revisions come into force.
+    view : fleet_view.FleetView
+        Where the list of servers goes.
+    channel : transport.PeerTransport
+        Way to the control nodes.
+    source : discovery.ServerSource
+        The list, for times in which no control node can be reached.
+    make_request : callable
+        Returns this gateway's load as a request for the fleet.
+    rng : random.Random
+        Order in which control nodes are tried.
+    """
+
+    def __init__(
+        self,
+        vm: ids.VmId,
+        seeds: tuple[ids.VmId, ...],
+        holder: configuration.ConfigurationHolder,
+        view: fleet_view.FleetView,
+        channel: transport.PeerTransport,
+        source: discovery.ServerSource,
+        make_request: Callable[[int, float], fleet_messages.FleetRequest],
+        rng: random.Random,
+    ) -> None:
+        self.vm = vm
+        self.seeds = seeds
+        self.holder = holder
+        self.view = view
+        self.channel = channel
+        self.source = source
+        self.make_request = make_request
+        self.rng = rng
+        self.controls: set[ids.VmId] = set(seeds)
+        self.followers: dict[ids.VmId, asyncio.Task[None]] = {}
+        self.answered: set[ids.VmId] = set()
+        self.tasks: list[asyncio.Task[None]] = []
+        self.version = 0
+        self.watcher: ids.VmId | None = None
+        self.heard_at_s = 0.0
+        self.started_at_s = 0.0
+        self.send_now = asyncio.Event()
+        self.verdict_observers: list[Callable[[fleet_messages.FleetReply], None]] = []
+
+    def start(self) -> None:
+        """Start to follow the control nodes."""
+        self.started_at_s = self.heard_at_s = asyncio.get_running_loop().time()
+        self.follow_controls()
+        self.tasks.append(asyncio.create_task(self.exchange()))
+        self.tasks.append(asyncio.create_task(self.read_alone()))
+
+    def stop(self) -> None:
+        """Stop all tasks."""
+        for task in [*self.tasks, *self.followers.values()]:
+            task.cancel()
+
+    def is_informed(self) -> bool:
+        """Return whether the newest revision is here, as far as can be known.
+
+        A revision must have come, and every control node have been asked: the first
+        one to answer may be behind the others.
+        """
+        if self.holder.current is None:
+            return False
+        waited_s = asyncio.get_running_loop().time() - self.started_at_s
+        return self.answered >= self.controls or waited_s > FIRST_ANSWERS_S
+
+    def adopt_seeds(self, seeds: tuple[ids.VmId, ...]) -> None:
+        """Take other seeds from the settings."""
+        if seeds != self.seeds:
+            LOG.info("membership: The seeds are {} now.", ", ".join(seeds))
+        self.seeds = seeds
+        self.adopt_controls(self.controls | set(seeds))
+
+    def adopt_controls(self, controls: set[ids.VmId]) -> None:
+        """Follow the given control nodes, and no others."""
+        if controls != self.controls:
+            LOG.info("membership: Control nodes: {}.", ", ".join(sorted(controls)))
+        self.controls = controls
+        self.follow_controls()
+
+    def follow_controls(self) -> None:
+        """Have one task for each control node."""
+        for vm in list(self.followers):
+            if vm not in self.controls:
+                self.followers.pop(vm).cancel()
+        for vm in self.controls:
+            if vm not in self.followers:
+                self.followers[vm] = asyncio.create_task(self.follow(vm))
+
+    async def follow(self, vm: ids.VmId) -> None:
+        """Wait at one control node for the next revision, for ever."""
+        client = peer_client.PeerClient(vm, self.channel)
+        while True:
+            wait_s = REVISION_WAIT_S if self.holder.current is not None else 0.0
+            has_answered = await spread.pull_revision(
+                self.holder, client, wait_s, wait_s + REVISION_TIMEOUT_S
+            )
+            if has_answered and self.holder.current is not None:
+                self.answered.add(vm)
+            if not has_answered or self.holder.current is None:
+                await asyncio.sleep(RETRY_S)
+
+    async def exchange(self) -> None:
+        """Tell the load to the node that watches the fleet and get its view."""
+        while True:
+            target = self.watcher or self.rng.choice(sorted(self.controls))
+            self.send_now.clear()
+            is_first = self.watcher is None
+            request = self.make_request(self.version, 0.0 if is_first else FLEET_WAIT_S)
+            reply = await self.channel.call(target, request, FLEET_TIMEOUT_S)
+            if isinstance(reply, result.Failure) or not self.take(reply.unwrap()):
+                await self.look_for_watcher(reply)
+
+    async def look_for_watcher(
+        self, reply: "result.Result[fleet_messages.FleetReply, object]"
+    ) -> None:
+        """Choose another node to ask, after a short pause."""
+        lost = self.watcher
+        self.watcher = None
+        self.version = 0
+        if isinstance(reply, result.Success):
+            self.watcher = reply.unwrap().leader
+        if lost is not None:
+            LOG.warning("membership: {} no longer tells of the fleet.", lost)
+        await asyncio.sleep(RETRY_S if self.watcher == lost else 0.0)
+        await asyncio.sleep(RETRY_S / 2)
+
+    def take(self, reply: fleet_messages.FleetReply) -> bool:
+        """Take in a reply; return whether it came from the node that watches."""
+        if reply.controls:
+            self.adopt_controls(set(reply.controls) | set(self.seeds))
+        if not reply.is_watching:
+            return False
+        if self.watcher != reply.leader:
+            LOG.info("membership: {} tells of the fleet.", reply.leader)
+        self.watcher = reply.leader
+        self.heard_at_s = asyncio.get_running_loop().time()
+        self.version = reply.version
+        if reply.servers is not None:
+            self.view.take_list(reply.servers, reply.age_s)
+        self.view.read_at_s = self.heard_at_s - reply.age_s
+        self.view.take_uses(reply.uses, reply.gateways)
+        for observer in self.verdict_observers:
+            observer(reply)
+        return True
+
+    async def read_alone(self) -> None:
+        """Read the list while no control node tells of the fleet."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(OWN_READ_INTERVAL_S * self.rng.uniform(0.8, 1.2))
+            if loop.time() - self.heard_at_s < FLEET_SILENCE_S:
+                continue
+            listed = await self.source.list_servers(OWN_READ_TIMEOUT_S)
+            if isinstance(listed, result.Failure):
+                message = listed.failure().message
+                LOG.warning("membership: No list of servers: {}.", message)
+                continue
+            LOG.info("membership: Read the list of servers without a control node.")
+            self.version = 0
+            self.view.take_list(listed.unwrap(), 0.0)
--- /dev/null
+++ b/src/quetzalpass/membership/fleet_board.py
@@ -0,0 +1,201 @@
+"""What the leading control node knows of the fleet and tells the gateways."""
+
+import asyncio
+from collections.abc import Callable
+
+import logbook
+import msgspec
+from returns import result
+
+from quetzalpass import ids
+from quetzalpass.lifecycle import quarantine
+from quetzalpass.membership import discovery, fleet_messages
+
+LOG = logbook.Logger("membership")
+
+READ_INTERVAL_S = 0.35
+READ_TIMEOUT_S = 1.0
+MAX_READ_BACKOFF_S = 2.0
+USE_LIFETIME_S = 2.0
+# What a gateway was told by a server itself counts until the list says it too.
+ANNOUNCEMENT_LIFETIME_S = 20.0
+
+
+class GatewayReport(msgspec.Struct, frozen=True):
+    """The newest load of one gateway, and when it came."""
+
+    uses: tuple[fleet_messages.ServerUse, ...]
+    at_s: float
+
+
+class FleetBoard:
+    """Reads the list of servers and gathers the load of the gateways.
+
+    One node reads for all, since the list allows few calls a second.
+
+    Parameters
+    ----------
+    source : discovery.ServerSource
+        The list.
+    is_active : callable
+        Returns whether this node is the one that reads.
+    first_version : int
+        Differs at each start, so that no gateway takes a new list for an old one.
+    """
+
+    def __init__(
+        self,
+        source: discovery.ServerSource,
+        is_active: Callable[[], bool],
+        first_version: int,
+    ) -> None:
+        self.source = source
+        self.is_active = is_active
+        self.servers: tuple[discovery.DiscoveredServer, ...] = ()
+        self.listed: tuple[discovery.DiscoveredServer, ...] = ()
+        self.version = first_version
+        self.read_at_s: float | None = None
+        self.changed = asyncio.Event()
+        self.reports: dict[ids.VmId, GatewayReport] = {}
+        self.announced: dict[ids.ServerId, float] = {}
+        self.suspects = quarantine.Quarantine("board")
+
+    async def run(self) -> None:
+        """Read the list again and again while this node is the one that does."""
+        pause_s = READ_INTERVAL_S
+        while True:
+            if self.is_active():
+                is_read = await self.read_once()
+                pause_s = (
+                    READ_INTERVAL_S if is_read else min(MAX_READ_BACKOFF_S, 2 * pause_s)
+                )
+            else:
+                self.read_at_s = None
+                pause_s = READ_INTERVAL_S
+            await asyncio.sleep(pause_s)
+
+    async def read_once(self) -> bool:
+        """Read the list; return whether that succeeded."""
+        listed = await self.source.list_servers(READ_TIMEOUT_S)
+        if isinstance(listed, result.Failure):
+            LOG.warning("membership: No list of servers: {}.", listed.failure().message)
+            return False
+        self.listed = listed.unwrap()
+        self.read_at_s = asyncio.get_running_loop().time()
+        self.publish()
+        return True
+
+    def announce(self, server_ids: tuple[ids.ServerId, ...]) -> None:
+        """Note servers that have told a gateway that they leave."""
+        now_s = asyncio.get_running_loop().time()
+        for server_id in server_ids:
+            if server_id not in self.announced:
+                LOG.info("membership: {} has announced that it leaves.", server_id)
+            self.announced[server_id] = now_s
+        if server_ids:
+            self.publish()
+
+    def publish(self) -> None:
+        """Make a new version if anything about the servers has changed."""
+        now_s = asyncio.get_running_loop().time()
+        for server_id, at_s in list(self.announced.items()):
+            if now_s - at_s > ANNOUNCEMENT_LIFETIME_S:
+                del self.announced[server_id]
+        servers = tuple(self.with_announcement(each) for each in self.listed)
+        if unhurried(servers) == unhurried(self.servers):
+            return
+        self.servers = servers
+        self.version += 1
+        LOG.info(
+            "membership: Version {} of the list has {} servers, {} leaving.",
+            self.version,
+            len(servers),
+            sum(each.state is discovery.ServerState.LEAVING for each in servers),
+        )
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
+
+    def with_announcement(
+        self, server: discovery.DiscoveredServer
+    ) -> discovery.DiscoveredServer:
+        """Return a server as leaving if it has said so itself."""
+        if server.id not in self.announced:
+            return server
+        return msgspec.structs.replace(server, state=discovery.ServerState.LEAVING)
+
+    async def answer(
+        self,
+        request: fleet_messages.FleetRequest,
+        leader: ids.VmId | None,
+        controls: tuple[ids.VmId, ...],
+    ) -> fleet_messages.FleetReply:
+        """Take in a gateway's load and answer with the fleet."""
+        if not self.is_active() or self.read_at_s is None:
+            return fleet_messages.FleetReply(False, leader, controls)
+        self.take_in(request)
+        if request.known_version == self.version and request.wait_s > 0:
+            await self.wait_for_change(request.wait_s)
+        now_s = asyncio.get_running_loop().time()
+        is_known = request.known_version == self.version
+        return fleet_messages.FleetReply(
+            True,
+            leader,
+            controls,
+            len(self.reports),
+            self.version,
+            now_s - self.read_at_s if self.read_at_s is not None else 0.0,
+            None if is_known else self.servers,
+            self.uses_of_others(request.gateway),
+            self.suspects.verdicts_since(0),
+        )
+
+    def take_in(self, request: fleet_messages.FleetRequest) -> None:
+        """Note what a gateway has told."""
+        now_s = asyncio.get_running_loop().time()
+        self.reports[request.gateway] = GatewayReport(request.uses, now_s)
+        self.announce(request.leaving)
+        if request.verdicts is not None:
+            self.suspects.merge(request.verdicts)
+
+    async def wait_for_change(self, wait_s: float) -> None:
+        """Wait for the next version, at most for a time."""
+        try:
+            async with asyncio.timeout(wait_s):
+                await self.changed.wait()
+        except TimeoutError:
+            return
+
+    def uses_of_others(self, gateway: ids.VmId) -> tuple[fleet_messages.ServerUse, ...]:
+        """Return the summed load of all gateways but one."""
+        now_s = asyncio.get_running_loop().time()
+        sums: dict[ids.ServerId, fleet_messages.ServerUse] = {}
+        for vm, report in list(self.reports.items()):
+            if now_s - report.at_s > USE_LIFETIME_S:
+                del self.reports[vm]
+            elif vm != gateway:
+                add_uses(sums, report.uses)
+        return tuple(sums.values())
+
+
+def add_uses(
+    sums: dict[ids.ServerId, fleet_messages.ServerUse],
+    uses: tuple[fleet_messages.ServerUse, ...],
+) -> None:
+    """Add the load of one gateway to the sums."""
+    for use in uses:
+        so_far = sums.get(use.server, fleet_messages.ServerUse(use.server))
+        sums[use.server] = fleet_messages.ServerUse(
+            use.server,
+            so_far.requests + use.requests,
+            so_far.tokens + use.tokens,
+            so_far.copy_tokens + use.copy_tokens,
+        )
+
+
+def unhurried(
+    servers: tuple[discovery.DiscoveredServer, ...],
+) -> tuple[discovery.DiscoveredServer, ...]:
+    """Return the servers without what changes with the clock alone."""
+    return tuple(
+        msgspec.structs.replace(each, cold_ms=int(each.cold_ms > 0)) for each in servers
+    )
--- /dev/null
+++ b/src/quetzalpass/membership/fleet_messages.py
@@ -0,0 +1,93 @@
+"""Messages between gateways and control nodes about backend servers and their load."""
+
+import msgspec
+
+from quetzalpass import ids
+from quetzalpass.lifecycle import quarantine
+from quetzalpass.membership import discovery
+from quetzalpass.wire import messages
+
+
+class ServerUse(msgspec.Struct, frozen=True):
+    """What gateways have on one backend server.
+
+    Attributes
+    ----------
+    server : ServerId
+        The server.
+    requests : int
+        Requests under way.
+    tokens : int
+        Tokens that their memory is expected to reach.
+    copy_tokens : int
+        Tokens that backups of generations on other servers are expected to reach.
+    """
+
+    server: ids.ServerId
+    requests: int = 0
+    tokens: int = 0
+    copy_tokens: int = 0
+
+
+class FleetReply(messages.Reply, frozen=True):
+    """What a control node knows of the fleet.
+
+    Attributes
+    ----------
+    is_watching : bool
+        Whether this node reads the list of servers. The rest is empty where not.
+    leader : VmId or None
+        The node that does, as far as this one knows.
+    controls : tuple of VmId
+        All control nodes.
+    gateways : int
+        Gateways that were heard from lately.
+    version : int
+        Changes whenever ``servers`` does.
+    age_s : float
+        Time since the list was read, in seconds.
+    servers : tuple of DiscoveredServer
+        The list; left out where the asker has this version.
+    uses : tuple of ServerUse
+        What all other gateways have on the servers, summed up.
+    verdicts : quarantine.Verdicts or None
+        Requests that are suspected of crashing servers.
+    """
+
+    is_watching: bool
+    leader: ids.VmId | None = None
+    controls: tuple[ids.VmId, ...] = ()
+    gateways: int = 1
+    version: int = 0
+    age_s: float = 0.0
+    servers: tuple[discovery.DiscoveredServer, ...] | None = None
+    uses: tuple[ServerUse, ...] = ()
+    verdicts: quarantine.Verdicts | None = None
+
+
+class FleetRequest(messages.Request, frozen=True):
+    """A gateway tells its load and asks for the fleet.
+
+    Attributes
+    ----------
+    gateway : VmId
+        The gateway.
+    known_version : int
+        Version of the list that it has; 0 for none.
+    wait_s : float
+        How long the node may wait for a newer version before it answers.
+    uses : tuple of ServerUse
+        What this gateway has on the servers.
+    leaving : tuple of ServerId
+        Servers that have announced to this gateway that they leave.
+    verdicts : quarantine.Verdicts or None
+        Requests that this gateway suspects of crashing servers.
+    """
+
+    reply_type = FleetReply
+    gateway: ids.VmId
+    known_version: int
+    wait_s: float
+    uses: tuple[ServerUse, ...] = ()
+    leaving: tuple[ids.ServerId, ...] = ()
+    verdicts: quarantine.Verdicts | None = None
--- /dev/null
+++ b/src/quetzalpass/membership/fleet_view.py
@@ -0,0 +1,131 @@
+"""What one gateway knows of the backend servers that were discovered."""
+
+import asyncio
+from collections.abc import Callable
+
+import logbook
+import msgspec
+
+from quetzalpass import ids
+from quetzalpass.membership import discovery, fleet_messages
+
+LOG = logbook.Logger("membership")
+
+MS_PER_S = 1000
+
+
+class KnownServer(msgspec.Struct):
+    """A server and what is known of it here.
+
+    Attributes
+    ----------
+    server : discovery.DiscoveredServer
+        The newest entry of the list.
+    warm_at_s : float
+        Loop time from which it is no longer slow after its start.
+    leaving_since_s : float or None
+        Loop time at which it was first known to leave.
+    """
+
+    server: discovery.DiscoveredServer
+    warm_at_s: float = 0.0
+    leaving_since_s: float | None = None
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether it takes no new work."""
+        return self.leaving_since_s is not None
+
+
+class FleetView:
+    """The servers by id, and who is told when one leaves.
+
+    Attributes
+    ----------
+    servers : dict of ServerId to KnownServer
+        All servers that the list names.
+    uses : dict of ServerId to fleet_messages.ServerUse
+        What the other gateways have on each.
+    gateways : int
+        Number of gateways.
+    read_at_s : float or None
+        Loop time at which the list was read.
+    leaving_observers : list of callable
+        Called with the id of each server that begins to leave or is gone.
+    change_observers : list of callable
+        Called after each change.
+    """
+
+    def __init__(self) -> None:
+        self.servers: dict[ids.ServerId, KnownServer] = {}
+        self.uses: dict[ids.ServerId, fleet_messages.ServerUse] = {}
+        self.gateways = 1
+        self.read_at_s: float | None = None
+        self.own_announcements: dict[ids.ServerId, float] = {}
+        self.leaving_observers: list[Callable[[ids.ServerId], None]] = []
+        self.change_observers: list[Callable[[], None]] = []
+
+    def take_list(
+        self, servers: tuple[discovery.DiscoveredServer, ...], age_s: float
+    ) -> None:
+        """Replace the list."""
+        now_s = asyncio.get_running_loop().time()
+        self.read_at_s = now_s - age_s
+        listed = {each.id: each for each in servers}
+        gone = [each for each in self.servers if each not in listed]
+        leaving = [each for each in listed.values() if self.note(each, now_s)]
+        for server_id in gone:
+            del self.servers[server_id]
+            self.own_announcements.pop(server_id, None)
+        for server_id in [*gone, *(each.id for each in leaving)]:
+            for observer in self.leaving_observers:
+                observer(server_id)
+        self.tell_change()
+
+    def note(self, server: discovery.DiscoveredServer, now_s: float) -> bool:
+        """Take in one entry; return whether the server has just begun to leave."""
+        known = self.servers.get(server.id)
+        if known is None or known.server.started_ms != server.started_ms:
+            known = self.servers[server.id] = KnownServer(server)
+        known.server = server
+        known.warm_at_s = now_s + server.cold_ms / MS_PER_S
+        is_leaving = server.state is discovery.ServerState.LEAVING
+        if is_leaving and not known.is_leaving:
+            known.leaving_since_s = now_s
+            return True
+        is_announced = server.id in self.own_announcements
+        if not is_leaving and not is_announced:
+            known.leaving_since_s = None
+        return False
+
+    def announce(self, server_id: ids.ServerId) -> None:
+        """Note that a server has told this gateway that it leaves."""
+        known = self.servers.get(server_id)
+        if known is None or known.is_leaving:
+            return
+        now_s = asyncio.get_running_loop().time()
+        known.leaving_since_s = now_s
+        self.own_announcements[server_id] = now_s
+        LOG.info("membership: {} says that it leaves.", server_id)
+        for observer in self.leaving_observers:
+            observer(server_id)
+        self.tell_change()
+
+    def take_uses(
+        self, uses: tuple[fleet_messages.ServerUse, ...], gateways: int
+    ) -> None:
+        """Replace what the other gateways have on the servers."""
+        self.uses = {each.server: each for each in uses}
+        self.gateways = max(1, gateways)
+        self.tell_change()
+
+    def tell_change(self) -> None:
+        """Tell everyone who waits for room."""
+        for observer in self.change_observers:
+            observer()
+
+    def of_service(self, service: ids.ServiceName) -> list[KnownServer]:
+        """Return the servers of a service, leaving ones included."""
+        return [
+            each for each in self.servers.values() if each.server.service == service
+        ]
--- a/src/quetzalpass/membership/spread.py
+++ b/src/quetzalpass/membership/spread.py
@@ -109,21 +109,46 @@
         self, client: peer_client.PeerClient, wait_s: float, timeout_s: float
     ) -> bool:
         """Ask a peer for a newer revision; return whether it answered."""
-        base = self.holder.revision()
-        answer = await client.fetch_declaration(base, wait_s, timeout_s)
+        return await pull_revision(self.holder, client, wait_s, timeout_s)
+
+
+async def pull_revision(
+    holder: configuration.ConfigurationHolder,
+    client: peer_client.PeerClient,
+    wait_s: float,
+    timeout_s: float,
+) -> bool:
+    """Ask a peer for a newer revision and put it in force.
+
+    Parameters
+    ----------
+    holder : configuration.ConfigurationHolder
+        Where the revision comes into force.
+    client : peer_client.PeerClient
+        Client of the peer.
+    wait_s : float
+        How long the peer may wait for a newer one.
+    timeout_s : float
+        How long one try may take.
+
+    Returns
+    -------
+    bool
+        Whether the peer answered.
+    """
+    base = holder.revision()
+    answer = await client.fetch_declaration(base, wait_s, timeout_s)
+    if isinstance(answer, result.Failure):
+        return False
+    reply = answer.unwrap()
+    if reply.delta:
+        taken = holder.activate_delta(base, reply.revision, reply.digest, reply.delta)
+        if taken or holder.revision() >= reply.revision:
+            return True
+        answer = await client.fetch_declaration(base, 0.0, timeout_s, whole=True)
         if isinstance(answer, result.Failure):
             return False
         reply = answer.unwrap()
-        if reply.delta:
-            taken = self.holder.activate_delta(
-                base, reply.revision, reply.digest, reply.delta
-            )
-            if taken or self.holder.revision() >= reply.revision:
-                return True
-            answer = await client.fetch_declaration(base, 0.0, timeout_s, whole=True)
-            if isinstance(answer, result.Failure):
-                return False
-            reply = answer.unwrap()
-        if reply.revision:
-            self.holder.activate(reply.revision, reply.digest, reply.data)
-        return True
+    if reply.revision:
+        holder.activate(reply.revision, reply.digest, reply.data)
+    return True
--- /dev/null
+++ b/src/quetzalpass/routing/relay_placement.py
@@ -0,0 +1,167 @@
+"""Choice of backend servers for relayed requests, without any input or output.
+
+Load patterns that the choices answer:
+
+- Drafts of unknown length fill an engine's memory in the middle of decoding, and it
+  then puts out running work: a generation is placed by the memory that it is expected
+  to reach, on top of what all gateways have placed there.
+- Engines are reclaimed at short notice: each long generation gets a backup on another
+  engine, as long as that leaves room for new work.
+- Several gateways decide on the same reports: among servers that are about as good one
+  is drawn by lot.
+"""
+
+import random
+from collections.abc import Sequence
+
+import msgspec
+
+from quetzalpass import ids
+
+# Part of an engine's memory that expected use may reach; estimates err both ways.
+MEMORY_FILL = 0.92
+# Part that may be taken when a backup is placed, so that new work finds room.
+BACKUP_FILL = 0.8
+# A generation below this size is over before a backup would be of use, in tokens.
+SMALLEST_BACKUP = 2_000
+BATCH_WEIGHT = 0.5
+COLD_PENALTY = 0.3
+DISTANCE_PENALTY = 0.02
+# Scores that differ by less count as equal.
+TIE_MARGIN = 0.05
+DISTANT_REQUESTS = 0.25
+
+
+class GenerationNeed(msgspec.Struct, frozen=True):
+    """Memory that a generation needs.
+
+    Attributes
+    ----------
+    tokens : int
+        Tokens of prompt and output that it is expected to reach.
+    output_tokens : int
+        Part of them that is output.
+    """
+
+    tokens: int
+    output_tokens: int
+
+
+class ServerRoom(msgspec.Struct, frozen=True):
+    """What is known of one server at the time of a decision.
+
+    Attributes
+    ----------
+    server_id : ServerId
+        The server.
+    data_centre : DataCentreId
+        Where it runs.
+    requests : int
+        Requests of all gateways on it.
+    tokens : int
+        Memory that these are expected to reach, in tokens.
+    copy_tokens : int
+        Memory that backups on it are expected to reach, in tokens.
+    slots : int
+        Requests that run at once.
+    memory_tokens : int
+        Its memory; 0 for a plain service.
+    is_cold : bool
+        It has just started and is slow.
+    """
+
+    server_id: ids.ServerId
+    data_centre: ids.DataCentreId
+    requests: int
+    tokens: int
+    copy_tokens: int
+    slots: int
+    memory_tokens: int = 0
+    is_cold: bool = False
+
+
+def fill_of(room: ServerRoom, more_tokens: int) -> float:
+    """Return the part of an engine's memory in use with some more tokens."""
+    return (room.tokens + room.copy_tokens + more_tokens) / room.memory_tokens
+
+
+def engine_score(
+    room: ServerRoom, need: GenerationNeed, here: ids.DataCentreId
+) -> float:
+    """Return how crowded an engine would be; lower is better."""
+    score = fill_of(room, need.tokens) + BATCH_WEIGHT * room.requests / room.slots
+    score += COLD_PENALTY * room.is_cold
+    return score + DISTANCE_PENALTY * (room.data_centre != here)
+
+
+def fits(room: ServerRoom, need: GenerationNeed) -> bool:
+    """Return whether an engine has a place and the memory for a generation."""
+    if room.requests >= room.slots:
+        return False
+    is_empty = room.requests == 0 and room.copy_tokens == 0
+    return is_empty or fill_of(room, need.tokens) <= MEMORY_FILL
+
+
+def choose_engine(
+    need: GenerationNeed,
+    rooms: Sequence[ServerRoom],
+    here: ids.DataCentreId,
+    rng: random.Random,
+) -> ids.ServerId | None:
+    """Return the engine that is to run a generation, or None while none has room."""
+    scores = {
+        room.server_id: engine_score(room, need, here)
+        for room in rooms
+        if fits(room, need)
+    }
+    return draw_among_best(scores, rng)
+
+
+def choose_backup(
+    need: GenerationNeed,
+    rooms: Sequence[ServerRoom],
+    here: ids.DataCentreId,
+    rng: random.Random,
+) -> ids.ServerId | None:
+    """Return the engine that is to hold a generation's backup, if one has room.
+
+    Parameters
+    ----------
+    need : GenerationNeed
+        The generation.
+    rooms : sequence of ServerRoom
+        Engines other than the one that runs it.
+    here : DataCentreId
+        Data centre of the engine that runs it.
+    rng : random.Random
+        Draws among engines that are about as good.
+    """
+    if need.tokens < SMALLEST_BACKUP or need.output_tokens == 0:
+        return None
+    scores = {
+        room.server_id: engine_score(room, need, here)
+        for room in rooms
+        if fill_of(room, need.tokens) <= BACKUP_FILL
+    }
+    return draw_among_best(scores, rng)
+
+
+def draw_among_best(
+    scores: dict[ids.ServerId, float], rng: random.Random
+) -> ids.ServerId | None:
+    """Return one of the servers whose score is about the lowest."""
+    if not scores:
+        return None
+    limit = min(scores.values()) + TIE_MARGIN
+    return rng.choice(sorted(each for each, score in scores.items() if score <= limit))
+
+
+def choose_service_server(
+    rooms: Sequence[ServerRoom], here: ids.DataCentreId, rng: random.Random
+) -> ids.ServerId | None:
+    """Return the server of a plain service with the fewest requests for its size."""
+    scores = {}
+    for room in rooms:
+        distance = DISTANT_REQUESTS * (room.data_centre != here)
+        scores[room.server_id] = (room.requests + distance) / room.slots
+    return draw_among_best(scores, rng)
--- a/src/quetzalpass/wire/transport.py
+++ b/src/quetzalpass/wire/transport.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import ssl
+from collections.abc import Iterator, Mapping
 
 import aiohttp
 from returns import result
@@ -51,12 +52,36 @@
         """Close all connections."""
 
 
+class DirectAddresses(Mapping[ids.VmId, str]):
+    """Addresses of VMs whose ids are ``host:port`` themselves.
+
+    Daemons that find each other by seeds use such ids, so that one that has only been
+    heard of can be reached.
+    """
+
+    def __getitem__(self, vm: ids.VmId) -> str:
+        """Return the base URL of a VM."""
+        return f"http://{vm}"
+
+    def __contains__(self, vm: object) -> bool:
+        """Return whether a VM can be addressed: always."""
+        return True
+
+    def __iter__(self) -> Iterator[ids.VmId]:
+        """Iterate over nothing, as the VMs are not listed."""
+        return iter(())
+
+    def __len__(self) -> int:
+        """Return 0, as the VMs are not listed."""
+        return 0
+
+
 class HttpTransport(PeerTransport):
     """Calls over HTTP with one pool of kept connections for each peer.
 
     Parameters
     ----------
-    addresses : dict of ids.VmId to str
+    addresses : Mapping of ids.VmId to str
         Base URL of each peer, such as ``http://10.0.0.1:7301``.
     cluster_key : str
         Key that the VMs of one system share.
@@ -71,7 +96,7 @@
 
     def __init__(
         self,
-        addresses: dict[ids.VmId, str],
+        addresses: Mapping[ids.VmId, str],
         cluster_key: str,
         ssl_context: ssl.SSLContext | None = None,
     ) -> None:
