--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -14,6 +14,7 @@
 from quetzalpass import event_log, ids
 from quetzalpass.backends import base, event_splitter, relays
 from quetzalpass.lifecycle import (
+    quarantine,
     relay_gateway,
     relay_places,
     relay_requests,
@@ -27,9 +28,11 @@
 # than any pause that a loaded engine makes between two events.
 SILENCE_WITH_BACKUP_S = 1.2
 FIRST_EVENT_WITH_BACKUP_S = 4.0
-COPY_TIMEOUT_S = 1.5
-LAST_COPY_TIMEOUT_S = 1.0
-MOVE_TRIES = 2
+COPY_TIMEOUT_S = 2.0
+# A backup is sent several times a second; it is of use a little after the first event.
+BACKUP_DELAY_S = 0.5
+MOVE_RETRY_S = 0.15
+MOVE_TRIES = 6
 # Largest part of an event that is held until the event is whole.
 MAX_EVENT_BYTES = 1_048_576
 STATUS_OK = 200
@@ -44,11 +47,39 @@
     BROKEN = "broken"
 
 
-class MovedMemory(msgspec.Struct, frozen=True):
-    """Memory of a stopped generation that lies ready at another server."""
+class Leg(msgspec.Struct):
+    """The part of a generation that one server runs.
 
-    source: discovery.DiscoveredServer
-    destination: discovery.DiscoveredServer
+    Attributes
+    ----------
+    place : relay_places.Place
+        Place on that server.
+    answer : relays.RelayAnswer
+        Its stream.
+    flight : quarantine.Flight
+        Entry among the requests that may crash a server.
+    """
+
+    place: relay_places.Place
+    answer: relays.RelayAnswer
+    flight: quarantine.Flight
+
+
+class Copy(msgspec.Struct, frozen=True):
+    """A copy of a generation's memory.
+
+    Attributes
+    ----------
+    server : discovery.DiscoveredServer
+        Server that has it.
+    holder : str
+        Address under which it is known.
+    copy_id : str
+        Its name there.
+    """
+
+    server: discovery.DiscoveredServer
+    holder: str
     copy_id: str
 
 
@@ -80,6 +111,12 @@
 
     Attributes
     ----------
+    leg : Leg or None
+        The server that runs it now.
+    next_leg : Leg or None
+        The server on which it goes on already, while the last one still runs it.
+    moved : Copy or None
+        A copy that was made on purpose and not used yet.
     last_event_id : str or None
         Last event that was passed on.
     """
@@ -95,14 +132,14 @@
         self.response = response
         size = routed.request.size or relay_requests.GenerationSize(0, 0)
         self.need = size.need()
-        self.place: relay_places.Place | None = None
-        self.answer: relays.RelayAnswer | None = None
-        self.moved: MovedMemory | None = None
+        self.leg: Leg | None = None
+        self.next_leg: Leg | None = None
+        self.moved: Copy | None = None
         self.mover: asyncio.Task | None = None
         self.last_event_id: str | None = None
         self.events = 0
+        self.first_event_s: float | None = None
         self.may_have_run = False
-        self.flight = None
         self.refused: set[ids.ServerId] = set()
 
     @property
@@ -110,6 +147,10 @@
         """Return the caller's id of the request."""
         return self.routed.request.request_id
 
+    def now_s(self) -> float:
+        """Return the event loop's time."""
+        return asyncio.get_running_loop().time()
+
     async def run(self) -> None:
         """Serve the request to its end.
 
@@ -123,11 +164,12 @@
             raise StreamFailedError(refusal)
         self.gateway.streams[self.request_id] = self
         try:
-            await self.start()
+            self.leg = await self.start()
             while await self.relay_leg() is LegEnd.BROKEN:
                 await self.go_on_elsewhere()
             self.gateway.suspects.clear(self.routed.fingerprint(), None)
-            await self.response.finish()
+            if self.response.has_begun:
+                await self.response.finish()
         finally:
             del self.gateway.streams[self.request_id]
             self.clean_up()
@@ -136,45 +178,40 @@
         """Give back everything that the request holds."""
         if self.mover is not None:
             self.mover.cancel()
-        self.leave_server()
+        for leg in (self.leg, self.next_leg):
+            if leg is not None:
+                self.end_leg(leg)
         if self.moved is not None:
-            self.gateway.spawn(self.drop_moved(self.moved))
-        if self.place is not None:
-            self.place.release()
-
-    def leave_server(self) -> None:
-        """Close the connection to the server, which ends the run there."""
-        if self.answer is not None:
-            self.answer.close()
-            self.answer = None
-        if self.flight is not None and self.place is not None:
-            self.gateway.suspects.leave(self.place.server.id, self.request_id)
-            self.flight = None
-
-    async def start(self) -> None:
+            self.gateway.spawn(self.drop_copy(self.moved))
+
+    def end_leg(self, leg: Leg) -> None:
+        """Close the connection of a leg, which ends the run there."""
+        leg.answer.close()
+        self.gateway.suspects.leave(leg.place.server.id, self.request_id)
+        leg.place.release()
+
+    async def start(self) -> Leg:
         """Find an engine that takes the request and answers it."""
         while True:
             waited = await self.gateway.places.wait_for_engine(self.routed, self.need)
             if isinstance(waited, result.Failure):
                 raise StreamFailedError(waited.failure())
-            self.place = waited.unwrap()
-            self.gateway.places.give_backup(self.routed, self.place)
-            sent = await self.send(None)
-            if isinstance(sent, result.Success):
-                return
-            self.note_refused(sent.failure())
-
-    def note_refused(self, failure: base.AttemptFailure) -> None:
-        """Give the place back after a send that has not run; else end the request."""
-        server_id = self.place.server.id
-        self.place.release()
-        self.place = None
+            place = waited.unwrap()
+            opened = await self.open_leg(place, None)
+            if isinstance(opened, result.Success):
+                return opened.unwrap()
+            self.note_refused(place, opened.failure())
+
+    def note_refused(
+        self, place: relay_places.Place, failure: base.AttemptFailure
+    ) -> None:
+        """Go on after a first send that has not run; else end the request."""
         if self.may_have_run:
-            raise StreamFailedError(broken_failure(failure))
-        self.refused.add(server_id)
+            raise StreamFailedError(lost_failure(failure.message))
+        self.refused.add(place.server.id)
         if failure.end is base.AttemptEnd.NOT_SENT:
-            self.gateway.places.eject(server_id, failure.message)
-        now_s = asyncio.get_running_loop().time()
+            self.gateway.places.eject(place.server.id, failure.message)
+        now_s = self.now_s()
         is_over = len(self.refused) >= MAX_REFUSED or now_s >= self.routed.deadline_s
         service = self.routed.service.name
         if is_over or not self.gateway.budget.spend(service, now_s):
@@ -182,53 +219,69 @@
                 self.gateway.places.refusal(self.routed, failure.message)
             )
 
-    async def send(
-        self, continuation: relays.Continuation | None
-    ) -> result.Result[None, base.AttemptFailure]:
-        """Send the request to the server of the present place."""
-        server = self.place.server
-        backup = self.place.backup
-        left_s = self.routed.deadline_s - asyncio.get_running_loop().time()
+    async def open_leg(
+        self, place: relay_places.Place, copy: Copy | None
+    ) -> result.Result[Leg, base.AttemptFailure]:
+        """Send the request to the server of a place, which is given back on failure.
+
+        Parameters
+        ----------
+        place : relay_places.Place
+            Where it is to run.
+        copy : Copy or None
+            The memory from which it goes on; ``None`` at its start.
+        """
+        server = place.server
+        self.gateway.places.give_backup(self.routed, place)
         options = relays.SendOptions(
-            left_s,
-            backup.address if backup else None,
-            continuation,
+            self.routed.deadline_s - self.now_s(),
+            place.backup.address if place.backup else None,
+            self.continuation_from(copy),
             self.routed.rank,
         )
-        self.note_send(continuation)
-        self.flight = self.gateway.suspects.enter(
+        self.note_send(place, copy)
+        flight = self.gateway.suspects.enter(
             server.id, self.request_id, self.routed.fingerprint()
         )
-        is_first = not self.may_have_run
-        self.may_have_run = True
-        sent = await self.gateway.server_of(server).send(self.routed.call(), options)
-        if isinstance(sent, result.Failure):
-            failure = sent.failure()
-            has_run = failure.end in (
-                base.AttemptEnd.MAY_HAVE_RUN,
-                base.AttemptEnd.RAN,
+        had_run, self.may_have_run = self.may_have_run, True
+        try:
+            sent = await self.gateway.server_of(server).send(
+                self.routed.call(), options
             )
-            self.may_have_run = has_run or not is_first
-            self.note_broken(failure)
-            return sent
-        self.answer = sent.unwrap()
-        self.gateway.note_head(server, self.answer.head)
-        return result.Success(None)
-
-    def note_send(self, continuation: relays.Continuation | None) -> None:
+        except BaseException:
+            self.gateway.suspects.leave(server.id, self.request_id)
+            place.release()
+            raise
+        if isinstance(sent, result.Success):
+            answer = sent.unwrap()
+            self.gateway.note_head(server, answer.head)
+            return result.Success(Leg(place, answer, flight))
+        failure = sent.failure()
+        is_not_run = failure.end in (base.AttemptEnd.NOT_SENT, base.AttemptEnd.REFUSED)
+        self.may_have_run = had_run or not is_not_run
+        place.release()
+        self.note_broken(server, failure)
+        return sent
+
+    def continuation_from(self, copy: Copy | None) -> relays.Continuation | None:
+        """Return how a server is told to go on from a copy."""
+        if copy is None:
+            return None
+        return relays.Continuation(copy.holder, copy.copy_id, self.last_event_id)
+
+    def note_send(self, place: relay_places.Place, copy: Copy | None) -> None:
         """Log where the request is sent and why."""
-        place = self.place
-        waited_s = asyncio.get_running_loop().time() - self.routed.request.arrived_s
+        waited_s = self.now_s() - self.routed.request.arrived_s
         backup = place.backup.id if place.backup else "none"
         detail = f"after {waited_s:.3f} s, needs {place.need.tokens}, backup {backup}"
-        if continuation is not None:
-            detail += f", goes on after event {continuation.last_event_id}"
+        if copy is not None:
+            detail += f", goes on after event {self.last_event_id}"
         self.gateway.note(self.routed, "send", place.server.id, detail)
 
-    def note_broken(self, failure: base.AttemptFailure) -> None:
+    def note_broken(
+        self, server: discovery.DiscoveredServer, failure: base.AttemptFailure
+    ) -> None:
         """Log a break, and find out beside the request whether the server is dead."""
-        server = self.place.server
-        self.flight = None
         self.gateway.note(
             self.routed,
             "broken",
@@ -240,58 +293,57 @@
 
     async def relay_leg(self) -> LegEnd:
         """Pass on what the present server sends until its stream ends or breaks."""
-        head = self.answer.head
+        leg = self.leg
+        head = leg.answer.head
         if head.status != STATUS_OK:
-            await self.relay_failure(head)
+            await self.relay_failure(leg)
             return LegEnd.COMPLETE
         if not self.response.has_begun:
             await self.response.begin(head)
-        if self.place_is_leaving():
-            self.on_leaving()
+        if self.is_leaving(leg.place.server.id):
+            self.start_moving()
         splitter = event_splitter.EventSplitter()
         while True:
-            chunk = await self.next_chunk()
+            chunk = await self.next_chunk(leg)
             if isinstance(chunk, result.Failure):
-                self.answer.close()
-                self.answer = None
-                self.note_broken(chunk.failure())
+                if self.next_leg is None:
+                    self.note_broken(leg.place.server, chunk.failure())
                 return LegEnd.BROKEN
             data = chunk.unwrap()
             if not data:
                 if splitter.rest:
                     await self.response.write(splitter.rest)
-                self.gateway.places.note_success(self.place.server.id)
+                self.gateway.places.note_success(leg.place.server.id)
                 return LegEnd.COMPLETE
-            await self.pass_on(splitter.feed(data))
+            await self.pass_on(leg, splitter.feed(data))
             if len(splitter.rest) > MAX_EVENT_BYTES:
                 raise StreamFailedError(too_large_failure())
 
-    async def relay_failure(self, head: relays.AnswerHead) -> None:
+    async def relay_failure(self, leg: Leg) -> None:
         """Pass on a whole answer that is not a stream."""
+        status = leg.answer.head.status
         if self.response.has_begun:
             raise StreamFailedError(lost_failure("the server answered no stream"))
-        body = await self.answer.read_body()
+        body = await leg.answer.read_body()
         if isinstance(body, result.Failure):
-            raise StreamFailedError(broken_failure(body.failure()))
-        if head.status in PROMISING:
-            raise StreamFailedError(lost_failure(f"the server answered {head.status}"))
-        if head.status >= SERVER_ERROR:
-            detail = f"status {head.status}"
-            self.gateway.note(
-                self.routed, "server_failed", self.place.server.id, detail
-            )
-        await self.response.send_whole(head, body.unwrap())
-
-    async def next_chunk(self) -> result.Result[bytes, base.AttemptFailure]:
+            raise StreamFailedError(lost_failure(body.failure().message))
+        if status in PROMISING:
+            raise StreamFailedError(lost_failure(f"the server answered {status}"))
+        if status >= SERVER_ERROR:
+            detail = f"status {status}"
+            self.gateway.note(self.routed, "server_failed", leg.place.server.id, detail)
+        await self.response.send_whole(leg.answer.head, body.unwrap())
+
+    async def next_chunk(self, leg: Leg) -> result.Result[bytes, base.AttemptFailure]:
         """Wait for bytes; where a backup is there, not for ever."""
         silence_s = None
-        if self.place.backup is not None:
+        if leg.place.backup is not None:
             silence_s = SILENCE_WITH_BACKUP_S
             if not self.events:
                 silence_s = FIRST_EVENT_WITH_BACKUP_S
         try:
             async with asyncio.timeout(silence_s):
-                return await self.answer.next_chunk()
+                return await leg.answer.next_chunk()
         except TimeoutError:
             return result.Failure(
                 base.AttemptFailure(
@@ -301,15 +353,16 @@
                 )
             )
 
-    async def pass_on(self, events: list[event_splitter.Event]) -> None:
+    async def pass_on(self, leg: Leg, events: list[event_splitter.Event]) -> None:
         """Pass on whole events, each once and in order."""
         fresh = [event for event in events if self.is_next(event)]
         if not fresh:
             return
+        if self.first_event_s is None:
+            self.first_event_s = self.now_s()
         self.events += len(fresh)
-        if self.flight is not None:
-            self.flight.opened = True
-            self.flight.tokens = self.events
+        leg.flight.opened = True
+        leg.flight.tokens = self.events
         await self.response.write(b"".join(event.data for event in fresh))
 
     def is_next(self, event: event_splitter.Event) -> bool:
@@ -332,130 +385,159 @@
         self.last_event_id = event.id
         return True
 
-    def place_is_leaving(self) -> bool:
-        """Return whether the present server is known to leave."""
-        known = self.gateway.view.servers.get(self.place.server.id)
+    def is_leaving(self, server_id: ids.ServerId) -> bool:
+        """Return whether a server is known to leave, or gone."""
+        known = self.gateway.view.servers.get(server_id)
         return known is None or known.is_leaving
 
     def on_server_leaving(self, server_id: ids.ServerId) -> None:
         """React to a server that begins to leave or is gone."""
-        if self.place is None or self.answer is None:
-            return
-        if self.place.backup is not None and self.place.backup.id == server_id:
-            self.place.set_backup(None)
-        if self.place.server.id == server_id:
-            self.on_leaving()
-
-    def on_leaving(self) -> None:
-        """Get the generation away from its server."""
-        if self.mover is not None and not self.mover.done():
-            return
-        self.mover = self.gateway.spawn(self.move_away())
-
-    async def move_away(self) -> None:
-        """Go on at the backup, or move the memory if there is none."""
-        if self.place.backup is not None:
-            detail = f"backup {self.place.backup.id}"
-            self.gateway.note(self.routed, "leave", self.place.server.id, detail)
-            self.answer.close()
-            return
-        engine = self.routed.service.engine
-        if engine is None or not engine.moves:
-            return
+        for leg in (self.leg, self.next_leg):
+            if leg is None:
+                continue
+            backup = leg.place.backup
+            if backup is not None and backup.id == server_id:
+                leg.place.set_backup(None)
+        if self.leg is not None and self.leg.place.server.id == server_id:
+            self.start_moving()
+
+    def start_moving(self) -> None:
+        """Get the generation away from its server, beside the stream."""
+        if self.mover is None or self.mover.done():
+            self.mover = self.gateway.spawn(self.move_away(self.leg))
+
+    async def move_away(self, leg: Leg) -> None:
+        """Have another server go on before the present one is let go.
+
+        Both run for a moment; what comes twice is passed on once.
+        """
+        await self.wait_for_backup(leg)
         for _ in range(MOVE_TRIES):
-            if await self.move_once():
+            copy = self.backup_copy(leg) or await self.move_memory(leg)
+            if copy is not None and await self.open_next_leg(leg, copy):
                 return
+            await asyncio.sleep(MOVE_RETRY_S)
+        self.gateway.note(
+            self.routed,
+            "not_moved",
+            leg.place.server.id,
+            f"after {MOVE_TRIES} tries",
+            event_log.Level.NOTICE,
+        )
 
-    async def move_once(self) -> bool:
-        """Copy the memory while the generation runs, stop it, copy the rest."""
-        source = self.place.server
-        excluded = frozenset((source.id,))
-        places = self.gateway.places
-        goal = places.engine_place(self.routed, self.need, excluded)
-        if goal is None:
-            goal = places.engine_place(self.routed, relay_places.NO_NEED, excluded)
+    async def wait_for_backup(self, leg: Leg) -> None:
+        """Wait until the backup should have got the first part of the memory."""
+        if leg.place.backup is None:
+            return
+        first_s = self.first_event_s or self.now_s()
+        await asyncio.sleep(max(0.0, first_s + BACKUP_DELAY_S - self.now_s()))
+
+    def backup_copy(self, leg: Leg) -> Copy | None:
+        """Return the backup of a leg, if its server is still there."""
+        backup = leg.place.backup
+        if backup is None or self.is_leaving(backup.id):
+            return None
+        return Copy(backup, backup.address, self.request_id)
+
+    async def open_next_leg(self, leg: Leg, copy: Copy) -> bool:
+        """Go on from a copy while the present server still runs; return if it works."""
+        place = self.gateway.places.place_on(copy.server, self.need)
+        opened = await self.open_leg(place, copy)
+        if isinstance(opened, result.Failure):
+            if copy.copy_id == self.request_id:
+                leg.place.set_backup(None)
+            self.moved = None
+            return False
+        self.moved = None
+        next_leg = opened.unwrap()
+        if next_leg.answer.head.status != STATUS_OK:
+            self.end_leg(next_leg)
+            return False
+        self.next_leg = next_leg
+        leg.answer.close()
+        return True
+
+    async def move_memory(self, leg: Leg) -> Copy | None:
+        """Copy the memory to an engine with room, while the generation runs."""
+        engine = self.routed.service.engine
+        if engine is None or not engine.moves:
+            return None
+        source = leg.place.server
+        goal = self.place_for_move(source.id)
         if goal is None:
             self.gateway.note(self.routed, "no_move", source.id, "no engine has room")
-            await asyncio.sleep(relay_places.PUMP_INTERVAL_S)
-            return False
+            return None
         try:
-            copied = await self.copy_to(goal.server)
+            copied = await self.gateway.server_of(source).copy_memory(
+                self.request_id, goal.server.address, COPY_TIMEOUT_S, is_last=False
+            )
         finally:
             goal.release()
-        if copied is None:
-            return False
-        self.moved = MovedMemory(source, goal.server, copied.copy_id)
-        detail = f"to {goal.server.id}, {copied.events} events made"
+        if isinstance(copied, result.Failure):
+            message = copied.failure().message
+            self.gateway.note(
+                self.routed,
+                "copy_failed",
+                goal.server.id,
+                message,
+                event_log.Level.NOTICE,
+            )
+            return None
+        moved = copied.unwrap()
+        detail = f"to {goal.server.id}, {moved.events} events made"
         self.gateway.note(self.routed, "moved", source.id, detail)
-        return True
+        self.moved = Copy(goal.server, source.address, moved.copy_id)
+        return self.moved
 
-    async def copy_to(
-        self, destination: discovery.DiscoveredServer
-    ) -> relays.MovedCopy | None:
-        """Copy the memory twice, the second time with the generation stopped."""
-        server = self.gateway.server_of(self.place.server)
-        for is_last, timeout_s in (
-            (False, COPY_TIMEOUT_S),
-            (True, LAST_COPY_TIMEOUT_S),
-        ):
-            copied = await server.copy_memory(
-                self.request_id, destination.address, timeout_s, is_last=is_last
-            )
-            if isinstance(copied, result.Failure):
-                self.gateway.note(
-                    self.routed,
-                    "copy_failed",
-                    destination.id,
-                    copied.failure().message,
-                    event_log.Level.NOTICE,
-                )
-                return None
-        return copied.unwrap()
+    def place_for_move(self, source: ids.ServerId) -> relay_places.Place | None:
+        """Return a place that is kept while the memory is copied."""
+        excluded = frozenset((source,))
+        places = self.gateway.places
+        place = places.engine_place(self.routed, self.need, excluded)
+        if place is not None:
+            return place
+        return places.engine_place(self.routed, relay_places.NO_NEED, excluded)
 
     async def go_on_elsewhere(self) -> None:
-        """Continue the generation where its memory lies.
+        """Continue on the next server, or where a copy of the memory lies.
 
         Raises
         ------
         StreamFailedError
-            If its memory is lost.
+            If the memory is lost.
         """
-        if self.mover is not None and not self.mover.done() and not self.place.backup:
-            await asyncio.wait([self.mover])
-        target, continuation = self.next_target()
-        old = self.place
-        need = old.need
-        old.release()
-        self.place = self.gateway.places.place_on(target, need)
-        if self.moved is None or self.moved.destination.id == target.id:
-            self.moved = None
-        self.gateway.places.give_backup(self.routed, self.place)
-        now_s = asyncio.get_running_loop().time()
-        self.gateway.budget.spend(self.routed.service.name, now_s)
-        sent = await self.send(continuation)
-        if isinstance(sent, result.Failure):
-            raise StreamFailedError(lost_failure(sent.failure().message))
-
-    def next_target(
-        self,
-    ) -> tuple[discovery.DiscoveredServer, relays.Continuation]:
-        """Return the server that has the memory, and under which name."""
-        moved = self.moved
-        if moved is not None:
-            return moved.destination, relays.Continuation(
-                moved.source.address, moved.copy_id, self.last_event_id
-            )
-        backup = self.place.backup
-        if backup is None or backup.id not in self.gateway.view.servers:
-            raise StreamFailedError(lost_failure("the server went and no copy is left"))
-        return backup, relays.Continuation(
-            backup.address, self.request_id, self.last_event_id
-        )
+        if self.next_leg is None and self.mover is not None and self.moved is None:
+            await asyncio.wait([self.mover], timeout=COPY_TIMEOUT_S)
+        broken = self.leg
+        if self.next_leg is None:
+            self.next_leg = await self.open_leg_from_copy(broken)
+        self.leg, self.next_leg = self.next_leg, None
+        self.end_leg(broken)
+        self.gateway.budget.spend(self.routed.service.name, self.now_s())
+
+    async def open_leg_from_copy(self, broken: Leg) -> Leg:
+        """Go on from the copy that is left of a leg that broke.
 
-    async def drop_moved(self, moved: MovedMemory) -> None:
+        Raises
+        ------
+        StreamFailedError
+            If there is none.
+        """
+        copy = self.moved or self.backup_copy(broken)
+        if copy is None:
+            raise StreamFailedError(lost_failure("the server went and no copy is left"))
+        broken.answer.close()
+        place = self.gateway.places.place_on(copy.server, self.need)
+        opened = await self.open_leg(place, copy)
+        self.moved = None
+        if isinstance(opened, result.Failure):
+            raise StreamFailedError(lost_failure(opened.failure().message))
+        return opened.unwrap()
+
+    async def drop_copy(self, copy: Copy) -> None:
         """Free a copy that nobody is going to use."""
-        server = self.gateway.server_of(moved.source)
-        await server.drop_copy(moved.copy_id, COPY_TIMEOUT_S)
+        server = self.gateway.server_of(copy.server)
+        await server.drop_copy(copy.copy_id, COPY_TIMEOUT_S)
 
 
 def lost_failure(message: str) -> failures.Failure:
@@ -465,11 +547,6 @@
     )
 
 
-def broken_failure(failure: base.AttemptFailure) -> failures.Failure:
-    """Return the failure of a generation that may have run."""
-    return lost_failure(failure.message)
-
-
 def too_large_failure() -> failures.Failure:
     """Return the failure of a stream with an event without an end."""
     return failures.Failure(
