--- a/src/quetzalpass/routing/relay_placement.py
+++ b/src/quetzalpass/routing/relay_placement.py
@@ -20,8 +20,10 @@
 
 # Part of an engine's memory that expected use may reach; estimates err both ways.
 MEMORY_FILL = 0.92
+# Part of a backup's memory that counts against new work.
+COPY_WEIGHT = 1.0
 # Part that may be taken when a backup is placed, so that new work finds room.
-BACKUP_FILL = 0.8
+BACKUP_FILL = 0.65
 # A generation below this size is over before a backup would be of use, in tokens.
 SMALLEST_BACKUP = 2_000
 BATCH_WEIGHT = 0.5
@@ -98,8 +100,10 @@
     """Return whether an engine has a place and the memory for a generation."""
     if room.requests >= room.slots:
         return False
-    is_empty = room.requests == 0 and room.copy_tokens == 0
-    return is_empty or fill_of(room, need.tokens) <= MEMORY_FILL
+    if room.requests == 0 and room.copy_tokens == 0:
+        return True
+    used_tokens = room.tokens + COPY_WEIGHT * room.copy_tokens + need.tokens
+    return used_tokens <= MEMORY_FILL * room.memory_tokens
 
 
 def choose_engine(
