--- a/src/quetzalpass/backends/connections.py
+++ b/src/quetzalpass/backends/connections.py
@@ -46,6 +46,17 @@
             self.arrived = []
             self.receive(parts[0] if len(parts) == 1 else b"".join(parts))
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail a body that a reset has cut.
+
+        A body without a length ends with its connection, and the base class takes any
+        end for a good one.
+        """
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(f"reset: {exc!r}"))
+        super().connection_lost(exc)
+
     def hand_over(self) -> None:
         """Give the listener what has arrived before the body's end."""
         parts = self.arrived
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -139,6 +139,10 @@
         self.last_event_id: str | None = None
         self.events = 0
         self.first_event_s: float | None = None
+        self.last_event_s = 0.0
+        self.longest_pause_s = 0.0
+        self.longest_pause_event = 0
+        self.legs = 0
         self.may_have_run = False
         self.refused: set[ids.ServerId] = set()
 
@@ -170,6 +174,9 @@
             self.gateway.suspects.clear(self.routed.fingerprint(), None)
             if self.response.has_begun:
                 await self.response.finish()
+            self.gateway.note(
+                self.routed, "streamed", self.leg.place.server.id, self.summary()
+            )
         finally:
             del self.gateway.streams[self.request_id]
             self.clean_up()
@@ -240,6 +247,7 @@
             self.routed.rank,
         )
         self.note_send(place, copy)
+        self.legs += 1
         flight = self.gateway.suspects.enter(
             server.id, self.request_id, self.routed.fingerprint()
         )
@@ -358,13 +366,31 @@
         fresh = [event for event in events if self.is_next(event)]
         if not fresh:
             return
-        if self.first_event_s is None:
-            self.first_event_s = self.now_s()
+        self.note_pause()
         self.events += len(fresh)
         leg.flight.opened = True
         leg.flight.tokens = self.events
         await self.response.write(b"".join(event.data for event in fresh))
 
+    def note_pause(self) -> None:
+        """Keep the longest pause between two events."""
+        now_s = self.now_s()
+        if self.first_event_s is None:
+            self.first_event_s = now_s
+        elif now_s - self.last_event_s > self.longest_pause_s:
+            self.longest_pause_s = now_s - self.last_event_s
+            self.longest_pause_event = self.events
+        self.last_event_s = now_s
+
+    def summary(self) -> str:
+        """Return how the stream went, for the log."""
+        first_s = (self.first_event_s or 0.0) - self.routed.request.arrived_s
+        return (
+            f"first event after {first_s:.3f} s, {self.events} events, longest pause "
+            f"{self.longest_pause_s:.3f} s before event {self.longest_pause_event}, "
+            f"{self.legs} servers"
+        )
+
     def is_next(self, event: event_splitter.Event) -> bool:
         """Return whether an event follows the last one; a repeated one does not.
 
--- /dev/null
+++ b/tests/backends/test_unframed_answers.py
@@ -0,0 +1,46 @@
+import asyncio
+import socket
+import struct
+
+import aiohttp
+import pytest
+
+from quetzalpass.backends import http_client
+from quetzalpass.settings import schema
+
+HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+async def body_from(is_reset):
+    """Return the body of an answer without a length, as the client reads it."""
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + b"part")
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        if is_reset:
+            connection = writer.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    session = http_client.open_session(schema.Limits(), reuse=False)
+    try:
+        async with session.get(f"http://127.0.0.1:{port}/") as response:
+            return await response.read()
+    finally:
+        await session.close()
+        server.close()
+        await server.wait_closed()
+
+
+class TestAnswersWithoutALength:
+    async def test_an_orderly_end_is_the_end_of_the_body(self):
+        assert await body_from(is_reset=False) == b"part"
+
+    async def test_a_reset_is_not(self):
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await body_from(is_reset=True)
