--- a/src/quetzalpass/backends/relays.py
+++ b/src/quetzalpass/backends/relays.py
@@ -176,6 +176,18 @@
             closes without its end.
         """
 
+    @abc.abstractmethod
+    async def hints_leaving(
+        self, wait_s: float
+    ) -> result.Result[bool, base.AttemptFailure]:
+        """Wait for news of the server; return whether it may be about to leave.
+
+        Parameters
+        ----------
+        wait_s : float
+            How long the server may hold the question.
+        """
+
     @abc.abstractmethod
     async def is_leaving(self) -> bool:
         """Ask the server whether it is about to leave."""
--- a/src/quetzalpass/daemon/control_site.py
+++ b/src/quetzalpass/daemon/control_site.py
@@ -22,6 +22,7 @@
     fleet_board,
     fleet_messages,
     inner_messages,
+    leaving_watch,
     peer_client,
 )
 from quetzalpass.results import codes, failures
@@ -70,6 +71,8 @@
         Its settings.
     source : discovery.ServerSource
         The list of backend servers.
+    connect : leaving_watch.Connect
+        Makes the adapter of a backend server.
     cluster_key : str
         Key that daemons send to each other.
     rng : random.Random
@@ -80,6 +83,7 @@
         self,
         settings: ControlSettings,
         source: discovery.ServerSource,
+        connect: leaving_watch.Connect,
         cluster_key: str,
         rng: random.Random,
     ) -> None:
@@ -97,6 +101,7 @@
         self.board = fleet_board.FleetBoard(
             source, self.is_watcher, rng.getrandbits(VERSION_BITS)
         )
+        self.watch = leaving_watch.LeavingWatch(self.board, connect)
         self.tasks: list[asyncio.Task] = []
         self.runner: web.AppRunner | None = None
 
@@ -119,6 +124,7 @@
         await self.listen()
         replica_role.unwrap(await self.group.start())
         self.tasks.append(asyncio.create_task(self.board.run()))
+        self.tasks.append(asyncio.create_task(self.watch.run()))
 
     def build_group(self) -> consensus_group.Group:
         """Return the replica of the declaration's group."""
@@ -155,6 +161,7 @@
         """Hand leadership over and stop taking part."""
         for task in self.tasks:
             task.cancel()
+        self.watch.stop()
         await self.group.hand_over()
         await self.group.stop()
         if self.runner is not None:
