--- a/src/quetzalpass/lifecycle/relay_places.py
+++ b/src/quetzalpass/lifecycle/relay_places.py
@@ -58,6 +58,14 @@
         if backup is not None:
             self.places.add_use(backup.id, copy_tokens=self.need.tokens)
 
+    def grow(self, need: relay_placement.GenerationNeed) -> None:
+        """Note that the generation has got further."""
+        more = need.tokens - self.need.tokens
+        self.need = need
+        self.places.add_use(self.server.id, tokens=more)
+        if self.backup is not None:
+            self.places.add_use(self.backup.id, copy_tokens=more)
+
     def release(self) -> None:
         """Give the place back; a second call has no effect."""
         if not self.is_held:
--- a/src/quetzalpass/lifecycle/relay_requests.py
+++ b/src/quetzalpass/lifecycle/relay_requests.py
@@ -41,7 +41,7 @@
         if self.hinted_output_tokens is not None:
             output = HINT_MARGIN * self.hinted_output_tokens
         expected = int(min(output, self.max_output_tokens))
-        return relay_placement.GenerationNeed(self.prompt_tokens + expected, expected)
+        return relay_placement.GenerationNeed(self.prompt_tokens, expected)
 
 
 class RelayRequest(msgspec.Struct, frozen=True):
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -33,6 +33,8 @@
 BACKUP_DELAY_S = 0.5
 MOVE_RETRY_S = 0.15
 MOVE_TRIES = 6
+# How often the count of a generation's memory is brought up to date.
+GROWTH_STEP_TOKENS = 64
 # Largest part of an event that is held until the event is whole.
 MAX_EVENT_BYTES = 1_048_576
 STATUS_OK = 200
@@ -368,10 +370,19 @@
             return
         self.note_pause()
         self.events += len(fresh)
+        self.note_growth(leg)
         leg.flight.opened = True
         leg.flight.tokens = self.events
         await self.response.write(b"".join(event.data for event in fresh))
 
+    def note_growth(self, leg: Leg) -> None:
+        """Keep count of the memory that the generation takes."""
+        engine = self.routed.service.engine
+        made = self.events * (engine.tokens_per_event if engine else 1)
+        if made - self.need.made_tokens >= GROWTH_STEP_TOKENS:
+            self.need = msgspec.structs.replace(self.need, made_tokens=made)
+            leg.place.grow(self.need)
+
     def note_pause(self) -> None:
         """Keep the longest pause between two events."""
         now_s = self.now_s()
--- a/src/quetzalpass/routing/relay_placement.py
+++ b/src/quetzalpass/routing/relay_placement.py
@@ -20,6 +20,8 @@
 
 # Part of an engine's memory that expected use may reach; estimates err both ways.
 MEMORY_FILL = 0.92
+# Part of a generation's expected growth that is kept free for it.
+GROWTH_SHARE = 0.5
 # Part of a backup's memory that counts against new work.
 COPY_WEIGHT = 1.0
 # Part that may be taken when a backup is placed, so that new work finds room.
@@ -39,14 +41,27 @@
 
     Attributes
     ----------
-    tokens : int
-        Tokens of prompt and output that it is expected to reach.
+    prompt_tokens : int
+        Tokens of its prompt.
     output_tokens : int
-        Part of them that is output.
+        Tokens of output that it is expected to reach.
+    made_tokens : int
+        Tokens of output that it has made.
     """
 
-    tokens: int
+    prompt_tokens: int
     output_tokens: int
+    made_tokens: int = 0
+
+    @property
+    def tokens(self) -> int:
+        """Return the memory to keep for it, in tokens.
+
+        Generations on one engine are at different points of their output, and some end
+        before others have grown; so only a part of the growth is kept.
+        """
+        growth = max(0, self.output_tokens - self.made_tokens)
+        return self.prompt_tokens + self.made_tokens + int(GROWTH_SHARE * growth)
 
 
 class ServerRoom(msgspec.Struct, frozen=True):
