--- a/src/quetzalpass/declarations/bounds.py
+++ b/src/quetzalpass/declarations/bounds.py
@@ -81,6 +81,7 @@
     Bound(relays.EngineTraits, "token_bytes"),
     Bound(relays.EngineTraits, "link_mbps"),
     Bound(relays.EngineTraits, "copy_lifetime_s", above=True),
+    Bound(relays.EngineTraits, "prefill_tokens_per_s", above=True),
     Bound(relays.CallerLimits, "header_bytes", 1),
     Bound(relays.CallerLimits, "body_bytes", 1),
     Bound(relays.CallerLimits, "header_timeout_ms", 1),
--- a/src/quetzalpass/declarations/relays.py
+++ b/src/quetzalpass/declarations/relays.py
@@ -92,6 +92,8 @@
         The memory of a running generation can be copied as it grows.
     copy_lifetime_s : float
         How long an unused copy is kept.
+    prefill_tokens_per_s : float
+        Prompt tokens that one engine reads in a second.
     """
 
     max_batch: int
@@ -102,6 +104,7 @@
     moves: bool = False
     backups: bool = False
     copy_lifetime_s: float = 5.0
+    prefill_tokens_per_s: float = 14_000.0
 
 
 class CallerLimits(strict.Strict, frozen=True):
--- a/src/quetzalpass/lifecycle/relay_places.py
+++ b/src/quetzalpass/lifecycle/relay_places.py
@@ -42,13 +42,15 @@
         places: "Places",
         server: discovery.DiscoveredServer,
         need: relay_placement.GenerationNeed,
+        prefill_tokens: int = 0,
     ) -> None:
         self.places = places
         self.server = server
         self.need = need
         self.backup: discovery.DiscoveredServer | None = None
         self.is_held = True
-        places.add_use(server.id, requests=1, tokens=need.tokens)
+        self.prefill_tokens = prefill_tokens
+        places.add_use(server.id, 1, need.tokens, 0, prefill_tokens)
 
     def set_backup(self, backup: discovery.DiscoveredServer | None) -> None:
         """Note on which server the growing copy lies from now on."""
@@ -58,6 +60,11 @@
         if backup is not None:
             self.places.add_use(backup.id, copy_tokens=self.need.tokens)
 
+    def note_first_event(self) -> None:
+        """Note that the server has read the prompt."""
+        self.places.add_use(self.server.id, prefill_tokens=-self.prefill_tokens)
+        self.prefill_tokens = 0
+
     def grow(self, need: relay_placement.GenerationNeed) -> None:
         """Note that the generation has got further."""
         more = need.tokens - self.need.tokens
@@ -72,6 +79,7 @@
             return
         self.is_held = False
         self.set_backup(None)
+        self.note_first_event()
         self.places.add_use(self.server.id, requests=-1, tokens=-self.need.tokens)
         self.places.pump()
 
@@ -126,17 +134,16 @@
         requests: int = 0,
         tokens: int = 0,
         copy_tokens: int = 0,
+        prefill_tokens: int = 0,
     ) -> None:
         """Change what this gateway has on a server."""
-        old = self.uses.get(server_id, fleet_messages.ServerUse(server_id))
-        new = fleet_messages.ServerUse(
-            server_id,
-            old.requests + requests,
-            old.tokens + tokens,
-            old.copy_tokens + copy_tokens,
+        none = fleet_messages.ServerUse(server_id)
+        change = fleet_messages.ServerUse(
+            server_id, requests, tokens, copy_tokens, prefill_tokens
         )
+        new = self.uses.get(server_id, none).plus(change)
         assert new.requests >= 0, "a place is given back once"
-        if new == fleet_messages.ServerUse(server_id):
+        if new == none:
             self.uses.pop(server_id, None)
         else:
             self.uses[server_id] = new
@@ -176,17 +183,19 @@
         """Return what is on one server now."""
         server = known.server
         none = fleet_messages.ServerUse(server.id)
-        own = self.uses.get(server.id, none)
-        others = self.view.uses.get(server.id, none)
+        use = self.uses.get(server.id, none)
+        use = use.plus(self.view.uses.get(server.id, none))
         engine = routed.service.engine
         return relay_placement.ServerRoom(
             server.id,
             server.data_centre,
-            own.requests + others.requests,
-            own.tokens + others.tokens,
-            own.copy_tokens + others.copy_tokens,
+            use.requests,
+            use.tokens,
+            use.copy_tokens,
             max(1, engine.max_batch if engine else server.slots),
+            use.prefill_tokens,
             engine.memory_tokens if engine else 0,
+            engine.prefill_tokens_per_s if engine else 1.0,
             now_s < known.warm_at_s,
         )
 
@@ -213,6 +222,22 @@
         """Return a place on an engine with room, if there is one."""
         rooms = self.rooms(routed, excluded)
         chosen = relay_placement.choose_engine(need, rooms, self.data_centre, self.rng)
+        if chosen is None:
+            return None
+        server = self.view.servers[chosen].server
+        return Place(self, server, need, need.prompt_tokens)
+
+    def move_target(
+        self,
+        routed: relay_requests.RoutedRequest,
+        need: relay_placement.GenerationNeed,
+        source: discovery.DiscoveredServer,
+    ) -> Place | None:
+        """Return a place for the memory of a generation that leaves a server."""
+        rooms = self.rooms(routed, frozenset((source.id,)))
+        chosen = relay_placement.choose_move_target(
+            need, rooms, source.data_centre, self.rng
+        )
         if chosen is None:
             return None
         return Place(self, self.view.servers[chosen].server, need)
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -370,6 +370,7 @@
             return
         self.note_pause()
         self.events += len(fresh)
+        leg.place.note_first_event()
         self.note_growth(leg)
         leg.flight.opened = True
         leg.flight.tokens = self.events
@@ -500,7 +501,7 @@
         if engine is None or not engine.moves:
             return None
         source = leg.place.server
-        goal = self.place_for_move(source.id)
+        goal = self.place_for_move(source)
         if goal is None:
             self.gateway.note(self.routed, "no_move", source.id, "no engine has room")
             return None
@@ -526,14 +527,15 @@
         self.moved = Copy(goal.server, source.address, moved.copy_id)
         return self.moved
 
-    def place_for_move(self, source: ids.ServerId) -> relay_places.Place | None:
+    def place_for_move(
+        self, source: discovery.DiscoveredServer
+    ) -> relay_places.Place | None:
         """Return a place that is kept while the memory is copied."""
-        excluded = frozenset((source,))
         places = self.gateway.places
-        place = places.engine_place(self.routed, self.need, excluded)
+        place = places.move_target(self.routed, self.need, source)
         if place is not None:
             return place
-        return places.engine_place(self.routed, relay_places.NO_NEED, excluded)
+        return places.move_target(self.routed, relay_places.NO_NEED, source)
 
     async def go_on_elsewhere(self) -> None:
         """Continue on the next server, or where a copy of the memory lies.
--- a/src/quetzalpass/membership/fleet_board.py
+++ b/src/quetzalpass/membership/fleet_board.py
@@ -183,13 +183,8 @@
 ) -> None:
     """Add the load of one gateway to the sums."""
     for use in uses:
-        so_far = sums.get(use.server, fleet_messages.ServerUse(use.server))
-        sums[use.server] = fleet_messages.ServerUse(
-            use.server,
-            so_far.requests + use.requests,
-            so_far.tokens + use.tokens,
-            so_far.copy_tokens + use.copy_tokens,
-        )
+        none = fleet_messages.ServerUse(use.server)
+        sums[use.server] = sums.get(use.server, none).plus(use)
 
 
 def unhurried(
--- a/src/quetzalpass/membership/fleet_messages.py
+++ b/src/quetzalpass/membership/fleet_messages.py
@@ -21,12 +21,25 @@
         Tokens that their memory is expected to reach.
     copy_tokens : int
         Tokens that backups of generations on other servers are expected to reach.
+    prefill_tokens : int
+        Prompt tokens of requests whose first event has not come.
     """
 
     server: ids.ServerId
     requests: int = 0
     tokens: int = 0
     copy_tokens: int = 0
+    prefill_tokens: int = 0
+
+    def plus(self, other: "ServerUse") -> "ServerUse":
+        """Return the sum of two uses of one server."""
+        return ServerUse(
+            self.server,
+            self.requests + other.requests,
+            self.tokens + other.tokens,
+            self.copy_tokens + other.copy_tokens,
+            self.prefill_tokens + other.prefill_tokens,
+        )
 
 
 class FleetReply(messages.Reply, frozen=True):
--- a/src/quetzalpass/routing/relay_placement.py
+++ b/src/quetzalpass/routing/relay_placement.py
@@ -7,6 +7,8 @@
   to reach, on top of what all gateways have placed there.
 - Engines are reclaimed at short notice: each long generation gets a backup on another
   engine, as long as that leaves room for new work.
+- An engine that has just come is empty, and would get all that waits: reading so many
+  prompts takes it seconds. A placement counts the prompts that are still to be read.
 - Several gateways decide on the same reports: among servers that are about as good one
   is drawn by lot.
 """
@@ -31,6 +33,10 @@
 BATCH_WEIGHT = 0.5
 COLD_PENALTY = 0.3
 DISTANCE_PENALTY = 0.02
+# Copying memory to another data centre takes twice as long.
+MOVE_DISTANCE_PENALTY = 0.4
+# Score of a second that a prompt waits until it is read.
+PREFILL_WEIGHT_PER_S = 1.0
 # Scores that differ by less count as equal.
 TIE_MARGIN = 0.05
 DISTANT_REQUESTS = 0.25
@@ -79,10 +85,14 @@
         Memory that these are expected to reach, in tokens.
     copy_tokens : int
         Memory that backups on it are expected to reach, in tokens.
+    prefill_tokens : int
+        Prompt tokens of requests on it whose first event has not come.
     slots : int
         Requests that run at once.
     memory_tokens : int
         Its memory; 0 for a plain service.
+    prefill_tokens_per_s : float
+        Prompt tokens that it reads in a second.
     is_cold : bool
         It has just started and is slow.
     """
@@ -93,7 +103,9 @@
     tokens: int
     copy_tokens: int
     slots: int
+    prefill_tokens: int = 0
     memory_tokens: int = 0
+    prefill_tokens_per_s: float = 1.0
     is_cold: bool = False
 
 
@@ -107,6 +119,7 @@
 ) -> float:
     """Return how crowded an engine would be; lower is better."""
     score = fill_of(room, need.tokens) + BATCH_WEIGHT * room.requests / room.slots
+    score += PREFILL_WEIGHT_PER_S * room.prefill_tokens / room.prefill_tokens_per_s
     score += COLD_PENALTY * room.is_cold
     return score + DISTANCE_PENALTY * (room.data_centre != here)
 
@@ -136,6 +149,28 @@
     return draw_among_best(scores, rng)
 
 
+def choose_move_target(
+    need: GenerationNeed,
+    rooms: Sequence[ServerRoom],
+    source: ids.DataCentreId,
+    rng: random.Random,
+) -> ids.ServerId | None:
+    """Return the engine that is to get the memory of a running generation.
+
+    One in the data centre of its present server is preferred, as the copy gets there
+    in half the time.
+    """
+    scores = {}
+    for room in rooms:
+        if fits(room, need):
+            score = fill_of(room, need.tokens) + BATCH_WEIGHT * room.requests / (
+                room.slots
+            )
+            is_far = room.data_centre != source
+            scores[room.server_id] = score + MOVE_DISTANCE_PENALTY * is_far
+    return draw_among_best(scores, rng)
+
+
 def choose_backup(
     need: GenerationNeed,
     rooms: Sequence[ServerRoom],
