--- a/src/quetzalpass/declarations/relays.py
+++ b/src/quetzalpass/declarations/relays.py
@@ -104,7 +104,7 @@
     moves: bool = False
     backups: bool = False
     copy_lifetime_s: float = 5.0
-    prefill_tokens_per_s: float = 14_000.0
+    prefill_tokens_per_s: float = 11_000.0
 
 
 class CallerLimits(strict.Strict, frozen=True):
--- a/src/quetzalpass/lifecycle/relay_requests.py
+++ b/src/quetzalpass/lifecycle/relay_requests.py
@@ -35,13 +35,15 @@
     max_output_tokens: int
     hinted_output_tokens: int | None = None
 
-    def need(self) -> relay_placement.GenerationNeed:
-        """Return the memory that it is expected to need."""
+    def need(self, objective_s: float) -> relay_placement.GenerationNeed:
+        """Return what it is expected to need, with its time to the first event."""
         output = EXPECTED_OUTPUT_SHARE * self.max_output_tokens
         if self.hinted_output_tokens is not None:
             output = HINT_MARGIN * self.hinted_output_tokens
         expected = int(min(output, self.max_output_tokens))
-        return relay_placement.GenerationNeed(self.prompt_tokens, expected)
+        return relay_placement.GenerationNeed(
+            self.prompt_tokens, expected, objective_s=objective_s
+        )
 
 
 class RelayRequest(msgspec.Struct, frozen=True):
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -32,11 +32,14 @@
 # A backup is sent several times a second; it is of use a little after the first event.
 BACKUP_DELAY_S = 0.5
 MOVE_RETRY_S = 0.15
+# Longest time for which two servers run one generation.
+OVERLAP_S = 0.25
 MOVE_TRIES = 6
 # How often the count of a generation's memory is brought up to date.
 GROWTH_STEP_TOKENS = 64
 # Largest part of an event that is held until the event is whole.
 MAX_EVENT_BYTES = 1_048_576
+MS_PER_S = 1000
 STATUS_OK = 200
 SERVER_ERROR = 500
 PROMISING = frozenset({408, 421, 429, 503})
@@ -60,11 +63,14 @@
         Its stream.
     flight : quarantine.Flight
         Entry among the requests that may crash a server.
+    first_chunk : bytes
+        Bytes that were read before the leg became the present one.
     """
 
     place: relay_places.Place
     answer: relays.RelayAnswer
     flight: quarantine.Flight
+    first_chunk: bytes = b""
 
 
 class Copy(msgspec.Struct, frozen=True):
@@ -133,10 +139,11 @@
         self.routed = routed
         self.response = response
         size = routed.request.size or relay_requests.GenerationSize(0, 0)
-        self.need = size.need()
+        self.need = size.need(routed.route.objective_ms / MS_PER_S)
         self.leg: Leg | None = None
         self.next_leg: Leg | None = None
         self.moved: Copy | None = None
+        self.is_broken = False
         self.mover: asyncio.Task | None = None
         self.last_event_id: str | None = None
         self.events = 0
@@ -313,6 +320,7 @@
         if self.is_leaving(leg.place.server.id):
             self.start_moving()
         splitter = event_splitter.EventSplitter()
+        await self.pass_on(leg, splitter.feed(leg.first_chunk))
         while True:
             chunk = await self.next_chunk(leg)
             if isinstance(chunk, result.Failure):
@@ -454,6 +462,8 @@
             copy = self.backup_copy(leg) or await self.move_memory(leg)
             if copy is not None and await self.open_next_leg(leg, copy):
                 return
+            if self.is_broken:
+                return
             await asyncio.sleep(MOVE_RETRY_S)
         self.gateway.note(
             self.routed,
@@ -491,10 +501,24 @@
         if next_leg.answer.head.status != STATUS_OK:
             self.end_leg(next_leg)
             return False
+        await self.read_first_chunk(next_leg)
         self.next_leg = next_leg
         leg.answer.close()
         return True
 
+    async def read_first_chunk(self, leg: Leg) -> None:
+        """Wait for the first bytes, while the server before still sends its own.
+
+        Not for long: a generation must not run on two servers.
+        """
+        try:
+            async with asyncio.timeout(OVERLAP_S):
+                chunk = await leg.answer.next_chunk()
+        except TimeoutError:
+            return
+        if isinstance(chunk, result.Success):
+            leg.first_chunk = chunk.unwrap()
+
     async def move_memory(self, leg: Leg) -> Copy | None:
         """Copy the memory to an engine with room, while the generation runs."""
         engine = self.routed.service.engine
@@ -545,12 +569,14 @@
         StreamFailedError
             If the memory is lost.
         """
-        if self.next_leg is None and self.mover is not None and self.moved is None:
-            await asyncio.wait([self.mover], timeout=COPY_TIMEOUT_S)
         broken = self.leg
+        self.is_broken = True
+        if self.next_leg is None and self.mover is not None:
+            await asyncio.wait([self.mover], timeout=COPY_TIMEOUT_S)
         if self.next_leg is None:
             self.next_leg = await self.open_leg_from_copy(broken)
         self.leg, self.next_leg = self.next_leg, None
+        self.is_broken = False
         self.end_leg(broken)
         self.gateway.budget.spend(self.routed.service.name, self.now_s())
 
--- a/src/quetzalpass/routing/relay_placement.py
+++ b/src/quetzalpass/routing/relay_placement.py
@@ -34,9 +34,14 @@
 COLD_PENALTY = 0.3
 DISTANCE_PENALTY = 0.02
 # Copying memory to another data centre takes twice as long.
-MOVE_DISTANCE_PENALTY = 0.4
-# Score of a second that a prompt waits until it is read.
-PREFILL_WEIGHT_PER_S = 1.0
+MOVE_DISTANCE_PENALTY = 0.8
+FULL_PENALTY = 1.0
+# Score of a second that a prompt waits until it is read, and of one that makes its
+# first event late.
+PREFILL_WEIGHT_PER_S = 0.3
+LATE_WEIGHT_PER_S = 3.0
+# Part of the objective within which a prompt should be read.
+PREFILL_SHARE = 0.5
 # Scores that differ by less count as equal.
 TIE_MARGIN = 0.05
 DISTANT_REQUESTS = 0.25
@@ -53,11 +58,14 @@
         Tokens of output that it is expected to reach.
     made_tokens : int
         Tokens of output that it has made.
+    objective_s : float
+        Time to the first event that its route asks for.
     """
 
     prompt_tokens: int
     output_tokens: int
     made_tokens: int = 0
+    objective_s: float = 1.0
 
     @property
     def tokens(self) -> int:
@@ -119,11 +127,19 @@
 ) -> float:
     """Return how crowded an engine would be; lower is better."""
     score = fill_of(room, need.tokens) + BATCH_WEIGHT * room.requests / room.slots
-    score += PREFILL_WEIGHT_PER_S * room.prefill_tokens / room.prefill_tokens_per_s
+    score += prefill_score(room, need)
     score += COLD_PENALTY * room.is_cold
     return score + DISTANCE_PENALTY * (room.data_centre != here)
 
 
+def prefill_score(room: ServerRoom, need: GenerationNeed) -> float:
+    """Return how bad it is that a prompt waits for those before it."""
+    waiting_tokens = room.prefill_tokens + need.prompt_tokens
+    delay_s = waiting_tokens / room.prefill_tokens_per_s
+    late_s = max(0.0, delay_s - PREFILL_SHARE * need.objective_s)
+    return PREFILL_WEIGHT_PER_S * delay_s + LATE_WEIGHT_PER_S * late_s
+
+
 def fits(room: ServerRoom, need: GenerationNeed) -> bool:
     """Return whether an engine has a place and the memory for a generation."""
     if room.requests >= room.slots:
@@ -158,16 +174,16 @@
     """Return the engine that is to get the memory of a running generation.
 
     One in the data centre of its present server is preferred, as the copy gets there
-    in half the time.
+    in half the time. An engine that seems full is taken if there is no other: it
+    refuses a copy for which it has no room, and without one the generation is lost.
     """
     scores = {}
     for room in rooms:
-        if fits(room, need):
-            score = fill_of(room, need.tokens) + BATCH_WEIGHT * room.requests / (
-                room.slots
-            )
-            is_far = room.data_centre != source
-            scores[room.server_id] = score + MOVE_DISTANCE_PENALTY * is_far
+        score = fill_of(room, need.tokens)
+        score += BATCH_WEIGHT * room.requests / room.slots
+        score += MOVE_DISTANCE_PENALTY * (room.data_centre != source)
+        score += FULL_PENALTY * (not fits(room, need))
+        scores[room.server_id] = score
     return draw_among_best(scores, rng)
 
 
