--- a/src/quetzalpass/routing/relay_placement.py
+++ b/src/quetzalpass/routing/relay_placement.py
@@ -23,11 +23,11 @@
 # Part of an engine's memory that expected use may reach; estimates err both ways.
 MEMORY_FILL = 0.92
 # Part of a generation's expected growth that is kept free for it.
-GROWTH_SHARE = 0.5
+GROWTH_SHARE = 0.8
 # Part of a backup's memory that counts against new work.
 COPY_WEIGHT = 1.0
 # Part that may be taken when a backup is placed, so that new work finds room.
-BACKUP_FILL = 0.65
+BACKUP_FILL = 0.4
 # A generation below this size is over before a backup would be of use, in tokens.
 SMALLEST_BACKUP = 2_000
 BATCH_WEIGHT = 0.5
