--- a/Makefile
+++ b/Makefile
@@ -18,12 +18,12 @@
 	touch $(VENV_STAMP)
 
 check: $(ENVIRONMENT)
-	$(PYTHON) -m ruff format --check src tests demo
-	$(PYTHON) -m ruff check src tests demo
+	$(PYTHON) -m ruff format --check src tests demo platform
+	$(PYTHON) -m ruff check src tests demo platform
 
 format: $(ENVIRONMENT)
-	$(PYTHON) -m ruff format src tests demo
-	$(PYTHON) -m ruff check --fix src tests demo
+	$(PYTHON) -m ruff format src tests demo platform
+	$(PYTHON) -m ruff check --fix src tests demo platform
 
 test: $(ENVIRONMENT)
 	$(PYTHON) -m pytest
--- a/tests/declarations/test_relay_checks.py
+++ b/tests/declarations/test_relay_checks.py
@@ -1,6 +1,6 @@
 import pytest
-from declarations import relay_builders
 
+from declarations import relay_builders
 from quetzalpass.declarations import checks, relays, schema
 
 
