--- a/src/quetzalpass/daemon/control_site.py
+++ b/src/quetzalpass/daemon/control_site.py
@@ -149,13 +149,15 @@
         """Open the listener for other daemons."""
         app = server.new_application()
         server.PeerServer(self.table, self.cluster_key).add_routes(app)
-        self.runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+        self.runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=STOP_TIMEOUT_S,
+        )
         await self.runner.setup()
         host, _, port = self.settings.vm.rpartition(":")
-        site = web.TCPSite(
-            self.runner, host, int(port), shutdown_timeout=STOP_TIMEOUT_S
-        )
-        await site.start()
+        await web.TCPSite(self.runner, host, int(port)).start()
 
     async def stop(self) -> None:
         """Hand leadership over and stop taking part."""
--- /dev/null
+++ b/tests/adapter/conftest.py
@@ -0,0 +1,78 @@
+import asyncio
+import random
+
+import pytest
+
+from fleet_adapter import desired_state, ingress, instances, replicas
+from platform_standin import standin
+from quetzalpass import ids
+from quetzalpass.daemon import gateway_site
+from quetzalpass.declarations import schema
+from quetzalpass.lifecycle import shared_budget
+from quetzalpass.membership import control_links
+
+READY_S = 3.0
+
+
+class Gateway:
+    """A gateway behind the adapter, without a control node."""
+
+    def __init__(self, platform):
+        self.platform = platform
+        settings = gateway_site.GatewaySettings(
+            ids.VmId("127.0.0.1:1"),
+            ids.DataCentreId("flx-a"),
+            (ids.VmId("127.0.0.1:9"),),
+            shared_budget.BudgetRules(),
+            2.0,
+        )
+        self.connector = replicas.ReplicaConnector()
+        self.site = gateway_site.GatewaySite(
+            settings,
+            instances.InstanceList(platform.list.address),
+            self.connector,
+            "key",
+            random.Random(0),
+        )
+        self.entry = ingress.Ingress(self.site)
+
+    async def start(self):
+        self.site.start()
+        await self.entry.start("127.0.0.1:0", "127.0.0.1:0")
+        self.port, self.ready_port = (
+            runner.addresses[0][1] for runner in self.entry.runners
+        )
+
+    def adopt(self, body):
+        declaration = desired_state.declaration_of(desired_state.decode(body))
+        data = schema.encode(declaration)
+        self.site.holder.activate(ids.Revision(7), schema.digest_of(data), data)
+
+    async def until_listed(self, count):
+        async with asyncio.timeout(READY_S):
+            while len(self.site.view.servers) < count:
+                await asyncio.sleep(0.01)
+
+    async def stop(self):
+        await self.entry.stop()
+        await self.site.stop()
+        await self.connector.close()
+
+
+@pytest.fixture
+async def platform():
+    made = standin.Platform()
+    await made.list.start()
+    yield made
+    made.list.stop()
+
+
+@pytest.fixture
+async def gateway(platform, monkeypatch):
+    monkeypatch.setattr(control_links, "OWN_READ_INTERVAL_S", 0.05)
+    monkeypatch.setattr(control_links, "FLEET_SILENCE_S", 0.0)
+    made = Gateway(platform)
+    await made.start()
+    made.adopt(standin.state())
+    yield made
+    await made.stop()
--- /dev/null
+++ b/tests/adapter/test_ingress.py
@@ -0,0 +1,287 @@
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from platform_standin import standin
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+@pytest.fixture
+async def ledger(platform, gateway):
+    """A replica of the plain service that answers what the test says."""
+    server = Replica()
+    await server.raw.start()
+    platform.add(server.raw, "i-1")
+    await gateway.until_listed(1)
+    yield server
+    server.raw.stop()
+
+
+class Replica:
+    def __init__(self):
+        self.raw = standin.RawServer(self.respond)
+        self.make = standin.answer
+
+    async def respond(self, request, writer):
+        writer.write(self.make(request))
+
+    @property
+    def requests(self):
+        return self.raw.requests
+
+
+class TestRequests:
+    async def test_method_path_query_and_body_stay_as_they_are(self, gateway, ledger):
+        data = standin.request_bytes("/once/a%2Fb/..%20c?x=%41&y=a+b", body=b"payload")
+        found = await standin.consume(gateway.port, data)
+        (request,) = ledger.requests
+        assert request.first_line == "POST /once/a%2Fb/..%20c?x=%41&y=a+b HTTP/1.1"
+        assert request.body == b"payload"
+        assert (found.status, found.body) == (200, b"bytes")
+        assert found.header("X-Response-Signature") == "sig.1"
+        assert found.header("X-Request-Id") == "q-1"
+
+    async def test_own_headers_are_set_and_the_consumers_are_dropped(
+        self, gateway, ledger
+    ):
+        sent = [
+            "X-Tenant: forged",
+            "X-Hold: h",
+            "X-Pin-Ms: 4000",
+            "X-Kv-Backup: 1.2.3.4:5",
+            "Kv-From: 1.2.3.4:5/x",
+            "X-Request-Priority: 0",
+            "Connection: X-Private",
+            "X-Private: 1",
+            "X-Model: m",
+            "X-Other: kept",
+        ]
+        await standin.consume(gateway.port, standin.request_bytes("/once/1", sent))
+        (request,) = ledger.requests
+        assert request.header("X-Tenant") == "huka"
+        assert request.header("X-Target-Instance") == "i-1"
+        assert int(request.header("X-Deadline-Ms")) <= 800
+        assert request.header("X-Model") == "m"
+        assert request.header("X-Other") == "kept"
+        names = {name.lower() for name, _ in request.headers}
+        assert not names & {"x-hold", "x-pin-ms", "x-kv-backup", "kv-from"}
+        assert not names & {"authorization", "x-private", "x-request-priority"}
+
+    async def test_a_body_in_chunks_arrives_whole(self, gateway, ledger):
+        data = standin.request_bytes("/once/1", ["Transfer-Encoding: chunked"])
+        data += standin.chunk(b"one") + standin.chunk(b"two") + standin.chunk(b"")
+        await standin.consume(gateway.port, data)
+        assert ledger.requests[0].body == b"onetwo"
+
+    async def test_a_request_in_single_bytes_is_served(self, gateway, ledger):
+        reader, writer = await asyncio.open_connection(standin.HOST, gateway.port)
+        for byte in standin.request_bytes("/reads/1", method="GET"):
+            writer.write(bytes([byte]))
+            await asyncio.sleep(0)
+        assert (await standin.read_message(reader)).status == 200
+        writer.close()
+
+    async def test_pipelined_requests_are_answered_in_order(self, gateway, ledger):
+        reader, writer = await asyncio.open_connection(standin.HOST, gateway.port)
+        for number in range(3):
+            writer.write(
+                standin.request_bytes(
+                    "/reads/1", method="GET", request_id=f"q-{number}"
+                )
+            )
+        for number in range(3):
+            found = await standin.read_message(reader)
+            assert found.header("X-Request-Id") == f"q-{number}"
+        writer.close()
+
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            ["Content-Length: 5", "Transfer-Encoding: chunked"],
+            ["Content-Length: 5", "Content-Length: 6"],
+            ["Content-Length: +5"],
+            ["Content-Length: 5x"],
+            ["Transfer-Encoding: xchunked"],
+            ["Bad Name: 1"],
+        ],
+    )
+    async def test_ambiguous_framing_is_refused_and_never_passed_on(
+        self, gateway, ledger, headers
+    ):
+        data = standin.request_bytes("/once/1", headers)
+        smuggled = standin.request_bytes("/once/smuggled", request_id="q-2")
+        found = await standin.consume(gateway.port, data + b"0\r\n\r\n" + smuggled)
+        assert 400 <= found.status < 500
+        await asyncio.sleep(0.05)
+        assert ledger.requests == []
+
+    async def test_half_a_body_is_never_passed_on(self, gateway, ledger):
+        data = standin.request_bytes("/once/1", ["Content-Length: 50"]) + b"half"
+        _, writer = await asyncio.open_connection(standin.HOST, gateway.port)
+        writer.write(data)
+        await writer.drain()
+        writer.close()
+        await asyncio.sleep(0.1)
+        assert ledger.requests == []
+
+    async def test_a_request_without_an_id_is_refused(self, gateway, ledger):
+        data = b"GET /reads/1 HTTP/1.1\r\nHost: desk.example\r\n\r\n"
+        assert (await standin.consume(gateway.port, data)).status == 400
+
+
+class TestAnswers:
+    async def test_each_request_has_a_connection_of_its_own(self, gateway, ledger):
+        for _ in range(3):
+            await standin.consume(gateway.port, standin.request_bytes("/once/1"))
+        assert ledger.raw.connections == 3
+
+    async def test_a_second_answer_on_the_connection_reaches_nobody(
+        self, gateway, ledger
+    ):
+        ledger.make = lambda request: standin.answer(request) + standin.answer(request)
+        for number in range(3):
+            data = standin.request_bytes("/once/1", request_id=f"q-{number}")
+            found = await standin.consume(gateway.port, data)
+            assert found.header("X-Request-Id") == f"q-{number}"
+
+    @pytest.mark.parametrize(
+        "make",
+        [
+            lambda request: standin.answer(request).replace(b"q-1", b"q-9"),
+            lambda request: standin.answer(request, extra=["Content-Encoding: gzip"]),
+            lambda request: standin.answer(request).replace(b"Signature", b"Other"),
+            lambda request: b"garbage\r\n\r\n",
+            lambda request: b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+        ],
+    )
+    async def test_what_is_not_the_replicas_answer_is_no_success(
+        self, gateway, ledger, make
+    ):
+        ledger.make = make
+        found = await standin.consume(gateway.port, standin.request_bytes("/once/1"))
+        assert found.status == 502
+        assert found.header("X-Response-Signature") is None
+        assert len(ledger.requests) == 1
+
+    @pytest.mark.parametrize("status", [400, 404, 500])
+    async def test_a_replicas_failure_is_passed_on_unchanged(
+        self, gateway, ledger, status
+    ):
+        ledger.make = lambda request: standin.answer(request, status, b"no")
+        found = await standin.consume(gateway.port, standin.request_bytes("/once/1"))
+        assert (found.status, found.body) == (status, b"no")
+        assert found.header("X-Response-Signature") == "sig.1"
+
+    @pytest.mark.parametrize("status", [503, 421])
+    async def test_not_run_is_said_without_the_replicas_signature(
+        self, gateway, ledger, status
+    ):
+        marker = ["X-Not-Executed: 1"] if status == 503 else []
+        ledger.make = lambda request: standin.answer(request, status, b"", marker)
+        found = await standin.consume(gateway.port, standin.request_bytes("/once/1"))
+        assert found.status == 503
+        assert float(found.header("Retry-After")) <= 0.8 / 3
+        assert found.header("X-Response-Signature") is None
+
+    async def test_a_truncated_answer_is_a_failure(self, gateway, platform):
+        async def cut(request, writer):
+            writer.write(standin.answer(request, body=b"x" * 100)[:-40])
+            await writer.drain()
+            raise ConnectionError
+
+        server = await standin.RawServer(cut).start()
+        platform.add(server, "i-cut")
+        await gateway.until_listed(1)
+        found = await standin.consume(gateway.port, standin.request_bytes("/once/1"))
+        assert found.status == 502
+        server.stop()
+
+
+class TestStreams:
+    async def start_model(self, gateway, platform, respond):
+        server = await standin.RawServer(respond).start()
+        platform.add(server, "i-m", "model", stage="unified", slots=24)
+        await gateway.until_listed(1)
+        return server
+
+    async def test_events_are_passed_on_as_they_come(self, gateway, platform):
+        async def respond(request, writer):
+            writer.write(standin.stream_head(request))
+            for number in range(1, 4):
+                data = b"id: %d\ndata: x\n\n" % number
+                writer.write(standin.chunk(data[:5]))
+                await writer.drain()
+                await asyncio.sleep(0.05)
+                writer.write(standin.chunk(data[5:]))
+                await writer.drain()
+            writer.write(standin.chunk(b""))
+
+        server = await self.start_model(gateway, platform, respond)
+        sizes = ["X-Token-Usage: 1460,80", "X-Model: m"]
+        data = standin.request_bytes("/drafts/1", sizes, b"p")
+        found = await standin.consume(gateway.port, data)
+        assert found.body == b"".join(b"id: %d\ndata: x\n\n" % n for n in (1, 2, 3))
+        assert server.requests[0].header("X-Request-Priority") == "1"
+        server.stop()
+
+    async def test_a_cut_stream_does_not_look_complete(self, gateway, platform):
+        async def respond(request, writer):
+            writer.write(standin.stream_head(request))
+            writer.write(standin.chunk(b"id: 1\ndata: x\n\n"))
+            await writer.drain()
+            connection = writer.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            raise ConnectionError
+
+        server = await self.start_model(gateway, platform, respond)
+        data = standin.request_bytes("/drafts/1", ["X-Token-Usage: 10,80"])
+        with pytest.raises((asyncio.IncompleteReadError, ConnectionError, ValueError)):
+            await standin.consume(gateway.port, data)
+        server.stop()
+
+    async def test_the_run_ends_when_the_consumer_leaves(self, gateway, platform):
+        ended = asyncio.Event()
+
+        async def respond(request, writer):
+            writer.write(standin.stream_head(request))
+            try:
+                for number in range(1, 200):
+                    writer.write(standin.chunk(b"id: %d\ndata: x\n\n" % number))
+                    await writer.drain()
+                    await asyncio.sleep(0.02)
+            except ConnectionError:
+                ended.set()
+                raise
+
+        server = await self.start_model(gateway, platform, respond)
+        reader, writer = await asyncio.open_connection(standin.HOST, gateway.port)
+        writer.write(standin.request_bytes("/drafts/1", ["X-Token-Usage: 10,80"]))
+        await reader.readuntil(b"id: 2")
+        writer.close()
+        async with asyncio.timeout(0.5):
+            await ended.wait()
+        server.stop()
+
+
+class TestReadiness:
+    async def ask(self, gateway):
+        data = b"GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n"
+        return (await standin.consume(gateway.ready_port, data)).status
+
+    async def test_not_ready_before_the_control_nodes_were_asked(self, gateway):
+        gateway.site.links.started_at_s += 100
+        assert await self.ask(gateway) == 503
+
+    async def test_ready_with_a_declaration_until_it_drains(self, gateway, ledger):
+        gateway.site.links.started_at_s -= 100
+        assert await self.ask(gateway) == 200
+        draining = asyncio.create_task(gateway.site.drain())
+        await asyncio.sleep(0.05)
+        assert await self.ask(gateway) == 503
+        found = await standin.consume(gateway.port, standin.request_bytes("/once/1"))
+        assert found.status == 200
+        assert found.header("Connection") == "close"
+        draining.cancel()
--- a/tests/control/test_declared_state.py
+++ b/tests/control/test_declared_state.py
@@ -41,3 +41,48 @@
         for each in (state, restored):
             apply(each, 2, 1, declaration("1"), declaration("2"))
         assert restored.current == state.current
+
+
+def publish(state, revision, version="1", document=b"document"):
+    command = declared_state.PublishCommand(
+        ids.Revision(revision), schema.encode(declaration(version)), document, ""
+    )
+    answer = state.apply(ids.LogIndex(1), msgspec.msgpack.encode(command))
+    return msgspec.msgpack.decode(answer, type=declared_state.PublishOutcome)
+
+
+VERDICT = declared_state.PublishVerdict
+
+
+class TestPublish:
+    def test_the_highest_revision_wins(self):
+        state = declared_state.DeclaredState()
+        assert publish(state, 7).verdict is VERDICT.ACCEPTED
+        assert publish(state, 3, "2").verdict is VERDICT.OVERTAKEN
+        assert publish(state, 12, "3").verdict is VERDICT.ACCEPTED
+        assert state.current.revision == 12
+        assert state.current.data == schema.encode(declaration("3"))
+
+    def test_the_same_content_is_held_also_after_a_snapshot(self):
+        state, restored = (declared_state.DeclaredState() for _ in range(2))
+        publish(state, 7)
+        restored.restore(state.snapshot())
+        for each in (state, restored):
+            assert publish(each, 7).verdict is VERDICT.HELD
+            assert each.current.document == b"document"
+
+    def test_other_content_under_a_held_revision_changes_nothing(self):
+        state = declared_state.DeclaredState()
+        publish(state, 7)
+        assert publish(state, 7, "2").verdict is VERDICT.CONFLICT
+        assert publish(state, 7, "1", b"other").verdict is VERDICT.CONFLICT
+        assert state.current.data == schema.encode(declaration("1"))
+        assert state.current.document == b"document"
+
+    def test_a_barrier_names_the_newest_revision_and_changes_nothing(self):
+        state = declared_state.DeclaredState()
+        publish(state, 7)
+        command = msgspec.msgpack.encode(declared_state.BarrierCommand())
+        answer = state.apply(ids.LogIndex(2), command)
+        assert msgspec.msgpack.decode(answer) == 7
+        assert state.current.revision == 7
--- a/tests/routing/test_relay_placement.py
+++ b/tests/routing/test_relay_placement.py
@@ -41,9 +41,9 @@
         assert choose([room("empty")], large) == "empty"
 
     def test_backups_take_memory_from_new_work(self):
-        assert choose([room("copies", requests=4, tokens=15_000, copy_tokens=15_000)]) is (
-            None
-        )
+        assert choose(
+            [room("copies", requests=4, tokens=15_000, copy_tokens=15_000)]
+        ) is (None)
 
     def test_a_burst_on_a_new_empty_engine_is_spread(self):
         """Replays a reclaim: the replacement is empty, the others are half full."""
