Metrics as text on the metrics address; operation ids differ after a restart

Cause of a test that failed at times: a restarted control node with the same randomness gave an operation id again and got the outcome of the earlier one. Ruled out: the log and the sessions.

--- a/src/quetzalpass/daemon/control_site.py
+++ b/src/quetzalpass/daemon/control_site.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 import random
+import time
 
 import logbook
 import msgspec
@@ -25,6 +26,7 @@
     leaving_watch,
     peer_client,
 )
+from quetzalpass.metrics import exposition
 from quetzalpass.results import codes, failures
 from quetzalpass.storage import disk
 from quetzalpass.wire import handlers, server, transport
@@ -90,6 +92,9 @@
         self.settings = settings
         self.source = source
         self.rng = rng
+        # A random number alone comes again if a restart finds the same randomness, and
+        # would then get the outcome of an earlier operation.
+        self.started_ns = time.time_ns()
         self.seeds = settings.seeds
         self.cluster_key = cluster_key
         self.holder = configuration.ConfigurationHolder()
@@ -101,6 +106,9 @@
         self.board = fleet_board.FleetBoard(
             source, self.is_watcher, rng.getrandbits(VERSION_BITS)
         )
+        self.metrics = exposition.ProcessMetrics()
+        self.metrics.revision.set_function(self.holder.revision)
+        self.metrics.is_leader.set_function(self.is_watcher)
         self.watch = leaving_watch.LeavingWatch(self.board, connect)
         self.tasks: list[asyncio.Task] = []
         self.runner: web.AppRunner | None = None
@@ -230,7 +238,8 @@
         self.proposer.clients = {
             vm: peer_client.PeerClient(vm, self.channel) for vm in others
         }
-        operation = ids.OperationId(f"{self.rng.getrandbits(OPERATION_BITS):x}")
+        number = self.rng.getrandbits(OPERATION_BITS)
+        operation = ids.OperationId(f"{self.started_ns:x}-{number:x}")
         data = msgspec.msgpack.encode(command)
         return await self.proposer.propose(declared_state.SESSION, operation, data)
 
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
@@ -20,6 +21,7 @@
     shared_budget,
 )
 from quetzalpass.membership import configuration, discovery, fleet_view
+from quetzalpass.metrics import exposition
 from quetzalpass.results import codes, failures
 
 LOG = logbook.Logger("lifecycle")
@@ -112,6 +114,10 @@
         self.rng = rng
         self.suspects = quarantine.Quarantine(vm)
         self.servers: dict[ids.ServerId, relays.RelayServer] = {}
+        self.metrics = exposition.ProcessMetrics()
+        self.metrics.running.set_function(lambda: self.running)
+        self.metrics.revision.set_function(holder.revision)
+        self.metrics.list_age_s.set_function(self.list_age_s)
         self.streams: dict[ids.RequestId, LeavingObserver] = {}
         self.tasks: set[asyncio.Task] = set()
         self.is_draining = False
@@ -184,12 +190,16 @@
             routed_request(request, route, service, organisation, current)
         )
 
-    def list_age_ms(self) -> int | None:
-        """Return the age of the list of servers."""
+    def list_age_s(self) -> float:
+        """Return the age of the list of servers; infinite before the first."""
         if self.view.read_at_s is None:
-            return None
-        age_s = asyncio.get_running_loop().time() - self.view.read_at_s
-        return int(age_s * MS_PER_S)
+            return math.inf
+        return asyncio.get_running_loop().time() - self.view.read_at_s
+
+    def list_age_ms(self) -> int | None:
+        """Return the age of the list of servers, if one has arrived."""
+        age_s = self.list_age_s()
+        return None if math.isinf(age_s) else int(age_s * MS_PER_S)
 
     def note(
         self,
@@ -199,7 +209,9 @@
         detail: str = "",
         level: event_log.Level = event_log.Level.ROUTINE,
     ) -> None:
-        """Log a decision on a request with what decided it."""
+        """Log and count a decision on a request, with what decided it."""
+        route = self.metrics.label(routed.route.name)
+        self.metrics.decisions.labels(decision, route).inc()
         event_log.record(
             RelayEvent(
                 routed.request.request_id,
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -183,9 +183,7 @@
             self.gateway.suspects.clear(self.routed.fingerprint(), None)
             if self.response.has_begun:
                 await self.response.finish()
-            self.gateway.note(
-                self.routed, "streamed", self.leg.place.server.id, self.summary()
-            )
+            self.note_streamed()
         finally:
             del self.gateway.streams[self.request_id]
             self.clean_up()
@@ -402,6 +400,18 @@
             self.longest_pause_event = self.events
         self.last_event_s = now_s
 
+    def note_streamed(self) -> None:
+        """Log and count a stream that has ended well."""
+        server_id = self.leg.place.server.id
+        self.gateway.note(self.routed, "streamed", server_id, self.summary())
+        if self.first_event_s is None:
+            return
+        metrics = self.gateway.metrics
+        route = metrics.label(self.routed.route.name)
+        first_s = self.first_event_s - self.routed.request.arrived_s
+        metrics.first_event_s.labels(route).observe(first_s)
+        metrics.pause_s.labels(route).observe(self.longest_pause_s)
+
     def summary(self) -> str:
         """Return how the stream went, for the log."""
         first_s = (self.first_event_s or 0.0) - self.routed.request.arrived_s
--- a/src/quetzalpass/lifecycle/relaying.py
+++ b/src/quetzalpass/lifecycle/relaying.py
@@ -57,6 +57,9 @@
     except asyncio.CancelledError:
         gateway.note(routed, "caller_gone")
         raise
+    elapsed_s = asyncio.get_running_loop().time() - routed.request.arrived_s
+    route = gateway.metrics.label(routed.route.name)
+    gateway.metrics.request_s.labels(route).observe(elapsed_s)
     if failure is None:
         gateway.note(routed, "served", None, elapsed_text(routed))
         return
@@ -102,7 +105,8 @@
     request: relay_requests.RelayRequest,
     failure: failures.Failure,
 ) -> None:
-    """Log a request that goes nowhere."""
+    """Log and count a request that goes nowhere."""
+    gateway.metrics.decisions.labels("not_routed", "").inc()
     event_log.record(
         relay_gateway.RelayEvent(
             request.request_id,
--- /dev/null
+++ b/src/quetzalpass/metrics/exposition.py
@@ -0,0 +1,116 @@
+"""Counters and latency histograms as text at an address of the process."""
+
+import prometheus_client
+from aiohttp import web
+from prometheus_client import exposition
+
+from quetzalpass import event_log
+
+PATH = "/metrics"
+# Names from a declaration are labels; beyond this many they share one.
+MAX_LABELS = 64
+OTHER = "other"
+LATENCY_BUCKETS_S = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.15,
+    0.25,
+    0.5,
+    1.0,
+    1.8,
+    4.0,
+    8.0,
+    20.0,
+    40.0,
+)
+PAUSE_BUCKETS_S = (0.03, 0.06, 0.12, 0.18, 0.3, 0.6, 1.2, 2.5, 7.5)
+
+
+class ProcessMetrics:
+    """All metrics of one process.
+
+    Attributes
+    ----------
+    registry : CollectorRegistry
+        What is shown.
+    """
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self.labels: set[str] = set()
+        self.decisions = self.counter(
+            "decisions", "Decisions on requests", "decision", "route"
+        )
+        self.operator_calls = self.counter(
+            "operator_calls", "Calls of operators by outcome", "call", "outcome"
+        )
+        self.request_s = self.histogram(
+            "request_seconds", "Time to the end of a request", LATENCY_BUCKETS_S
+        )
+        self.first_event_s = self.histogram(
+            "first_event_seconds", "Time to a stream's first event", LATENCY_BUCKETS_S
+        )
+        self.pause_s = self.histogram(
+            "longest_pause_seconds", "Longest pause of a stream", PAUSE_BUCKETS_S
+        )
+        self.revision = self.gauge("revision", "Revision in force")
+        self.is_leader = self.gauge("is_leader", "1 on the leading control node")
+        self.running = self.gauge("requests_running", "Requests under way")
+        self.list_age_s = self.gauge("list_age_seconds", "Age of the list of servers")
+        self.servers = self.gauge("servers", "Listed backend servers", "state")
+        self.lines_left_out = self.gauge(
+            "log_lines_left_out", "Log lines that found no room"
+        )
+        self.lines_left_out.set_function(lines_left_out)
+
+    def counter(self, name: str, text: str, *labels: str) -> prometheus_client.Counter:
+        """Return a new counter."""
+        return prometheus_client.Counter(
+            f"quetzalpass_{name}", text, labels, registry=self.registry
+        )
+
+    def gauge(self, name: str, text: str, *labels: str) -> prometheus_client.Gauge:
+        """Return a new gauge."""
+        return prometheus_client.Gauge(
+            f"quetzalpass_{name}", text, labels, registry=self.registry
+        )
+
+    def histogram(
+        self, name: str, text: str, buckets: tuple[float, ...]
+    ) -> prometheus_client.Histogram:
+        """Return a new histogram for each route."""
+        return prometheus_client.Histogram(
+            f"quetzalpass_{name}",
+            text,
+            ("route",),
+            registry=self.registry,
+            buckets=buckets,
+        )
+
+    def label(self, name: str) -> str:
+        """Return a name as a label, or the one that names beyond the bound share."""
+        if name not in self.labels:
+            if len(self.labels) >= MAX_LABELS:
+                return OTHER
+            self.labels.add(name)
+        return name
+
+    def add_route(self, app: web.Application) -> None:
+        """Serve the metrics at an application's path."""
+        app.router.add_get(PATH, self.handle)
+
+    async def handle(self, request: web.Request) -> web.Response:
+        """Answer all metrics as text."""
+        body = exposition.generate_latest(self.registry)
+        return web.Response(
+            body=body, headers={"Content-Type": exposition.CONTENT_TYPE_LATEST}
+        )
+
+
+def lines_left_out() -> int:
+    """Return how many log lines found no room so far."""
+    log = event_log.EventLog.current
+    return log.total_left_out if log is not None else 0
