--- a/src/quetzalpass/callers/connections.py
+++ b/src/quetzalpass/callers/connections.py
@@ -68,6 +68,18 @@
             LOG.info("callers: Closed a connection that sent no whole header.")
             self.force_close()
 
+    def retire(self) -> None:
+        """Close the connection, at once if it is idle, else after its answers.
+
+        The base class's ``close`` ends the task of an idle connection and leaves the
+        connection open, so that a request on it would never be read.
+        """
+        is_idle = self._waiter is not None and not self._messages
+        if is_idle:
+            self.force_close()
+        else:
+            self.close()
+
     def data_received(self, data: bytes) -> None:
         """Take in bytes and remember which body is being received."""
         super().data_received(data)
--- a/src/quetzalpass/daemon/gateway_site.py
+++ b/src/quetzalpass/daemon/gateway_site.py
@@ -133,10 +133,10 @@
     async def drain(self) -> None:
         """Serve on until the balancer sends nothing more and all requests have ended.
 
-        Connections that are kept may still bring requests; these are served too.
+        Requests that still come are served, but for those that could not end in time.
         """
-        self.gateway.is_draining = True
         loop = asyncio.get_running_loop()
+        self.gateway.drains_until_s = loop.time() + self.settings.drain_s
         LOG.info("daemon: Draining {} requests.", self.gateway.running)
         earliest_s = loop.time() + BALANCER_S
         latest_s = loop.time() + self.settings.drain_s
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -27,6 +27,7 @@
 LOG = logbook.Logger("lifecycle")
 
 RETRY_WHEN_READY_MS = 500
+RETRY_ELSEWHERE_MS = 100
 MS_PER_S = 1000
 DEATH_SIGNS = frozenset({base.FailureKind.CLOSED, base.FailureKind.UNREACHABLE})
 HASH_RANGE = 2**64
@@ -120,11 +121,23 @@
         self.metrics.list_age_s.set_function(self.list_age_s)
         self.streams: dict[ids.RequestId, LeavingObserver] = {}
         self.tasks: set[asyncio.Task] = set()
-        self.is_draining = False
+        self.drains_until_s: float | None = None
         self.running = 0
         view.change_observers.append(self.close_unlisted)
         view.leaving_observers.append(self.tell_streams)
 
+    @property
+    def is_draining(self) -> bool:
+        """Return whether this gateway is about to stop."""
+        return self.drains_until_s is not None
+
+    def outlasts_drain(self, request: relay_requests.RelayRequest) -> bool:
+        """Return whether a generation would still run when this gateway stops."""
+        if self.drains_until_s is None or request.size is None:
+            return False
+        now_s = asyncio.get_running_loop().time()
+        return now_s + request.size.expected_s() > self.drains_until_s
+
     def tell_streams(self, server_id: ids.ServerId) -> None:
         """Tell all running generations that a server leaves or is gone."""
         for stream in list(self.streams.values()):
@@ -169,6 +182,8 @@
     ) -> result.Result[relay_requests.RoutedRequest, failures.Failure]:
         """Decide by one revision whether and where a request goes."""
         current = self.holder.current
+        if self.outlasts_drain(request):
+            return refuse(codes.Code.DRAINING, "this gateway stops", RETRY_ELSEWHERE_MS)
         if current is None:
             return refuse(
                 codes.Code.NOT_READY,
--- a/tests/adapter/test_ingress.py
+++ b/tests/adapter/test_ingress.py
@@ -285,3 +285,32 @@
         assert found.status == 200
         assert found.header("Connection") == "close"
         draining.cancel()
+
+    async def test_kept_connections_close_when_the_gateway_drains(
+        self, gateway, ledger
+    ):
+        idle_reader, idle = await asyncio.open_connection(standin.HOST, gateway.port)
+        idle.write(standin.request_bytes("/once/1"))
+        await standin.read_message(idle_reader)
+        gateway.entry.close_idle()
+        async with asyncio.timeout(1):
+            assert await idle_reader.read() == b""
+        idle.close()
+
+    async def test_a_request_under_way_is_answered_before_its_connection_closes(
+        self, gateway, platform
+    ):
+        async def slow(request, writer):
+            await asyncio.sleep(0.2)
+            writer.write(standin.answer(request))
+
+        server = await standin.RawServer(slow).start()
+        platform.add(server, "i-slow")
+        await gateway.until_listed(1)
+        reader, writer = await asyncio.open_connection(standin.HOST, gateway.port)
+        writer.write(standin.request_bytes("/once/1"))
+        await asyncio.sleep(0.1)
+        gateway.entry.close_idle()
+        assert (await standin.read_message(reader)).status == 200
+        writer.close()
+        server.stop()
--- a/tests/lifecycle/test_relayed_streams.py
+++ b/tests/lifecycle/test_relayed_streams.py
@@ -214,3 +214,23 @@
         assert use.prefill_tokens == 0
         await task
         assert kit.places.uses == {}
+
+
+@pytest.mark.looptime
+class TestDrains:
+    async def test_what_could_not_end_in_time_is_sent_elsewhere_at_once(self):
+        kit = engine_kit("ab")
+        loop = asyncio.get_running_loop()
+        kit.gateway.drains_until_s = loop.time() + 5.0
+        response = await kit.serve("/drafts/1")
+        assert response.status == relay_gateway.STATUS_NOT_RUN
+        assert kit.sends("e-a") + kit.sends("e-b") == 0
+
+    async def test_a_short_one_is_served(self):
+        kit = engine_kit("ab", length=3)
+        loop = asyncio.get_running_loop()
+        kit.gateway.drains_until_s = loop.time() + 5.0
+        size = relaying_kit.relay_requests.GenerationSize(2_200, 12)
+        response = await kit.serve("/drafts/1", size=size)
+        assert response.is_complete
+        assert response.data == relaying_kit.events(3)
