--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -26,7 +26,7 @@
 
 LOG = logbook.Logger("lifecycle")
 
-RETRY_WHEN_READY_MS = 500
+RETRY_WHEN_READY_MS = 1_500
 RETRY_ELSEWHERE_MS = 100
 MS_PER_S = 1000
 DEATH_SIGNS = frozenset({base.FailureKind.CLOSED, base.FailureKind.UNREACHABLE})
--- a/src/quetzalpass/lifecycle/relay_places.py
+++ b/src/quetzalpass/lifecycle/relay_places.py
@@ -22,6 +22,8 @@
 PATIENCE_FACTOR = 3.0
 # A failure of a server whose other requests succeed counts for a short time only.
 EJECTION_S = 3.0
+# How long the servers of a data centre come last after one could not be reached.
+CUT_OFF_S = 1.5
 
 
 class Place:
@@ -122,6 +124,7 @@
         self.uses: dict[ids.ServerId, fleet_messages.ServerUse] = {}
         self.health: dict[ids.ServerId, ejection.Health] = {}
         self.ejected_until_s: dict[ids.ServerId, float] = {}
+        self.cut_off_until_s: dict[ids.DataCentreId, float] = {}
         self.lists: dict[ids.ServiceName, relay_waiting.WaitingList] = {}
         self.waiters: dict[ids.RequestId, Waiter] = {}
         self.routed: dict[ids.RequestId, relay_requests.RoutedRequest] = {}
@@ -197,6 +200,7 @@
             engine.memory_tokens if engine else 0,
             engine.prefill_tokens_per_s if engine else 1.0,
             now_s < known.warm_at_s,
+            now_s < self.cut_off_until_s.get(server.data_centre, 0.0),
         )
 
     def service_place(
@@ -392,9 +396,22 @@
 
     def note_success(self, server_id: ids.ServerId) -> None:
         """Note that a server has answered well."""
+        if server_id in self.view.servers:
+            data_centre = self.view.servers[server_id].server.data_centre
+            self.cut_off_until_s.pop(data_centre, None)
         if server_id in self.health:
             self.health[server_id].succeed()
 
+    def note_unreachable(self, server: discovery.DiscoveredServer, reason: str) -> None:
+        """Note that no connection to a server could be opened.
+
+        Its whole data centre may be cut off, so that the others there come last.
+        """
+        self.eject(server.id, reason)
+        if server.data_centre != self.data_centre:
+            now_s = asyncio.get_running_loop().time()
+            self.cut_off_until_s[server.data_centre] = now_s + CUT_OFF_S
+
     def note_failure(self, server_id: ids.ServerId, reason: str) -> None:
         """Note that a server has failed a request; eject it after a few."""
         health = self.health.setdefault(server_id, ejection.Health())
--- a/src/quetzalpass/lifecycle/relay_requests.py
+++ b/src/quetzalpass/lifecycle/relay_requests.py
@@ -51,7 +51,10 @@
             output = HINT_MARGIN * self.hinted_output_tokens
         expected = int(min(output, self.max_output_tokens))
         return relay_placement.GenerationNeed(
-            self.prompt_tokens, expected, objective_s=objective_s
+            self.prompt_tokens,
+            expected,
+            max_output_tokens=self.max_output_tokens,
+            objective_s=objective_s,
         )
 
 
--- a/src/quetzalpass/lifecycle/relayed_calls.py
+++ b/src/quetzalpass/lifecycle/relayed_calls.py
@@ -170,6 +170,7 @@
 ) -> WholeAnswer | None:
     """Return an answer that goes to the caller; keep a failure that may be mended."""
     state.runs += 1
+    state.failure = None
     status = answer.head.status
     if status < SERVER_ERROR and status not in PROMISING:
         gateway.places.note_success(place.server.id)
@@ -205,6 +206,8 @@
         f"{failure.end.value}, {failure.kind.value}: {failure.message}",
         event_log.Level.NOTICE,
     )
+    if failure.end is base.AttemptEnd.NOT_SENT:
+        gateway.places.note_unreachable(place.server, failure.message)
     gateway.spawn(gateway.note_break(routed, place.server, failure))
 
 
@@ -221,6 +224,9 @@
         return False
     if state.runs >= routed.route.attempts:
         return False
+    if state.failure is not None and state.failure.end is base.AttemptEnd.NOT_SENT:
+        # Nothing has arrived at a server, so that no budget is needed.
+        return True
     return gateway.budget.spend(routed.service.name, now_s)
 
 
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -224,11 +224,14 @@
             raise StreamFailedError(lost_failure(failure.message))
         self.refused.add(place.server.id)
         if failure.end is base.AttemptEnd.NOT_SENT:
-            self.gateway.places.eject(place.server.id, failure.message)
+            self.gateway.places.note_unreachable(place.server, failure.message)
         now_s = self.now_s()
         is_over = len(self.refused) >= MAX_REFUSED or now_s >= self.routed.deadline_s
         service = self.routed.service.name
-        if is_over or not self.gateway.budget.spend(service, now_s):
+        has_arrived = failure.end is not base.AttemptEnd.NOT_SENT
+        if has_arrived and not self.gateway.budget.spend(service, now_s):
+            is_over = True
+        if is_over:
             raise StreamFailedError(
                 self.gateway.places.refusal(self.routed, failure.message)
             )
@@ -565,11 +568,7 @@
         self, source: discovery.DiscoveredServer
     ) -> relay_places.Place | None:
         """Return a place that is kept while the memory is copied."""
-        places = self.gateway.places
-        place = places.move_target(self.routed, self.need, source)
-        if place is not None:
-            return place
-        return places.move_target(self.routed, relay_places.NO_NEED, source)
+        return self.gateway.places.move_target(self.routed, self.need, source)
 
     async def go_on_elsewhere(self) -> None:
         """Continue on the next server, or where a copy of the memory lies.
--- a/src/quetzalpass/routing/relay_placement.py
+++ b/src/quetzalpass/routing/relay_placement.py
@@ -9,6 +9,8 @@
   engine, as long as that leaves room for new work.
 - An engine that has just come is empty, and would get all that waits: reading so many
   prompts takes it seconds. A placement counts the prompts that are still to be read.
+- A data centre is cut off: after one connection that could not be opened, its other
+  servers are tried last for a moment.
 - Several gateways decide on the same reports: among servers that are about as good one
   is drawn by lot.
 """
@@ -24,6 +26,7 @@
 MEMORY_FILL = 0.92
 # Part of a generation's expected growth that is kept free for it.
 GROWTH_SHARE = 0.8
+OVERRUN_FACTOR = 1.25
 # Part of a backup's memory that counts against new work.
 COPY_WEIGHT = 1.0
 # Part that may be taken when a backup is placed, so that new work finds room.
@@ -36,6 +39,10 @@
 # Copying memory to another data centre takes twice as long.
 MOVE_DISTANCE_PENALTY = 0.8
 FULL_PENALTY = 1.0
+# Part of an engine's memory up to which a copy is sent to it; above, running work would
+# be put out.
+MOVE_FILL = 1.0
+CUT_OFF_PENALTY = 3.0
 # Score of a second that a prompt waits until it is read, and of one that makes its
 # first event late.
 PREFILL_WEIGHT_PER_S = 0.3
@@ -45,6 +52,7 @@
 # Scores that differ by less count as equal.
 TIE_MARGIN = 0.05
 DISTANT_REQUESTS = 0.25
+CUT_OFF_REQUESTS = 100.0
 
 
 class GenerationNeed(msgspec.Struct, frozen=True):
@@ -58,6 +66,8 @@
         Tokens of output that it is expected to reach.
     made_tokens : int
         Tokens of output that it has made.
+    max_output_tokens : int or None
+        Most tokens of output that it may make.
     objective_s : float
         Time to the first event that its route asks for.
     """
@@ -65,6 +75,7 @@
     prompt_tokens: int
     output_tokens: int
     made_tokens: int = 0
+    max_output_tokens: int | None = None
     objective_s: float = 1.0
 
     @property
@@ -72,9 +83,13 @@
         """Return the memory to keep for it, in tokens.
 
         Generations on one engine are at different points of their output, and some end
-        before others have grown; so only a part of the growth is kept.
+        before others have grown; so only a part of the growth is kept. One that has got
+        past its estimate is likely to go on for a while.
         """
-        growth = max(0, self.output_tokens - self.made_tokens)
+        expected = max(self.output_tokens, int(OVERRUN_FACTOR * self.made_tokens))
+        if self.max_output_tokens is not None:
+            expected = min(expected, self.max_output_tokens)
+        growth = max(0, expected - self.made_tokens)
         return self.prompt_tokens + self.made_tokens + int(GROWTH_SHARE * growth)
 
 
@@ -103,6 +118,8 @@
         Prompt tokens that it reads in a second.
     is_cold : bool
         It has just started and is slow.
+    is_cut_off : bool
+        Its data centre could not be reached a moment ago.
     """
 
     server_id: ids.ServerId
@@ -115,6 +132,7 @@
     memory_tokens: int = 0
     prefill_tokens_per_s: float = 1.0
     is_cold: bool = False
+    is_cut_off: bool = False
 
 
 def fill_of(room: ServerRoom, more_tokens: int) -> float:
@@ -129,6 +147,7 @@
     score = fill_of(room, need.tokens) + BATCH_WEIGHT * room.requests / room.slots
     score += prefill_score(room, need)
     score += COLD_PENALTY * room.is_cold
+    score += CUT_OFF_PENALTY * room.is_cut_off
     return score + DISTANCE_PENALTY * (room.data_centre != here)
 
 
@@ -174,15 +193,18 @@
     """Return the engine that is to get the memory of a running generation.
 
     One in the data centre of its present server is preferred, as the copy gets there
-    in half the time. An engine that seems full is taken if there is no other: it
-    refuses a copy for which it has no room, and without one the generation is lost.
+    in half the time. An engine above the limit for new work is taken if there is no
+    other, since without a copy the generation is lost.
     """
     scores = {}
     for room in rooms:
+        if fill_of(room, need.tokens) > MOVE_FILL:
+            continue
         score = fill_of(room, need.tokens)
         score += BATCH_WEIGHT * room.requests / room.slots
         score += MOVE_DISTANCE_PENALTY * (room.data_centre != source)
         score += FULL_PENALTY * (not fits(room, need))
+        score += CUT_OFF_PENALTY * room.is_cut_off
         scores[room.server_id] = score
     return draw_among_best(scores, rng)
 
@@ -233,5 +255,6 @@
     scores = {}
     for room in rooms:
         distance = DISTANT_REQUESTS * (room.data_centre != here)
+        distance += CUT_OFF_REQUESTS * room.is_cut_off
         scores[room.server_id] = (room.requests + distance) / room.slots
     return draw_among_best(scores, rng)
