Learn how fast each engine reads prompts

Cause: prompts were counted as read at 11,000 tokens/s; first events say 5,700 to 7,400, as a step that reads also decodes. Late first events followed.

--- a/src/quetzalpass/declarations/relays.py
+++ b/src/quetzalpass/declarations/relays.py
@@ -93,7 +93,7 @@
     copy_lifetime_s : float
         How long an unused copy is kept.
     prefill_tokens_per_s : float
-        Prompt tokens that one engine reads in a second.
+        Prompt tokens that one engine reads in a second, until it is measured.
     """
 
     max_batch: int
@@ -104,7 +104,7 @@
     moves: bool = False
     backups: bool = False
     copy_lifetime_s: float = 5.0
-    prefill_tokens_per_s: float = 11_000.0
+    prefill_tokens_per_s: float = 7_000.0
 
 
 class CallerLimits(strict.Strict, frozen=True):
--- a/src/quetzalpass/lifecycle/relay_places.py
+++ b/src/quetzalpass/lifecycle/relay_places.py
@@ -11,7 +11,12 @@
 from quetzalpass.lifecycle import relay_requests
 from quetzalpass.membership import discovery, fleet_messages, fleet_view
 from quetzalpass.results import codes, failures
-from quetzalpass.routing import ejection, relay_placement, relay_waiting
+from quetzalpass.routing import (
+    ejection,
+    prefill_rates,
+    relay_placement,
+    relay_waiting,
+)
 
 LOG = logbook.Logger("routing")
 
@@ -51,7 +56,13 @@
         self.need = need
         self.backup: discovery.DiscoveredServer | None = None
         self.is_held = True
-        self.prefill_tokens = prefill_tokens
+        self.read: prefill_rates.PendingRead | None = None
+        if prefill_tokens:
+            self.read = prefill_rates.PendingRead(
+                prefill_tokens,
+                places.use_of(server.id).prefill_tokens,
+                asyncio.get_running_loop().time(),
+            )
         places.add_use(server.id, 1, need.tokens, 0, prefill_tokens)
 
     def set_backup(self, backup: discovery.DiscoveredServer | None) -> None:
@@ -63,9 +74,24 @@
             self.places.add_use(backup.id, copy_tokens=self.need.tokens)
 
     def note_first_event(self) -> None:
-        """Note that the server has read the prompt."""
-        self.places.add_use(self.server.id, prefill_tokens=-self.prefill_tokens)
-        self.prefill_tokens = 0
+        """Note that the server has read the prompt, and learn how fast it was."""
+        read = self.read
+        if read is None:
+            return
+        self.forget_read()
+        elapsed_s = asyncio.get_running_loop().time() - read.sent_s
+        self.places.rates.observe(
+            self.server.id,
+            read.tokens + read.tokens_ahead,
+            elapsed_s,
+            DEFAULT_RATE_TOKENS_PER_S,
+        )
+
+    def forget_read(self) -> None:
+        """Count the prompt no longer among those to be read."""
+        if self.read is not None:
+            self.places.add_use(self.server.id, prefill_tokens=-self.read.tokens)
+            self.read = None
 
     def grow(self, need: relay_placement.GenerationNeed) -> None:
         """Note that the generation has got further."""
@@ -81,7 +107,7 @@
             return
         self.is_held = False
         self.set_backup(None)
-        self.note_first_event()
+        self.forget_read()
         self.places.add_use(self.server.id, requests=-1, tokens=-self.need.tokens)
         self.places.pump()
 
@@ -94,6 +120,8 @@
     future: asyncio.Future
 
 
+# Stands in for the declared rate where no request has named it yet.
+DEFAULT_RATE_TOKENS_PER_S = 7_000.0
 NO_NEED = relay_placement.GenerationNeed(0, 0)
 
 PlaceResult = result.Result[Place, failures.Failure]
@@ -122,6 +150,7 @@
         self.data_centre = data_centre
         self.rng = rng
         self.uses: dict[ids.ServerId, fleet_messages.ServerUse] = {}
+        self.rates = prefill_rates.PrefillRates()
         self.health: dict[ids.ServerId, ejection.Health] = {}
         self.ejected_until_s: dict[ids.ServerId, float] = {}
         self.cut_off_until_s: dict[ids.DataCentreId, float] = {}
@@ -151,6 +180,12 @@
         else:
             self.uses[server_id] = new
 
+    def use_of(self, server_id: ids.ServerId) -> fleet_messages.ServerUse:
+        """Return what all gateways have on a server."""
+        none = fleet_messages.ServerUse(server_id)
+        own = self.uses.get(server_id, none)
+        return own.plus(self.view.uses.get(server_id, none))
+
     def own_uses(self) -> tuple[fleet_messages.ServerUse, ...]:
         """Return what this gateway has on all servers."""
         return tuple(self.uses.values())
@@ -185,9 +220,7 @@
     ) -> relay_placement.ServerRoom:
         """Return what is on one server now."""
         server = known.server
-        none = fleet_messages.ServerUse(server.id)
-        use = self.uses.get(server.id, none)
-        use = use.plus(self.view.uses.get(server.id, none))
+        use = self.use_of(server.id)
         engine = routed.service.engine
         return relay_placement.ServerRoom(
             server.id,
@@ -198,7 +231,7 @@
             max(1, engine.max_batch if engine else server.slots),
             use.prefill_tokens,
             engine.memory_tokens if engine else 0,
-            engine.prefill_tokens_per_s if engine else 1.0,
+            self.rates.rate(server.id, engine.prefill_tokens_per_s) if engine else 1.0,
             now_s < known.warm_at_s,
             now_s < self.cut_off_until_s.get(server.data_centre, 0.0),
         )
--- /dev/null
+++ b/src/quetzalpass/routing/prefill_rates.py
@@ -0,0 +1,74 @@
+"""How fast each engine reads prompts, learned from its first events.
+
+Engines of one service differ in speed, and each reads more slowly while many
+generations run on it. No input or output.
+"""
+
+import msgspec
+
+from quetzalpass import ids
+
+NEW_SHARE = 0.3
+# A first event that comes sooner says more of the way there than of the engine.
+SHORTEST_READ_S = 0.1
+SLOWEST_TOKENS_PER_S = 2_000.0
+FASTEST_TOKENS_PER_S = 30_000.0
+MAX_SERVERS = 10_000
+
+
+class PrefillRates:
+    """Learned rates by server."""
+
+    def __init__(self) -> None:
+        self.rates: dict[ids.ServerId, float] = {}
+
+    def rate(self, server_id: ids.ServerId, default: float) -> float:
+        """Return an engine's rate in tokens a second, or the declared one."""
+        return self.rates.get(server_id, default)
+
+    def observe(
+        self,
+        server_id: ids.ServerId,
+        tokens: int,
+        elapsed_s: float,
+        default: float,
+    ) -> None:
+        """Take in one first event.
+
+        Parameters
+        ----------
+        server_id : ServerId
+            The engine.
+        tokens : int
+            Prompt tokens that it had to read up to there, those before included.
+        elapsed_s : float
+            Time from the send to the first event.
+        default : float
+            The declared rate.
+        """
+        if elapsed_s < SHORTEST_READ_S or tokens <= 0:
+            return
+        sample = tokens / elapsed_s
+        sample = min(max(sample, SLOWEST_TOKENS_PER_S), FASTEST_TOKENS_PER_S)
+        if len(self.rates) >= MAX_SERVERS:
+            self.rates.pop(next(iter(self.rates)))
+        old = self.rate(server_id, default)
+        self.rates[server_id] = (1.0 - NEW_SHARE) * old + NEW_SHARE * sample
+
+
+class PendingRead(msgspec.Struct):
+    """A prompt that an engine has still to read.
+
+    Attributes
+    ----------
+    tokens : int
+        Tokens of the prompt.
+    tokens_ahead : int
+        Tokens of other prompts before it.
+    sent_s : float
+        Loop time at which it was sent.
+    """
+
+    tokens: int
+    tokens_ahead: int
+    sent_s: float
--- a/src/quetzalpass/routing/relay_placement.py
+++ b/src/quetzalpass/routing/relay_placement.py
@@ -43,6 +43,8 @@
 # be put out.
 MOVE_FILL = 1.0
 CUT_OFF_PENALTY = 3.0
+# A generation that moves pauses while prompts are read at its next engine.
+MOVE_PREFILL_WEIGHT_PER_S = 1.0
 # Score of a second that a prompt waits until it is read, and of one that makes its
 # first event late.
 PREFILL_WEIGHT_PER_S = 0.3
@@ -204,6 +206,9 @@
         score += BATCH_WEIGHT * room.requests / room.slots
         score += MOVE_DISTANCE_PENALTY * (room.data_centre != source)
         score += FULL_PENALTY * (not fits(room, need))
+        score += MOVE_PREFILL_WEIGHT_PER_S * (
+            room.prefill_tokens / room.prefill_tokens_per_s
+        )
         score += CUT_OFF_PENALTY * room.is_cut_off
         scores[room.server_id] = score
     return draw_among_best(scores, rng)
