--- a/src/quetzalpass/daemon/control_site.py
+++ b/src/quetzalpass/daemon/control_site.py
@@ -12,7 +12,7 @@
 
 from quetzalpass import ids
 from quetzalpass.consensus import group as consensus_group
-from quetzalpass.consensus import registry
+from quetzalpass.consensus import registry, timing
 from quetzalpass.consensus import replica as replicas
 from quetzalpass.control import declared_state
 from quetzalpass.daemon import groups, peers, replica_role
@@ -38,6 +38,15 @@
 OPERATION_BITS = 96
 VERSION_BITS = 40
 STOP_TIMEOUT_S = 1.0
+# All control nodes may be killed at once, and requests wait for the next leader.
+# Control nodes are few and near each other, so that a leader's silence shows soon.
+TIMING = timing.Timing(
+    election_timeout_s=0.45,
+    heartbeat_interval_s=0.15,
+    call_timeout_s=0.6,
+    vote_timeout_s=0.3,
+    join_interval_s=0.15,
+)
 
 
 class ControlSettings(msgspec.Struct, frozen=True):
@@ -150,6 +159,7 @@
             self.channel,
             self.declared,
             self.rng,
+            TIMING,
             rules=rules,
         )
 
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -28,6 +28,9 @@
 
 RETRY_WHEN_READY_MS = 1_500
 RETRY_ELSEWHERE_MS = 100
+LONGEST_START_WAIT_S = 1.5
+START_WAIT_SHARE = 0.4
+START_POLL_S = 0.02
 MS_PER_S = 1000
 DEATH_SIGNS = frozenset({base.FailureKind.CLOSED, base.FailureKind.UNREACHABLE})
 HASH_RANGE = 2**64
@@ -177,6 +180,25 @@
         for server in self.servers.values():
             await server.close()
 
+    async def wait_for_start(self, request: relay_requests.RelayRequest) -> None:
+        """Wait a little for the first declaration and the first list of servers.
+
+        Right after a start both are on their way, and a caller is served sooner than
+        by coming back.
+        """
+        if self.holder.current is not None and self.view.read_at_s is not None:
+            return
+        patience_s = LONGEST_START_WAIT_S
+        if request.time_left_s is not None:
+            patience_s = min(patience_s, START_WAIT_SHARE * request.time_left_s)
+        try:
+            async with asyncio.timeout(patience_s):
+                await self.holder.wait_newer(ids.Revision(0), patience_s)
+                while self.view.read_at_s is None:
+                    await asyncio.sleep(START_POLL_S)
+        except TimeoutError:
+            return
+
     def route(
         self, request: relay_requests.RelayRequest
     ) -> result.Result[relay_requests.RoutedRequest, failures.Failure]:
--- a/src/quetzalpass/lifecycle/relaying.py
+++ b/src/quetzalpass/lifecycle/relaying.py
@@ -29,6 +29,7 @@
     """Serve one request to its end; its caller always learns what became of it."""
     gateway.running += 1
     try:
+        await gateway.wait_for_start(request)
         found = gateway.route(request)
         if isinstance(found, result.Failure):
             note_unrouted(gateway, request, found.failure())
--- a/tests/lifecycle/test_relayed_calls.py
+++ b/tests/lifecycle/test_relayed_calls.py
@@ -37,6 +37,24 @@
         assert response.status == relay_gateway.STATUS_NOT_RUN
         assert float(response.header("Retry-After")) > 0
 
+    async def test_right_after_the_start_a_request_waits_for_the_declaration(self):
+        kit = ledger_kit()
+        current, kit.holder.current = kit.holder.current, None
+        response, task = kit.start(time_left_s=1.5)
+        await asyncio.sleep(0.4)
+        kit.holder.put_in_force(current)
+        await task
+        assert response.status == 200
+
+    async def test_without_a_declaration_nobody_is_held_to_the_end(self):
+        kit = ledger_kit()
+        kit.holder.current = None
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        response = await kit.serve(time_left_s=1.5)
+        assert response.status == relay_gateway.STATUS_NOT_RUN
+        assert loop.time() - began_s < 0.75
+
     async def test_an_unknown_place_is_not_found(self):
         kit = ledger_kit()
         assert (await kit.serve("/other/1")).status == 404
