Blame no request for a server that a cut hides

What was never sent blames nobody now, and a neighbour in the same data centre is asked before a death counts. The test fails without the change.

--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -32,6 +32,7 @@
 START_WAIT_SHARE = 0.4
 START_POLL_S = 0.02
 MS_PER_S = 1000
+NEVER_STARTED = frozenset({base.AttemptEnd.NOT_SENT, base.AttemptEnd.REFUSED})
 DEATH_SIGNS = frozenset({base.FailureKind.CLOSED, base.FailureKind.UNREACHABLE})
 HASH_RANGE = 2**64
 HEALTH_TIMEOUT_S = 0.5
@@ -302,12 +303,34 @@
         known = self.view.servers.get(server.id)
         if known is None or known.is_leaving:
             return False
-        if failure.end is base.AttemptEnd.REFUSED:
+        if failure.end in NEVER_STARTED:
             return False
         self.places.note_failure(server.id, failure.message)
         if failure.kind not in DEATH_SIGNS:
             return False
-        return not await self.server_of(server).check_health(HEALTH_TIMEOUT_S)
+        if await self.server_of(server).check_health(HEALTH_TIMEOUT_S):
+            return False
+        return not await self.is_cut_off(server)
+
+    async def is_cut_off(self, server: discovery.DiscoveredServer) -> bool:
+        """Return whether it is rather the server's data centre that is unreachable.
+
+        A cut may refuse connections just as a dead server does; but then it does so for
+        another server there too.
+        """
+        neighbour = next(
+            (
+                each.server
+                for each in self.view.servers.values()
+                if each.server.data_centre == server.data_centre
+                and each.server.id != server.id
+                and not each.is_leaving
+            ),
+            None,
+        )
+        if neighbour is None:
+            return server.data_centre != self.places.data_centre
+        return not await self.server_of(neighbour).check_health(HEALTH_TIMEOUT_S)
 
 
 def refuse(
--- a/tests/lifecycle/test_relayed_streams.py
+++ b/tests/lifecycle/test_relayed_streams.py
@@ -191,18 +191,48 @@
         for _ in range(6):
             for each in kit.servers:
                 kit.server(each.id).answers = [relay_servers.LOST]
-                kit.server(each.id).check_health = never_healthy
+                die_when_asked(kit.server(each.id))
             before = sum(kit.sends(each.id) for each in kit.servers)
             await kit.serve("/drafts/killer")
             await asyncio.sleep(5.0)
             servers_lost += sum(kit.sends(each.id) for each in kit.servers) - before
         assert servers_lost == 2
 
+    async def test_a_cut_that_refuses_connections_blames_nobody(self):
+        kit = engine_kit("abcd")
+        for _ in range(6):
+            for each in kit.servers:
+                kit.server(each.id).answers = [relay_servers.LOST]
+                kit.server(each.id).check_health = never_healthy
+            await kit.serve("/drafts/innocent")
+            await asyncio.sleep(5.0)
+        assert kit.gateway.suspects.records == {}
+
+    async def test_what_was_never_sent_is_not_blamed(self):
+        kit = engine_kit("ab")
+        for each in kit.servers:
+            kit.server(each.id).answers = [relay_servers.NOT_SENT] * 20
+            kit.server(each.id).check_health = never_healthy
+        for _ in range(4):
+            await kit.serve("/drafts/innocent")
+            await asyncio.sleep(5.0)
+        assert kit.gateway.suspects.records == {}
+
 
 async def never_healthy(timeout_s):
     return False
 
 
+def die_when_asked(server):
+    """Have a server look dead after it was sent a request."""
+    before = len(server.sent)
+
+    async def is_healthy(timeout_s):
+        return len(server.sent) == before
+
+    server.check_health = is_healthy
+
+
 @pytest.mark.looptime
 class TestGrowth:
     async def test_the_memory_counted_follows_the_output(self):
