The next leader reads the list at once; log the start of a move; quetzalpass logs ID

Cause: after a kill of all, requests found no list of servers for 0.3 s after the election, as the board looked for its turn every 0.35 s and gateways asked again after 0.4 s.

--- /dev/null
+++ b/src/quetzalpass/cli/log_lines.py
@@ -0,0 +1,97 @@
+"""The command ``logs``: all log lines of one request, from several files, in order."""
+
+import pathlib
+
+import msgspec
+
+from quetzalpass.cli import exits, output
+from quetzalpass.results import codes, failures
+
+
+class LogEntry(msgspec.Struct, frozen=True):
+    """One line of a log that concerns a request.
+
+    Attributes
+    ----------
+    time : str
+        UTC time in ISO 8601, by which the lines are sorted.
+    file : str
+        File that holds it.
+    text : str
+        The whole line.
+    """
+
+    time: str
+    file: str
+    text: str
+
+
+class FoundLines(msgspec.Struct, frozen=True):
+    """Outcome of ``logs``."""
+
+    request: str
+    lines: tuple[LogEntry, ...]
+
+
+class LineHead(msgspec.Struct, frozen=True):
+    """What is read of a line; all other fields are left as they are."""
+
+    time: str
+    request: str = ""
+
+
+def logs(request: str, *files: str, json: bool = False) -> int:
+    """Print the log lines of one request in order of time.
+
+    Parameters
+    ----------
+    request : str
+        Id of the request.
+    files : str
+        Files with the JSON lines of one process each.
+    json : bool
+        Print one JSON object.
+    """
+    found: list[LogEntry] = []
+    for file in files:
+        try:
+            found += lines_of(pathlib.Path(file), request)
+        except OSError as error:
+            failure = failures.Failure(codes.Code.BAD_SETTINGS, f"{error}")
+            return output.fail(failure, json)
+    found.sort(key=time_of)
+    texts = [output.printable(f"{each.file}: {each.text}") for each in found]
+    if not texts:
+        texts = [f"no line of {output.printable(request)} in {len(files)} files"]
+    output.show(FoundLines(request, tuple(found)), texts, json)
+    return exits.Exit.OK if found else exits.Exit.FAILED
+
+
+def lines_of(path: pathlib.Path, request: str) -> list[LogEntry]:
+    """Return the lines of a file that name a request.
+
+    What stands before the JSON object, as a platform puts there, is left out.
+    """
+    found = []
+    with path.open(encoding="utf-8", errors="replace") as lines:
+        for line in lines:
+            if request not in line:
+                continue
+            text = line[line.find("{") :].strip()
+            head = head_of(text)
+            if head is not None and head.request == request:
+                found.append(LogEntry(head.time, path.name, text))
+    return found
+
+
+def head_of(text: str) -> LineHead | None:
+    """Return what a line says of itself; None if it is no log line."""
+    try:
+        return msgspec.json.decode(text, type=LineHead)
+    except msgspec.MsgspecError:
+        return None
+
+
+def time_of(entry: LogEntry) -> str:
+    """Return the time of a line."""
+    return entry.time
--- a/src/quetzalpass/cli/main.py
+++ b/src/quetzalpass/cli/main.py
@@ -10,6 +10,7 @@
     declared,
     exits,
     generating,
+    log_lines,
     members,
     offline,
     tools,
@@ -38,6 +39,7 @@
         "generate": generating.generate,
         "storage": {"verify": tools.verify},
         "explain": tools.explain,
+        "logs": log_lines.logs,
         "bench": benchmarks.bench,
     }
 
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -534,6 +534,8 @@
         if goal is None:
             self.gateway.note(self.routed, "no_move", source.id, "no engine has room")
             return None
+        begun_s = self.now_s()
+        self.gateway.note(self.routed, "move", source.id, f"to {goal.server.id}")
         try:
             copied = await self.gateway.server_of(source).copy_memory(
                 self.request_id, goal.server.address, COPY_TIMEOUT_S, is_last=False
@@ -541,7 +543,8 @@
         finally:
             goal.release()
         if isinstance(copied, result.Failure):
-            message = copied.failure().message
+            took_s = self.now_s() - begun_s
+            message = f"{copied.failure().message} after {took_s:.3f} s"
             self.gateway.note(
                 self.routed,
                 "copy_failed",
@@ -551,7 +554,8 @@
             )
             return None
         moved = copied.unwrap()
-        detail = f"to {goal.server.id}, {moved.events} events made"
+        took_s = self.now_s() - begun_s
+        detail = f"to {goal.server.id}, {moved.events} events made, {took_s:.3f} s"
         self.gateway.note(self.routed, "moved", source.id, detail)
         self.moved = Copy(goal.server, source.address, moved.copy_id)
         return self.moved
--- a/src/quetzalpass/membership/control_links.py
+++ b/src/quetzalpass/membership/control_links.py
@@ -23,6 +23,8 @@
 REVISION_WAIT_S = 1.0
 REVISION_TIMEOUT_S = 0.6
 RETRY_S = 0.25
+# An election is over soon, and the next leader then reads the list.
+LOOK_AGAIN_S = 0.1
 FLEET_WAIT_S = 0.25
 FLEET_TIMEOUT_S = 1.2
 # Without news for so long a gateway reads the list of servers itself.
@@ -167,8 +169,8 @@
             self.watcher = reply.unwrap().leader
         if lost is not None:
             LOG.warning("membership: {} no longer tells of the fleet.", lost)
-        await asyncio.sleep(RETRY_S if self.watcher == lost else 0.0)
-        await asyncio.sleep(RETRY_S / 2)
+        has_answered = isinstance(reply, result.Success)
+        await asyncio.sleep(LOOK_AGAIN_S if has_answered else RETRY_S)
 
     def take(self, reply: fleet_messages.FleetReply) -> bool:
         """Take in a reply; return whether it came from the node that watches."""
--- a/src/quetzalpass/membership/fleet_board.py
+++ b/src/quetzalpass/membership/fleet_board.py
@@ -15,6 +15,8 @@
 
 READ_INTERVAL_S = 0.35
 READ_TIMEOUT_S = 1.0
+# How soon a new leader begins to read.
+IDLE_INTERVAL_S = 0.05
 MAX_READ_BACKOFF_S = 2.0
 USE_LIFETIME_S = 2.0
 # What a gateway was told by a server itself counts until the list says it too.
@@ -65,13 +67,14 @@
         pause_s = READ_INTERVAL_S
         while True:
             if self.is_active():
+                pause_s = max(pause_s, READ_INTERVAL_S)
                 is_read = await self.read_once()
                 pause_s = (
                     READ_INTERVAL_S if is_read else min(MAX_READ_BACKOFF_S, 2 * pause_s)
                 )
             else:
                 self.read_at_s = None
-                pause_s = READ_INTERVAL_S
+                pause_s = IDLE_INTERVAL_S
             await asyncio.sleep(pause_s)
 
     async def read_once(self) -> bool:
