--- a/src/quetzalpass/lifecycle/gateway.py
+++ b/src/quetzalpass/lifecycle/gateway.py
@@ -15,10 +15,9 @@
     generation_ids,
     ledger_client,
     limits,
-    quarantine,
     retry_budget,
 )
-from quetzalpass.membership import configuration
+from quetzalpass.membership import configuration, quarantine
 from quetzalpass.metrics import recorder
 from quetzalpass.results import codes, failures
 from quetzalpass.routing import admission, servers
--- a/src/quetzalpass/lifecycle/limits.py
+++ b/src/quetzalpass/lifecycle/limits.py
@@ -17,6 +17,7 @@
 
 from quetzalpass import ids
 from quetzalpass.declarations import schema
+from quetzalpass.membership import usages
 from quetzalpass.results import codes, failures
 
 LEASE_S = 5.0
@@ -37,32 +38,12 @@
     TOKENS = "tokens_per_s"
 
 
-class Usage(msgspec.Struct, frozen=True):
-    """What is asked of one gateway by one organisation, refused work included."""
-
-    organisation: ids.OrganisationId
-    requests_per_s: float
-    streams: float
-    tokens_per_s: float
-
-
-class UsageReport(msgspec.Struct, frozen=True):
-    """Message between gateways of a data centre.
-
-    It states the whole, so that a lost message is repaired by the next.
-    """
-
-    vm: ids.VmId
-    sequence: int
-    usages: tuple[Usage, ...]
-
-
 class PeerUsage(msgspec.Struct):
     """The last report of a peer."""
 
     sequence: int
     received_s: float
-    usages: dict[ids.OrganisationId, Usage]
+    usages: dict[ids.OrganisationId, usages.Usage]
 
 
 class Bucket:
@@ -102,7 +83,7 @@
         self.refused_streams = 0
         self.streams = 0
         self.waiting = 0
-        self.usage = Usage(organisation, 0.0, 0.0, 0.0)
+        self.usage = usages.Usage(organisation, 0.0, 0.0, 0.0)
 
     def idle(self) -> bool:
         """Return whether nothing is asked at present."""
@@ -267,14 +248,14 @@
             total += even + (used(usage, resource) if usage else 0.0)
         return (own + even) / total
 
-    def own_usage(self) -> UsageReport:
+    def own_usage(self) -> usages.UsageReport:
         """Return the report for the peers; called at each interval of reports."""
         now_s = asyncio.get_running_loop().time()
         passed_s = max(MIN_INTERVAL_S, now_s - self.reported_s)
         self.reported_s = now_s
         self.sequence += 1
         for name, account in list(self.accounts.items()):
-            account.usage = Usage(
+            account.usage = usages.Usage(
                 name,
                 smoothed(account.usage.requests_per_s, account.asked / passed_s),
                 float(account.streams + account.refused_streams),
@@ -283,21 +264,21 @@
             account.asked = account.tokens = account.refused_streams = 0
             if account.idle():
                 del self.accounts[name]
-        usages = tuple(each.usage for each in self.accounts.values())
-        return UsageReport(self.vm, self.sequence, usages)
+        found = tuple(each.usage for each in self.accounts.values())
+        return usages.UsageReport(self.vm, self.sequence, found)
 
-    def observe_peer_usage(self, report: UsageReport) -> None:
+    def observe_peer_usage(self, report: usages.UsageReport) -> None:
         """Take in the report of a peer; one that comes late is ignored."""
         now_s = asyncio.get_running_loop().time()
         known = self.peers.get(report.vm)
         fresh = known is not None and now_s - known.received_s <= LEASE_S
         if known is not None and fresh and known.sequence >= report.sequence:
             return
-        usages = {each.organisation: each for each in report.usages}
-        self.peers[report.vm] = PeerUsage(report.sequence, now_s, usages)
+        found = {each.organisation: each for each in report.usages}
+        self.peers[report.vm] = PeerUsage(report.sequence, now_s, found)
 
 
-def used(usage: Usage, resource: Resource) -> float:
+def used(usage: usages.Usage, resource: Resource) -> float:
     """Return how much is asked of a resource."""
     return getattr(usage, resource.value)
 
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -15,12 +15,11 @@
 from quetzalpass.declarations import relays as declared
 from quetzalpass.declarations import schema
 from quetzalpass.lifecycle import (
-    quarantine,
     relay_places,
     relay_requests,
     shared_budget,
 )
-from quetzalpass.membership import configuration, discovery, fleet_view
+from quetzalpass.membership import configuration, discovery, fleet_view, quarantine
 from quetzalpass.metrics import exposition
 from quetzalpass.results import codes, failures
 
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -15,12 +15,11 @@
 from quetzalpass.backends import base, event_splitter, relays
 from quetzalpass.lifecycle import (
     event_pacing,
-    quarantine,
     relay_gateway,
     relay_places,
     relay_requests,
 )
-from quetzalpass.membership import discovery
+from quetzalpass.membership import discovery, quarantine
 from quetzalpass.results import codes, failures
 
 # Sends of one request that servers have refused as not run.
--- a/src/quetzalpass/lifecycle/starting.py
+++ b/src/quetzalpass/lifecycle/starting.py
@@ -8,8 +8,9 @@
 
 from quetzalpass import ids
 from quetzalpass.backends import base
-from quetzalpass.lifecycle import attempts, quarantine, queueing, requests
+from quetzalpass.lifecycle import attempts, queueing, requests
 from quetzalpass.lifecycle import gateway as gateways
+from quetzalpass.membership import quarantine
 from quetzalpass.metrics import metering
 from quetzalpass.results import codes, failures
 from quetzalpass.routing import admission, work
--- a/src/quetzalpass/membership/fleet_board.py
+++ b/src/quetzalpass/membership/fleet_board.py
@@ -8,8 +8,7 @@
 from returns import result
 
 from quetzalpass import ids
-from quetzalpass.lifecycle import quarantine
-from quetzalpass.membership import discovery, fleet_messages
+from quetzalpass.membership import discovery, fleet_messages, quarantine
 
 LOG = logbook.Logger("membership")
 
--- a/src/quetzalpass/membership/fleet_messages.py
+++ b/src/quetzalpass/membership/fleet_messages.py
@@ -3,8 +3,7 @@
 import msgspec
 
 from quetzalpass import ids
-from quetzalpass.lifecycle import quarantine
-from quetzalpass.membership import discovery
+from quetzalpass.membership import discovery, quarantine
 from quetzalpass.wire import messages
 
 
--- a/src/quetzalpass/membership/inner_messages.py
+++ b/src/quetzalpass/membership/inner_messages.py
@@ -2,8 +2,7 @@
 
 from quetzalpass import ids
 from quetzalpass.control import messages as control_messages
-from quetzalpass.lifecycle import limits, quarantine
-from quetzalpass.membership import opinions
+from quetzalpass.membership import opinions, quarantine, usages
 from quetzalpass.results import failures
 from quetzalpass.routing import servers
 from quetzalpass.wire import messages
@@ -108,7 +107,7 @@
         What its own probes say.
     verdicts : quarantine.Verdicts or None
         Requests that it suspects of crashing servers.
-    usage : limits.UsageReport or None
+    usage : usages.UsageReport or None
         What the organisations use there.
     """
 
@@ -117,4 +116,4 @@
     dispatches: servers.PeerDispatches
     server_opinions: tuple[opinions.ServerOpinion, ...] = ()
     verdicts: quarantine.Verdicts | None = None
-    usage: limits.UsageReport | None = None
+    usage: usages.UsageReport | None = None
--- a/tests/lifecycle/test_quarantine.py
+++ b/tests/lifecycle/test_quarantine.py
@@ -3,7 +3,7 @@
 import pytest
 
 from quetzalpass import ids
-from quetzalpass.lifecycle import quarantine
+from quetzalpass.membership import quarantine
 from quetzalpass.standin import faults
 
 pytestmark = pytest.mark.looptime
