--- a/src/quetzalpass/lifecycle/relay_places.py
+++ b/src/quetzalpass/lifecycle/relay_places.py
@@ -184,7 +184,7 @@
         """Return what all gateways have on a server."""
         none = fleet_messages.ServerUse(server_id)
         own = self.uses.get(server_id, none)
-        return own.plus(self.view.uses.get(server_id, none))
+        return own.plus(self.view.use_of_others(own))
 
     def own_uses(self) -> tuple[fleet_messages.ServerUse, ...]:
         """Return what this gateway has on all servers."""
--- a/src/quetzalpass/membership/control_links.py
+++ b/src/quetzalpass/membership/control_links.py
@@ -26,7 +26,7 @@
 # An election is over soon, and the next leader then reads the list.
 LOOK_AGAIN_S = 0.1
 FLEET_WAIT_S = 0.25
-FLEET_TIMEOUT_S = 1.2
+FLEET_TIMEOUT_S = 0.8
 # Without news for so long a gateway reads the list of servers itself.
 FLEET_SILENCE_S = 1.5
 OWN_READ_INTERVAL_S = 1.5
@@ -83,6 +83,7 @@
         self.tasks: list[asyncio.Task[None]] = []
         self.version = 0
         self.watcher: ids.VmId | None = None
+        self.lost: ids.VmId | None = None
         self.heard_at_s = 0.0
         self.started_at_s = 0.0
         self.send_now = asyncio.Event()
@@ -150,7 +151,7 @@
     async def exchange(self) -> None:
         """Tell the load to the node that watches the fleet and get its view."""
         while True:
-            target = self.watcher or self.rng.choice(sorted(self.controls))
+            target = self.watcher or self.next_control()
             self.send_now.clear()
             is_first = self.watcher is None
             request = self.make_request(self.version, 0.0 if is_first else FLEET_WAIT_S)
@@ -158,6 +159,11 @@
             if isinstance(reply, result.Failure) or not self.take(reply.unwrap()):
                 await self.look_for_watcher(reply)
 
+    def next_control(self) -> ids.VmId:
+        """Return a control node to ask, not the one that has just been lost."""
+        others = self.controls - {self.lost}
+        return self.rng.choice(sorted(others or self.controls))
+
     async def look_for_watcher(
         self, reply: "result.Result[fleet_messages.FleetReply, object]"
     ) -> None:
@@ -170,6 +176,7 @@
         if lost is not None:
             LOG.warning("membership: {} no longer tells of the fleet.", lost)
         has_answered = isinstance(reply, result.Success)
+        self.lost = None if has_answered else lost
         await asyncio.sleep(LOOK_AGAIN_S if has_answered else RETRY_S)
 
     def take(self, reply: fleet_messages.FleetReply) -> bool:
--- a/src/quetzalpass/membership/fleet_messages.py
+++ b/src/quetzalpass/membership/fleet_messages.py
@@ -30,6 +30,16 @@
     copy_tokens: int = 0
     prefill_tokens: int = 0
 
+    def times(self, count: int) -> "ServerUse":
+        """Return what so many gateways with this use have together."""
+        return ServerUse(
+            self.server,
+            count * self.requests,
+            count * self.tokens,
+            count * self.copy_tokens,
+            count * self.prefill_tokens,
+        )
+
     def plus(self, other: "ServerUse") -> "ServerUse":
         """Return the sum of two uses of one server."""
         return ServerUse(
--- a/src/quetzalpass/membership/fleet_view.py
+++ b/src/quetzalpass/membership/fleet_view.py
@@ -12,6 +12,8 @@
 LOG = logbook.Logger("membership")
 
 MS_PER_S = 1000
+# Older news of the other gateways' load says nothing of servers that are new since.
+USES_LIFETIME_S = 1.0
 
 
 class KnownServer(msgspec.Struct):
@@ -59,6 +61,7 @@
     def __init__(self) -> None:
         self.servers: dict[ids.ServerId, KnownServer] = {}
         self.uses: dict[ids.ServerId, fleet_messages.ServerUse] = {}
+        self.uses_at_s = 0.0
         self.gateways = 1
         self.read_at_s: float | None = None
         self.own_announcements: dict[ids.ServerId, float] = {}
@@ -116,9 +119,22 @@
     ) -> None:
         """Replace what the other gateways have on the servers."""
         self.uses = {each.server: each for each in uses}
+        self.uses_at_s = asyncio.get_running_loop().time()
         self.gateways = max(1, gateways)
         self.tell_change()
 
+    def use_of_others(self, own: fleet_messages.ServerUse) -> fleet_messages.ServerUse:
+        """Return what the other gateways have on a server.
+
+        Without recent news each of them is taken to have as much as this one: to go by
+        old figures would send everything to the servers that have come since.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self.uses_at_s <= USES_LIFETIME_S:
+            none = fleet_messages.ServerUse(own.server)
+            return self.uses.get(own.server, none)
+        return own.times(self.gateways - 1)
+
     def tell_change(self) -> None:
         """Tell everyone who waits for room."""
         for observer in self.change_observers:
--- a/tests/membership/test_fleet_board.py
+++ b/tests/membership/test_fleet_board.py
@@ -204,3 +204,15 @@
         view.take_list((relay_servers.discovered("e-a"),), 0.0)
         view.take_list((), 0.0)
         assert told == ["e-a"]
+
+    async def test_without_news_the_others_are_taken_to_have_as_much(self):
+        """Replays the loss of the leader while a new, empty engine comes."""
+        view = fleet_view.FleetView()
+        old = fleet_messages.ServerUse(ids.ServerId("e-old"), 20, 60_000)
+        view.take_uses((old,), gateways=9)
+        own_old = fleet_messages.ServerUse(ids.ServerId("e-old"), 2, 8_000)
+        own_new = fleet_messages.ServerUse(ids.ServerId("e-new"), 3, 12_000)
+        assert view.use_of_others(own_old) == old
+        await asyncio.sleep(fleet_view.USES_LIFETIME_S + 0.1)
+        assert view.use_of_others(own_old).tokens == 64_000
+        assert view.use_of_others(own_new).tokens == 96_000
