--- a/tests/adapter/test_ingress.py
+++ b/tests/adapter/test_ingress.py
@@ -127,6 +127,21 @@
         await asyncio.sleep(0.1)
         assert ledger.requests == []
 
+    @pytest.mark.parametrize(
+        ("headers", "body", "status"),
+        [
+            (["X-Large: " + "x" * 17_000], b"", 431),
+            ([], b"x" * 4_194_305, 413),
+            ([], b"x" * 4_194_304, 200),
+        ],
+    )
+    async def test_the_declared_limits_hold(
+        self, gateway, ledger, headers, body, status
+    ):
+        data = standin.request_bytes("/once/1", headers, body)
+        assert (await standin.consume(gateway.port, data)).status == status
+        assert len(ledger.requests) == (status == 200)
+
     async def test_a_request_without_an_id_is_refused(self, gateway, ledger):
         data = b"GET /reads/1 HTTP/1.1\r\nHost: desk.example\r\n\r\n"
         assert (await standin.consume(gateway.port, data)).status == 400
