Split the moves of a generation from its stream; a move leaves no run behind

Cause, found on reading: a generation that ended while its next server was being waited for left the run there open, with nobody to read it. The new test fails without the change. Behaviour is otherwise unchanged: activation of revisions is one piece of code for both kinds of control node, and the discovered server's field has a name of our own.

--- a/src/quetzalpass/daemon/control_site.py
+++ b/src/quetzalpass/daemon/control_site.py
@@ -15,7 +15,7 @@
 from quetzalpass.consensus import registry, timing
 from quetzalpass.consensus import replica as replicas
 from quetzalpass.control import declared_state
-from quetzalpass.daemon import groups, peers, replica_role
+from quetzalpass.daemon import activation, groups, peers, replica_role
 from quetzalpass.declarations import schema
 from quetzalpass.membership import (
     configuration,
@@ -110,8 +110,7 @@
         self.table = handlers.HandlerTable()
         self.channel = transport.HttpTransport(transport.DirectAddresses(), cluster_key)
         self.declared = declared_state.DeclaredState()
-        self.declared.observers.append(self.note_accepted)
-        self.activation: asyncio.Handle | None = None
+        self.activation = activation.Activation(self.declared, self.holder)
         self.board = fleet_board.FleetBoard(
             source, self.is_watcher, rng.getrandbits(VERSION_BITS)
         )
@@ -206,18 +205,6 @@
         members = [each.vm for each in self.group.members().members]
         return tuple(sorted({*members, self.settings.vm}))
 
-    def note_accepted(self, accepted: declared_state.AcceptedDeclaration) -> None:
-        """Put the newest accepted revision in force soon, skipping those between."""
-        if self.activation is None:
-            loop = asyncio.get_running_loop()
-            self.activation = loop.call_soon(self.activate_newest)
-
-    def activate_newest(self) -> None:
-        """Put the newest accepted revision in force."""
-        self.activation = None
-        newest = self.declared.current
-        self.holder.activate(newest.revision, newest.digest, newest.data)
-
     async def answer_proposal(
         self, request: inner_messages.ProposeRequest
     ) -> handlers.Outcome:
--- a/src/quetzalpass/daemon/replica_role.py
+++ b/src/quetzalpass/daemon/replica_role.py
@@ -11,7 +11,7 @@
 from quetzalpass.consensus import group as consensus_group
 from quetzalpass.consensus import machine, registry
 from quetzalpass.control import declared_state, ledger, messages
-from quetzalpass.daemon import groups
+from quetzalpass.daemon import activation, groups
 from quetzalpass.membership import configuration, inner_messages
 from quetzalpass.reconcile import leadership
 from quetzalpass.results import codes, failures
@@ -58,8 +58,7 @@
         self.rng = rng
         self.registry = registry.GroupRegistry(table)
         self.declared = declared_state.DeclaredState()
-        self.declared.observers.append(self.note_accepted)
-        self.activation: asyncio.Handle | None = None
+        self.activation = activation.Activation(self.declared, self.holder)
         self.add(groups.DECLARATION_GROUP, self.declared)
         for group_id in groups.ledger_group_ids():
             self.add(group_id, ledger.LedgerState())
@@ -99,22 +98,6 @@
             await group.stop()
         self.disk.close()
 
-    def note_accepted(self, accepted: declared_state.AcceptedDeclaration) -> None:
-        """Put the newest accepted revision in force soon.
-
-        After a restart hundreds of revisions are applied in a row; only the last of
-        them is worth decoding.
-        """
-        if self.activation is None:
-            loop = asyncio.get_running_loop()
-            self.activation = loop.call_soon(self.activate_newest)
-
-    def activate_newest(self) -> None:
-        """Put the newest accepted revision in force."""
-        self.activation = None
-        newest = self.declared.current
-        self.holder.activate(newest.revision, newest.digest, newest.data)
-
     async def answer_proposal(
         self, request: inner_messages.ProposeRequest
     ) -> handlers.Outcome:
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -15,11 +15,12 @@
 from quetzalpass.backends import base, event_splitter, relays
 from quetzalpass.lifecycle import (
     event_pacing,
+    generation_moves,
     relay_gateway,
     relay_places,
     relay_requests,
 )
-from quetzalpass.membership import discovery, quarantine
+from quetzalpass.membership import discovery
 from quetzalpass.results import codes, failures
 
 # Sends of one request that servers have refused as not run.
@@ -28,13 +29,6 @@
 # than any pause that a loaded engine makes between two events.
 SILENCE_WITH_BACKUP_S = 1.2
 FIRST_EVENT_WITH_BACKUP_S = 4.0
-COPY_TIMEOUT_S = 2.0
-# A backup is sent several times a second; it is of use a little after the first event.
-BACKUP_DELAY_S = 0.5
-MOVE_RETRY_S = 0.15
-# Longest time for which two servers run one generation.
-OVERLAP_S = 0.25
-MOVE_TRIES = 6
 # How often the count of a generation's memory is brought up to date.
 GROWTH_STEP_TOKENS = 64
 # Largest part of an event that is held until the event is whole.
@@ -52,45 +46,6 @@
     BROKEN = "broken"
 
 
-class Leg(msgspec.Struct):
-    """The part of a generation that one server runs.
-
-    Attributes
-    ----------
-    place : relay_places.Place
-        Place on that server.
-    answer : relays.RelayAnswer
-        Its stream.
-    flight : quarantine.Flight
-        Entry among the requests that may crash a server.
-    first_chunk : bytes
-        Bytes that were read before the leg became the present one.
-    """
-
-    place: relay_places.Place
-    answer: relays.RelayAnswer
-    flight: quarantine.Flight
-    first_chunk: bytes = b""
-
-
-class Copy(msgspec.Struct, frozen=True):
-    """A copy of a generation's memory.
-
-    Attributes
-    ----------
-    server : discovery.DiscoveredServer
-        Server that has it.
-    holder : str
-        Address under which it is known.
-    copy_id : str
-        Its name there.
-    """
-
-    server: discovery.DiscoveredServer
-    holder: str
-    copy_id: str
-
-
 class StreamFailedError(Exception):
     """Ends a stream for good.
 
@@ -119,11 +74,11 @@
 
     Attributes
     ----------
-    leg : Leg or None
+    leg : generation_moves.Leg or None
         The server that runs it now.
-    next_leg : Leg or None
+    next_leg : generation_moves.Leg or None
         The server on which it goes on already, while the last one still runs it.
-    moved : Copy or None
+    moved : generation_moves.Copy or None
         A copy that was made on purpose and not used yet.
     last_event_id : str or None
         Last event that was passed on.
@@ -141,9 +96,9 @@
         self.pacer = event_pacing.EventPacer(response)
         size = routed.request.size or relay_requests.GenerationSize(0, 0)
         self.need = size.need(routed.route.objective_ms / MS_PER_S)
-        self.leg: Leg | None = None
-        self.next_leg: Leg | None = None
-        self.moved: Copy | None = None
+        self.leg: generation_moves.Leg | None = None
+        self.next_leg: generation_moves.Leg | None = None
+        self.moved: generation_moves.Copy | None = None
         self.is_broken = False
         self.mover: asyncio.Task | None = None
         self.last_event_id: str | None = None
@@ -198,13 +153,13 @@
         if self.moved is not None:
             self.gateway.spawn(self.drop_copy(self.moved))
 
-    def end_leg(self, leg: Leg) -> None:
+    def end_leg(self, leg: generation_moves.Leg) -> None:
         """Close the connection of a leg, which ends the run there."""
         leg.answer.close()
         self.gateway.suspects.leave(leg.place.server.id, self.request_id)
         leg.place.release()
 
-    async def start(self) -> Leg:
+    async def start(self) -> generation_moves.Leg:
         """Find an engine that takes the request and answers it."""
         while True:
             waited = await self.gateway.places.wait_for_engine(self.routed, self.need)
@@ -237,15 +192,15 @@
             )
 
     async def open_leg(
-        self, place: relay_places.Place, copy: Copy | None
-    ) -> result.Result[Leg, base.AttemptFailure]:
+        self, place: relay_places.Place, copy: generation_moves.Copy | None
+    ) -> result.Result[generation_moves.Leg, base.AttemptFailure]:
         """Send the request to the server of a place, which is given back on failure.
 
         Parameters
         ----------
         place : relay_places.Place
             Where it is to run.
-        copy : Copy or None
+        copy : generation_moves.Copy or None
             The memory from which it goes on; ``None`` at its start.
         """
         server = place.server
@@ -273,7 +228,7 @@
         if isinstance(sent, result.Success):
             answer = sent.unwrap()
             self.gateway.note_head(server, answer.head)
-            return result.Success(Leg(place, answer, flight))
+            return result.Success(generation_moves.Leg(place, answer, flight))
         failure = sent.failure()
         is_not_run = failure.end in (base.AttemptEnd.NOT_SENT, base.AttemptEnd.REFUSED)
         self.may_have_run = had_run or not is_not_run
@@ -281,13 +236,17 @@
         self.note_broken(server, failure)
         return sent
 
-    def continuation_from(self, copy: Copy | None) -> relays.Continuation | None:
+    def continuation_from(
+        self, copy: generation_moves.Copy | None
+    ) -> relays.Continuation | None:
         """Return how a server is told to go on from a copy."""
         if copy is None:
             return None
         return relays.Continuation(copy.holder, copy.copy_id, self.last_event_id)
 
-    def note_send(self, place: relay_places.Place, copy: Copy | None) -> None:
+    def note_send(
+        self, place: relay_places.Place, copy: generation_moves.Copy | None
+    ) -> None:
         """Log where the request is sent and why."""
         waited_s = self.now_s() - self.routed.request.arrived_s
         backup = place.backup.id if place.backup else "none"
@@ -338,7 +297,7 @@
             if len(splitter.rest) > MAX_EVENT_BYTES:
                 raise StreamFailedError(too_large_failure())
 
-    async def relay_failure(self, leg: Leg) -> None:
+    async def relay_failure(self, leg: generation_moves.Leg) -> None:
         """Pass on a whole answer that is not a stream."""
         status = leg.answer.head.status
         if self.response.has_begun:
@@ -353,7 +312,9 @@
             self.gateway.note(self.routed, "server_failed", leg.place.server.id, detail)
         await self.response.send_whole(leg.answer.head, body.unwrap())
 
-    async def next_chunk(self, leg: Leg) -> result.Result[bytes, base.AttemptFailure]:
+    async def next_chunk(
+        self, leg: generation_moves.Leg
+    ) -> result.Result[bytes, base.AttemptFailure]:
         """Wait for bytes; where a backup is there, not for ever."""
         silence_s = None
         if leg.place.backup is not None:
@@ -372,7 +333,9 @@
                 )
             )
 
-    async def pass_on(self, leg: Leg, events: list[event_splitter.Event]) -> None:
+    async def pass_on(
+        self, leg: generation_moves.Leg, events: list[event_splitter.Event]
+    ) -> None:
         """Pass on whole events, each once and in order."""
         fresh = [event for event in events if self.is_next(event)]
         if not fresh:
@@ -386,7 +349,7 @@
         leg.flight.tokens = self.events
         await self.pacer.put(b"".join(event.data for event in fresh))
 
-    def note_growth(self, leg: Leg) -> None:
+    def note_growth(self, leg: generation_moves.Leg) -> None:
         """Keep count of the memory that the generation takes."""
         engine = self.routed.service.engine
         made = self.events * (engine.tokens_per_event if engine else 1)
@@ -454,116 +417,15 @@
         """Get the generation away from its server, beside the stream."""
         if self.mover is None or self.mover.done():
             self.pacer.delay_s = event_pacing.SMOOTHING_S
-            self.mover = self.gateway.spawn(self.move_away(self.leg))
-
-    async def move_away(self, leg: Leg) -> None:
-        """Have another server go on before the present one is let go.
-
-        Both run for a moment; what comes twice is passed on once.
-        """
-        await self.wait_for_backup(leg)
-        for _ in range(MOVE_TRIES):
-            copy = self.backup_copy(leg) or await self.move_memory(leg)
-            if copy is not None and await self.open_next_leg(leg, copy):
-                return
-            if self.is_broken:
-                return
-            await asyncio.sleep(MOVE_RETRY_S)
-        self.gateway.note(
-            self.routed,
-            "not_moved",
-            leg.place.server.id,
-            f"after {MOVE_TRIES} tries",
-            event_log.Level.NOTICE,
-        )
-
-    async def wait_for_backup(self, leg: Leg) -> None:
-        """Wait until the backup should have got the first part of the memory."""
-        if leg.place.backup is None:
-            return
-        first_s = self.first_event_s or self.now_s()
-        await asyncio.sleep(max(0.0, first_s + BACKUP_DELAY_S - self.now_s()))
+            move = generation_moves.GenerationMove(self, self.leg)
+            self.mover = self.gateway.spawn(move.run())
 
-    def backup_copy(self, leg: Leg) -> Copy | None:
+    def backup_copy(self, leg: generation_moves.Leg) -> generation_moves.Copy | None:
         """Return the backup of a leg, if its server is still there."""
         backup = leg.place.backup
         if backup is None or self.is_leaving(backup.id):
             return None
-        return Copy(backup, backup.address, self.request_id)
-
-    async def open_next_leg(self, leg: Leg, copy: Copy) -> bool:
-        """Go on from a copy while the present server still runs; return if it works."""
-        place = self.gateway.places.place_on(copy.server, self.need)
-        opened = await self.open_leg(place, copy)
-        if isinstance(opened, result.Failure):
-            if copy.copy_id == self.request_id:
-                leg.place.set_backup(None)
-            self.moved = None
-            return False
-        self.moved = None
-        next_leg = opened.unwrap()
-        if next_leg.answer.head.status != STATUS_OK:
-            self.end_leg(next_leg)
-            return False
-        await self.read_first_chunk(next_leg)
-        self.next_leg = next_leg
-        leg.answer.close()
-        return True
-
-    async def read_first_chunk(self, leg: Leg) -> None:
-        """Wait for the first bytes, while the server before still sends its own.
-
-        Not for long: a generation must not run on two servers.
-        """
-        try:
-            async with asyncio.timeout(OVERLAP_S):
-                chunk = await leg.answer.next_chunk()
-        except TimeoutError:
-            return
-        if isinstance(chunk, result.Success):
-            leg.first_chunk = chunk.unwrap()
-
-    async def move_memory(self, leg: Leg) -> Copy | None:
-        """Copy the memory to an engine with room, while the generation runs."""
-        engine = self.routed.service.engine
-        if engine is None or not engine.moves:
-            return None
-        source = leg.place.server
-        goal = self.place_for_move(source)
-        if goal is None:
-            self.gateway.note(self.routed, "no_move", source.id, "no engine has room")
-            return None
-        begun_s = self.now_s()
-        self.gateway.note(self.routed, "move", source.id, f"to {goal.server.id}")
-        try:
-            copied = await self.gateway.server_of(source).copy_memory(
-                self.request_id, goal.server.address, COPY_TIMEOUT_S, is_last=False
-            )
-        finally:
-            goal.release()
-        if isinstance(copied, result.Failure):
-            took_s = self.now_s() - begun_s
-            message = f"{copied.failure().message} after {took_s:.3f} s"
-            self.gateway.note(
-                self.routed,
-                "copy_failed",
-                goal.server.id,
-                message,
-                event_log.Level.NOTICE,
-            )
-            return None
-        moved = copied.unwrap()
-        took_s = self.now_s() - begun_s
-        detail = f"to {goal.server.id}, {moved.events} events made, {took_s:.3f} s"
-        self.gateway.note(self.routed, "moved", source.id, detail)
-        self.moved = Copy(goal.server, source.address, moved.copy_id)
-        return self.moved
-
-    def place_for_move(
-        self, source: discovery.DiscoveredServer
-    ) -> relay_places.Place | None:
-        """Return a place that is kept while the memory is copied."""
-        return self.gateway.places.move_target(self.routed, self.need, source)
+        return generation_moves.Copy(backup, backup.address, self.request_id)
 
     async def go_on_elsewhere(self) -> None:
         """Continue on the next server, or where a copy of the memory lies.
@@ -576,7 +438,7 @@
         broken = self.leg
         self.is_broken = True
         if self.next_leg is None and self.mover is not None:
-            await asyncio.wait([self.mover], timeout=COPY_TIMEOUT_S)
+            await asyncio.wait([self.mover], timeout=generation_moves.COPY_TIMEOUT_S)
         if self.next_leg is None:
             self.next_leg = await self.open_leg_from_copy(broken)
         self.leg, self.next_leg = self.next_leg, None
@@ -585,7 +447,9 @@
         self.end_leg(broken)
         self.gateway.budget.spend(self.routed.service.name, self.now_s())
 
-    async def open_leg_from_copy(self, broken: Leg) -> Leg:
+    async def open_leg_from_copy(
+        self, broken: generation_moves.Leg
+    ) -> generation_moves.Leg:
         """Go on from the copy that is left of a leg that broke.
 
         Raises
@@ -604,10 +468,10 @@
             raise StreamFailedError(lost_failure(opened.failure().message))
         return opened.unwrap()
 
-    async def drop_copy(self, copy: Copy) -> None:
+    async def drop_copy(self, copy: generation_moves.Copy) -> None:
         """Free a copy that nobody is going to use."""
         server = self.gateway.server_of(copy.server)
-        await server.drop_copy(copy.copy_id, COPY_TIMEOUT_S)
+        await server.drop_copy(copy.copy_id, generation_moves.COPY_TIMEOUT_S)
 
 
 def lost_failure(message: str) -> failures.Failure:
--- a/src/quetzalpass/membership/control_links.py
+++ b/src/quetzalpass/membership/control_links.py
@@ -86,7 +86,6 @@
         self.lost: ids.VmId | None = None
         self.heard_at_s = 0.0
         self.started_at_s = 0.0
-        self.send_now = asyncio.Event()
         self.verdict_observers: list[Callable[[fleet_messages.FleetReply], None]] = []
 
     def start(self) -> None:
@@ -152,7 +151,6 @@
         """Tell the load to the node that watches the fleet and get its view."""
         while True:
             target = self.watcher or self.next_control()
-            self.send_now.clear()
             is_first = self.watcher is None
             request = self.make_request(self.version, 0.0 if is_first else FLEET_WAIT_S)
             reply = await self.channel.call(target, request, FLEET_TIMEOUT_S)
--- a/src/quetzalpass/membership/discovery.py
+++ b/src/quetzalpass/membership/discovery.py
@@ -37,7 +37,7 @@
         Whether it takes new work.
     slots : int
         Requests that it processes at once.
-    cold_ms : int
+    slow_for_ms : int
         How much longer it is slow after its start.
     started_ms : int or None
         Unix time of its start in milliseconds, where it is known.
@@ -51,7 +51,7 @@
     data_centre: ids.DataCentreId
     state: ServerState
     slots: int
-    cold_ms: int = 0
+    slow_for_ms: int = 0
     started_ms: int | None = None
     is_engine: bool = False
 
--- a/src/quetzalpass/membership/fleet_board.py
+++ b/src/quetzalpass/membership/fleet_board.py
@@ -194,5 +194,6 @@
 ) -> tuple[discovery.DiscoveredServer, ...]:
     """Return the servers without what changes with the clock alone."""
     return tuple(
-        msgspec.structs.replace(each, cold_ms=int(each.cold_ms > 0)) for each in servers
+        msgspec.structs.replace(each, slow_for_ms=int(each.slow_for_ms > 0))
+        for each in servers
     )
--- a/src/quetzalpass/membership/fleet_view.py
+++ b/src/quetzalpass/membership/fleet_view.py
@@ -91,7 +91,7 @@
         if known is None or known.server.started_ms != server.started_ms:
             known = self.servers[server.id] = KnownServer(server)
         known.server = server
-        known.warm_at_s = now_s + server.cold_ms / MS_PER_S
+        known.warm_at_s = now_s + server.slow_for_ms / MS_PER_S
         is_leaving = server.state is discovery.ServerState.LEAVING
         if is_leaving and not known.is_leaving:
             known.leaving_since_s = now_s
--- a/tests/adapter/test_instances.py
+++ b/tests/adapter/test_instances.py
@@ -27,7 +27,7 @@
         assert [each.id for each in found] == ["i-1", "i-2"]
         assert found[0].state is discovery.ServerState.READY
         assert found[1].state is discovery.ServerState.LEAVING
-        assert found[1].cold_ms == 800
+        assert found[1].slow_for_ms == 800
         good.stop()
 
     async def test_all_pages_are_read(self, platform):
--- a/tests/lifecycle/test_relayed_streams.py
+++ b/tests/lifecycle/test_relayed_streams.py
@@ -145,6 +145,19 @@
         silence_s = relayed_streams.SILENCE_WITH_BACKUP_S
         assert response.longest_pause_s() < silence_s + 0.2
 
+    async def test_an_end_during_the_overlap_leaves_no_run_behind(self):
+        kit = engine_kit("ab", length=20)
+        response, task = await started(kit, events=17)
+        left = runner_of(kit)
+        for each in kit.servers:
+            kit.server(each.id).is_mute = each.id != left.name
+        kit.leave(left.name)
+        await task
+        assert response.data == relaying_kit.events(20)
+        (run,) = kit.fleet.runs.values()
+        assert run.owners == []
+        assert kit.places.uses == {}
+
     async def test_the_run_ends_when_the_caller_leaves(self):
         kit = engine_kit()
         _, task = await started(kit)
