--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 ENVIRONMENT = $(VENV_STAMP)
 endif
 
-.PHONY: demo test check format fuzz
+.PHONY: demo test check format fuzz soak
 
 $(VENV_STAMP): requirements.lock pyproject.toml
 	python3.11 -m venv .venv
@@ -33,3 +33,11 @@
 
 fuzz: $(ENVIRONMENT)
 	QUETZALPASS_FUZZ_PROFILE=long $(PYTHON) -m pytest tests/fuzz -s
+
+SEED ?= 1
+COUNT ?= 10
+SECONDS ?= 15
+
+soak: $(ENVIRONMENT)
+	cd tests && PYTHONPATH=.:../src:../platform $(abspath $(PYTHON)) \
+		-m soak.soak $(SEED) $(COUNT) $(SECONDS)
--- /dev/null
+++ b/tests/soak/processes.py
@@ -0,0 +1,131 @@
+"""The real programs as processes of their own, on loopback addresses."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+
+import yaml
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+
+
+class Node:
+    """One process and the settings file that it reads."""
+
+    def __init__(self, cluster, role, ip):
+        self.cluster = cluster
+        self.role = role
+        self.ip = ip
+        self.folder = cluster.folder / f"{role}-{ip}"
+        self.folder.mkdir()
+        self.starts = 0
+        self.process = None
+        self.is_paused = False
+
+    def settings(self, bootstrap):
+        ports = self.cluster.ports
+        listen = {"control": f"{self.ip}:{ports.control}"}
+        if self.role == "gateway":
+            listen = {
+                "front": f"{self.ip}:{ports.front}",
+                "ready": f"{self.ip}:{ports.ready}",
+            }
+        return {
+            "node": f"{self.role}-{self.ip}",
+            "ip": self.ip,
+            "zone": "flx-a",
+            "listen": listen,
+            "internal_ports": [ports.inner, ports.inner],
+            "seeds": [f"{ip}:{ports.control}" for ip in self.cluster.control_ips],
+            "bootstrap": bootstrap,
+            "fault_tolerance": {"machines": 1},
+            "bounds": {"grace_s": 4.0},
+            "cloud": {"addr": self.cluster.list_address},
+            "data_dir": str(self.folder / "data"),
+        }
+
+    async def start(self, bootstrap=False):
+        (self.folder / "data").mkdir(exist_ok=True)
+        path = self.folder / "boot.yaml"
+        path.write_text(yaml.safe_dump(self.settings(bootstrap)))
+        self.starts += 1
+        log = (self.folder / f"log-{self.starts}").open("wb")
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "platform" / "run.py"),
+            self.role,
+            stdout=log,
+            stderr=log,
+            env={**os.environ, "QUETZALPASS_NODE_FILE": str(path)},
+        )
+        log.close()
+
+    def send(self, number):
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    def pause(self):
+        self.is_paused = True
+        self.send(signal.SIGSTOP)
+
+    def resume(self):
+        self.is_paused = False
+        self.send(signal.SIGCONT)
+
+    async def end(self, number, timeout_s=6.0):
+        """End the process by a signal and wait for it; kill it if it hangs."""
+        if self.process is None:
+            return
+        self.resume()
+        self.send(number)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.process.wait()
+        except TimeoutError:
+            self.send(signal.SIGKILL)
+            await self.process.wait()
+
+
+class Ports:
+    """Ports that are alike on all nodes."""
+
+    def __init__(self, front, ready, control, inner):
+        self.front = front
+        self.ready = ready
+        self.control = control
+        self.inner = inner
+
+
+class Cluster:
+    """Three control nodes and some gateways."""
+
+    def __init__(self, folder, net, ports, list_address, gateways=2):
+        self.folder = folder
+        self.ports = ports
+        self.list_address = list_address
+        self.control_ips = [f"127.{net}.1.{number}" for number in (1, 2, 3)]
+        self.controls = [Node(self, "control", ip) for ip in self.control_ips]
+        self.gateways = [
+            Node(self, "gateway", f"127.{net}.2.{number}")
+            for number in range(1, gateways + 1)
+        ]
+
+    @property
+    def nodes(self):
+        return [*self.controls, *self.gateways]
+
+    async def start(self):
+        for node in self.controls:
+            await node.start(bootstrap=True)
+        for node in self.gateways:
+            await node.start()
+
+    async def stop(self):
+        for node in self.nodes:
+            node.resume()
+            node.send(signal.SIGKILL)
+        for node in self.nodes:
+            if node.process is not None:
+                await node.process.wait()
