--- a/tests/fuzz/processes.py
+++ b/tests/fuzz/processes.py
@@ -12,7 +12,7 @@
 from quetzalpass.backends import base
 from quetzalpass.consensus import registry
 from quetzalpass.control import declared_state, ledger
-from quetzalpass.daemon import groups, peers, replica_role
+from quetzalpass.daemon import activation, groups, peers, replica_role
 from quetzalpass.declarations import schema as declared
 from quetzalpass.lifecycle import (
     gateway,
@@ -53,8 +53,7 @@
         self.rng = rng
         self.registry = registry.GroupRegistry(table)
         self.declared = declared_state.DeclaredState()
-        self.declared.observers.append(self.note_accepted)
-        self.activation = None
+        self.activation = activation.Activation(self.declared, holder)
         self.add(groups.DECLARATION_GROUP, self.declared)
         for group_id in groups.ledger_group_ids():
             self.add(group_id, ledger.LedgerState())
