Background tasks that fail are logged and begin again; servers by state among the metrics

Found on reading: an error in the exchange with the control nodes would have ended it without a line, and the gauge of servers was never set.

--- a/src/quetzalpass/daemon/control_site.py
+++ b/src/quetzalpass/daemon/control_site.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 from returns import result
 
-from quetzalpass import ids
+from quetzalpass import background, ids
 from quetzalpass.consensus import group as consensus_group
 from quetzalpass.consensus import registry, timing
 from quetzalpass.consensus import replica as replicas
@@ -139,8 +139,9 @@
         self.table.add(fleet_messages.FleetRequest, self.answer_fleet)
         await self.listen()
         replica_role.unwrap(await self.group.start())
-        self.tasks.append(asyncio.create_task(self.board.run()))
-        self.tasks.append(asyncio.create_task(self.watch.run()))
+        for name, work in (("board", self.board.run), ("watch", self.watch.run)):
+            running = background.keep_running(name, work)
+            self.tasks.append(asyncio.create_task(running))
 
     def build_group(self) -> consensus_group.Group:
         """Return the replica of the declaration's group."""
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import functools
 import math
 import random
 from collections.abc import Callable
@@ -122,6 +123,9 @@
         self.metrics.running.set_function(lambda: self.running)
         self.metrics.revision.set_function(holder.revision)
         self.metrics.list_age_s.set_function(self.list_age_s)
+        for state in discovery.ServerState:
+            gauge = self.metrics.servers.labels(state.value)
+            gauge.set_function(functools.partial(view.count, state))
         self.streams: dict[ids.RequestId, LeavingObserver] = {}
         self.tasks: set[asyncio.Task] = set()
         self.drains_until_s: float | None = None
--- a/src/quetzalpass/membership/control_links.py
+++ b/src/quetzalpass/membership/control_links.py
@@ -1,13 +1,14 @@
 """A gateway's links to the control nodes, which it learns from its seeds."""
 
 import asyncio
+import functools
 import random
 from collections.abc import Callable
 
 import logbook
 from returns import result
 
-from quetzalpass import ids
+from quetzalpass import background, ids
 from quetzalpass.membership import (
     configuration,
     discovery,
@@ -92,8 +93,9 @@
         """Start to follow the control nodes."""
         self.started_at_s = self.heard_at_s = asyncio.get_running_loop().time()
         self.follow_controls()
-        self.tasks.append(asyncio.create_task(self.exchange()))
-        self.tasks.append(asyncio.create_task(self.read_alone()))
+        for name, work in (("exchange", self.exchange), ("list", self.read_alone)):
+            running = background.keep_running(name, work)
+            self.tasks.append(asyncio.create_task(running))
 
     def stop(self) -> None:
         """Stop all tasks."""
@@ -132,7 +134,10 @@
                 self.followers.pop(vm).cancel()
         for vm in self.controls:
             if vm not in self.followers:
-                self.followers[vm] = asyncio.create_task(self.follow(vm))
+                following = background.keep_running(
+                    f"following {vm}", functools.partial(self.follow, vm)
+                )
+                self.followers[vm] = asyncio.create_task(following)
 
     async def follow(self, vm: ids.VmId) -> None:
         """Wait at one control node for the next revision, for ever."""
--- a/src/quetzalpass/membership/fleet_view.py
+++ b/src/quetzalpass/membership/fleet_view.py
@@ -140,6 +140,11 @@
         for observer in self.change_observers:
             observer()
 
+    def count(self, state: discovery.ServerState) -> int:
+        """Return how many listed servers are in a state, as far as known here."""
+        is_leaving = state is discovery.ServerState.LEAVING
+        return sum(each.is_leaving is is_leaving for each in self.servers.values())
+
     def of_service(self, service: ids.ServiceName) -> list[KnownServer]:
         """Return the servers of a service, leaving ones included."""
         return [
--- a/tests/adapter/test_ingress.py
+++ b/tests/adapter/test_ingress.py
@@ -3,6 +3,7 @@
 import struct
 
 import pytest
+from prometheus_client import exposition
 
 from platform_standin import standin
 
@@ -329,3 +330,14 @@
         assert (await standin.read_message(reader)).status == 200
         writer.close()
         server.stop()
+
+
+class TestMetrics:
+    async def test_decisions_and_servers_are_shown(self, gateway, ledger):
+        await standin.consume(gateway.port, standin.request_bytes("/once/1"))
+        text = exposition.generate_latest(gateway.site.gateway.metrics.registry)
+        shown = text.decode()
+        served = 'quetzalpass_decisions_total{decision="served",route="r-once"} 1.0'
+        assert served in shown
+        assert 'quetzalpass_servers{state="ready"} 1.0' in shown
+        assert "quetzalpass_revision 7.0" in shown
--- /dev/null
+++ b/tests/test_background.py
@@ -0,0 +1,35 @@
+import asyncio
+
+import logbook
+import pytest
+
+from quetzalpass import background
+
+
+@pytest.mark.looptime
+class TestKeepRunning:
+    async def test_a_failure_is_logged_and_the_work_goes_on(self):
+        runs = []
+
+        async def work():
+            runs.append(len(runs))
+            if len(runs) == 1:
+                raise ValueError("odd")
+            await asyncio.sleep(100)
+
+        with logbook.TestHandler() as handler:
+            task = asyncio.create_task(background.keep_running("work", work))
+            await asyncio.sleep(5)
+            task.cancel()
+        assert runs == [0, 1]
+        assert any("work failed" in record.message for record in handler.records)
+
+    async def test_it_ends_when_cancelled(self):
+        async def work():
+            await asyncio.sleep(100)
+
+        task = asyncio.create_task(background.keep_running("work", work))
+        await asyncio.sleep(1)
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
