Streams: an unused copy is freed at the server that made it

Cause: a copy whose caller left was freed at its destination, while its name belongs to the source, so that both ends kept it until its lifetime ended. The test fails without the change. The constants of promising statuses stand in relay_gateway alone now.

--- a/src/quetzalpass/lifecycle/generation_moves.py
+++ b/src/quetzalpass/lifecycle/generation_moves.py
@@ -56,14 +56,14 @@
     ----------
     server : discovery.DiscoveredServer
         Server that has it.
-    holder : str
-        Address under which it is known.
+    holder : discovery.DiscoveredServer
+        Server under whose address it is known, and at which it is freed.
     copy_id : str
         Its name there.
     """
 
     server: discovery.DiscoveredServer
-    holder: str
+    holder: discovery.DiscoveredServer
     copy_id: str
 
 
@@ -158,7 +158,7 @@
             return None
         moved = copied.unwrap()
         self.note("moved", source, f"to {goal.id}, {moved.events} events made, {took}")
-        stream.moved = Copy(goal, source.address, moved.copy_id)
+        stream.moved = Copy(goal, source, moved.copy_id)
         return stream.moved
 
     def note(
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -37,6 +37,10 @@
 HASH_RANGE = 2**64
 HEALTH_TIMEOUT_S = 0.5
 STATUS_NOT_RUN = 503
+SERVER_ERROR = 500
+# Statuses that promise that a request has not run; a server that says so without its
+# marker may have run it.
+PROMISING = frozenset({408, 421, 429, 503})
 STATUS_TIMEOUT = 504
 STATUS_BAD_GATEWAY = 502
 
--- a/src/quetzalpass/lifecycle/relayed_calls.py
+++ b/src/quetzalpass/lifecycle/relayed_calls.py
@@ -20,10 +20,6 @@
 MAX_SENDS = 4
 # Part of the time left that one attempt gets while another may follow.
 ATTEMPT_SHARE = 0.45
-SERVER_ERROR = 500
-# Statuses that promise that a request has not run; a server that says so without its
-# marker may have run it.
-PROMISING = frozenset({408, 421, 429, 503})
 
 
 class WholeAnswer(msgspec.Struct, frozen=True):
@@ -172,12 +168,12 @@
     state.runs += 1
     state.failure = None
     status = answer.head.status
-    if status < SERVER_ERROR and status not in PROMISING:
+    if status < relay_gateway.SERVER_ERROR and status not in relay_gateway.PROMISING:
         gateway.places.note_success(place.server.id)
         gateway.suspects.clear(routed.fingerprint(), None)
         return answer
     gateway.note(routed, "server_failed", place.server.id, f"status {status}")
-    if status in PROMISING:
+    if status in relay_gateway.PROMISING:
         state.failure = base.AttemptFailure(
             base.AttemptEnd.MAY_HAVE_RUN,
             base.FailureKind.MALFORMED,
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -35,8 +35,6 @@
 MAX_EVENT_BYTES = 1_048_576
 MS_PER_S = 1000
 STATUS_OK = 200
-SERVER_ERROR = 500
-PROMISING = frozenset({408, 421, 429, 503})
 
 
 class LegEnd(enum.Enum):
@@ -242,7 +240,8 @@
         """Return how a server is told to go on from a copy."""
         if copy is None:
             return None
-        return relays.Continuation(copy.holder, copy.copy_id, self.last_event_id)
+        holder = copy.holder.address
+        return relays.Continuation(holder, copy.copy_id, self.last_event_id)
 
     def note_send(
         self, place: relay_places.Place, copy: generation_moves.Copy | None
@@ -305,9 +304,9 @@
         body = await leg.answer.read_body()
         if isinstance(body, result.Failure):
             raise StreamFailedError(lost_failure(body.failure().message))
-        if status in PROMISING:
+        if status in relay_gateway.PROMISING:
             raise StreamFailedError(lost_failure(f"the server answered {status}"))
-        if status >= SERVER_ERROR:
+        if status >= relay_gateway.SERVER_ERROR:
             detail = f"status {status}"
             self.gateway.note(self.routed, "server_failed", leg.place.server.id, detail)
         await self.response.send_whole(leg.answer.head, body.unwrap())
@@ -425,7 +424,7 @@
         backup = leg.place.backup
         if backup is None or self.is_leaving(backup.id):
             return None
-        return generation_moves.Copy(backup, backup.address, self.request_id)
+        return generation_moves.Copy(backup, backup, self.request_id)
 
     async def go_on_elsewhere(self) -> None:
         """Continue on the next server, or where a copy of the memory lies.
@@ -469,9 +468,9 @@
         return opened.unwrap()
 
     async def drop_copy(self, copy: generation_moves.Copy) -> None:
-        """Free a copy that nobody is going to use."""
-        server = self.gateway.server_of(copy.server)
-        await server.drop_copy(copy.copy_id, generation_moves.COPY_TIMEOUT_S)
+        """Free a copy that nobody is going to use, at both of its servers."""
+        holder = self.gateway.server_of(copy.holder)
+        await holder.drop_copy(copy.copy_id, generation_moves.COPY_TIMEOUT_S)
 
 
 def lost_failure(message: str) -> failures.Failure:
--- a/tests/lifecycle/test_relayed_streams.py
+++ b/tests/lifecycle/test_relayed_streams.py
@@ -168,6 +168,24 @@
         assert run.owners == []
         assert kit.places.uses == {}
 
+    async def test_a_copy_that_is_not_used_is_freed_where_it_was_made(
+        self, monkeypatch
+    ):
+        without_backups(monkeypatch)
+        kit = engine_kit()
+        _, task = await started(kit)
+        left = runner_of(kit)
+        for each in kit.servers:
+            kit.server(each.id).delay_s = 5.0
+        kit.leave(left.name)
+        await asyncio.sleep(2 * left.move_s)
+        assert kit.fleet.copies
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+        await asyncio.sleep(0.1)
+        assert not kit.fleet.copies
+
     async def test_a_missing_event_ends_the_stream(self):
         kit = engine_kit("a")
         response, task = kit.start("/drafts/1")
