Routing: ends of a class lie about their mean within a bucket of its life table

Cause: the ends of a bucket were spread over its half octave, so that a class whose outputs are all 2,000 tokens seemed to end from 1,448 on, and 14 of them were admitted where 12 is the bound. Now the ends are spread evenly about the mean length that was seen in the bucket.

--- a/src/quetzalpass/routing/dispatch.py
+++ b/src/quetzalpass/routing/dispatch.py
@@ -365,7 +365,7 @@
             record.suspects -= item.suspect
             self.judge(record, outcome, now_s)
         if outcome is work.SlotOutcome.COMPLETED and flight.generated > 0:
-            self.table_of(item).end(lengths.bucket_of(flight.generated))
+            self.table_of(item).end(flight.generated)
         return self.pump_lane(self.lane(item), now_s)
 
     def judge(
--- a/src/quetzalpass/routing/lengths.py
+++ b/src/quetzalpass/routing/lengths.py
@@ -5,10 +5,15 @@
 there, so that unfinished and cancelled generations count for what they have shown. A
 mean over finished generations only would be biased to short ones, since under load
 the long ones are those still unfinished.
+
+Within a bucket the ends are taken to be spread evenly about their mean, as widely as
+the bucket allows, so that a class of equally long outputs does not seem to end early.
 """
 
 import bisect
 
+import msgspec
+
 from quetzalpass import ids
 
 MAX_TOKENS = 65536
@@ -16,6 +21,7 @@
 BUCKETS_PER_OCTAVE = 2
 DECAY_PER_END = 0.998
 PRIOR_WEIGHT = 2.0
+SMALLEST_SPREAD_TOKENS = 0.5
 
 
 def make_bounds() -> tuple[int, ...]:
@@ -33,6 +39,13 @@
 REFRESH_OBSERVATIONS = 16
 
 
+class EndRange(msgspec.Struct, frozen=True):
+    """Lengths between which the ends of a bucket lie, in tokens."""
+
+    first: float
+    last: float
+
+
 class LifeTable:
     """Hazard of an end in each bucket of lengths, for one class."""
 
@@ -40,6 +53,9 @@
         size = len(BOUNDS)
         self.at_risk = [0.0] * size
         self.ends = [0.0] * size
+        # Sum of the lengths of the ends in each bucket, in tokens.
+        self.end_tokens = [0.0] * size
+        self.end_ranges = [EndRange(0.0, 1.0)] * size
         self.survival = [1.0] * (size + 1)
         self.unread = 0
         # Results since the last refresh; most new requests ask for the same.
@@ -53,12 +69,15 @@
             self.at_risk[bucket] += 1.0
         self.count_observation()
 
-    def end(self, bucket: int) -> None:
+    def end(self, tokens: int) -> None:
         """Count the end of a generation; older observations lose weight."""
         for index in range(len(BOUNDS)):
             self.at_risk[index] *= DECAY_PER_END
             self.ends[index] *= DECAY_PER_END
+            self.end_tokens[index] *= DECAY_PER_END
+        bucket = bucket_of(tokens)
         self.ends[bucket] += 1.0
+        self.end_tokens[bucket] += min(tokens, BOUNDS[bucket])
         self.count_observation()
 
     def count_observation(self) -> None:
@@ -78,6 +97,17 @@
             hazard = min(1.0, ends / (self.at_risk[index] + PRIOR_WEIGHT))
             alive *= 1.0 - hazard
             self.survival[index + 1] = max(alive, 1e-12)
+            self.end_ranges[index] = self.end_range(index)
+
+    def end_range(self, index: int) -> "EndRange":
+        """Return the lengths between which the ends of a bucket lie."""
+        low = BOUNDS[index - 1] if index else 0
+        high = BOUNDS[index]
+        prior = PRIOR_WEIGHT * PRIOR_HAZARD
+        prior_tokens = prior * (low + high) / 2
+        mean = (self.end_tokens[index] + prior_tokens) / (self.ends[index] + prior)
+        spread = max(SMALLEST_SPREAD_TOKENS, min(mean - low, high - mean))
+        return EndRange(mean - spread, mean + spread)
 
     def survival_at(self, tokens: int) -> float:
         """Return the share of generations longer than a number of tokens."""
@@ -86,8 +116,9 @@
         if tokens >= MAX_TOKENS:
             return 0.0
         index = bisect.bisect_left(BOUNDS, tokens)
-        low = BOUNDS[index - 1] if index else 0
-        part = (tokens - low) / (BOUNDS[index] - low)
+        found = self.end_ranges[index]
+        part = (tokens - found.first) / (found.last - found.first)
+        part = min(1.0, max(0.0, part))
         before = self.survival[index]
         return before + part * (self.survival[index + 1] - before)
 
@@ -167,11 +198,14 @@
     if now <= 0.0:
         return 0.0
     total, position, alive = 0.0, generated, now
-    for bound in BOUNDS[bucket_of(generated) :]:
-        upper = min(bound, max_tokens)
-        if upper <= position:
-            continue
-        after = table.survival_at(upper)
-        total += (upper - position) * (alive + after) / 2
-        position, alive = upper, after
+    for index in range(bucket_of(generated), len(BOUNDS)):
+        ends = table.end_ranges[index]
+        # The curve is straight between these lengths.
+        for knot in (ends.first, ends.last, BOUNDS[index]):
+            upper = min(knot, max_tokens)
+            if upper <= position:
+                continue
+            after = table.survival_at(upper)
+            total += (upper - position) * (alive + after) / 2
+            position, alive = upper, after
     return total / now
--- a/tests/routing/test_lengths.py
+++ b/tests/routing/test_lengths.py
@@ -7,7 +7,7 @@
     last = lengths.bucket_of(tokens)
     table.enter(0, last)
     if finished:
-        table.end(last)
+        table.end(tokens)
 
 
 class TestLifeTable:
@@ -29,6 +29,15 @@
         table.refresh()
         assert 0.35 < table.survival_at(400) < 0.65
 
+    def test_equally_long_outputs_do_not_seem_to_end_before_they_do(self):
+        table = lengths.LifeTable()
+        for _ in range(100):
+            run(table, 2000)
+        table.refresh()
+        assert table.survival_at(1900) > 0.9
+        assert table.survival_at(2100) < 0.1
+        assert 440 < lengths.expected_more(table, 1550, 4096) < 600
+
     def test_old_observations_lose_weight(self):
         table = lengths.LifeTable()
         for _ in range(500):
