Allocation: one node chooses the engines for all gateways

Cause: gateways decide on reports that are 0.25 to 0.5 s old. Load sums at that node are kept as they change. The test of the rush fails where gateways decide alone (74,400 tokens to one engine).

--- /dev/null
+++ b/src/quetzalpass/allocation/rooms.py
@@ -0,0 +1,46 @@
+"""What a decision knows of one server, put together from list, load and declaration."""
+
+import msgspec
+
+from quetzalpass.declarations import schema
+from quetzalpass.membership import discovery, fleet_messages
+from quetzalpass.routing import prefill_rates, relay_placement
+
+
+class Condition(msgspec.Struct, frozen=True):
+    """What is known of a server beside its load.
+
+    Attributes
+    ----------
+    is_cold : bool
+        It has just started and is slow.
+    is_cut_off : bool
+        Its data centre could not be reached a moment ago.
+    """
+
+    is_cold: bool = False
+    is_cut_off: bool = False
+
+
+def room_of(
+    server: discovery.DiscoveredServer,
+    use: fleet_messages.ServerUse,
+    service: schema.Service,
+    rates: prefill_rates.PrefillRates,
+    condition: Condition,
+) -> relay_placement.ServerRoom:
+    """Return what is on one server now."""
+    engine = service.engine
+    return relay_placement.ServerRoom(
+        server.id,
+        server.data_centre,
+        use.requests,
+        use.tokens,
+        use.copy_tokens,
+        max(1, engine.max_batch if engine else server.slots),
+        use.prefill_tokens,
+        engine.memory_tokens if engine else 0,
+        rates.rate(server.id, engine.prefill_tokens_per_s) if engine else 1.0,
+        condition.is_cold,
+        condition.is_cut_off,
+    )
--- a/src/quetzalpass/daemon/control_site.py
+++ b/src/quetzalpass/daemon/control_site.py
@@ -11,6 +11,8 @@
 from returns import result
 
 from quetzalpass import background, ids
+from quetzalpass.allocation import allocator
+from quetzalpass.allocation import messages as allocation_messages
 from quetzalpass.consensus import group as consensus_group
 from quetzalpass.consensus import registry, timing
 from quetzalpass.consensus import replica as replicas
@@ -114,6 +116,7 @@
         self.board = fleet_board.FleetBoard(
             source, self.is_watcher, rng.getrandbits(VERSION_BITS)
         )
+        self.allocator = allocator.Allocator(self.board, self.holder, rng)
         self.metrics = exposition.ProcessMetrics()
         self.metrics.revision.set_function(self.holder.revision)
         self.metrics.is_leader.set_function(self.is_watcher)
@@ -137,6 +140,7 @@
         self.table.add(inner_messages.ProposeRequest, self.answer_proposal)
         self.table.add(inner_messages.DeclarationRequest, self.answer_declaration)
         self.table.add(fleet_messages.FleetRequest, self.answer_fleet)
+        self.table.add(allocation_messages.AllocationRequest, self.answer_allocation)
         await self.listen()
         replica_role.unwrap(await self.group.start())
         for name, work in (("board", self.board.run), ("watch", self.watch.run)):
@@ -228,6 +232,12 @@
         reply = await self.board.answer(request, self.group.leader(), self.controls())
         return result.Success(reply)
 
+    async def answer_allocation(
+        self, request: allocation_messages.AllocationRequest
+    ) -> handlers.Outcome:
+        """Answer a gateway with an engine for a generation."""
+        return result.Success(await self.allocator.answer(request))
+
     async def propose(
         self, command: declared_state.Command
     ) -> result.Result[bytes, failures.Failure]:
--- a/src/quetzalpass/daemon/gateway_site.py
+++ b/src/quetzalpass/daemon/gateway_site.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from quetzalpass import ids
+from quetzalpass.allocation import client
 from quetzalpass.lifecycle import relay_gateway, relay_places, shared_budget
 from quetzalpass.membership import (
     configuration,
@@ -78,7 +79,18 @@
         self.holder = configuration.ConfigurationHolder()
         self.view = fleet_view.FleetView()
         self.channel = transport.HttpTransport(transport.DirectAddresses(), cluster_key)
-        self.places = relay_places.Places(self.view, settings.data_centre, rng)
+        self.allocation_channel = transport.HttpTransport(
+            transport.DirectAddresses(), cluster_key
+        )
+        self.places = relay_places.Places(
+            self.view,
+            settings.data_centre,
+            rng,
+            settings.vm,
+            client.RemoteAllocation(self.allocating_node, self.allocation_channel),
+        )
+        self.told_places: tuple[ids.AllocationId, ...] = ()
+        self.told_reads = 0
         self.budget = shared_budget.SharedBudget(settings.budget)
         self.gateway = relay_gateway.RelayGateway(
             settings.vm,
@@ -115,6 +127,9 @@
     ) -> fleet_messages.FleetRequest:
         """Return this gateway's load as a question for the fleet."""
         verdicts = self.gateway.suspects.verdicts_since(0)
+        reads = tuple(self.places.untold_reads)
+        self.told_places = tuple(self.places.untold_places)
+        self.told_reads = len(reads)
         return fleet_messages.FleetRequest(
             self.settings.vm,
             known_version,
@@ -122,11 +137,18 @@
             self.places.own_uses(),
             tuple(self.view.own_announcements),
             verdicts if verdicts.verdicts else None,
+            self.told_places,
+            reads,
         )
 
+    def allocating_node(self) -> ids.VmId | None:
+        """Return the node that chooses engines, if it is known."""
+        return self.links.watcher
+
     def note_reply(self, reply: fleet_messages.FleetReply) -> None:
         """Take in what concerns the requests from a control node's reply."""
         self.budget.gateways = max(1, reply.gateways)
+        self.places.confirm_told(self.told_places, self.told_reads)
         if reply.verdicts is not None:
             self.gateway.suspects.merge(reply.verdicts)
 
@@ -152,4 +174,5 @@
         await self.gateway.close()
         await self.source.close()
         await self.channel.close()
+        await self.allocation_channel.close()
         LOG.info("daemon: {} has stopped.", self.settings.vm)
--- a/src/quetzalpass/lifecycle/generation_moves.py
+++ b/src/quetzalpass/lifecycle/generation_moves.py
@@ -133,7 +133,9 @@
         if engine is None or not engine.moves:
             return None
         source = self.leg.place.server
-        goal = stream.gateway.places.move_target(stream.routed, stream.need, source)
+        goal = await stream.gateway.places.move_target(
+            stream.routed, stream.need, source
+        )
         if goal is None:
             self.note("no_move", source, "no engine has room")
             return None
--- a/src/quetzalpass/lifecycle/relay_places.py
+++ b/src/quetzalpass/lifecycle/relay_places.py
@@ -1,13 +1,15 @@
 """Places on discovered servers for relayed requests of one gateway."""
 
 import asyncio
+import functools
 import random
 
 import logbook
-import msgspec
 from returns import result
 
 from quetzalpass import ids
+from quetzalpass.allocation import client, queueing, rooms
+from quetzalpass.allocation import messages as allocation_messages
 from quetzalpass.lifecycle import relay_requests
 from quetzalpass.membership import discovery, fleet_messages, fleet_view
 from quetzalpass.results import codes, failures
@@ -20,13 +22,17 @@
 
 LOG = logbook.Logger("routing")
 
-PUMP_INTERVAL_S = 0.05
 MS_PER_S = 1000
 # Longest wait for room as a multiple of the objective; callers of streams leave after
 # four times that objective.
 PATIENCE_FACTOR = 3.0
 # A failure of a server whose other requests succeed counts for a short time only.
 EJECTION_S = 3.0
+# A question for an engine waits no longer, so that a lost one shows.
+LONGEST_QUESTION_S = 0.25
+MAX_UNTOLD_READS = 100
+INCARNATION_BITS = 48
+THIS_GATEWAY = ids.VmId("")
 # How long the servers of a data centre come last after one could not be reached.
 CUT_OFF_S = 1.5
 
@@ -42,6 +48,12 @@
         Memory that it is expected to need; nothing for a plain service.
     backup : discovery.DiscoveredServer or None
         Server that holds a growing copy.
+    read : prefill_rates.PendingRead or None
+        Its prompt, until the server has read it.
+    is_granted : bool
+        Whether the allocating node chose it, with the backup or without one.
+    reason : str
+        The figures that decided for the server.
     """
 
     def __init__(
@@ -49,20 +61,17 @@
         places: "Places",
         server: discovery.DiscoveredServer,
         need: relay_placement.GenerationNeed,
-        prefill_tokens: int = 0,
+        read: prefill_rates.PendingRead | None = None,
     ) -> None:
         self.places = places
         self.server = server
         self.need = need
         self.backup: discovery.DiscoveredServer | None = None
         self.is_held = True
-        self.read: prefill_rates.PendingRead | None = None
-        if prefill_tokens:
-            self.read = prefill_rates.PendingRead(
-                prefill_tokens,
-                places.use_of(server.id).prefill_tokens,
-                asyncio.get_running_loop().time(),
-            )
+        self.is_granted = False
+        self.reason = ""
+        self.read = read
+        prefill_tokens = read.tokens if read is not None else 0
         places.add_use(server.id, 1, need.tokens, 0, prefill_tokens)
 
     def set_backup(self, backup: discovery.DiscoveredServer | None) -> None:
@@ -80,11 +89,13 @@
             return
         self.forget_read()
         elapsed_s = asyncio.get_running_loop().time() - read.sent_s
-        self.places.rates.observe(
-            self.server.id,
-            read.tokens + read.tokens_ahead,
-            elapsed_s,
-            DEFAULT_RATE_TOKENS_PER_S,
+        self.places.note_read(
+            fleet_messages.PromptRead(
+                self.server.id,
+                read.tokens + read.tokens_ahead,
+                elapsed_s,
+                read.declared_tokens_per_s,
+            )
         )
 
     def forget_read(self) -> None:
@@ -112,16 +123,6 @@
         self.places.pump()
 
 
-class Waiter(msgspec.Struct, frozen=True):
-    """A request that waits, and the future that gets its place."""
-
-    request: relay_waiting.WaitingRequest
-    service: ids.ServiceName
-    future: asyncio.Future
-
-
-# Stands in for the declared rate where no request has named it yet.
-DEFAULT_RATE_TOKENS_PER_S = 7_000.0
 NO_NEED = relay_placement.GenerationNeed(0, 0)
 
 PlaceResult = result.Result[Place, failures.Failure]
@@ -138,6 +139,11 @@
         Where this gateway runs.
     rng : random.Random
         Draws among servers that are about as good.
+    vm : VmId
+        This gateway.
+    allocation : client.AllocationSource or None
+        Node that chooses the engines; this gateway does while that is silent, or
+        where there is none.
     """
 
     def __init__(
@@ -145,6 +151,8 @@
         view: fleet_view.FleetView,
         data_centre: ids.DataCentreId,
         rng: random.Random,
+        vm: ids.VmId = THIS_GATEWAY,
+        allocation: client.AllocationSource | None = None,
     ) -> None:
         self.view = view
         self.data_centre = data_centre
@@ -154,10 +162,15 @@
         self.health: dict[ids.ServerId, ejection.Health] = {}
         self.ejected_until_s: dict[ids.ServerId, float] = {}
         self.cut_off_until_s: dict[ids.DataCentreId, float] = {}
-        self.lists: dict[ids.ServiceName, relay_waiting.WaitingList] = {}
-        self.waiters: dict[ids.RequestId, Waiter] = {}
-        self.routed: dict[ids.RequestId, relay_requests.RoutedRequest] = {}
-        self.timer: asyncio.TimerHandle | None = None
+        self.queues: dict[ids.ServiceName, queueing.PlacementQueue[Place]] = {}
+        self.vm = vm
+        self.allocation = allocation
+        # A restarted gateway must not be taken for the one before.
+        self.incarnation = rng.getrandbits(INCARNATION_BITS)
+        self.allocations = 0
+        # What the allocating node has not been told yet.
+        self.untold_places: list[ids.AllocationId] = []
+        self.untold_reads: list[fleet_messages.PromptRead] = []
         view.change_observers.append(self.pump)
 
     def add_use(
@@ -220,21 +233,12 @@
     ) -> relay_placement.ServerRoom:
         """Return what is on one server now."""
         server = known.server
-        use = self.use_of(server.id)
-        engine = routed.service.engine
-        return relay_placement.ServerRoom(
-            server.id,
-            server.data_centre,
-            use.requests,
-            use.tokens,
-            use.copy_tokens,
-            max(1, engine.max_batch if engine else server.slots),
-            use.prefill_tokens,
-            engine.memory_tokens if engine else 0,
-            self.rates.rate(server.id, engine.prefill_tokens_per_s) if engine else 1.0,
+        condition = rooms.Condition(
             now_s < known.warm_at_s,
             now_s < self.cut_off_until_s.get(server.data_centre, 0.0),
         )
+        use = self.use_of(server.id)
+        return rooms.room_of(server, use, routed.service, self.rates, condition)
 
     def service_place(
         self,
@@ -242,9 +246,9 @@
         excluded: frozenset[ids.ServerId] = frozenset(),
     ) -> Place | None:
         """Return a place on a server of a plain service, if any server is there."""
-        rooms = self.rooms(routed, excluded)
+        found = self.rooms(routed, excluded)
         chosen = relay_placement.choose_service_server(
-            rooms, self.data_centre, self.rng
+            found, self.data_centre, self.rng
         )
         if chosen is None:
             return None
@@ -257,23 +261,34 @@
         excluded: frozenset[ids.ServerId] = frozenset(),
     ) -> Place | None:
         """Return a place on an engine with room, if there is one."""
-        rooms = self.rooms(routed, excluded)
-        chosen = relay_placement.choose_engine(need, rooms, self.data_centre, self.rng)
+        found = self.rooms(routed, excluded)
+        chosen = relay_placement.choose_engine(need, found, self.data_centre, self.rng)
         if chosen is None:
             return None
+        room = next(each for each in found if each.server_id == chosen)
         server = self.view.servers[chosen].server
-        return Place(self, server, need, need.prompt_tokens)
+        read = pending_read(routed, need, room.prefill_tokens)
+        place = Place(self, server, need, read)
+        place.reason = relay_placement.describe(room, need)
+        return place
 
-    def move_target(
+    async def move_target(
         self,
         routed: relay_requests.RoutedRequest,
         need: relay_placement.GenerationNeed,
         source: discovery.DiscoveredServer,
     ) -> Place | None:
         """Return a place for the memory of a generation that leaves a server."""
-        rooms = self.rooms(routed, frozenset((source.id,)))
+        request = self.allocation_request(
+            routed, need, allocation_messages.Purpose.MOVE, source
+        )
+        asked = await self.ask(request)
+        if isinstance(asked, result.Success):
+            grant = asked.unwrap().grant
+            return None if grant is None else self.granted_place(request, grant, None)
+        found = self.rooms(routed, frozenset((source.id,)))
         chosen = relay_placement.choose_move_target(
-            need, rooms, source.data_centre, self.rng
+            need, found, source.data_centre, self.rng
         )
         if chosen is None:
             return None
@@ -282,11 +297,11 @@
     def give_backup(self, routed: relay_requests.RoutedRequest, place: Place) -> None:
         """Choose where the memory of a placed generation is copied to."""
         engine = routed.service.engine
-        if engine is None or not engine.backups:
+        if place.is_granted or engine is None or not engine.backups:
             return
-        rooms = self.rooms(routed, frozenset((place.server.id,)))
+        found = self.rooms(routed, frozenset((place.server.id,)))
         chosen = relay_placement.choose_backup(
-            place.need, rooms, place.server.data_centre, self.rng
+            place.need, found, place.server.data_centre, self.rng
         )
         if chosen is not None:
             place.set_backup(self.view.servers[chosen].server)
@@ -311,21 +326,138 @@
         Result
             The place, or ``QUEUE_FULL`` with the time to come back.
         """
-        service = routed.service.name
-        found = self.lists.setdefault(service, relay_waiting.WaitingList())
-        if not found.waiting:
-            place = self.engine_place(routed, need)
-            if place is not None:
-                return result.Success(place)
         request = self.waiting_request(routed, need)
-        future: asyncio.Future[Place | None]
-        future = asyncio.get_running_loop().create_future()
-        waiter = Waiter(request, service, future)
-        found.add(request)
-        self.waiters[request.request_id] = waiter
-        self.routed[request.request_id] = routed
-        self.pump()
-        return await self.result_of(waiter, routed)
+        asked = await self.wait_for_grant(routed, request)
+        place = asked.value_or(None)
+        if isinstance(asked, result.Failure):
+            place = await self.wait_here(routed, request)
+        if place is not None:
+            return result.Success(place)
+        waited_s = asyncio.get_running_loop().time() - request.arrived_s
+        return result.Failure(
+            self.refusal(routed, f"no engine had room within {waited_s:.2f} s")
+        )
+
+    async def wait_for_grant(
+        self,
+        routed: relay_requests.RoutedRequest,
+        request: relay_waiting.WaitingRequest,
+    ) -> result.Result[Place | None, failures.Failure]:
+        """Wait until the allocating node has an engine for a request.
+
+        The first question does not wait, so that a node which is frozen costs little.
+
+        Returns
+        -------
+        Result
+            The place, ``None`` if none came in time, or the failure of a question.
+        """
+        loop = asyncio.get_running_loop()
+        wait_s = 0.0
+        while True:
+            message = self.allocation_request(
+                routed, request.need, allocation_messages.Purpose.START, None, wait_s
+            )
+            asked = await self.ask(message)
+            if isinstance(asked, result.Failure):
+                return asked
+            grant = asked.unwrap().grant
+            if grant is not None:
+                read = pending_read(routed, request.need, grant.prefill_tokens)
+                return result.Success(self.granted_place(message, grant, read))
+            left_s = request.gives_up_at_s - loop.time()
+            if left_s <= 0:
+                return result.Success(None)
+            wait_s = min(LONGEST_QUESTION_S, left_s)
+
+    async def ask(self, request: allocation_messages.AllocationRequest) -> client.Asked:
+        """Ask the allocating node, if there is one."""
+        if self.allocation is None:
+            return client.failed("no node allocates")
+        return await self.allocation.ask(request)
+
+    def allocation_request(
+        self,
+        routed: relay_requests.RoutedRequest,
+        need: relay_placement.GenerationNeed,
+        purpose: allocation_messages.Purpose,
+        source: discovery.DiscoveredServer | None,
+        wait_s: float = 0.0,
+    ) -> allocation_messages.AllocationRequest:
+        """Return the question for an engine, with what this gateway knows of them."""
+        self.allocations += 1
+        now_s = asyncio.get_running_loop().time()
+        return allocation_messages.AllocationRequest(
+            ids.AllocationId(f"{self.vm}/{self.incarnation:x}/{self.allocations}"),
+            self.vm,
+            routed.service.name,
+            purpose,
+            self.data_centre if source is None else source.data_centre,
+            need,
+            routed.rank,
+            now_s - routed.request.arrived_s,
+            wait_s,
+            self.avoided(routed, source, now_s),
+            tuple(each for each, at_s in self.cut_off_until_s.items() if now_s < at_s),
+        )
+
+    def avoided(
+        self,
+        routed: relay_requests.RoutedRequest,
+        source: discovery.DiscoveredServer | None,
+        now_s: float,
+    ) -> tuple[ids.ServerId, ...]:
+        """Return the engines that this gateway knows to be of no use now."""
+        found = {
+            known.server.id
+            for known in self.view.of_service(routed.service.name)
+            if known.is_leaving
+            or self.ejected_until_s.get(known.server.id, 0.0) > now_s
+        }
+        if source is not None:
+            found.add(source.id)
+        return tuple(sorted(found))
+
+    def granted_place(
+        self,
+        request: allocation_messages.AllocationRequest,
+        grant: allocation_messages.EngineGrant,
+        read: prefill_rates.PendingRead | None,
+    ) -> Place:
+        """Return the place that the allocating node has granted."""
+        self.untold_places.append(request.allocation)
+        place = Place(self, grant.server, request.need, read)
+        place.is_granted = True
+        place.reason = grant.reason
+        place.set_backup(grant.backup)
+        return place
+
+    def note_read(self, read: fleet_messages.PromptRead) -> None:
+        """Learn how fast an engine reads, and keep it for the allocating node."""
+        self.rates.observe(
+            read.server, read.tokens, read.elapsed_s, read.declared_tokens_per_s
+        )
+        if self.allocation is not None and len(self.untold_reads) < MAX_UNTOLD_READS:
+            self.untold_reads.append(read)
+
+    def confirm_told(self, placed: tuple[ids.AllocationId, ...], reads: int) -> None:
+        """Forget what the allocating node has been told."""
+        told = frozenset(placed)
+        self.untold_places = [each for each in self.untold_places if each not in told]
+        del self.untold_reads[:reads]
+
+    async def wait_here(
+        self,
+        routed: relay_requests.RoutedRequest,
+        request: relay_waiting.WaitingRequest,
+    ) -> Place | None:
+        """Wait for a place that this gateway finds by itself."""
+        service = routed.service.name
+        queue = self.queues.get(service)
+        if queue is None:
+            queue = self.queues[service] = queueing.PlacementQueue(Place.release)
+        find_place = functools.partial(self.engine_place, routed, request.need)
+        return await queue.wait(request, find_place)
 
     def waiting_request(
         self,
@@ -347,29 +479,6 @@
             patience_s,
         )
 
-    async def result_of(
-        self, waiter: Waiter, routed: relay_requests.RoutedRequest
-    ) -> PlaceResult:
-        """Wait until a waiting request has its place or is refused."""
-        request = waiter.request
-        try:
-            place = await waiter.future
-        except asyncio.CancelledError:
-            if waiter.future.done() and not waiter.future.cancelled():
-                granted = waiter.future.result()
-                if granted is not None:
-                    granted.release()
-            raise
-        finally:
-            self.forget(waiter)
-        if place is not None:
-            return result.Success(place)
-        now_s = asyncio.get_running_loop().time()
-        waited_s = now_s - request.arrived_s
-        return result.Failure(
-            self.refusal(routed, f"no engine had room within {waited_s:.2f} s")
-        )
-
     def refusal(
         self, routed: relay_requests.RoutedRequest, message: str
     ) -> failures.Failure:
@@ -380,52 +489,10 @@
             codes.Code.QUEUE_FULL, message, retry_after_ms=int(return_s * MS_PER_S)
         )
 
-    def forget(self, waiter: Waiter) -> None:
-        """Take a request out of the waiting list."""
-        request_id = waiter.request.request_id
-        self.lists[waiter.service].remove(request_id)
-        self.waiters.pop(request_id, None)
-        self.routed.pop(request_id, None)
-
     def pump(self) -> None:
-        """Place what can be placed, and refuse what has waited for too long."""
-        if not self.waiters:
-            return
-        now_s = asyncio.get_running_loop().time()
-        for found in self.lists.values():
-            for request in found.expired(now_s):
-                self.settle(request, None)
-            self.place_in_order(found, now_s)
-        if self.waiters and self.timer is None:
-            loop = asyncio.get_running_loop()
-            self.timer = loop.call_later(PUMP_INTERVAL_S, self.on_timer)
-
-    def on_timer(self) -> None:
-        """Look at the waiting lists again."""
-        self.timer = None
-        self.pump()
-
-    def place_in_order(self, found: relay_waiting.WaitingList, now_s: float) -> None:
-        """Place the requests of one list until one must not be passed."""
-        for request in found.in_order(now_s):
-            routed = self.routed[request.request_id]
-            place = self.engine_place(routed, request.need)
-            if place is not None:
-                self.settle(request, place)
-            elif found.blocks_others(request, now_s):
-                return
-
-    def settle(
-        self, request: relay_waiting.WaitingRequest, place: Place | None
-    ) -> None:
-        """Hand a place, or the refusal, to the task that waits for it."""
-        waiter = self.waiters.pop(request.request_id)
-        self.lists[waiter.service].remove(request.request_id)
-        if waiter.future.done():
-            if place is not None:
-                place.release()
-            return
-        waiter.future.set_result(place)
+        """Place what waits here and can be placed."""
+        for queue in self.queues.values():
+            queue.pump()
 
     def note_success(self, server_id: ids.ServerId) -> None:
         """Note that a server has answered well."""
@@ -457,3 +524,20 @@
         self.ejected_until_s[server_id] = now_s + EJECTION_S
         self.health.pop(server_id, None)
         LOG.warning("routing: No new work for {}: {}.", server_id, reason)
+
+
+def pending_read(
+    routed: relay_requests.RoutedRequest,
+    need: relay_placement.GenerationNeed,
+    ahead_tokens: int,
+) -> prefill_rates.PendingRead | None:
+    """Return the prompt of a generation that an engine is about to read."""
+    engine = routed.service.engine
+    if engine is None:
+        return None
+    return prefill_rates.PendingRead(
+        need.prompt_tokens,
+        ahead_tokens,
+        asyncio.get_running_loop().time(),
+        engine.prefill_tokens_per_s,
+    )
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -249,7 +249,9 @@
         """Log where the request is sent and why."""
         waited_s = self.now_s() - self.routed.request.arrived_s
         backup = place.backup.id if place.backup else "none"
+        chooser = "granted" if place.is_granted else "chosen here"
         detail = f"after {waited_s:.3f} s, needs {place.need.tokens}, backup {backup}"
+        detail += f", {chooser}: {place.reason}" if place.reason else ""
         if copy is not None:
             detail += f", goes on after event {self.last_event_id}"
         self.gateway.note(self.routed, "send", place.server.id, detail)
--- a/src/quetzalpass/membership/fleet_board.py
+++ b/src/quetzalpass/membership/fleet_board.py
@@ -8,7 +8,12 @@
 from returns import result
 
 from quetzalpass import ids
-from quetzalpass.membership import discovery, fleet_messages, quarantine
+from quetzalpass.membership import (
+    discovery,
+    fleet_messages,
+    quarantine,
+    use_totals,
+)
 
 LOG = logbook.Logger("membership")
 
@@ -20,6 +25,7 @@
 USE_LIFETIME_S = 2.0
 # What a gateway was told by a server itself counts until the list says it too.
 ANNOUNCEMENT_LIFETIME_S = 20.0
+MS_PER_S = 1000
 
 
 class GatewayReport(msgspec.Struct, frozen=True):
@@ -42,6 +48,19 @@
         Returns whether this node is the one that reads.
     first_version : int
         Differs at each start, so that no gateway takes a new list for an old one.
+
+    Attributes
+    ----------
+    warm_at_s : dict of ServerId to float
+        Loop time from which a server that has just started is no longer slow.
+    totals : use_totals.UseTotals
+        What all gateways have on each server.
+    active_since_s : float or None
+        Loop time since which this node has been the one that reads.
+    report_observers : list of callable
+        Called with each gateway's report.
+    change_observers : list of callable
+        Called after each change of the servers.
     """
 
     def __init__(
@@ -60,22 +79,33 @@
         self.reports: dict[ids.VmId, GatewayReport] = {}
         self.announced: dict[ids.ServerId, float] = {}
         self.suspects = quarantine.Quarantine("board")
+        self.warm_at_s: dict[ids.ServerId, float] = {}
+        self.totals = use_totals.UseTotals()
+        self.active_since_s: float | None = None
+        self.report_observers: list[Callable[[fleet_messages.FleetRequest], None]] = []
+        self.change_observers: list[Callable[[], None]] = []
 
     async def run(self) -> None:
         """Read the list again and again while this node is the one that does."""
         pause_s = READ_INTERVAL_S
         while True:
             if self.is_active():
+                self.note_active()
                 pause_s = max(pause_s, READ_INTERVAL_S)
                 is_read = await self.read_once()
                 pause_s = (
                     READ_INTERVAL_S if is_read else min(MAX_READ_BACKOFF_S, 2 * pause_s)
                 )
             else:
-                self.read_at_s = None
+                self.read_at_s = self.active_since_s = None
                 pause_s = IDLE_INTERVAL_S
             await asyncio.sleep(pause_s)
 
+    def note_active(self) -> None:
+        """Note since when this node has been the one that reads."""
+        if self.active_since_s is None:
+            self.active_since_s = asyncio.get_running_loop().time()
+
     async def read_once(self) -> bool:
         """Read the list; return whether that succeeded."""
         listed = await self.source.list_servers(READ_TIMEOUT_S)
@@ -83,7 +113,12 @@
             LOG.warning("membership: No list of servers: {}.", listed.failure().message)
             return False
         self.listed = listed.unwrap()
-        self.read_at_s = asyncio.get_running_loop().time()
+        now_s = self.read_at_s = asyncio.get_running_loop().time()
+        self.warm_at_s = {
+            each.id: now_s + each.slow_for_ms / MS_PER_S
+            for each in self.listed
+            if each.slow_for_ms
+        }
         self.publish()
         return True
 
@@ -116,6 +151,8 @@
         )
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
+        for observer in self.change_observers:
+            observer()
 
     def with_announcement(
         self, server: discovery.DiscoveredServer
@@ -154,7 +191,12 @@
     def take_in(self, request: fleet_messages.FleetRequest) -> None:
         """Note what a gateway has told."""
         now_s = asyncio.get_running_loop().time()
+        self.forget_report(request.gateway)
         self.reports[request.gateway] = GatewayReport(request.uses, now_s)
+        self.totals.add(request.uses)
+        self.expire_reports(now_s)
+        for observer in self.report_observers:
+            observer(request)
         self.announce(request.leaving)
         if request.verdicts is not None:
             self.suspects.merge(request.verdicts)
@@ -167,26 +209,29 @@
         except TimeoutError:
             return
 
+    def forget_report(self, gateway: ids.VmId) -> None:
+        """Count the load of a gateway no longer."""
+        report = self.reports.pop(gateway, None)
+        if report is not None:
+            self.totals.subtract(report.uses)
+
+    def expire_reports(self, now_s: float) -> None:
+        """Forget gateways that are silent; the oldest reports come first."""
+        for gateway, report in list(self.reports.items()):
+            if now_s - report.at_s <= USE_LIFETIME_S:
+                return
+            self.forget_report(gateway)
+
     def uses_of_others(self, gateway: ids.VmId) -> tuple[fleet_messages.ServerUse, ...]:
         """Return the summed load of all gateways but one."""
+        self.expire_reports(asyncio.get_running_loop().time())
+        own = self.reports.get(gateway)
+        return self.totals.without(own.uses if own is not None else ())
+
+    def is_cold(self, server_id: ids.ServerId) -> bool:
+        """Return whether a server is still slow after its start."""
         now_s = asyncio.get_running_loop().time()
-        sums: dict[ids.ServerId, fleet_messages.ServerUse] = {}
-        for vm, report in list(self.reports.items()):
-            if now_s - report.at_s > USE_LIFETIME_S:
-                del self.reports[vm]
-            elif vm != gateway:
-                add_uses(sums, report.uses)
-        return tuple(sums.values())
-
-
-def add_uses(
-    sums: dict[ids.ServerId, fleet_messages.ServerUse],
-    uses: tuple[fleet_messages.ServerUse, ...],
-) -> None:
-    """Add the load of one gateway to the sums."""
-    for use in uses:
-        none = fleet_messages.ServerUse(use.server)
-        sums[use.server] = sums.get(use.server, none).plus(use)
+        return now_s < self.warm_at_s.get(server_id, 0.0)
 
 
 def unhurried(
--- a/src/quetzalpass/membership/fleet_messages.py
+++ b/src/quetzalpass/membership/fleet_messages.py
@@ -51,6 +51,27 @@
         )
 
 
+class PromptRead(msgspec.Struct, frozen=True):
+    """How long an engine took to read prompts.
+
+    Attributes
+    ----------
+    server : ServerId
+        The engine.
+    tokens : int
+        Tokens that it had to read up to the first event of a request.
+    elapsed_s : float
+        Time from the send to that event, in seconds.
+    declared_tokens_per_s : float
+        Rate that its service is declared with.
+    """
+
+    server: ids.ServerId
+    tokens: int
+    elapsed_s: float
+    declared_tokens_per_s: float
+
+
 class FleetReply(messages.Reply, frozen=True):
     """What a control node knows of the fleet.
 
@@ -104,6 +125,11 @@
         Servers that have announced to this gateway that they leave.
     verdicts : quarantine.Verdicts or None
         Requests that this gateway suspects of crashing servers.
+    placed : tuple of AllocationId
+        Engines that this gateway was granted and that ``uses`` counts, as far as no
+        reply has come since.
+    reads : tuple of PromptRead
+        First events since the last report.
     """
 
     reply_type = FleetReply
@@ -113,3 +139,5 @@
     uses: tuple[ServerUse, ...] = ()
     leaving: tuple[ids.ServerId, ...] = ()
     verdicts: quarantine.Verdicts | None = None
+    placed: tuple[ids.AllocationId, ...] = ()
+    reads: tuple[PromptRead, ...] = ()
--- a/src/quetzalpass/routing/prefill_rates.py
+++ b/src/quetzalpass/routing/prefill_rates.py
@@ -67,8 +67,11 @@
         Tokens of other prompts before it.
     sent_s : float
         Loop time at which it was sent.
+    declared_tokens_per_s : float
+        Rate that its service is declared with.
     """
 
     tokens: int
     tokens_ahead: int
     sent_s: float
+    declared_tokens_per_s: float
--- a/src/quetzalpass/routing/relay_placement.py
+++ b/src/quetzalpass/routing/relay_placement.py
@@ -142,6 +142,14 @@
     return (room.tokens + room.copy_tokens + more_tokens) / room.memory_tokens
 
 
+def describe(room: ServerRoom, need: GenerationNeed) -> str:
+    """Return the figures that decided for an engine, for the log."""
+    return (
+        f"memory {fill_of(room, need.tokens):.2f} full with it, {room.requests} "
+        f"running, {room.prefill_tokens} prompt tokens ahead"
+    )
+
+
 def engine_score(
     room: ServerRoom, need: GenerationNeed, here: ids.DataCentreId
 ) -> float:
--- /dev/null
+++ b/tests/allocation/kit.py
@@ -0,0 +1,110 @@
+"""An allocating node with fake servers and gateways, for tests."""
+
+import asyncio
+import random
+
+from returns import result
+
+from declarations import relay_builders
+from fakes import relay_servers
+from quetzalpass import ids
+from quetzalpass.allocation import allocator, client, messages
+from quetzalpass.declarations import schema
+from quetzalpass.membership import configuration, discovery, fleet_board, fleet_messages
+from quetzalpass.routing import relay_placement
+
+NEED = relay_placement.GenerationNeed(3_000, 900, objective_s=1.8)
+CHECK = relay_placement.GenerationNeed(2_200, 10, objective_s=1.5)
+START = messages.Purpose.START
+MOVE = messages.Purpose.MOVE
+
+
+class FixedList(discovery.ServerSource):
+    def __init__(self, names):
+        self.servers = [relay_servers.discovered(name) for name in names]
+
+    async def list_servers(self, timeout_s):
+        return result.Success(tuple(self.servers))
+
+    async def close(self): ...
+
+
+class Node:
+    """The allocating node, with its board."""
+
+    def __init__(self, names="abcd"):
+        self.source = FixedList(names)
+        self.is_leader = True
+        self.board = fleet_board.FleetBoard(self.source, lambda: self.is_leader, 1)
+        self.holder = configuration.ConfigurationHolder()
+        data = schema.encode(relay_builders.declaration())
+        self.holder.activate(ids.Revision(1), schema.digest_of(data), data)
+        rng = random.Random(0)
+        self.allocator = allocator.Allocator(self.board, self.holder, rng)
+        self.count = 0
+        self.task = None
+
+    async def start(self):
+        self.task = asyncio.create_task(self.board.run())
+        await asyncio.sleep(1.0)
+        return self
+
+    def request(self, need=NEED, purpose=START, **changes):
+        self.count += 1
+        values = {
+            "allocation": ids.AllocationId(f"r-{self.count}"),
+            "gateway": ids.VmId(f"gw-{self.count % 60}"),
+            "service": ids.ServiceName("model"),
+            "purpose": purpose,
+            "data_centre": ids.DataCentreId("flx-a"),
+            "need": need,
+            "rank": 0,
+            "waited_s": 0.0,
+            "wait_s": 0.0,
+        }
+        return messages.AllocationRequest(**{**values, **changes})
+
+    async def grant(self, need=NEED, purpose=START, **changes):
+        reply = await self.allocator.answer(self.request(need, purpose, **changes))
+        assert reply.is_allocating
+        return reply.grant
+
+    async def fill(self, limit=500):
+        """Grant until nothing has room; return the number by engine."""
+        counts = {}
+        for _ in range(limit):
+            grant = await self.grant()
+            if grant is None:
+                return counts
+            counts[grant.server.id] = counts.get(grant.server.id, 0) + 1
+        raise AssertionError("everything was granted")
+
+    def tell(self, gateway, uses=(), placed=(), reads=()):
+        self.board.take_in(
+            fleet_messages.FleetRequest(
+                ids.VmId(gateway), 0, 0.0, uses, (), None, placed, reads
+            )
+        )
+
+
+class Direct(client.AllocationSource):
+    """Asks a node without a network."""
+
+    def __init__(self, node):
+        self.node = node
+
+    async def ask(self, request):
+        reply = await self.node.allocator.answer(request)
+        if not reply.is_allocating:
+            return client.failed("it does not allocate")
+        return result.Success(reply)
+
+
+def full_use(name):
+    return fleet_messages.ServerUse(ids.ServerId(name), 9, 34_000)
+
+
+async def keep_telling(node, name):
+    while True:
+        node.tell("x", (full_use(name),))
+        await asyncio.sleep(0.25)
