--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -26,37 +26,42 @@
 
 
 class Replica:
-    """One replica on an address of its own.
+    """One replica behind a link.
 
     Attributes
     ----------
+    link : proxies.Link
+        The address that the list names, and the way from there to the replica.
     fault : str or None
         ``refuse``, ``mute``, ``cut`` or ``garble`` for all requests that come.
     """
 
-    def __init__(self, record, name, service, host, port):
+    def __init__(self, record, name, service, link):
         self.record = record
         self.name = name
         self.service = service
-        self.host = host
-        self.port = port
+        self.link = link
         self.fault = None
         self.state = "ready"
         self.writers = set()
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, self.host, self.port)
+        self.server = await asyncio.start_server(
+            self.serve, self.link.target_host, self.link.target_port
+        )
+        await self.link.start()
 
     def stop(self):
         """Die: refuse connections and reset those that are open."""
         self.server.close()
+        self.link.stop()
         for writer in list(self.writers):
             writer.transport.abort()
 
     def entry(self):
         entry = {
             "service": self.service,
-            "addr": f"{self.host}:{self.port}",
+            "addr": f"{self.link.host}:{self.link.port}",
             "zone": "flx-a",
             "version": "v1",
             "slots": SLOTS,
@@ -141,21 +146,20 @@
 class Fleet:
     """All replicas, and the list of them."""
 
-    def __init__(self, host, port):
+    def __init__(self, link):
         self.record = Record()
         self.replicas = {}
         self.platform = standin.Platform()
-        self.host = host
-        self.port = port
+        self.link = link
 
     async def start(self):
-        server = await asyncio.start_server(
-            self.platform.list.serve, self.host, self.port
+        self.list_server = await asyncio.start_server(
+            self.platform.list.serve, self.link.target_host, self.link.target_port
         )
-        self.list_server = server
+        await self.link.start()
 
-    async def add(self, name, service, host, port):
-        replica = Replica(self.record, name, service, host, port)
+    async def add(self, name, service, link):
+        replica = Replica(self.record, name, service, link)
         with contextlib.suppress(OSError):
             await replica.start()
             self.replicas[name] = replica
@@ -168,7 +172,11 @@
     def relist(self):
         self.platform.entries = [each.entry() for each in self.replicas.values()]
 
+    def links(self):
+        return [self.link, *(each.link for each in self.replicas.values())]
+
     def stop(self):
         self.list_server.close()
+        self.link.stop()
         for replica in self.replicas.values():
             replica.stop()
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -3,11 +3,16 @@
 import asyncio
 import os
 import pathlib
+import shutil
 import signal
 import sys
 
 import yaml
 
+from soak import proxies
+
+# Addresses of the proxies differ from those of the nodes by this much.
+OUTSIDE_OFFSET = 10
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 
 
@@ -23,6 +28,20 @@
         self.starts = 0
         self.process = None
         self.is_paused = False
+        self.link = self.outer_link()
+
+    def outer_link(self):
+        """Return the way on which consumers, or the operator, reach this node."""
+        ports = self.cluster.ports
+        port = ports.control if self.role == "control" else ports.front
+        first, net, role, number = self.ip.split(".")
+        outside = f"{first}.{net}.{int(role) + OUTSIDE_OFFSET}.{number}"
+        return proxies.Link(outside, port, self.ip, port)
+
+    def lose_disk(self):
+        """Empty the data folder of a process that has ended."""
+        assert self.process.returncode is not None
+        shutil.rmtree(self.folder / "data")
 
     def settings(self, bootstrap):
         ports = self.cluster.ports
@@ -121,9 +140,12 @@
             await node.start(bootstrap=True)
         for node in self.gateways:
             await node.start()
+        for node in self.nodes:
+            await node.link.start()
 
     async def stop(self):
         for node in self.nodes:
+            node.link.stop()
             node.resume()
             node.send(signal.SIGKILL)
         for node in self.nodes:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,18 +15,56 @@
 
 from platform_standin import standin
 from quetzalpass.bench import local_ports
-from soak import backends, processes
+from soak import backends, processes, proxies
 
 NOT_RUN = (408, 421, 429, 503)
 START_S = 15.0
 HEAL_S = 20.0
 ANSWER_S = 8.0
+# A node whose disk was lost is whole again by then.
+DISK_LOSS_PAUSE_S = 6.0
 
 
 class BrokenPromiseError(AssertionError):
     """A promise was broken; the message says which and for which request."""
 
 
+class Caller:
+    """A consumer with a connection of its own, or one for each request."""
+
+    def __init__(self, soak, is_kept=False):
+        self.soak = soak
+        self.is_kept = is_kept
+        self.reader = None
+        self.writer = None
+
+    async def ask(self, data):
+        """Return the answer, or None where the connection ended without one."""
+        try:
+            async with asyncio.timeout(ANSWER_S):
+                if self.writer is None:
+                    await self.connect()
+                self.writer.write(data)
+                answer = await standin.read_message(self.reader)
+        except (OSError, TimeoutError, EOFError, ValueError):
+            self.close()
+            return None
+        if not self.is_kept or answer.header("Connection") == "close":
+            self.close()
+        return answer
+
+    async def connect(self):
+        node = self.soak.rng.choice(self.soak.cluster.gateways)
+        self.reader, self.writer = await asyncio.open_connection(
+            node.link.host, self.soak.ports.front
+        )
+
+    def close(self):
+        if self.writer is not None:
+            self.writer.close()
+        self.writer = None
+
+
 class Soak:
     """One seeded run.
 
@@ -44,22 +82,25 @@
         ports = local_ports.free_ports(6)
         net = 100 + seed % 100
         self.ports = processes.Ports(*ports[:4])
-        self.fleet = backends.Fleet(f"127.{net}.9.1", ports[4])
+        outside, inside = f"127.{net}.19.1", f"127.{net}.9.1"
+        self.fleet = backends.Fleet(proxies.Link(outside, ports[4], inside, ports[4]))
         self.replica_port = ports[5]
         self.net = net
-        address = f"127.{net}.9.1:{ports[4]}"
+        address = f"{outside}:{ports[4]}"
         self.cluster = processes.Cluster(folder, net, self.ports, address)
         self.answers = []
         self.acked = 0
         self.faults = []
+        self.next_disk_loss_s = 0.0
         self.count = 0
 
     async def run(self, seconds):
         await self.start()
         stop = asyncio.Event()
         work = [
-            asyncio.create_task(self.call(kind, stop))
-            for kind in ("once", "once", "reads", "drafts", "drafts")
+            asyncio.create_task(self.call(kind, stop, is_kept))
+            for kind in ("once", "reads", "drafts")
+            for is_kept in (False, True)
         ]
         work.append(asyncio.create_task(self.operate(stop)))
         try:
@@ -84,8 +125,11 @@
     async def add_replica(self, service, number):
         name = f"i-{service}-{number}-{self.rng.getrandbits(24):x}"
         third = 3 if service == "model" else 4
-        host = f"127.{self.net}.{third}.{number}"
-        await self.fleet.add(name, service, host, self.replica_port)
+        inside = f"127.{self.net}.{third}.{number}"
+        outside = f"127.{self.net}.{third + 10}.{number}"
+        port = self.replica_port
+        link = proxies.Link(outside, port, inside, port)
+        await self.fleet.add(name, service, link)
 
     async def until_served(self, timeout_s):
         """Wait until the operator gets an ack and a call is answered."""
@@ -134,7 +178,7 @@
     async def replace_replica(self):
         name = self.rng.choice(sorted(self.fleet.replicas))
         replica = self.fleet.replicas[name]
-        number = int(replica.host.rpartition(".")[2])
+        number = int(replica.link.host.rpartition(".")[2])
         if self.rng.random() < 0.5:
             replica.state = "draining"
             self.fleet.relist()
@@ -142,39 +186,60 @@
         self.fleet.remove(name)
         await self.add_replica(replica.service, number)
 
-    async def call(self, kind, stop):
-        """Send one request after another and check each answer."""
+    def links(self):
+        return [*self.fleet.links(), *(each.link for each in self.cluster.nodes)]
+
+    async def reset_link(self):
+        self.rng.choice(self.links()).reset()
+
+    async def harm_link(self):
+        """Delay, cut one way or silence a link for a moment, beside other faults."""
+        link = self.rng.choice(self.links())
+        link.mode = self.rng.choice(list(proxies.Mode))
+        link.delay_s = self.rng.uniform(0.02, 0.4)
+        heal_s = self.rng.uniform(0.3, 3.0)
+        asyncio.get_running_loop().call_later(heal_s, self.heal_link, link)
+
+    def heal_link(self, link):
+        link.mode = proxies.Mode.PASS
+
+    async def lose_disk(self):
+        """Kill a control node and empty its disk, while the others are whole."""
+        now_s = asyncio.get_running_loop().time()
+        if now_s < self.next_disk_loss_s:
+            return
+        node = self.rng.choice(self.cluster.controls)
+        for each in self.cluster.controls:
+            each.resume()
+        await node.end(signal.SIGKILL)
+        node.lose_disk()
+        await node.start()
+        self.next_disk_loss_s = asyncio.get_running_loop().time() + DISK_LOSS_PAUSE_S
+
+    async def call(self, kind, stop, is_kept):
+        """Send one request after another and check each answer.
+
+        A caller that keeps its connection uses it until it ends.
+        """
+        caller = Caller(self, is_kept)
         while not stop.is_set():
-            await self.send(kind)
+            await self.send(kind, caller)
             await asyncio.sleep(self.rng.uniform(0.0, 0.1))
+        caller.close()
 
-    async def send(self, kind):
+    async def send(self, kind, caller=None):
         request_id = uuid.UUID(int=self.rng.getrandbits(128)).hex[:16]
         body = request_id.encode()
         headers = ["X-Token-Usage: 100,160"] if kind == "drafts" else []
         data = standin.request_bytes(
             f"/{kind}/x", headers, body, request_id=request_id
         ).replace(b"X-Deadline-Ms: 1500", b"X-Deadline-Ms: 3000")
-        node = self.rng.choice(self.cluster.gateways)
-        answer = await self.answer_of(node.ip, data)
+        answer = await (caller or Caller(self)).ask(data)
         self.answers.append((kind, request_id, answer and answer.status))
         if answer is not None:
             self.check_answer(kind, request_id, body, answer)
         return answer and answer.status
 
-    async def answer_of(self, host, data):
-        """Return the answer, or None where the connection ended without one."""
-        try:
-            async with asyncio.timeout(ANSWER_S):
-                reader, writer = await asyncio.open_connection(host, self.ports.front)
-                try:
-                    writer.write(data)
-                    return await standin.read_message(reader)
-                finally:
-                    writer.close()
-        except (OSError, TimeoutError, EOFError, ValueError):
-            return None
-
     def check_answer(self, kind, request_id, body, answer):
         """Check a whole answer against what was asked."""
         if answer.status == 200:
@@ -211,7 +276,7 @@
         try:
             async with asyncio.timeout(2.0):
                 reader, writer = await asyncio.open_connection(
-                    node.ip, self.ports.control
+                    node.link.host, self.ports.control
                 )
                 try:
                     writer.write(head.encode() + b"\r\n\r\n" + body)
@@ -225,6 +290,8 @@
         """Heal, then check what holds over the whole run."""
         for replica in self.fleet.replicas.values():
             replica.fault = None
+        for link in self.links():
+            self.heal_link(link)
         for node in self.cluster.nodes:
             node.resume()
         version = await self.read_back()
@@ -263,6 +330,10 @@
     Soak.spoil_replica,
     Soak.spoil_replica,
     Soak.replace_replica,
+    Soak.reset_link,
+    Soak.harm_link,
+    Soak.harm_link,
+    Soak.lose_disk,
 )
 
 
