Consensus: a member that lost its place while cut off or frozen joins again

Cause: its own log still names it as a member, no leader sends it anything more, and only disks that know themselves outside asked to join. Now a replica of an open group that no leader has spoken to for as long as a member may be silent asks to join. Two tests fail without the change.

--- a/src/quetzalpass/consensus/joining.py
+++ b/src/quetzalpass/consensus/joining.py
@@ -35,10 +35,24 @@
         """Ask until this disk is a member, and again should it no longer be one."""
         replica = self.replica
         while replica.is_running:
-            if not replica.log.configuration.has_replica(replica.replica_id):
+            if self.may_be_outside():
                 await self.ask_all()
             await asyncio.sleep(replica.settings.timing.join_interval_s)
 
+    def may_be_outside(self) -> bool:
+        """Return whether this disk is no member, or may have lost its place.
+
+        A member that was cut off or frozen for long may have been replaced; its own log
+        does not say so, and no leader sends it anything more.
+        """
+        replica = self.replica
+        if not replica.log.configuration.has_replica(replica.replica_id):
+            return True
+        rules = replica.settings.rules
+        if not rules.is_open or replica.role is replicas.Role.LEADER:
+            return False
+        return replica.now() - replica.leader_contact_at > rules.gone_after_s
+
     async def ask_all(self) -> None:
         """Tell all peers of this disk, and form the group if all are blank."""
         replica = self.replica
--- a/tests/consensus/test_open_groups.py
+++ b/tests/consensus/test_open_groups.py
@@ -87,6 +87,30 @@
         )
         await cluster.stop()
 
+    @pytest.mark.parametrize("is_restarted", [False, True])
+    async def test_a_member_that_lost_its_place_while_cut_off_joins_again(
+        self, is_restarted
+    ):
+        cluster = await formed(count=4)
+        await cluster.propose(b"one")
+        leader = await cluster.leader()
+        lost = next(vm for vm in cluster.voters(leader) if vm != leader)
+        cluster.network.isolate(lost)
+
+        def is_expelled():
+            leaders = [vm for vm in cluster.leaders() if vm != lost]
+            return bool(leaders) and lost not in cluster.voters(leaders[0])
+
+        await cluster.until(is_expelled, timeout_s=10.0)
+        await cluster.propose(b"two", vm=await cluster.leader(excluded=(lost,)))
+        if is_restarted:
+            await cluster.restart(lost)
+        cluster.network.heal()
+        await cluster.until(
+            lambda: cluster.items(lost) == [b"one", b"two"], timeout_s=8.0
+        )
+        await cluster.stop()
+
     async def test_more_machines_than_seeds_fill_up_the_voters(self):
         cluster = clusters.Cluster(6, open_voters=5)
         cluster.seeds = cluster.vms[3:]
