--- a/src/quetzalpass/daemon/gateway_site.py
+++ b/src/quetzalpass/daemon/gateway_site.py
@@ -135,8 +135,8 @@
     ) -> fleet_messages.FleetRequest:
         """Return this gateway's load as a question for the fleet."""
         verdicts = self.gateway.suspects.verdicts_since(0)
-        reads = tuple(self.places.untold_reads)
-        self.told_places = tuple(self.places.untold_places)
+        reads = tuple(self.places.questions.untold_reads)
+        self.told_places = tuple(self.places.questions.untold_places)
         self.told_reads = len(reads)
         return fleet_messages.FleetRequest(
             self.settings.vm,
@@ -156,7 +156,7 @@
     def note_reply(self, reply: fleet_messages.FleetReply) -> None:
         """Take in what concerns the requests from a control node's reply."""
         self.budget.gateways = max(1, reply.gateways)
-        self.places.confirm_told(self.told_places, self.told_reads)
+        self.places.questions.confirm_told(self.told_places, self.told_reads)
         if reply.verdicts is not None:
             self.gateway.suspects.merge(reply.verdicts)
 
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -295,7 +295,7 @@
         request_id = routed.request.request_id
         try:
             if await self.has_died(server, failure):
-                self.places.eject(server.id, "it does not answer")
+                self.places.health.eject(server.id, "it does not answer")
                 self.suspects.observe_death(server.id, request_id)
         finally:
             self.suspects.leave(server.id, request_id)
@@ -312,7 +312,7 @@
             return False
         if failure.end in NEVER_STARTED:
             return False
-        self.places.note_failure(server.id, failure.message)
+        self.places.health.note_failure(server.id, failure.message)
         if failure.kind not in DEATH_SIGNS:
             return False
         if await self.server_of(server).check_health(HEALTH_TIMEOUT_S):
--- a/src/quetzalpass/lifecycle/relay_places.py
+++ b/src/quetzalpass/lifecycle/relay_places.py
@@ -4,37 +4,23 @@
 import functools
 import random
 
-import logbook
 from returns import result
 
 from quetzalpass import ids
 from quetzalpass.allocation import client, queueing, rooms
 from quetzalpass.allocation import messages as allocation_messages
-from quetzalpass.lifecycle import relay_requests
+from quetzalpass.lifecycle import engine_questions, relay_requests, server_health
 from quetzalpass.membership import discovery, fleet_messages, fleet_view
 from quetzalpass.results import codes, failures
-from quetzalpass.routing import (
-    ejection,
-    prefill_rates,
-    relay_placement,
-    relay_waiting,
-)
-
-LOG = logbook.Logger("routing")
+from quetzalpass.routing import prefill_rates, relay_placement, relay_waiting
 
 MS_PER_S = 1000
 # Longest wait for room as a multiple of the objective; callers of streams leave after
 # four times that objective.
 PATIENCE_FACTOR = 3.0
-# A failure of a server whose other requests succeed counts for a short time only.
-EJECTION_S = 3.0
 # A question for an engine waits no longer, so that a lost one shows.
 LONGEST_QUESTION_S = 0.25
-MAX_UNTOLD_READS = 100
-INCARNATION_BITS = 48
 THIS_GATEWAY = ids.VmId("")
-# How long the servers of a data centre come last after one could not be reached.
-CUT_OFF_S = 1.5
 
 
 class Place:
@@ -159,18 +145,11 @@
         self.rng = rng
         self.uses: dict[ids.ServerId, fleet_messages.ServerUse] = {}
         self.rates = prefill_rates.PrefillRates()
-        self.health: dict[ids.ServerId, ejection.Health] = {}
-        self.ejected_until_s: dict[ids.ServerId, float] = {}
-        self.cut_off_until_s: dict[ids.DataCentreId, float] = {}
+        self.health = server_health.ServerHealth(view, data_centre)
+        self.questions = engine_questions.EngineQuestions(
+            vm, view, self.health, rng, allocation
+        )
         self.queues: dict[ids.ServiceName, queueing.PlacementQueue[Place]] = {}
-        self.vm = vm
-        self.allocation = allocation
-        # A restarted gateway must not be taken for the one before.
-        self.incarnation = rng.getrandbits(INCARNATION_BITS)
-        self.allocations = 0
-        # What the allocating node has not been told yet.
-        self.untold_places: list[ids.AllocationId] = []
-        self.untold_reads: list[fleet_messages.PromptRead] = []
         view.change_observers.append(self.pump)
 
     def add_use(
@@ -221,7 +200,7 @@
         healthy = [
             known
             for known in usable
-            if self.ejected_until_s.get(known.server.id, 0.0) <= now_s
+            if not self.health.is_ejected(known.server.id, now_s)
         ]
         return [self.room_of(known, routed, now_s) for known in healthy or usable]
 
@@ -235,7 +214,7 @@
         server = known.server
         condition = rooms.Condition(
             now_s < known.warm_at_s,
-            now_s < self.cut_off_until_s.get(server.data_centre, 0.0),
+            self.health.is_cut_off(server.data_centre, now_s),
         )
         use = self.use_of(server.id)
         return rooms.room_of(server, use, routed.service, self.rates, condition)
@@ -279,13 +258,10 @@
         source: discovery.DiscoveredServer,
     ) -> Place | None:
         """Return a place for the memory of a generation that leaves a server."""
-        request = self.allocation_request(
-            routed, need, allocation_messages.Purpose.MOVE, source
-        )
-        asked = await self.ask(request)
+        asked = await self.questions.ask_for_move(routed, need, source)
         if isinstance(asked, result.Success):
-            grant = asked.unwrap().grant
-            return None if grant is None else self.granted_place(request, grant, None)
+            grant = asked.unwrap()
+            return None if grant is None else self.granted_place(need, grant, None)
         found = self.rooms(routed, frozenset((source.id,)))
         chosen = relay_placement.choose_move_target(
             need, found, source.data_centre, self.rng
@@ -353,80 +329,29 @@
             The place, ``None`` if none came in time, or the failure of a question.
         """
         loop = asyncio.get_running_loop()
+        need = request.need
         wait_s = 0.0
         while True:
-            message = self.allocation_request(
-                routed, request.need, allocation_messages.Purpose.START, None, wait_s
-            )
-            asked = await self.ask(message)
+            asked = await self.questions.ask_for_start(routed, need, wait_s)
             if isinstance(asked, result.Failure):
                 return asked
-            grant = asked.unwrap().grant
+            grant = asked.unwrap()
             if grant is not None:
-                read = pending_read(routed, request.need, grant.prefill_tokens)
-                return result.Success(self.granted_place(message, grant, read))
+                read = pending_read(routed, need, grant.prefill_tokens)
+                return result.Success(self.granted_place(need, grant, read))
             left_s = request.gives_up_at_s - loop.time()
             if left_s <= 0:
                 return result.Success(None)
             wait_s = min(LONGEST_QUESTION_S, left_s)
 
-    async def ask(self, request: allocation_messages.AllocationRequest) -> client.Asked:
-        """Ask the allocating node, if there is one."""
-        if self.allocation is None:
-            return client.failed("no node allocates")
-        return await self.allocation.ask(request)
-
-    def allocation_request(
-        self,
-        routed: relay_requests.RoutedRequest,
-        need: relay_placement.GenerationNeed,
-        purpose: allocation_messages.Purpose,
-        source: discovery.DiscoveredServer | None,
-        wait_s: float = 0.0,
-    ) -> allocation_messages.AllocationRequest:
-        """Return the question for an engine, with what this gateway knows of them."""
-        self.allocations += 1
-        now_s = asyncio.get_running_loop().time()
-        return allocation_messages.AllocationRequest(
-            ids.AllocationId(f"{self.vm}/{self.incarnation:x}/{self.allocations}"),
-            self.vm,
-            routed.service.name,
-            purpose,
-            self.data_centre if source is None else source.data_centre,
-            need,
-            routed.rank,
-            now_s - routed.request.arrived_s,
-            wait_s,
-            self.avoided(routed, source, now_s),
-            tuple(each for each, at_s in self.cut_off_until_s.items() if now_s < at_s),
-        )
-
-    def avoided(
-        self,
-        routed: relay_requests.RoutedRequest,
-        source: discovery.DiscoveredServer | None,
-        now_s: float,
-    ) -> tuple[ids.ServerId, ...]:
-        """Return the engines that this gateway knows to be of no use now."""
-        found = {
-            known.server.id
-            for known in self.view.of_service(routed.service.name)
-            if known.is_leaving
-            or self.ejected_until_s.get(known.server.id, 0.0) > now_s
-        }
-        if source is not None:
-            found.add(source.id)
-        return tuple(sorted(found))
-
     def granted_place(
         self,
-        request: allocation_messages.AllocationRequest,
+        need: relay_placement.GenerationNeed,
         grant: allocation_messages.EngineGrant,
         read: prefill_rates.PendingRead | None,
     ) -> Place:
         """Return the place that the allocating node has granted."""
-        self.untold_places.append(request.allocation)
-        place = Place(self, grant.server, request.need, read)
+        place = Place(self, grant.server, need, read)
         place.is_granted = True
         place.reason = grant.reason
         place.set_backup(grant.backup)
@@ -437,14 +362,7 @@
         self.rates.observe(
             read.server, read.tokens, read.elapsed_s, read.declared_tokens_per_s
         )
-        if self.allocation is not None and len(self.untold_reads) < MAX_UNTOLD_READS:
-            self.untold_reads.append(read)
-
-    def confirm_told(self, placed: tuple[ids.AllocationId, ...], reads: int) -> None:
-        """Forget what the allocating node has been told."""
-        told = frozenset(placed)
-        self.untold_places = [each for each in self.untold_places if each not in told]
-        del self.untold_reads[:reads]
+        self.questions.note_read(read)
 
     async def wait_here(
         self,
@@ -494,37 +412,6 @@
         for queue in self.queues.values():
             queue.pump()
 
-    def note_success(self, server_id: ids.ServerId) -> None:
-        """Note that a server has answered well."""
-        if server_id in self.view.servers:
-            data_centre = self.view.servers[server_id].server.data_centre
-            self.cut_off_until_s.pop(data_centre, None)
-        if server_id in self.health:
-            self.health[server_id].succeed()
-
-    def note_unreachable(self, server: discovery.DiscoveredServer, reason: str) -> None:
-        """Note that no connection to a server could be opened.
-
-        Its whole data centre may be cut off, so that the others there come last.
-        """
-        self.eject(server.id, reason)
-        if server.data_centre != self.data_centre:
-            now_s = asyncio.get_running_loop().time()
-            self.cut_off_until_s[server.data_centre] = now_s + CUT_OFF_S
-
-    def note_failure(self, server_id: ids.ServerId, reason: str) -> None:
-        """Note that a server has failed a request; eject it after a few."""
-        health = self.health.setdefault(server_id, ejection.Health())
-        if health.fail():
-            self.eject(server_id, reason)
-
-    def eject(self, server_id: ids.ServerId, reason: str) -> None:
-        """Give a server no new work for a short time."""
-        now_s = asyncio.get_running_loop().time()
-        self.ejected_until_s[server_id] = now_s + EJECTION_S
-        self.health.pop(server_id, None)
-        LOG.warning("routing: No new work for {}: {}.", server_id, reason)
-
 
 def pending_read(
     routed: relay_requests.RoutedRequest,
--- a/src/quetzalpass/lifecycle/relayed_calls.py
+++ b/src/quetzalpass/lifecycle/relayed_calls.py
@@ -169,7 +169,7 @@
     state.failure = None
     status = answer.head.status
     if status < relay_gateway.SERVER_ERROR and status not in relay_gateway.PROMISING:
-        gateway.places.note_success(place.server.id)
+        gateway.places.health.note_success(place.server.id)
         gateway.suspects.clear(routed.fingerprint(), None)
         return answer
     gateway.note(routed, "server_failed", place.server.id, f"status {status}")
@@ -203,7 +203,7 @@
         event_log.Level.NOTICE,
     )
     if failure.end is base.AttemptEnd.NOT_SENT:
-        gateway.places.note_unreachable(place.server, failure.message)
+        gateway.places.health.note_unreachable(place.server, failure.message)
     gateway.spawn(gateway.note_break(routed, place.server, failure))
 
 
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -177,7 +177,7 @@
             raise StreamFailedError(lost_failure(failure.message))
         self.refused.add(place.server.id)
         if failure.end is base.AttemptEnd.NOT_SENT:
-            self.gateway.places.note_unreachable(place.server, failure.message)
+            self.gateway.places.health.note_unreachable(place.server, failure.message)
         now_s = self.now_s()
         is_over = len(self.refused) >= MAX_REFUSED or now_s >= self.routed.deadline_s
         service = self.routed.service.name
@@ -292,7 +292,7 @@
             if not data:
                 if splitter.rest:
                     await self.pacer.put(splitter.rest)
-                self.gateway.places.note_success(leg.place.server.id)
+                self.gateway.places.health.note_success(leg.place.server.id)
                 return LegEnd.COMPLETE
             await self.pass_on(leg, splitter.feed(data))
             if len(splitter.rest) > MAX_EVENT_BYTES:
--- /dev/null
+++ b/src/quetzalpass/lifecycle/server_health.py
@@ -0,0 +1,82 @@
+"""Which servers a gateway gives no new work for a moment, after failures of its own."""
+
+import asyncio
+
+import logbook
+
+from quetzalpass import ids
+from quetzalpass.membership import discovery, fleet_view
+from quetzalpass.routing import ejection
+
+LOG = logbook.Logger("routing")
+
+# A failure of a server whose other requests succeed counts for a short time only.
+EJECTION_S = 3.0
+# How long the servers of a data centre come last after one could not be reached.
+CUT_OFF_S = 1.5
+
+
+class ServerHealth:
+    """What this gateway's own requests say of the servers.
+
+    Parameters
+    ----------
+    view : fleet_view.FleetView
+        The servers.
+    data_centre : DataCentreId
+        Where this gateway runs.
+    """
+
+    def __init__(
+        self, view: fleet_view.FleetView, data_centre: ids.DataCentreId
+    ) -> None:
+        self.view = view
+        self.data_centre = data_centre
+        self.health: dict[ids.ServerId, ejection.Health] = {}
+        self.ejected_until_s: dict[ids.ServerId, float] = {}
+        self.cut_off_until_s: dict[ids.DataCentreId, float] = {}
+
+    def is_ejected(self, server_id: ids.ServerId, now_s: float) -> bool:
+        """Return whether a server gets no new work now."""
+        return now_s < self.ejected_until_s.get(server_id, 0.0)
+
+    def is_cut_off(self, data_centre: ids.DataCentreId, now_s: float) -> bool:
+        """Return whether a data centre could not be reached a moment ago."""
+        return now_s < self.cut_off_until_s.get(data_centre, 0.0)
+
+    def cut_off(self, now_s: float) -> tuple[ids.DataCentreId, ...]:
+        """Return the data centres that could not be reached a moment ago."""
+        return tuple(
+            each for each in self.cut_off_until_s if self.is_cut_off(each, now_s)
+        )
+
+    def note_success(self, server_id: ids.ServerId) -> None:
+        """Note that a server has answered well."""
+        if server_id in self.view.servers:
+            data_centre = self.view.servers[server_id].server.data_centre
+            self.cut_off_until_s.pop(data_centre, None)
+        if server_id in self.health:
+            self.health[server_id].succeed()
+
+    def note_unreachable(self, server: discovery.DiscoveredServer, reason: str) -> None:
+        """Note that no connection to a server could be opened.
+
+        Its whole data centre may be cut off, so that the others there come last.
+        """
+        self.eject(server.id, reason)
+        if server.data_centre != self.data_centre:
+            now_s = asyncio.get_running_loop().time()
+            self.cut_off_until_s[server.data_centre] = now_s + CUT_OFF_S
+
+    def note_failure(self, server_id: ids.ServerId, reason: str) -> None:
+        """Note that a server has failed a request; eject it after a few."""
+        health = self.health.setdefault(server_id, ejection.Health())
+        if health.fail():
+            self.eject(server_id, reason)
+
+    def eject(self, server_id: ids.ServerId, reason: str) -> None:
+        """Give a server no new work for a short time."""
+        now_s = asyncio.get_running_loop().time()
+        self.ejected_until_s[server_id] = now_s + EJECTION_S
+        self.health.pop(server_id, None)
+        LOG.warning("routing: No new work for {}: {}.", server_id, reason)
--- a/tests/allocation/test_asking.py
+++ b/tests/allocation/test_asking.py
@@ -66,7 +66,7 @@
     servers = [relay_servers.discovered(name) for name in names]
     made = relaying_kit.Kit(servers)
     if node is not None:
-        made.places.allocation = kit.Direct(node)
+        made.places.questions.source = kit.Direct(node)
     return made
 
 
@@ -88,7 +88,7 @@
         tasks = []
         for number, each in enumerate(gateways):
             each.places.rng = random.Random(number)
-            each.places.vm = ids.VmId(f"gw-{number}")
+            each.places.questions.vm = ids.VmId(f"gw-{number}")
             each.view.take_uses(full, 21)
             tasks.append(each.start("/drafts/1")[1])
         await asyncio.sleep(0.3)
@@ -109,12 +109,12 @@
         node = await kit.Node().start()
         made = gateway(node)
         await made.serve("/drafts/1")
-        (told,) = made.places.untold_places
+        (told,) = made.places.questions.untold_places
         assert told in node.allocator.pending
-        assert len(made.places.untold_reads) == 1
-        made.places.confirm_told((told,), 1)
-        assert made.places.untold_places == []
-        assert made.places.untold_reads == []
+        assert len(made.places.questions.untold_reads) == 1
+        made.places.questions.confirm_told((told,), 1)
+        assert made.places.questions.untold_places == []
+        assert made.places.questions.untold_reads == []
 
     async def test_a_full_fleet_refuses_within_the_patience_of_the_route(self):
         node = await kit.Node("a").start()
