--- a/tests/daemon/test_control_site.py
+++ b/tests/daemon/test_control_site.py
@@ -11,16 +11,25 @@
 from quetzalpass.bench import local_ports
 from quetzalpass.control import declared_state
 from quetzalpass.daemon import control_site, gateway_site
-from quetzalpass.lifecycle import shared_budget
+from quetzalpass.lifecycle import relay_requests, shared_budget
 from quetzalpass.membership import discovery
+from quetzalpass.routing import relay_placement
 
 KEY = "cluster"
 VERDICT = declared_state.PublishVerdict
 
 
+SERVERS = (
+    relay_servers.discovered("e-a", "ledger"),
+    relay_servers.discovered("m-a"),
+    relay_servers.discovered("m-b"),
+)
+NEED = relay_placement.GenerationNeed(3_000, 900, objective_s=1.8)
+
+
 class FixedList(discovery.ServerSource):
     def __init__(self):
-        self.servers = (relay_servers.discovered("e-a", "ledger"),)
+        self.servers = SERVERS
 
     async def list_servers(self, timeout_s):
         return result.Success(self.servers)
@@ -170,6 +179,73 @@
         await cluster.until(lambda: site.declared.current.revision == 5)
 
 
+def routed_draft(gateway):
+    loop_s = asyncio.get_running_loop().time()
+    request = relay_requests.RelayRequest(
+        ids.RequestId("r-1"),
+        "POST",
+        "/drafts/1",
+        "desk.example",
+        (),
+        b"",
+        relay_builders.KEY,
+        None,
+        loop_s,
+        relay_requests.GenerationSize(3_000, 900),
+    )
+    return gateway.gateway.route(request).unwrap()
+
+
+@pytest.mark.looptime
+class TestAllocation:
+    async def started(self, cluster):
+        await cluster.start_all()
+        gateway = cluster.gateway()
+        await cluster.leader().publish(
+            ids.Revision(5), relay_builders.declaration(), b"5"
+        )
+        await cluster.until(gateway.is_ready)
+        await cluster.until(lambda: "m-a" in gateway.view.servers)
+        return gateway
+
+    async def granted(self, gateway):
+        places = gateway.places
+        waited = await places.wait_for_engine(routed_draft(gateway), NEED)
+        return waited.unwrap()
+
+    async def test_the_leader_grants_engines_and_learns_of_their_use(self, cluster):
+        gateway = await self.started(cluster)
+        await asyncio.sleep(1.0)
+        places = [await self.granted(gateway) for _ in range(4)]
+        assert all(place.is_granted for place in places)
+        board = cluster.leader().board
+
+        def counted():
+            return sum(board.totals.of(name).requests for name in ("m-a", "m-b"))
+
+        await cluster.until(lambda: counted() == 4)
+        assert not cluster.leader().allocator.pending
+        for place in places:
+            place.release()
+        await cluster.until(lambda: counted() == 0)
+
+    async def test_without_a_leader_the_gateway_chooses_and_the_next_takes_over(
+        self, cluster
+    ):
+        gateway = await self.started(cluster)
+        for vm in list(cluster.sites):
+            await cluster.stop(vm)
+        first = await self.granted(gateway)
+        assert not first.is_granted
+        for vm in cluster.seeds:
+            await cluster.start(vm)
+        await cluster.until(lambda: cluster.leader() is not None)
+        await asyncio.sleep(3.0)
+        second = await self.granted(gateway)
+        assert second.is_granted
+        assert second.server.id != first.server.id
+
+
 @pytest.mark.looptime
 class TestGatewaysFollow:
     async def test_a_gateway_is_ready_once_it_has_the_newest(self, cluster):
--- a/tests/fakes/relay_servers.py
+++ b/tests/fakes/relay_servers.py
@@ -168,6 +168,7 @@
         self.fleet.copies.discard((f"{self.name}:80", copy_id))
 
     async def hints_leaving(self, wait_s):
+        await asyncio.sleep(wait_s)
         return result.Success(False)
 
     async def is_leaving(self):
