--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 ENVIRONMENT = $(VENV_STAMP)
 endif
 
-.PHONY: demo test check format fuzz soak
+.PHONY: demo test check format fuzz soak latency failover
 
 $(VENV_STAMP): requirements.lock pyproject.toml
 	python3.11 -m venv .venv
@@ -41,3 +41,11 @@
 soak: $(ENVIRONMENT)
 	cd tests && PYTHONPATH=.:../src:../platform $(abspath $(PYTHON)) \
 		-m soak.soak $(SEED) $(COUNT) $(SECONDS)
+
+latency: $(ENVIRONMENT)
+	cd tests && PYTHONPATH=.:../src:../platform $(abspath $(PYTHON)) \
+		-m soak.latency $(SEED) $(SECONDS)
+
+failover: $(ENVIRONMENT)
+	cd tests && PYTHONPATH=.:../src:../platform $(abspath $(PYTHON)) \
+		-m soak.failover $(SEED) $(COUNT)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -17,6 +17,7 @@
 from quetzalpass.bench import local_ports
 from soak import backends, processes, proxies
 
+STATUS_OK = 200
 NOT_RUN = (408, 421, 429, 503)
 START_S = 15.0
 HEAL_S = 20.0
