--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,6 +9,7 @@
 import pathlib
 import random
 import signal
+import socket
 import sys
 import tempfile
 import uuid
@@ -24,6 +25,27 @@
 ANSWER_S = 8.0
 # A node whose disk was lost is whole again by then.
 DISK_LOSS_PAUSE_S = 6.0
+FIRST_NETWORK = 100
+NETWORKS = 100
+CLAIM_PORT = 9108
+
+
+def claim_network(seed):
+    """Return the number of a loopback network that no other soak uses, and its claim.
+
+    The programs listen on fixed ports too, so that two soaks can't share addresses; the
+    socket that is bound claims the network until it is closed.
+    """
+    for offset in range(NETWORKS):
+        net = FIRST_NETWORK + (seed + offset) % NETWORKS
+        claim = socket.socket()
+        try:
+            claim.bind((f"127.{net}.99.1", CLAIM_PORT))
+        except OSError:
+            claim.close()
+            continue
+        return net, claim
+    raise OSError("all loopback networks are taken by other soaks")
 
 
 class BrokenPromiseError(AssertionError):
@@ -81,7 +103,7 @@
         self.rng = random.Random(seed)
         self.seed = seed
         ports = local_ports.free_ports(6)
-        net = 100 + seed % 100
+        net, self.claim = claim_network(seed)
         self.ports = processes.Ports(*ports[:4])
         outside, inside = f"127.{net}.19.1", f"127.{net}.9.1"
         self.fleet = backends.Fleet(proxies.Link(outside, ports[4], inside, ports[4]))
@@ -320,6 +342,7 @@
     async def stop(self):
         await self.cluster.stop()
         self.fleet.stop()
+        self.claim.close()
 
 
 FAULTS = (
