Harness: ports that are handed out stay claimed

Cause: free_ports gave its ports up before the servers bound them. Ports come from claimed blocks now, below the range of outgoing connections; the soak claims its network by the same function.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,7 +9,6 @@
 import pathlib
 import random
 import signal
-import socket
 import sys
 import tempfile
 import uuid
@@ -38,13 +37,9 @@
     """
     for offset in range(NETWORKS):
         net = FIRST_NETWORK + (seed + offset) % NETWORKS
-        claim = socket.socket()
-        try:
-            claim.bind((f"127.{net}.99.1", CLAIM_PORT))
-        except OSError:
-            claim.close()
-            continue
-        return net, claim
+        claim = local_ports.claim(f"127.{net}.99.1", CLAIM_PORT)
+        if claim is not None:
+            return net, claim
     raise OSError("all loopback networks are taken by other soaks")
 
 
