--- a/tests/soak/failover.py
+++ b/tests/soak/failover.py
@@ -46,16 +46,12 @@
 
 
 async def run(seed, count, folder):
-    running = soak.Soak(seed, folder)
-    try:
-        await running.start()
+    async with soak.started(seed, folder) as running:
         times = []
         for number in range(1, count + 1):
             times.append(await lose_leader(running))
             print(f"{number}: {times[-1]:.0f} ms", flush=True)
         return times
-    finally:
-        await running.stop()
 
 
 def main():
--- a/tests/soak/latency.py
+++ b/tests/soak/latency.py
@@ -58,12 +58,8 @@
 
 
 async def run(seed, seconds, folder):
-    running = soak.Soak(seed, folder)
-    try:
-        await running.start()
+    async with soak.started(seed, folder) as running:
         return await measure(running, seconds)
-    finally:
-        await running.stop()
 
 
 def main():
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import pathlib
 import random
@@ -356,6 +357,17 @@
 )
 
 
+@contextlib.asynccontextmanager
+async def started(seed, folder):
+    """Give a soak whose programs serve; they have ended afterwards."""
+    soak = Soak(seed, folder)
+    try:
+        await soak.start()
+        yield soak
+    finally:
+        await soak.stop()
+
+
 async def run_seed(seed, seconds, folder):
     """Run one seed and return the soak; its processes have ended."""
     soak = Soak(seed, folder)
