--- a/src/quetzalpass/allocation/allocator.py
+++ b/src/quetzalpass/allocation/allocator.py
@@ -77,9 +77,7 @@
         for allocation in report.placed:
             self.forget_grant(allocation)
         for read in report.reads:
-            self.rates.observe(
-                read.server, read.tokens, read.elapsed_s, read.declared_tokens_per_s
-            )
+            self.rates.observe(read)
 
     def is_ready(self) -> bool:
         """Return whether this node knows enough to decide."""
@@ -94,8 +92,7 @@
         self, request: messages.AllocationRequest
     ) -> messages.AllocationReply:
         """Answer with an engine, at once or within the time that the asker waits."""
-        service = self.service_of(request)
-        if not self.is_ready() or service is None:
+        if not self.is_ready() or self.service_of(request.service) is None:
             return UNAVAILABLE
         self.expire_grants()
         known = self.pending.get(request.allocation)
@@ -157,7 +154,7 @@
         found: list[relay_placement.ServerRoom],
     ) -> ids.ServerId | None:
         """Return the engine for the backup of a generation, if one is to have it."""
-        service = self.service_of(request)
+        service = self.service_of(request.service)
         if service is None or service.engine is None or not service.engine.backups:
             return None
         others = [each for each in found if each.server_id != chosen]
@@ -189,8 +186,7 @@
         found = self.known_rooms.get(name)
         if found is not None:
             return found
-        current = self.holder.current
-        service = None if current is None else current.services.get(name)
+        service = self.service_of(name)
         if service is None:
             return []
         found = [
@@ -257,7 +253,8 @@
     def expire_grants(self) -> None:
         """Forget grants that were not used; the oldest come first."""
         oldest_s = asyncio.get_running_loop().time() - GRANT_LIFETIME_S
-        for allocation, pending in list(self.pending.items()):
+        while self.pending:
+            allocation, pending = next(iter(self.pending.items()))
             if pending.at_s > oldest_s:
                 return
             self.forget_grant(allocation)
@@ -266,10 +263,10 @@
         """Return a server of the list."""
         return next(each for each in self.board.servers if each.id == server_id)
 
-    def service_of(self, request: messages.AllocationRequest) -> schema.Service | None:
-        """Return the declared service of a request, if it is known here."""
+    def service_of(self, name: ids.ServiceName) -> schema.Service | None:
+        """Return a declared service, if it is known here."""
         current = self.holder.current
-        return None if current is None else current.services.get(request.service)
+        return None if current is None else current.services.get(name)
 
 
 def waiting_request(
--- a/src/quetzalpass/backends/relays.py
+++ b/src/quetzalpass/backends/relays.py
@@ -158,10 +158,8 @@
         request_id: ids.RequestId,
         destination: str,
         timeout_s: float,
-        *,
-        is_last: bool,
     ) -> result.Result[MovedCopy, base.AttemptFailure]:
-        """Copy a running generation's memory to another server.
+        """Copy a generation's memory to another server while it runs.
 
         Parameters
         ----------
@@ -171,9 +169,6 @@
             Address of the other server.
         timeout_s : float
             Longest wait.
-        is_last : bool
-            Stop the generation first, so that the copy is complete; its stream then
-            closes without its end.
         """
 
     @abc.abstractmethod
--- a/src/quetzalpass/daemon/control_site.py
+++ b/src/quetzalpass/daemon/control_site.py
@@ -177,9 +177,7 @@
             handler_cancellation=True,
             shutdown_timeout=STOP_TIMEOUT_S,
         )
-        await self.runner.setup()
-        host, _, port = self.settings.vm.rpartition(":")
-        await web.TCPSite(self.runner, host, int(port)).start()
+        await server.listen(self.runner, self.settings.vm)
 
     async def stop(self) -> None:
         """Hand leadership over and stop taking part."""
--- a/src/quetzalpass/declarations/delta.py
+++ b/src/quetzalpass/declarations/delta.py
@@ -119,7 +119,10 @@
 def insert(
     kept: list[strict.Strict], added: list[strict.Strict], indexes: tuple[int, ...]
 ) -> tuple[strict.Strict, ...]:
-    """Return a list with new entries at their indexes; the rest of them come last."""
+    """Return a list with new entries at their indexes.
+
+    Differences in older logs name no indexes, and their new entries come last.
+    """
     for index, entry in zip(indexes, added, strict=False):
         kept.insert(index, entry)
     return (*kept, *added[len(indexes) :])
--- a/src/quetzalpass/lifecycle/engine_questions.py
+++ b/src/quetzalpass/lifecycle/engine_questions.py
@@ -8,9 +8,9 @@
 from quetzalpass import ids
 from quetzalpass.allocation import client, messages
 from quetzalpass.lifecycle import relay_requests, server_health
-from quetzalpass.membership import discovery, fleet_messages, fleet_view
+from quetzalpass.membership import discovery, fleet_view
 from quetzalpass.results import failures
-from quetzalpass.routing import relay_placement
+from quetzalpass.routing import prefill_rates, relay_placement
 
 MAX_UNTOLD_READS = 100
 INCARNATION_BITS = 48
@@ -38,7 +38,7 @@
     ----------
     untold_places : list of AllocationId
         Grants that the node does not know to be counted yet.
-    untold_reads : list of fleet_messages.PromptRead
+    untold_reads : list of prefill_rates.PromptRead
         First events that the node has not been told.
     """
 
@@ -58,7 +58,7 @@
         self.incarnation = rng.getrandbits(INCARNATION_BITS)
         self.count = 0
         self.untold_places: list[ids.AllocationId] = []
-        self.untold_reads: list[fleet_messages.PromptRead] = []
+        self.untold_reads: list[prefill_rates.PromptRead] = []
 
     async def ask_for_start(
         self,
@@ -141,7 +141,7 @@
             if known.is_leaving or self.health.is_ejected(known.server.id, now_s)
         )
 
-    def note_read(self, read: fleet_messages.PromptRead) -> None:
+    def note_read(self, read: prefill_rates.PromptRead) -> None:
         """Keep a first event for the allocating node."""
         if self.source is not None and len(self.untold_reads) < MAX_UNTOLD_READS:
             self.untold_reads.append(read)
--- a/src/quetzalpass/lifecycle/generation_moves.py
+++ b/src/quetzalpass/lifecycle/generation_moves.py
@@ -151,7 +151,7 @@
         source = self.leg.place.server
         begun_s = stream.now_s()
         copied = await stream.gateway.server_of(source).copy_memory(
-            stream.request_id, goal.address, COPY_TIMEOUT_S, is_last=False
+            stream.request_id, goal.address, COPY_TIMEOUT_S
         )
         took = f"{stream.now_s() - begun_s:.3f} s"
         if isinstance(copied, result.Failure):
--- a/src/quetzalpass/lifecycle/relay_places.py
+++ b/src/quetzalpass/lifecycle/relay_places.py
@@ -20,7 +20,6 @@
 PATIENCE_FACTOR = 3.0
 # A question for an engine waits no longer, so that a lost one shows.
 LONGEST_QUESTION_S = 0.25
-THIS_GATEWAY = ids.VmId("")
 
 
 class Place:
@@ -76,7 +75,7 @@
         self.forget_read()
         elapsed_s = asyncio.get_running_loop().time() - read.sent_s
         self.places.note_read(
-            fleet_messages.PromptRead(
+            prefill_rates.PromptRead(
                 self.server.id,
                 read.tokens + read.tokens_ahead,
                 elapsed_s,
@@ -137,7 +136,7 @@
         view: fleet_view.FleetView,
         data_centre: ids.DataCentreId,
         rng: random.Random,
-        vm: ids.VmId = THIS_GATEWAY,
+        vm: ids.VmId,
         allocation: client.AllocationSource | None = None,
     ) -> None:
         self.view = view
@@ -357,11 +356,9 @@
         place.set_backup(grant.backup)
         return place
 
-    def note_read(self, read: fleet_messages.PromptRead) -> None:
+    def note_read(self, read: prefill_rates.PromptRead) -> None:
         """Learn how fast an engine reads, and keep it for the allocating node."""
-        self.rates.observe(
-            read.server, read.tokens, read.elapsed_s, read.declared_tokens_per_s
-        )
+        self.rates.observe(read)
         self.questions.note_read(read)
 
     async def wait_here(
--- a/src/quetzalpass/membership/control_links.py
+++ b/src/quetzalpass/membership/control_links.py
@@ -208,11 +208,9 @@
             await asyncio.sleep(OWN_READ_INTERVAL_S * self.rng.uniform(0.8, 1.2))
             if loop.time() - self.heard_at_s < FLEET_SILENCE_S:
                 continue
-            listed = await self.source.list_servers(OWN_READ_TIMEOUT_S)
-            if isinstance(listed, result.Failure):
-                message = listed.failure().message
-                LOG.warning("membership: No list of servers: {}.", message)
+            listed = await self.source.read(OWN_READ_TIMEOUT_S)
+            if listed is None:
                 continue
             LOG.info("membership: Read the list of servers without a control node.")
             self.version = 0
-            self.view.take_list(listed.unwrap(), 0.0)
+            self.view.take_list(listed, 0.0)
--- a/src/quetzalpass/membership/discovery.py
+++ b/src/quetzalpass/membership/discovery.py
@@ -3,12 +3,15 @@
 import abc
 import enum
 
+import logbook
 import msgspec
 from returns import result
 
 from quetzalpass import ids
 from quetzalpass.results import failures
 
+LOG = logbook.Logger("membership")
+
 
 class ServerState(enum.Enum):
     """Whether a discovered server takes new work."""
@@ -65,6 +68,14 @@
     ) -> result.Result[tuple[DiscoveredServer, ...], failures.Failure]:
         """Return the whole list; entries that can't be read are left out."""
 
+    async def read(self, timeout_s: float) -> tuple[DiscoveredServer, ...] | None:
+        """Return the whole list, or None where it can't be had, which is logged."""
+        listed = await self.list_servers(timeout_s)
+        if isinstance(listed, result.Failure):
+            LOG.warning("membership: No list of servers: {}.", listed.failure().message)
+            return None
+        return listed.unwrap()
+
     @abc.abstractmethod
     async def close(self) -> None:
         """Close all connections."""
--- a/src/quetzalpass/membership/fleet_board.py
+++ b/src/quetzalpass/membership/fleet_board.py
@@ -5,7 +5,6 @@
 
 import logbook
 import msgspec
-from returns import result
 
 from quetzalpass import ids
 from quetzalpass.membership import (
@@ -108,11 +107,10 @@
 
     async def read_once(self) -> bool:
         """Read the list; return whether that succeeded."""
-        listed = await self.source.list_servers(READ_TIMEOUT_S)
-        if isinstance(listed, result.Failure):
-            LOG.warning("membership: No list of servers: {}.", listed.failure().message)
+        listed = await self.source.read(READ_TIMEOUT_S)
+        if listed is None:
             return False
-        self.listed = listed.unwrap()
+        self.listed = listed
         now_s = self.read_at_s = asyncio.get_running_loop().time()
         self.warm_at_s = {
             each.id: now_s + each.slow_for_ms / MS_PER_S
@@ -217,7 +215,8 @@
 
     def expire_reports(self, now_s: float) -> None:
         """Forget gateways that are silent; the oldest reports come first."""
-        for gateway, report in list(self.reports.items()):
+        while self.reports:
+            gateway, report = next(iter(self.reports.items()))
             if now_s - report.at_s <= USE_LIFETIME_S:
                 return
             self.forget_report(gateway)
--- a/src/quetzalpass/membership/fleet_messages.py
+++ b/src/quetzalpass/membership/fleet_messages.py
@@ -4,6 +4,7 @@
 
 from quetzalpass import ids
 from quetzalpass.membership import discovery, quarantine
+from quetzalpass.routing import prefill_rates
 from quetzalpass.wire import messages
 
 
@@ -51,27 +52,6 @@
         )
 
 
-class PromptRead(msgspec.Struct, frozen=True):
-    """How long an engine took to read prompts.
-
-    Attributes
-    ----------
-    server : ServerId
-        The engine.
-    tokens : int
-        Tokens that it had to read up to the first event of a request.
-    elapsed_s : float
-        Time from the send to that event, in seconds.
-    declared_tokens_per_s : float
-        Rate that its service is declared with.
-    """
-
-    server: ids.ServerId
-    tokens: int
-    elapsed_s: float
-    declared_tokens_per_s: float
-
-
 class FleetReply(messages.Reply, frozen=True):
     """What a control node knows of the fleet.
 
@@ -140,4 +120,4 @@
     leaving: tuple[ids.ServerId, ...] = ()
     verdicts: quarantine.Verdicts | None = None
     placed: tuple[ids.AllocationId, ...] = ()
-    reads: tuple[PromptRead, ...] = ()
+    reads: tuple[prefill_rates.PromptRead, ...] = ()
--- a/src/quetzalpass/routing/prefill_rates.py
+++ b/src/quetzalpass/routing/prefill_rates.py
@@ -16,6 +16,27 @@
 MAX_SERVERS = 10_000
 
 
+class PromptRead(msgspec.Struct, frozen=True):
+    """How long an engine took to read prompts.
+
+    Attributes
+    ----------
+    server : ServerId
+        The engine.
+    tokens : int
+        Tokens that it had to read up to the first event of a request.
+    elapsed_s : float
+        Time from the send to that event, in seconds.
+    declared_tokens_per_s : float
+        Rate that its service is declared with.
+    """
+
+    server: ids.ServerId
+    tokens: int
+    elapsed_s: float
+    declared_tokens_per_s: float
+
+
 class PrefillRates:
     """Learned rates by server."""
 
@@ -26,34 +47,16 @@
         """Return an engine's rate in tokens a second, or the declared one."""
         return self.rates.get(server_id, default)
 
-    def observe(
-        self,
-        server_id: ids.ServerId,
-        tokens: int,
-        elapsed_s: float,
-        default: float,
-    ) -> None:
-        """Take in one first event.
-
-        Parameters
-        ----------
-        server_id : ServerId
-            The engine.
-        tokens : int
-            Prompt tokens that it had to read up to there, those before included.
-        elapsed_s : float
-            Time from the send to the first event.
-        default : float
-            The declared rate.
-        """
-        if elapsed_s < SHORTEST_READ_S or tokens <= 0:
+    def observe(self, read: PromptRead) -> None:
+        """Take in one first event."""
+        if read.elapsed_s < SHORTEST_READ_S or read.tokens <= 0:
             return
-        sample = tokens / elapsed_s
+        sample = read.tokens / read.elapsed_s
         sample = min(max(sample, SLOWEST_TOKENS_PER_S), FASTEST_TOKENS_PER_S)
         if len(self.rates) >= MAX_SERVERS:
             self.rates.pop(next(iter(self.rates)))
-        old = self.rate(server_id, default)
-        self.rates[server_id] = (1.0 - NEW_SHARE) * old + NEW_SHARE * sample
+        old = self.rate(read.server, read.declared_tokens_per_s)
+        self.rates[read.server] = (1.0 - NEW_SHARE) * old + NEW_SHARE * sample
 
 
 class PendingRead(msgspec.Struct):
--- a/src/quetzalpass/wire/server.py
+++ b/src/quetzalpass/wire/server.py
@@ -9,6 +9,13 @@
 from quetzalpass.wire import handlers, messages, transport
 
 
+async def listen(runner: web.BaseRunner, address: str) -> None:
+    """Set a runner up and open its listener at ``host:port``."""
+    await runner.setup()
+    host, _, port = address.rpartition(":")
+    await web.TCPSite(runner, host, int(port)).start()
+
+
 class PeerServer:
     """Answers the messages of peers.
 
--- a/tests/fakes/relay_servers.py
+++ b/tests/fakes/relay_servers.py
@@ -152,7 +152,7 @@
         run.owners.append(self)
         return result.Success(FakeAnswer(self, run, start))
 
-    async def copy_memory(self, request_id, destination, timeout_s, *, is_last):
+    async def copy_memory(self, request_id, destination, timeout_s):
         if self.refuses_moves or self.is_dead:
             return result.Failure(REFUSED)
         await asyncio.sleep(self.move_s)
--- a/tests/lifecycle/relaying_kit.py
+++ b/tests/lifecycle/relaying_kit.py
@@ -70,7 +70,9 @@
         self.holder = configuration.ConfigurationHolder()
         self.view = fleet_view.FleetView()
         data_centre = ids.DataCentreId("flx-a")
-        self.places = relay_places.Places(self.view, data_centre, self.rng)
+        self.places = relay_places.Places(
+            self.view, data_centre, self.rng, ids.VmId("gw-1")
+        )
         self.budget = shared_budget.SharedBudget(shared_budget.BudgetRules())
         self.gateway = relay_gateway.RelayGateway(
             ids.VmId("gw-1"),
--- a/tests/routing/test_prefill_rates.py
+++ b/tests/routing/test_prefill_rates.py
@@ -8,7 +8,7 @@
 def learned(samples):
     rates = prefill_rates.PrefillRates()
     for tokens, elapsed_s in samples:
-        rates.observe("e-a", tokens, elapsed_s, DEFAULT)
+        rates.observe(prefill_rates.PromptRead("e-a", tokens, elapsed_s, DEFAULT))
     return rates.rate("e-a", DEFAULT)
 
 
