Log and count what becomes of a crash check, and each change of a suspect

A check that found no crash left no line, each copy of a request has an id of its own, and a cleared suspect was silent. Now: events crash_check and suspect, the fingerprint and crash count on decisions about a suspect, three metrics. A routed request holds its fingerprint, which was hashed anew at each use.

--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import enum
 import functools
 import math
 import random
@@ -64,6 +65,10 @@
         Age of the server list on which the decision was based, in milliseconds.
     detail : str
         Further inputs of the decision.
+    suspect : str or None
+        Fingerprint of the request, if servers have crashed under it.
+    crashes : int
+        Number of those crashes.
     """
 
     request: ids.RequestId
@@ -74,6 +79,50 @@
     server: str | None = None
     list_age_ms: int | None = None
     detail: str = ""
+    suspect: str | None = None
+    crashes: int = 0
+
+
+class CrashCheckOutcome(enum.Enum):
+    """Why a request that broke off counts as a crash of its server, or does not."""
+
+    CRASHED = "crashed"
+    UNLISTED = "unlisted"
+    LEAVING = "leaving"
+    NOT_STARTED = "not_started"
+    NO_SYMPTOM = "no_symptom"
+    RESPONDS = "responds"
+    CUT_OFF = "cut_off"
+
+
+class CrashCheckEvent(event_log.Event, frozen=True, tag="crash_check"):
+    """Log event for the outcome of a check whether a server has crashed.
+
+    Attributes
+    ----------
+    request : RequestId
+        Request that broke off.
+    server : ServerId
+        Its server.
+    outcome : CrashCheckOutcome
+        The outcome.
+    failure : str
+        How the request broke off.
+    fingerprint : str
+        The request's fingerprint, which all its copies share.
+    requests : int
+        Requests of this gateway on the server.
+    list_age_ms : int or None
+        Age of the server list, in milliseconds.
+    """
+
+    request: ids.RequestId
+    server: ids.ServerId
+    outcome: CrashCheckOutcome
+    failure: str
+    fingerprint: str
+    requests: int
+    list_age_ms: int | None
 
 
 class LeavingObserver(abc.ABC):
@@ -125,6 +174,8 @@
         self.relay_servers: dict[ids.ServerId, relays.RelayServer] = {}
         self.metrics = exposition.ProcessMetrics()
         self.metrics.running.set_function(lambda: self.running)
+        self.metrics.suspects.set_function(lambda: len(self.suspects.records))
+        self.metrics.refused_suspects.set_function(self.suspects.refused_count)
         self.metrics.revision.set_function(holder.revision)
         self.metrics.list_age_s.set_function(self.list_age_s)
         for state in discovery.ServerState:
@@ -261,6 +312,7 @@
         """Log a decision on a request with its inputs, and count it."""
         route = self.metrics.bounded_label(routed.route.name)
         self.metrics.decisions.labels(decision, route).inc()
+        crashes = self.suspects.crash_count_of(routed.fingerprint)
         event_log.record(
             RelayEvent(
                 routed.request.request_id,
@@ -271,6 +323,8 @@
                 server,
                 self.list_age_ms(),
                 detail,
+                routed.fingerprint if crashes else None,
+                crashes,
             ),
             level,
         )
@@ -301,30 +355,58 @@
         """
         request_id = routed.request.request_id
         try:
-            if await self.has_crashed(server, failure):
+            outcome = await self.check_crash(server, failure)
+            self.record_crash_check(routed, server, failure, outcome)
+            if outcome is CrashCheckOutcome.CRASHED:
                 self.reservations.health.eject(server.id, "it does not respond")
                 self.suspects.record_crash(server.id, request_id)
         finally:
             self.suspects.remove_request(server.id, request_id)
 
-    async def has_crashed(
+    def record_crash_check(
+        self,
+        routed: relay_requests.RoutedRequest,
+        server: discovery.DiscoveredServer,
+        failure: base.AttemptFailure,
+        outcome: CrashCheckOutcome,
+    ) -> None:
+        """Log and count the outcome of a check."""
+        self.metrics.crash_checks.labels(outcome.value).inc()
+        event_log.record(
+            CrashCheckEvent(
+                routed.request.request_id,
+                server.id,
+                outcome,
+                f"{failure.end.value}, {failure.kind.value}",
+                routed.fingerprint,
+                len(self.suspects.in_flight.get(server.id, ())),
+                self.list_age_ms(),
+            ),
+            event_log.Level.NOTICE,
+        )
+
+    async def check_crash(
         self, server: discovery.DiscoveredServer, failure: base.AttemptFailure
-    ) -> bool:
+    ) -> CrashCheckOutcome:
         """Return whether a server that broke a request no longer responds at all.
 
         A server that is leaving may stop at any time, which does not count as a crash.
         """
         known = self.view.servers.get(server.id)
-        if known is None or known.is_leaving:
-            return False
+        if known is None:
+            return CrashCheckOutcome.UNLISTED
+        if known.is_leaving:
+            return CrashCheckOutcome.LEAVING
         if failure.end in NOT_STARTED:
-            return False
+            return CrashCheckOutcome.NOT_STARTED
         self.reservations.health.record_failure(server.id, failure.message)
         if failure.kind not in CRASH_SYMPTOMS:
-            return False
+            return CrashCheckOutcome.NO_SYMPTOM
         if await self.get_relay_server(server).check_health(HEALTH_TIMEOUT_S):
-            return False
-        return not await self.is_cut_off(server)
+            return CrashCheckOutcome.RESPONDS
+        if await self.is_cut_off(server):
+            return CrashCheckOutcome.CUT_OFF
+        return CrashCheckOutcome.CRASHED
 
     async def is_cut_off(self, server: discovery.DiscoveredServer) -> bool:
         """Return whether the server's whole data centre is unreachable.
@@ -369,7 +451,13 @@
         time_left_s = min(time_left_s, request.time_left_s)
     deadline_s = request.arrived_s + time_left_s
     return relay_requests.RoutedRequest(
-        request, route, service, organisation, current, deadline_s
+        request,
+        route,
+        service,
+        organisation,
+        current,
+        deadline_s,
+        relay_requests.fingerprint_of(request, organisation),
     )
 
 
--- a/src/quetzalpass/lifecycle/relay_requests.py
+++ b/src/quetzalpass/lifecycle/relay_requests.py
@@ -121,6 +121,8 @@
         Configuration in force when it was routed.
     deadline_s : float
         Event loop time by which the caller must have the response.
+    fingerprint : str
+        Digest that all copies of the request share.
     """
 
     request: RelayRequest
@@ -129,6 +131,7 @@
     organisation: schema.Organisation | None
     configuration: configuration.Configuration
     deadline_s: float
+    fingerprint: str
 
     @property
     def rank(self) -> int:
@@ -153,15 +156,17 @@
             organisation,
         )
 
-    def fingerprint(self) -> str:
-        """Return a digest that all copies of a request of one organisation share."""
-        request = self.request
-        digest = hashlib.sha256()
-        caller = self.organisation.id if self.organisation else ""
-        for part in (request.method, request.target, caller):
-            digest.update(part.encode() + b"\n")
-        digest.update(request.body)
-        return digest.hexdigest()
+
+def fingerprint_of(
+    request: RelayRequest, organisation: schema.Organisation | None
+) -> str:
+    """Return a digest that all copies of a request of one organisation share."""
+    digest = hashlib.sha256()
+    caller = organisation.id if organisation else ""
+    for part in (request.method, request.target, caller):
+        digest.update(part.encode() + b"\n")
+    digest.update(request.body)
+    return digest.hexdigest()
 
 
 class CallerResponse(abc.ABC):
--- a/src/quetzalpass/lifecycle/relayed_calls.py
+++ b/src/quetzalpass/lifecycle/relayed_calls.py
@@ -57,7 +57,7 @@
     gateway: relay_gateway.RelayGateway, routed: relay_requests.RoutedRequest
 ) -> result.Result[WholeResponse, failures.Failure]:
     """Get the response to a call; at most the declared number of servers run it."""
-    refusal = gateway.suspects.refusal(routed.fingerprint())
+    refusal = gateway.suspects.refusal(routed.fingerprint)
     if refusal is not None:
         return result.Failure(refusal)
     state = CallState()
@@ -107,7 +107,7 @@
         routed, "send", server.id, f"send {state.sends}, {timeout_s:.3f} s"
     )
     gateway.suspects.add_request(
-        server.id, routed.request.request_id, routed.fingerprint()
+        server.id, routed.request.request_id, routed.fingerprint
     )
     try:
         async with asyncio.timeout(timeout_s):
@@ -179,7 +179,7 @@
         and status not in relay_gateway.STATUSES_PROMISING_NOT_RUN
     ):
         gateway.reservations.health.record_success(reservation.server.id)
-        gateway.suspects.clear(routed.fingerprint(), None)
+        gateway.suspects.clear(routed.fingerprint, None)
         return response
     gateway.record_decision(
         routed, "server_failed", reservation.server.id, f"status {status}"
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -123,7 +123,7 @@
         StreamFailedError
             If it can't be served completely.
         """
-        refusal = self.gateway.suspects.refusal(self.routed.fingerprint())
+        refusal = self.gateway.suspects.refusal(self.routed.fingerprint)
         if refusal is not None:
             raise StreamFailedError(refusal)
         self.gateway.streams[self.request_id] = self
@@ -131,7 +131,7 @@
             self.segment = await self.start()
             while await self.relay_segment() is SegmentEnd.BROKEN:
                 await self.resume_elsewhere()
-            self.gateway.suspects.clear(self.routed.fingerprint(), None)
+            self.gateway.suspects.clear(self.routed.fingerprint, None)
             if self.response.has_begun:
                 await self.pacer.flush()
                 await self.response.finish()
@@ -230,7 +230,7 @@
         self.log_send(reservation, copy)
         self.segment_count += 1
         in_flight_request = self.gateway.suspects.add_request(
-            server.id, self.request_id, self.routed.fingerprint()
+            server.id, self.request_id, self.routed.fingerprint
         )
         had_run, self.may_have_run = self.may_have_run, True
         try:
--- a/src/quetzalpass/membership/quarantine.py
+++ b/src/quetzalpass/membership/quarantine.py
@@ -9,11 +9,12 @@
 """
 
 import asyncio
+import enum
 
 import logbook
 import msgspec
 
-from quetzalpass import ids
+from quetzalpass import event_log, ids
 from quetzalpass.results import codes, failures
 
 LOG = logbook.Logger("quarantine")
@@ -34,6 +35,35 @@
 MS_PER_S = 1000
 
 
+class SuspectChange(enum.Enum):
+    """Why the crashes that are attributed to a request have changed."""
+
+    ATTRIBUTED = "attributed"
+    CLEARED = "cleared"
+    MERGED = "merged"
+
+
+class SuspectEvent(event_log.Event, frozen=True, tag="suspect"):
+    """Log event for a change of what is known about a suspect.
+
+    Attributes
+    ----------
+    fingerprint : str
+        The request; all its copies share it.
+    change : SuspectChange
+        Cause of the change.
+    crashes : tuple of str
+        Ids of the crashes that are attributed to it now.
+    refused : bool
+        Whether it is refused now.
+    """
+
+    fingerprint: str
+    change: SuspectChange
+    crashes: tuple[str, ...]
+    refused: bool
+
+
 class ServerCrash(msgspec.Struct, frozen=True):
     """One crash of a server, as it counts against one request.
 
@@ -240,6 +270,7 @@
         record.crashes[crash.id] = crash
         lifetime_s = QUARANTINE_S if record.is_refused() else SUSPECT_LIFETIME_S
         self.mark_changed(record, lifetime_s)
+        log_change(fingerprint, SuspectChange.ATTRIBUTED, record)
 
     def get_or_create_record(self, fingerprint: str) -> SuspectRecord:
         """Return the record of a request, which is created if there is none."""
@@ -270,6 +301,15 @@
         for fingerprint in expired:
             del self.records[fingerprint]
 
+    def crash_count_of(self, fingerprint: str) -> int:
+        """Return the number of crashes that are attributed to a request."""
+        record = self.records.get(fingerprint)
+        return len(record.crashes) if record is not None else 0
+
+    def refused_count(self) -> int:
+        """Return the number of requests that are refused."""
+        return sum(self.refusal(each) is not None for each in self.records)
+
     def is_suspect(self, fingerprint: str) -> bool:
         """Return whether a request is a suspect, which may not run beside another."""
         record = self.records.get(fingerprint)
@@ -315,6 +355,7 @@
         for each in passed:
             del record.crashes[each]
         self.mark_changed(record, SUSPECT_LIFETIME_S)
+        log_change(fingerprint, SuspectChange.CLEARED, record)
 
     async def wait_for_other_copy(self, fingerprint: str, deadline_s: float) -> None:
         """Wait until no other copy of a suspect runs here, or until it is refused."""
@@ -353,3 +394,12 @@
             record.crashes = merged
             record.cleared = cleared
             self.mark_changed(record, report.left_s)
+            log_change(report.fingerprint, SuspectChange.MERGED, record)
+
+
+def log_change(fingerprint: str, change: SuspectChange, record: SuspectRecord) -> None:
+    """Log what is known about a suspect after a change."""
+    event = SuspectEvent(
+        fingerprint, change, tuple(record.crashes), record.is_refused()
+    )
+    event_log.record(event, event_log.Level.NOTICE)
--- a/src/quetzalpass/metrics/exposition.py
+++ b/src/quetzalpass/metrics/exposition.py
@@ -44,6 +44,15 @@
         self.decisions = self.counter(
             "decisions", "Decisions on requests", "decision", "route"
         )
+        self.crash_checks = self.counter(
+            "crash_checks", "Checks of servers that broke off a request", "outcome"
+        )
+        self.suspects = self.gauge(
+            "suspects", "Requests under which backend servers have crashed"
+        )
+        self.refused_suspects = self.gauge(
+            "refused_suspects", "Requests that are refused for crashes of servers"
+        )
         self.operator_calls = self.counter(
             "operator_calls", "Calls of operators by outcome", "call", "outcome"
         )
