--- a/tests/lifecycle/gateway_harness.py
+++ b/tests/lifecycle/gateway_harness.py
@@ -64,18 +64,20 @@
 
 
 class GatewayHarness:
-    def __init__(self, servers, length=20, declaration=None, seed=0):
-        self.fleet = relay_servers.Fleet(length)
+    def __init__(
+        self, servers, length=20, declaration=None, seed=0, fleet=None, vm="gw-1"
+    ):
+        self.fleet = fleet or relay_servers.Fleet(length)
         self.rng = random.Random(seed)
         self.holder = configuration.ConfigurationHolder()
         self.view = fleet_view.FleetView()
         data_centre = ids.DataCentreId("flx-a")
         self.reservations = relay_reservations.ServerReservations(
-            self.view, data_centre, self.rng, ids.VmId("gw-1")
+            self.view, data_centre, self.rng, ids.VmId(vm)
         )
         self.budget = shared_budget.SharedBudget(shared_budget.BudgetRules())
         self.gateway = relay_gateway.RelayGateway(
-            ids.VmId("gw-1"),
+            ids.VmId(vm),
             self.holder,
             self.view,
             self.reservations,
