Count a crash once, whichever gateways and restarts report it

Callers saw: a request that crashes its servers was sent on after a restart of a gateway (9 crashes in 10 sends); an unrelated request with copies at two gateways was refused for ten minutes after one crash. Cause: crashes were numbered per gateway address, from 1 after each start, so a new crash took the place of an old one at the peers; and each gateway's report of one crash counted as another crash. Now ids hold a random number of the start, reports name the crashed server's start, and weights follow from what all gateways report. Two requests that shared two crashes are not refused before a third, which tells them apart.

--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -36,6 +36,7 @@
 NOT_STARTED = frozenset({base.AttemptEnd.NOT_SENT, base.AttemptEnd.REFUSED})
 CRASH_SYMPTOMS = frozenset({base.FailureKind.CLOSED, base.FailureKind.UNREACHABLE})
 HASH_RANGE = 2**64
+START_ID_BITS = 32
 HEALTH_TIMEOUT_S = 0.5
 STATUS_NOT_RUN = 503
 SERVER_ERROR = 500
@@ -170,7 +171,10 @@
         self.budget = budget
         self.connect = connect
         self.rng = rng
-        self.suspects = quarantine.Quarantine(vm)
+        # A restarted gateway must not reuse the ids of its earlier crashes.
+        self.suspects = quarantine.Quarantine(
+            f"{vm}/{rng.getrandbits(START_ID_BITS):x}"
+        )
         self.relay_servers: dict[ids.ServerId, relays.RelayServer] = {}
         self.metrics = exposition.ProcessMetrics()
         self.metrics.running.set_function(lambda: self.running)
@@ -359,7 +363,7 @@
             self.record_crash_check(routed, server, failure, outcome)
             if outcome is CrashCheckOutcome.CRASHED:
                 self.reservations.health.eject(server.id, "it does not respond")
-                self.suspects.record_crash(server.id, request_id)
+                self.suspects.record_crash(server.id, request_id, server.start_key)
         finally:
             self.suspects.remove_request(server.id, request_id)
 
--- a/src/quetzalpass/membership/discovery.py
+++ b/src/quetzalpass/membership/discovery.py
@@ -58,6 +58,11 @@
     started_ms: int | None = None
     is_engine: bool = False
 
+    @property
+    def start_key(self) -> str:
+        """Return a key of this start of the server; empty if its time is unknown."""
+        return "" if self.started_ms is None else f"{self.id}@{self.started_ms}"
+
 
 class ServerSource(abc.ABC):
     """Source of the list of backend servers."""
--- a/src/quetzalpass/membership/quarantine.py
+++ b/src/quetzalpass/membership/quarantine.py
@@ -2,10 +2,13 @@
 
 When a server crashes, each request that was running on it becomes a suspect with a
 weight of one over their number. A suspect runs again only where no other suspect runs.
-If a server crashes under it a second time, it is refused for a time, whoever sends it.
-A suspect is cleared when it completes or when its output passes the offset that it had
+If servers crash under it repeatedly, it is refused for a time, whoever sends it. A
+suspect is cleared when it completes or when its output passes the offset that it had
 reached at the crash. No request is suspected if the platform had announced the end of
 the server or if the server still responds.
+
+Several gateways may have requests on a server that crashes. Their reports name the same
+start of the server, so that together they count as one crash.
 """
 
 import asyncio
@@ -21,7 +24,9 @@
 
 SUSPECT_LIFETIME_S = 600.0
 QUARANTINE_S = 600.0
-REFUSAL_WEIGHT = 1.0
+# A request is refused above this sum of weights. Two requests that were twice together
+# on a crashed server reach it, but don't exceed it, as one of them may be unrelated.
+MAX_WEIGHT = 1.0
 REFUSAL_CRASHES = 2
 # Tokens beyond the output offset at the crash that clear a request: a step that crashes
 # the engine emits nothing, and the tokens of the step before it have arrived.
@@ -77,12 +82,20 @@
         Tokens of the request's output that had been received.
     opened : bool
         Whether the server had begun to respond.
+    server_start : str
+        The crashed server and its start, the same at all gateways; empty if unknown.
     """
 
     id: str
     weight: float
     place: int = 0
     opened: bool = False
+    server_start: str = ""
+
+    @property
+    def event_key(self) -> str:
+        """Return the key that all reports of the same crash share."""
+        return self.server_start or self.id
 
 
 class InFlightRequest(msgspec.Struct):
@@ -94,11 +107,14 @@
         Tokens of its output that have been received.
     opened : bool
         Whether the server has begun to respond.
+    sent_s : float
+        Event loop time at which it was sent.
     """
 
     fingerprint: str
     tokens: int = 0
     opened: bool = False
+    sent_s: float = 0.0
 
 
 class SuspectReport(msgspec.Struct, frozen=True):
@@ -145,18 +161,20 @@
     expires_s: float
     sequence: int
 
-    def is_refused(self) -> bool:
-        """Return whether servers crashed repeatedly at one stage of the request.
+    def has_other_crash(self, event_key: str) -> bool:
+        """Return whether it has a crash, and another one at the same stage."""
+        found = self.find_crash(event_key)
+        return found is not None and any(
+            each.opened is found.opened and each.event_key != event_key
+            for each in self.crashes.values()
+        )
 
-        The stages are before and after the server begins to respond.
-        """
-        for opened in (False, True):
-            weights = [
-                each.weight for each in self.crashes.values() if each.opened is opened
-            ]
-            if len(weights) >= REFUSAL_CRASHES and sum(weights) >= REFUSAL_WEIGHT:
-                return True
-        return False
+    def find_crash(self, event_key: str) -> ServerCrash | None:
+        """Return one report of a crash, or ``None``."""
+        return next(
+            (each for each in self.crashes.values() if each.event_key == event_key),
+            None,
+        )
 
 
 class Quarantine:
@@ -182,6 +200,8 @@
         peers at once: if this gateway crashes first, what it observed is lost.
     crash_count : int
         Crashes recorded by this gateway.
+    suspects_by_crash : dict of str to set of str
+        Fingerprints to which each crash is attributed, by the crash's event key.
     """
 
     def __init__(self, name: str) -> None:
@@ -192,12 +212,14 @@
         self.sequence = 0
         self.changed = asyncio.Event()
         self.crash_count = 0
+        self.suspects_by_crash: dict[str, set[str]] = {}
 
     def add_request(
         self, server_id: ids.ServerId, request_id: ids.RequestId, fingerprint: str
     ) -> InFlightRequest:
         """Record that a request starts to run on a server."""
-        request = InFlightRequest(fingerprint)
+        now_s = asyncio.get_running_loop().time()
+        request = InFlightRequest(fingerprint, sent_s=now_s)
         self.in_flight.setdefault(server_id, {})[request_id] = request
         self.running_copies[fingerprint] = self.running_copies.get(fingerprint, 0) + 1
         return request
@@ -219,7 +241,12 @@
         if not self.running_copies[fingerprint]:
             del self.running_copies[fingerprint]
 
-    def record_crash(self, server_id: ids.ServerId, request_id: ids.RequestId) -> None:
+    def record_crash(
+        self,
+        server_id: ids.ServerId,
+        request_id: ids.RequestId,
+        server_start: str = "",
+    ) -> None:
         """Attribute a server's crash to the requests on it.
 
         If some of them were suspects already and the server crashed at the same stage
@@ -232,6 +259,8 @@
         request_id : RequestId
             Request that detected the crash. The other requests on the server may report
             it too, but it is counted only once.
+        server_start : str
+            The start of the server that has ended; empty if unknown.
         """
         if request_id not in self.in_flight.get(server_id, {}):
             return
@@ -245,7 +274,11 @@
         crash_id = f"{self.name}/{self.crash_count}"
         for request in attributed:
             crash = ServerCrash(
-                crash_id, 1 / len(attributed), request.tokens, request.opened
+                crash_id,
+                1 / len(attributed),
+                request.tokens,
+                request.opened,
+                server_start,
             )
             self.attribute_crash(request.fingerprint, crash)
         LOG.warning(
@@ -267,10 +300,65 @@
         record = self.get_or_create_record(fingerprint)
         if crash.id in record.cleared:
             return
-        record.crashes[crash.id] = crash
-        lifetime_s = QUARANTINE_S if record.is_refused() else SUSPECT_LIFETIME_S
-        self.mark_changed(record, lifetime_s)
-        log_change(fingerprint, SuspectChange.ATTRIBUTED, record)
+        self.set_crashes(fingerprint, record, {**record.crashes, crash.id: crash})
+        is_refused = self.is_refused(fingerprint)
+        self.mark_changed(record, QUARANTINE_S if is_refused else SUSPECT_LIFETIME_S)
+        self.log_change(fingerprint, SuspectChange.ATTRIBUTED)
+
+    def set_crashes(
+        self,
+        fingerprint: str,
+        record: SuspectRecord,
+        crashes: dict[str, ServerCrash],
+    ) -> None:
+        """Replace the crashes of a record, and update the index by crash."""
+        for crash in record.crashes.values():
+            fingerprints = self.suspects_by_crash.get(crash.event_key, set())
+            fingerprints.discard(fingerprint)
+            if not fingerprints:
+                self.suspects_by_crash.pop(crash.event_key, None)
+        record.crashes = crashes
+        for crash in crashes.values():
+            self.suspects_by_crash.setdefault(crash.event_key, set()).add(fingerprint)
+
+    def remove_record(self, fingerprint: str) -> None:
+        """Remove what is known about a request."""
+        self.set_crashes(fingerprint, self.records[fingerprint], {})
+        del self.records[fingerprint]
+
+    def is_refused(self, fingerprint: str) -> bool:
+        """Return whether servers crashed repeatedly at one stage of a request.
+
+        The stages are before and after the server begins to respond.
+        """
+        record = self.records[fingerprint]
+        for opened in (False, True):
+            weights: dict[str, float] = {}
+            for crash in record.crashes.values():
+                if crash.opened is opened:
+                    weight = self.weight_of(fingerprint, crash)
+                    weights[crash.event_key] = max(
+                        weight, weights.get(crash.event_key, 0.0)
+                    )
+            if len(weights) >= REFUSAL_CRASHES and sum(weights.values()) > MAX_WEIGHT:
+                return True
+        return False
+
+    def weight_of(self, fingerprint: str, crash: ServerCrash) -> float:
+        """Return the weight of a crash, given what all gateways report about it.
+
+        If other crashes are attributed to some of its requests, it counts against
+        these alone.
+        """
+        involved = self.suspects_by_crash[crash.event_key]
+        repeated = {
+            each
+            for each in involved
+            if self.records[each].has_other_crash(crash.event_key)
+        }
+        if repeated and fingerprint not in repeated:
+            return 0.0
+        return min(crash.weight, 1 / len(repeated or involved))
 
     def get_or_create_record(self, fingerprint: str) -> SuspectRecord:
         """Return the record of a request, which is created if there is none."""
@@ -278,7 +366,7 @@
         found = self.records.get(fingerprint)
         if found is None:
             if len(self.records) >= MAX_RECORDS:
-                del self.records[next(iter(self.records))]
+                self.remove_record(next(iter(self.records)))
             found = self.records[fingerprint] = SuspectRecord({}, set(), 0.0, 0)
         return found
 
@@ -299,7 +387,7 @@
             if record.expires_s <= now_s
         ]
         for fingerprint in expired:
-            del self.records[fingerprint]
+            self.remove_record(fingerprint)
 
     def crash_count_of(self, fingerprint: str) -> int:
         """Return the number of crashes that are attributed to a request."""
@@ -322,7 +410,7 @@
         if not self.is_suspect(fingerprint):
             return None
         record = self.records[fingerprint]
-        if not record.is_refused():
+        if not self.is_refused(fingerprint):
             return None
         left_s = record.expires_s - asyncio.get_running_loop().time()
         return failures.Failure(
@@ -342,7 +430,7 @@
             Output tokens so far; ``None`` if it is complete.
         """
         record = self.records.get(fingerprint)
-        if record is None or not record.crashes or record.is_refused():
+        if record is None or not record.crashes or self.is_refused(fingerprint):
             return
         passed = [
             each
@@ -352,10 +440,12 @@
         if not passed:
             return
         record.cleared.update(passed)
+        left = {each: record.crashes[each] for each in record.crashes}
         for each in passed:
-            del record.crashes[each]
+            del left[each]
+        self.set_crashes(fingerprint, record, left)
         self.mark_changed(record, SUSPECT_LIFETIME_S)
-        log_change(fingerprint, SuspectChange.CLEARED, record)
+        self.log_change(fingerprint, SuspectChange.CLEARED)
 
     async def wait_for_other_copy(self, fingerprint: str, deadline_s: float) -> None:
         """Wait until no other copy of a suspect runs here, or until it is refused."""
@@ -391,15 +481,13 @@
             merged = {each: merged[each] for each in merged if each not in cleared}
             if merged == record.crashes and cleared == record.cleared:
                 continue
-            record.crashes = merged
+            self.set_crashes(report.fingerprint, record, merged)
             record.cleared = cleared
             self.mark_changed(record, report.left_s)
-            log_change(report.fingerprint, SuspectChange.MERGED, record)
-
+            self.log_change(report.fingerprint, SuspectChange.MERGED)
 
-def log_change(fingerprint: str, change: SuspectChange, record: SuspectRecord) -> None:
-    """Log what is known about a suspect after a change."""
-    event = SuspectEvent(
-        fingerprint, change, tuple(record.crashes), record.is_refused()
-    )
-    event_log.record(event, event_log.Level.NOTICE)
+    def log_change(self, fingerprint: str, change: SuspectChange) -> None:
+        """Log what is known about a suspect after a change."""
+        crashes = tuple(self.records[fingerprint].crashes)
+        event = SuspectEvent(fingerprint, change, crashes, self.is_refused(fingerprint))
+        event_log.record(event, event_log.Level.NOTICE)
--- a/tests/lifecycle/gateway_group.py
+++ b/tests/lifecycle/gateway_group.py
@@ -32,7 +32,7 @@
             self.fleet.listed(),
             fleet=self.fleet,
             vm=f"gw-{number}",
-            seed=number,
+            seed=self.rng.getrandbits(32),
             declaration=self.declaration,
         )
 
--- a/tests/lifecycle/test_quarantine.py
+++ b/tests/lifecycle/test_quarantine.py
@@ -20,8 +20,24 @@
     return gateway_quarantine
 
 
-def crash_server(gateway_quarantine, server="s", request="r0"):
-    gateway_quarantine.record_crash(ids.ServerId(server), ids.RequestId(request))
+def crash_server(gateway_quarantine, server="s", request="r0", start=""):
+    gateway_quarantine.record_crash(ids.ServerId(server), ids.RequestId(request), start)
+
+
+def crash_at(gateway_quarantine, server, fingerprints):
+    """Run requests on a start of a server, which crashes."""
+    for number, fingerprint in enumerate(fingerprints):
+        gateway_quarantine.add_request(
+            ids.ServerId(server), ids.RequestId(f"r{number}"), fingerprint
+        )
+    crash_server(gateway_quarantine, server, start=f"{server}@1")
+
+
+def exchange(*quarantines):
+    """Merge the reports of all into each."""
+    for receiver in quarantines:
+        for sender in quarantines:
+            receiver.merge(sender.suspect_reports_since(0))
 
 
 class TestSuspectReports:
@@ -100,6 +116,39 @@
         assert not second.is_suspect("f")
 
 
+class TestCrashesSeenByTwoGateways:
+    async def test_copies_on_one_server_count_one_crash(self):
+        first, second = quarantine.Quarantine("a"), quarantine.Quarantine("b")
+        crash_at(first, "s", ["f"])
+        crash_at(second, "s", ["f"])
+        exchange(first, second)
+        assert first.is_suspect("f") and first.refusal("f") is None
+        crash_at(first, "t", ["f"])
+        assert first.refusal("f") is not None
+
+    async def test_unrelated_request_on_the_other_gateway_is_not_refused(self):
+        first, second = quarantine.Quarantine("a"), quarantine.Quarantine("b")
+        for server in ("s", "t"):
+            crash_at(first, server, ["crashing"])
+            crash_at(second, server, ["unrelated"])
+            exchange(first, second)
+        assert first.refusal("unrelated") is None
+        assert second.refusal("unrelated") is None
+        crash_at(first, "u", ["crashing"])
+        exchange(first, second)
+        assert second.refusal("crashing") is not None
+        assert second.refusal("unrelated") is None
+
+    async def test_requests_that_shared_two_crashes_are_not_refused(self):
+        suspects = quarantine.Quarantine("a")
+        for server in ("s", "t"):
+            crash_at(suspects, server, ["crashing", "unrelated"])
+        assert suspects.refusal("unrelated") is None
+        crash_at(suspects, "u", ["crashing"])
+        assert suspects.refusal("crashing") is not None
+        assert suspects.refusal("unrelated") is None
+
+
 class TestCrashingRequests:
     async def add_crash_faults(self, caller):
         for engine in caller.cluster.engines:
