Recognise a crash also of a silent server, beside other crashes, and when a caller leaves

Callers saw: a request that crashes its servers was sent on for the whole run, up to 119 sends later than 3 s after the third crash. Cause: the check for a crash ran only after a closed connection and took every doubt for an acquittal. One neighbour without a response made it a cut, though a copy of the request had crashed that too; silence was no symptom; a caller who left, or a generation that resumed, took the request off the server before the check had ended. Now lifecycle.crash_checks asks all neighbours, those of other services first; watches for servers that send nothing for 1 s; keeps a request on its server until the check has ended; and withdraws a crash if the server responds again under the same start, as after a cut. Ruled out: a cut or a planned stop blames nobody (TestCuts, TestStops).

--- a/src/quetzalpass/daemon/gateway_role.py
+++ b/src/quetzalpass/daemon/gateway_role.py
@@ -119,6 +119,7 @@
     def start(self) -> None:
         """Start following the control nodes."""
         self.links.start()
+        self.gateway.start()
         LOG.info("daemon: {} has started.", self.settings.vm)
 
     def is_ready(self) -> bool:
--- /dev/null
+++ b/src/quetzalpass/lifecycle/crash_checks.py
@@ -0,0 +1,406 @@
+"""Checks whether a backend server has crashed under the requests of a gateway.
+
+A request that breaks off, and a server that sends nothing for some time, lead to a
+check: the server has crashed if it accepts no connection while its data centre can be
+reached. A server that is leaving, or that later responds under the same start, has not
+crashed.
+"""
+
+import asyncio
+import enum
+from collections.abc import Callable
+
+import logbook
+import msgspec
+
+from quetzalpass import event_log, ids
+from quetzalpass.backends import base, relays
+from quetzalpass.lifecycle import relay_requests, server_health
+from quetzalpass.membership import discovery, fleet_view, quarantine
+from quetzalpass.metrics import exposition
+
+LOG = logbook.Logger("lifecycle")
+
+HEALTH_TIMEOUT_S = 0.5
+NOT_STARTED = frozenset({base.AttemptEnd.NOT_SENT, base.AttemptEnd.REFUSED})
+CRASH_SYMPTOMS = frozenset(
+    {
+        base.FailureKind.CLOSED,
+        base.FailureKind.UNREACHABLE,
+        base.FailureKind.SILENT,
+    }
+)
+# A server with requests in flight is checked after this time without any byte.
+SILENCE_S = 1.0
+SILENCE_POLL_S = 0.25
+# Silence after which a request that its caller abandons may have crashed its server.
+ABANDONED_SILENCE_S = 0.25
+# Longest delay of a retry for the check of the failed server. A crashed process refuses
+# connections within a round trip; a server that stays silent is not waited for.
+MAX_CHECK_WAIT_S = 0.05
+MAX_NEIGHBOURS = 4
+# The list shows by then whether a server that responds again was restarted.
+CONFIRMATION_S = 3.0
+MS_PER_S = 1000
+
+
+class CrashCheckOutcome(enum.Enum):
+    """Why a request that broke off counts as a crash of its server, or does not."""
+
+    CRASHED = "crashed"
+    UNLISTED = "unlisted"
+    LEAVING = "leaving"
+    NOT_STARTED = "not_started"
+    NO_SYMPTOM = "no_symptom"
+    RESPONDS = "responds"
+    CUT_OFF = "cut_off"
+
+
+class CrashCheckEvent(event_log.Event, frozen=True, tag="crash_check"):
+    """Log event for the outcome of a check whether a server has crashed.
+
+    Attributes
+    ----------
+    server : ServerId
+        The server.
+    outcome : CrashCheckOutcome
+        The outcome.
+    cause : str
+        What led to the check.
+    requests : int
+        Requests of this gateway on the server.
+    list_age_ms : int or None
+        Age of the server list, in milliseconds.
+    request : RequestId or None
+        Request that broke off; ``None`` for a silent server.
+    fingerprint : str or None
+        The request's fingerprint, which all its copies share.
+    """
+
+    server: ids.ServerId
+    outcome: CrashCheckOutcome
+    cause: str
+    requests: int
+    list_age_ms: int | None
+    request: ids.RequestId | None = None
+    fingerprint: str | None = None
+
+
+class PendingCheck(msgspec.Struct, frozen=True):
+    """A request whose server is being checked."""
+
+    server: ids.ServerId
+    request: ids.RequestId
+
+
+class CrashChecks:
+    """Checks of one gateway's servers, and what it last received from each.
+
+    Parameters
+    ----------
+    view : fleet_view.FleetView
+        The backend servers.
+    health : server_health.ServerHealth
+        Excludes crashed servers from new work.
+    suspects : quarantine.Quarantine
+        Attributes crashes to requests.
+    get_relay_server : callable
+        Returns the client of a server.
+    metrics : exposition.ProcessMetrics
+        Counts the outcomes.
+
+    Attributes
+    ----------
+    heard_s : dict of ServerId to float
+        Loop time at which the last byte from a server arrived.
+    probed_s : dict of ServerId to float
+        Loop time at which the last check of a silent server ended.
+    probes : dict of ServerId to asyncio.Task
+        Probes in progress; checks of one server share them.
+    pending : set of PendingCheck
+        Requests that stay registered on their server until its check has ended.
+    crashed_starts : set of str
+        Starts of servers for which this gateway has recorded a crash.
+    tasks : set of asyncio.Task
+        Background tasks.
+    """
+
+    def __init__(
+        self,
+        view: fleet_view.FleetView,
+        health: server_health.ServerHealth,
+        suspects: quarantine.Quarantine,
+        get_relay_server: Callable[[discovery.DiscoveredServer], relays.RelayServer],
+        metrics: exposition.ProcessMetrics,
+    ) -> None:
+        self.view = view
+        self.health = health
+        self.suspects = suspects
+        self.get_relay_server = get_relay_server
+        self.metrics = metrics
+        self.heard_s: dict[ids.ServerId, float] = {}
+        self.probed_s: dict[ids.ServerId, float] = {}
+        self.probes: dict[ids.ServerId, asyncio.Task[CrashCheckOutcome]] = {}
+        self.pending: set[PendingCheck] = set()
+        self.crashed_starts: set[str] = set()
+        self.tasks: set[asyncio.Task] = set()
+        view.change_observers.append(self.forget_unlisted)
+
+    def spawn(self, work) -> asyncio.Task:
+        """Run a background task; a failure is logged."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.on_task_done)
+        return task
+
+    def on_task_done(self, task: asyncio.Task) -> None:
+        """Remove a finished background task, and log its failure."""
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            LOG.error("lifecycle: A crash check failed: {!r}.", task.exception())
+
+    def close(self) -> None:
+        """Cancel all checks."""
+        for task in list(self.tasks):
+            task.cancel()
+
+    def forget_unlisted(self) -> None:
+        """Forget the servers that are no longer listed."""
+        for times_s in (self.heard_s, self.probed_s):
+            for server_id in [
+                each for each in times_s if each not in self.view.servers
+            ]:
+                del times_s[server_id]
+        starts = {each.server.start_key for each in self.view.servers.values()}
+        self.crashed_starts &= starts
+
+    def on_bytes(self, server_id: ids.ServerId) -> None:
+        """Record that bytes have arrived from a server."""
+        self.heard_s[server_id] = asyncio.get_running_loop().time()
+
+    def on_response(self, server: discovery.DiscoveredServer) -> None:
+        """Record a response, which shows that a server runs."""
+        self.on_bytes(server.id)
+        if server.start_key in self.crashed_starts:
+            self.crashed_starts.discard(server.start_key)
+            self.spawn(self.withdraw_if_not_restarted(server))
+
+    async def withdraw_if_not_restarted(
+        self, server: discovery.DiscoveredServer
+    ) -> None:
+        """Withdraw a crash if the server still runs under the same start."""
+        await asyncio.sleep(CONFIRMATION_S)
+        known = self.view.servers.get(server.id)
+        if known is not None and known.server.start_key == server.start_key:
+            LOG.info("lifecycle: {} responds again and has not crashed.", server.id)
+            self.suspects.withdraw(server.start_key)
+
+    def start_check(
+        self,
+        routed: relay_requests.RoutedRequest,
+        server: discovery.DiscoveredServer,
+        failure: base.AttemptFailure,
+    ) -> None:
+        """Check in the background whether a server crashed under a request."""
+        check = PendingCheck(server.id, routed.request.request_id)
+        self.pending.add(check)
+        self.spawn(self.check_request(check, routed, server, failure))
+
+    async def check_request(
+        self,
+        check: PendingCheck,
+        routed: relay_requests.RoutedRequest,
+        server: discovery.DiscoveredServer,
+        failure: base.AttemptFailure,
+    ) -> None:
+        """Check the server of a request, then remove the request from it."""
+        try:
+            outcome = self.outcome_without_probe(server, failure)
+            if outcome is None:
+                outcome = await self.probe(server)
+            self.record_outcome(
+                server,
+                outcome,
+                f"{failure.end.value}, {failure.kind.value}",
+                routed,
+            )
+            if outcome is CrashCheckOutcome.CRASHED:
+                self.record_crash(server, check.request)
+        finally:
+            self.pending.discard(check)
+            self.suspects.remove_request(check.server, check.request)
+
+    def on_request_left(
+        self,
+        routed: relay_requests.RoutedRequest,
+        server: discovery.DiscoveredServer,
+    ) -> None:
+        """Remove a request from its server, which is checked first if it is silent."""
+        request_id = routed.request.request_id
+        if PendingCheck(server.id, request_id) in self.pending:
+            return
+        if not self.is_silent(server.id, request_id):
+            self.suspects.remove_request(server.id, request_id)
+            return
+        failure = base.AttemptFailure(
+            base.AttemptEnd.MAY_HAVE_RUN,
+            base.FailureKind.SILENT,
+            "the request ended while the server was silent",
+        )
+        self.start_check(routed, server, failure)
+
+    def is_silent(self, server_id: ids.ServerId, request_id: ids.RequestId) -> bool:
+        """Return whether nothing has come from a request's server for some time."""
+        request = self.suspects.in_flight.get(server_id, {}).get(request_id)
+        if request is None:
+            return False
+        last_s = max(request.sent_s, self.heard_s.get(server_id, 0.0))
+        return asyncio.get_running_loop().time() - last_s >= ABANDONED_SILENCE_S
+
+    def outcome_without_probe(
+        self, server: discovery.DiscoveredServer, failure: base.AttemptFailure
+    ) -> CrashCheckOutcome | None:
+        """Return the outcome if no probe is needed.
+
+        A server that is leaving may stop at any time, which does not count as a crash.
+        """
+        known = self.view.servers.get(server.id)
+        if known is None:
+            return CrashCheckOutcome.UNLISTED
+        if known.is_leaving:
+            return CrashCheckOutcome.LEAVING
+        if failure.end in NOT_STARTED:
+            return CrashCheckOutcome.NOT_STARTED
+        if failure.kind not in CRASH_SYMPTOMS:
+            return CrashCheckOutcome.NO_SYMPTOM
+        return None
+
+    async def wait_for_check(self, server_id: ids.ServerId) -> None:
+        """Wait for a short time for the probe of a server that is in progress."""
+        # The background task of a check that has just been started starts its probe.
+        await asyncio.sleep(0)
+        probe = self.probes.get(server_id)
+        if probe is not None:
+            await asyncio.wait({probe}, timeout=MAX_CHECK_WAIT_S)
+            # Lets the checks that wait for the probe record its outcome.
+            await asyncio.sleep(0)
+
+    async def probe(self, server: discovery.DiscoveredServer) -> CrashCheckOutcome:
+        """Return whether a server has crashed; checks of one server share a probe."""
+        task = self.probes.get(server.id)
+        if task is None:
+            task = self.probes[server.id] = self.spawn(self.probe_alone(server))
+            task.add_done_callback(lambda _: self.probes.pop(server.id, None))
+        return await asyncio.shield(task)
+
+    async def probe_alone(
+        self, server: discovery.DiscoveredServer
+    ) -> CrashCheckOutcome:
+        """Try to connect to a server, and to its neighbours if that fails."""
+        if await self.get_relay_server(server).check_health(HEALTH_TIMEOUT_S):
+            return CrashCheckOutcome.RESPONDS
+        if await self.is_cut_off(server):
+            return CrashCheckOutcome.CUT_OFF
+        return CrashCheckOutcome.CRASHED
+
+    async def is_cut_off(self, server: discovery.DiscoveredServer) -> bool:
+        """Return whether the server's whole data centre is unreachable.
+
+        A network failure may refuse connections just as a crashed server does, but then
+        all servers in the data centre are unreachable. A single neighbour proves
+        nothing, as a copy of the same request may have crashed it too.
+        """
+        neighbours = self.find_neighbours(server)
+        if not neighbours:
+            return server.data_centre != self.health.data_centre
+        now_s = asyncio.get_running_loop().time()
+        for each in neighbours:
+            if now_s - self.heard_s.get(each.id, -SILENCE_S) < ABANDONED_SILENCE_S:
+                return False
+        responses = await asyncio.gather(
+            *(
+                self.get_relay_server(each).check_health(HEALTH_TIMEOUT_S)
+                for each in neighbours[:MAX_NEIGHBOURS]
+            )
+        )
+        return not any(responses)
+
+    def find_neighbours(
+        self, server: discovery.DiscoveredServer
+    ) -> list[discovery.DiscoveredServer]:
+        """Return the other servers of a data centre, those of other services first."""
+        neighbours = [
+            each.server
+            for each in self.view.servers.values()
+            if each.server.data_centre == server.data_centre
+            and each.server.id != server.id
+            and not each.is_leaving
+        ]
+        neighbours.sort(key=lambda each: each.service == server.service)
+        return neighbours
+
+    def record_outcome(
+        self,
+        server: discovery.DiscoveredServer,
+        outcome: CrashCheckOutcome,
+        cause: str,
+        routed: relay_requests.RoutedRequest | None = None,
+    ) -> None:
+        """Log and count the outcome of a check."""
+        self.metrics.crash_checks.labels(outcome.value).inc()
+        event_log.record(
+            CrashCheckEvent(
+                server.id,
+                outcome,
+                cause,
+                len(self.suspects.in_flight.get(server.id, ())),
+                self.view.age_ms(),
+                routed.request.request_id if routed else None,
+                routed.fingerprint if routed else None,
+            ),
+            event_log.Level.NOTICE,
+        )
+
+    def record_crash(
+        self, server: discovery.DiscoveredServer, request_id: ids.RequestId
+    ) -> None:
+        """Eject a crashed server, and attribute the crash to its requests."""
+        self.health.eject(server.id, "it does not respond")
+        if server.start_key:
+            self.crashed_starts.add(server.start_key)
+        self.suspects.record_crash(server.id, request_id, server.start_key)
+
+    async def watch_silence(self) -> None:
+        """Check servers that send nothing while requests are in flight, forever."""
+        while True:
+            await asyncio.sleep(SILENCE_POLL_S)
+            for server_id in self.silent_servers():
+                self.spawn(
+                    self.check_silent_server(self.view.servers[server_id].server)
+                )
+
+    def silent_servers(self) -> list[ids.ServerId]:
+        """Return the servers whose check is due."""
+        due_s = asyncio.get_running_loop().time() - SILENCE_S
+        return [
+            server_id
+            for server_id, requests in self.suspects.in_flight.items()
+            if server_id in self.view.servers
+            and server_id not in self.probes
+            and self.heard_s.get(server_id, 0.0) <= due_s
+            and self.probed_s.get(server_id, 0.0) <= due_s
+            and min(each.sent_s for each in requests.values()) <= due_s
+        ]
+
+    async def check_silent_server(self, server: discovery.DiscoveredServer) -> None:
+        """Check a server that has been silent, unless it is leaving."""
+        if self.view.servers[server.id].is_leaving:
+            return
+        outcome = await self.probe(server)
+        self.probed_s[server.id] = asyncio.get_running_loop().time()
+        if outcome is CrashCheckOutcome.RESPONDS:
+            return
+        self.record_outcome(server, outcome, f"silent for {SILENCE_S} s")
+        requests = self.suspects.in_flight.get(server.id, {})
+        if outcome is CrashCheckOutcome.CRASHED and requests:
+            self.record_crash(server, next(iter(requests)))
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -2,9 +2,7 @@
 
 import abc
 import asyncio
-import enum
 import functools
-import math
 import random
 from collections.abc import Callable
 
@@ -12,11 +10,12 @@
 import xxhash
 from returns import result
 
-from quetzalpass import event_log, ids
+from quetzalpass import background, event_log, ids
 from quetzalpass.backends import base, relays
 from quetzalpass.declarations import relays as declared
 from quetzalpass.declarations import schema
 from quetzalpass.lifecycle import (
+    crash_checks,
     relay_requests,
     relay_reservations,
     shared_budget,
@@ -33,11 +32,8 @@
 START_WAIT_SHARE = 0.4
 START_POLL_S = 0.02
 MS_PER_S = 1000
-NOT_STARTED = frozenset({base.AttemptEnd.NOT_SENT, base.AttemptEnd.REFUSED})
-CRASH_SYMPTOMS = frozenset({base.FailureKind.CLOSED, base.FailureKind.UNREACHABLE})
 HASH_RANGE = 2**64
 START_ID_BITS = 32
-HEALTH_TIMEOUT_S = 0.5
 STATUS_NOT_RUN = 503
 SERVER_ERROR = 500
 # Statuses that promise that a request has not run. A server that sends one without its
@@ -84,48 +80,6 @@
     crashes: int = 0
 
 
-class CrashCheckOutcome(enum.Enum):
-    """Why a request that broke off counts as a crash of its server, or does not."""
-
-    CRASHED = "crashed"
-    UNLISTED = "unlisted"
-    LEAVING = "leaving"
-    NOT_STARTED = "not_started"
-    NO_SYMPTOM = "no_symptom"
-    RESPONDS = "responds"
-    CUT_OFF = "cut_off"
-
-
-class CrashCheckEvent(event_log.Event, frozen=True, tag="crash_check"):
-    """Log event for the outcome of a check whether a server has crashed.
-
-    Attributes
-    ----------
-    request : RequestId
-        Request that broke off.
-    server : ServerId
-        Its server.
-    outcome : CrashCheckOutcome
-        The outcome.
-    failure : str
-        How the request broke off.
-    fingerprint : str
-        The request's fingerprint, which all its copies share.
-    requests : int
-        Requests of this gateway on the server.
-    list_age_ms : int or None
-        Age of the server list, in milliseconds.
-    """
-
-    request: ids.RequestId
-    server: ids.ServerId
-    outcome: CrashCheckOutcome
-    failure: str
-    fingerprint: str
-    requests: int
-    list_age_ms: int | None
-
-
 class LeavingObserver(abc.ABC):
     """Something that must move away from a server that is leaving."""
 
@@ -181,10 +135,17 @@
         self.metrics.suspects.set_function(lambda: len(self.suspects.records))
         self.metrics.refused_suspects.set_function(self.suspects.refused_count)
         self.metrics.revision.set_function(holder.revision)
-        self.metrics.list_age_s.set_function(self.list_age_s)
+        self.metrics.list_age_s.set_function(view.age_s)
         for state in discovery.ServerState:
             gauge = self.metrics.servers.labels(state.value)
             gauge.set_function(functools.partial(view.count, state))
+        self.crash_checks = crash_checks.CrashChecks(
+            view,
+            reservations.health,
+            self.suspects,
+            self.get_relay_server,
+            self.metrics,
+        )
         self.streams: dict[ids.RequestId, LeavingObserver] = {}
         self.tasks: set[asyncio.Task] = set()
         self.drains_until_s: float | None = None
@@ -238,8 +199,16 @@
         if not task.cancelled() and task.exception() is not None:
             LOG.error("lifecycle: A background task failed: {!r}.", task.exception())
 
+    def start(self) -> None:
+        """Start the background tasks."""
+        watch = background.keep_running(
+            "watching for silent servers", self.crash_checks.watch_silence
+        )
+        self.spawn(watch)
+
     async def close(self) -> None:
         """Cancel the background tasks and close the clients of all servers."""
+        self.crash_checks.close()
         for task in list(self.tasks):
             task.cancel()
         for server in self.relay_servers.values():
@@ -294,17 +263,6 @@
             routed_request(request, route, service, organisation, current)
         )
 
-    def list_age_s(self) -> float:
-        """Return the age of the server list; infinite before the first arrives."""
-        if self.view.read_at_s is None:
-            return math.inf
-        return asyncio.get_running_loop().time() - self.view.read_at_s
-
-    def list_age_ms(self) -> int | None:
-        """Return the age of the server list; ``None`` before the first arrives."""
-        age_s = self.list_age_s()
-        return None if math.isinf(age_s) else int(age_s * MS_PER_S)
-
     def record_decision(
         self,
         routed: relay_requests.RoutedRequest,
@@ -325,7 +283,7 @@
                 routed.route.name,
                 routed.organisation.id if routed.organisation else None,
                 server,
-                self.list_age_ms(),
+                self.view.age_ms(),
                 detail,
                 routed.fingerprint if crashes else None,
                 crashes,
@@ -336,101 +294,30 @@
     def on_response_head(
         self, server: discovery.DiscoveredServer, head: relays.ResponseHead
     ) -> None:
-        """Check whether a server is leaving if it closes the connection."""
+        """Record a response; if it closes the connection, check for leaving."""
+        self.crash_checks.on_response(server)
         if head.is_closing and server.id in self.view.servers:
             known = self.view.servers[server.id]
             if not known.is_leaving:
                 self.spawn(self.confirm_leaving(server))
 
-    async def confirm_leaving(self, server: discovery.DiscoveredServer) -> None:
-        """Ask a server whether it is leaving; a closed connection does not prove it."""
-        if await self.get_relay_server(server).is_leaving():
-            self.view.announce(server.id)
-
-    async def on_broken_request(
+    def on_broken_request(
         self,
         routed: relay_requests.RoutedRequest,
         server: discovery.DiscoveredServer,
         failure: base.AttemptFailure,
     ) -> None:
-        """Check whether a server crashed while it ran a request.
-
-        A crash ejects the server and is reported to the quarantine.
-        """
-        request_id = routed.request.request_id
-        try:
-            outcome = await self.check_crash(server, failure)
-            self.record_crash_check(routed, server, failure, outcome)
-            if outcome is CrashCheckOutcome.CRASHED:
-                self.reservations.health.eject(server.id, "it does not respond")
-                self.suspects.record_crash(server.id, request_id, server.start_key)
-        finally:
-            self.suspects.remove_request(server.id, request_id)
-
-    def record_crash_check(
-        self,
-        routed: relay_requests.RoutedRequest,
-        server: discovery.DiscoveredServer,
-        failure: base.AttemptFailure,
-        outcome: CrashCheckOutcome,
-    ) -> None:
-        """Log and count the outcome of a check."""
-        self.metrics.crash_checks.labels(outcome.value).inc()
-        event_log.record(
-            CrashCheckEvent(
-                routed.request.request_id,
-                server.id,
-                outcome,
-                f"{failure.end.value}, {failure.kind.value}",
-                routed.fingerprint,
-                len(self.suspects.in_flight.get(server.id, ())),
-                self.list_age_ms(),
-            ),
-            event_log.Level.NOTICE,
-        )
-
-    async def check_crash(
-        self, server: discovery.DiscoveredServer, failure: base.AttemptFailure
-    ) -> CrashCheckOutcome:
-        """Return whether a server that broke a request no longer responds at all.
-
-        A server that is leaving may stop at any time, which does not count as a crash.
-        """
+        """Record a request that broke off, and check its server for a crash."""
         known = self.view.servers.get(server.id)
-        if known is None:
-            return CrashCheckOutcome.UNLISTED
-        if known.is_leaving:
-            return CrashCheckOutcome.LEAVING
-        if failure.end in NOT_STARTED:
-            return CrashCheckOutcome.NOT_STARTED
-        self.reservations.health.record_failure(server.id, failure.message)
-        if failure.kind not in CRASH_SYMPTOMS:
-            return CrashCheckOutcome.NO_SYMPTOM
-        if await self.get_relay_server(server).check_health(HEALTH_TIMEOUT_S):
-            return CrashCheckOutcome.RESPONDS
-        if await self.is_cut_off(server):
-            return CrashCheckOutcome.CUT_OFF
-        return CrashCheckOutcome.CRASHED
-
-    async def is_cut_off(self, server: discovery.DiscoveredServer) -> bool:
-        """Return whether the server's whole data centre is unreachable.
-
-        A network failure may refuse connections just as a crashed server does, but then
-        another server in the data centre is unreachable too.
-        """
-        neighbour = next(
-            (
-                each.server
-                for each in self.view.servers.values()
-                if each.server.data_centre == server.data_centre
-                and each.server.id != server.id
-                and not each.is_leaving
-            ),
-            None,
-        )
-        if neighbour is None:
-            return server.data_centre != self.reservations.data_centre
-        return not await self.get_relay_server(neighbour).check_health(HEALTH_TIMEOUT_S)
+        is_leaving = known is None or known.is_leaving
+        if not is_leaving and failure.end not in crash_checks.NOT_STARTED:
+            self.reservations.health.record_failure(server.id, failure.message)
+        self.crash_checks.start_check(routed, server, failure)
+
+    async def confirm_leaving(self, server: discovery.DiscoveredServer) -> None:
+        """Ask a server whether it is leaving; a closed connection does not prove it."""
+        if await self.get_relay_server(server).is_leaving():
+            self.view.announce(server.id)
 
 
 def refuse(
--- a/src/quetzalpass/lifecycle/relayed_calls.py
+++ b/src/quetzalpass/lifecycle/relayed_calls.py
@@ -121,7 +121,7 @@
             )
         )
     except asyncio.CancelledError:
-        gateway.suspects.remove_request(server.id, routed.request.request_id)
+        gateway.crash_checks.on_request_left(routed, server)
         raise
     if isinstance(sent, result.Success):
         gateway.suspects.remove_request(server.id, routed.request.request_id)
@@ -217,7 +217,7 @@
         gateway.reservations.health.record_unreachable(
             reservation.server, failure.message
         )
-    gateway.spawn(gateway.on_broken_request(routed, reservation.server, failure))
+    gateway.on_broken_request(routed, reservation.server, failure)
 
 
 def try_withdraw_retry(
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -154,8 +154,8 @@
     def end_segment(self, segment: generation_moves.StreamSegment) -> None:
         """Close the connection of a segment, which ends the run on its server."""
         segment.server_response.close()
-        self.gateway.suspects.remove_request(
-            segment.reservation.server.id, self.request_id
+        self.gateway.crash_checks.on_request_left(
+            self.routed, segment.reservation.server
         )
         segment.reservation.release()
 
@@ -238,7 +238,7 @@
                 self.routed.call(), options
             )
         except BaseException:
-            self.gateway.suspects.remove_request(server.id, self.request_id)
+            self.gateway.crash_checks.on_request_left(self.routed, server)
             reservation.release()
             raise
         if isinstance(sent, result.Success):
@@ -293,7 +293,7 @@
             f"after {self.events} events, {failure.kind.value}: {failure.message}",
             event_log.Level.NOTICE,
         )
-        self.gateway.spawn(self.gateway.on_broken_request(self.routed, server, failure))
+        self.gateway.on_broken_request(self.routed, server, failure)
 
     async def relay_segment(self) -> SegmentEnd:
         """Relay the current segment until its stream ends or breaks."""
@@ -376,6 +376,7 @@
         events: list[event_splitter.Event],
     ) -> None:
         """Relay complete events, each once and in order."""
+        self.gateway.crash_checks.on_bytes(segment.reservation.server.id)
         new_events = [event for event in events if self.is_next_event(event)]
         if not new_events:
             return
--- a/src/quetzalpass/membership/fleet_view.py
+++ b/src/quetzalpass/membership/fleet_view.py
@@ -1,6 +1,7 @@
 """One gateway's view of the discovered backend servers."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import logbook
@@ -140,6 +141,17 @@
             return self.uses.get(own.server, none)
         return own.times(self.gateways - 1)
 
+    def age_s(self) -> float:
+        """Return the age of the list; infinite before the first arrives."""
+        if self.read_at_s is None:
+            return math.inf
+        return asyncio.get_running_loop().time() - self.read_at_s
+
+    def age_ms(self) -> int | None:
+        """Return the age of the list; ``None`` before the first arrives."""
+        age_s = self.age_s()
+        return None if math.isinf(age_s) else int(age_s * MS_PER_S)
+
     def notify_change(self) -> None:
         """Notify the observers of a change."""
         for observer in self.change_observers:
--- a/src/quetzalpass/membership/quarantine.py
+++ b/src/quetzalpass/membership/quarantine.py
@@ -46,6 +46,7 @@
     ATTRIBUTED = "attributed"
     CLEARED = "cleared"
     MERGED = "merged"
+    WITHDRAWN = "withdrawn"
 
 
 class SuspectEvent(event_log.Event, frozen=True, tag="suspect"):
@@ -432,20 +433,40 @@
         record = self.records.get(fingerprint)
         if record is None or not record.crashes or self.is_refused(fingerprint):
             return
-        passed = [
+        passed = {
             each
             for each, crash in record.crashes.items()
             if tokens is None or tokens >= crash.place + CLEARING_TOKENS
-        ]
+        }
         if not passed:
             return
-        record.cleared.update(passed)
-        left = {each: record.crashes[each] for each in record.crashes}
-        for each in passed:
-            del left[each]
+        self.remove_crashes(fingerprint, record, passed)
+        self.log_change(fingerprint, SuspectChange.CLEARED)
+
+    def withdraw(self, server_start: str) -> None:
+        """Withdraw the crash of a server that has proved to run still."""
+        for fingerprint in list(self.suspects_by_crash.get(server_start, ())):
+            record = self.records[fingerprint]
+            withdrawn = {
+                each.id
+                for each in record.crashes.values()
+                if each.server_start == server_start
+            }
+            self.remove_crashes(fingerprint, record, withdrawn)
+            self.log_change(fingerprint, SuspectChange.WITHDRAWN)
+
+    def remove_crashes(
+        self, fingerprint: str, record: SuspectRecord, crash_ids: set[str]
+    ) -> None:
+        """Remove crashes from a record, for the peers too."""
+        left = {
+            each: crash
+            for each, crash in record.crashes.items()
+            if each not in crash_ids
+        }
         self.set_crashes(fingerprint, record, left)
+        record.cleared.update(crash_ids)
         self.mark_changed(record, SUSPECT_LIFETIME_S)
-        self.log_change(fingerprint, SuspectChange.CLEARED)
 
     async def wait_for_other_copy(self, fingerprint: str, deadline_s: float) -> None:
         """Wait until no other copy of a suspect runs here, or until it is refused."""
--- a/tests/fakes/crashing_servers.py
+++ b/tests/fakes/crashing_servers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 from returns import result
 
 from fakes import relay_servers
@@ -44,6 +45,9 @@
         self.service = service
         self.data_centre = data_centre
         self.incarnations = []
+        self.is_cut_off = False
+        self.is_leaving = False
+        self.reuses_id = False
         self.start()
 
     @property
@@ -54,10 +58,19 @@
     def is_up(self):
         return self.current.crashed_s is None
 
+    async def accepts_connection(self, timeout_s):
+        """Return whether a connection opens; one that is dropped takes the timeout."""
+        if self.is_up and not self.is_cut_off:
+            return True
+        if self.is_cut_off or self.fleet.is_silent:
+            await asyncio.sleep(timeout_s)
+        return False
+
     def start(self):
         now_s = asyncio.get_running_loop().time()
+        number = 1 if self.reuses_id else len(self.incarnations) + 1
         server = relay_servers.discovered(
-            f"{self.name}-{len(self.incarnations) + 1}",
+            f"{self.name}-{number}",
             self.service,
             self.data_centre,
             started_ms=1_000_000 + int(now_s * 1000),
@@ -81,6 +94,11 @@
             )
             if not is_early and not is_removed:
                 shown.append(each.server)
+        if self.reuses_id:
+            shown = shown[-1:]
+        if self.is_leaving:
+            state = discovery.ServerState.LEAVING
+            return [msgspec.structs.replace(each, state=state) for each in shown]
         return shown
 
 
@@ -164,11 +182,7 @@
     async def connect(self):
         """Return whether a connection opens."""
         await self.fleet.count_attempt()
-        if self.address.is_up:
-            return True
-        if self.fleet.is_silent:
-            await asyncio.sleep(CONNECT_TIMEOUT_S)
-        return False
+        return await self.address.accepts_connection(CONNECT_TIMEOUT_S)
 
     async def send(self, call, options):
         if not await self.connect():
@@ -210,11 +224,7 @@
         return False
 
     async def check_health(self, timeout_s):
-        if self.address.is_up:
-            return True
-        if self.fleet.is_silent:
-            await asyncio.sleep(timeout_s)
-        return False
+        return await self.address.accepts_connection(timeout_s)
 
     async def close(self): ...
 
@@ -237,6 +247,8 @@
             async with asyncio.timeout(seconds):
                 await self.incarnation.crashed.wait()
         except TimeoutError:
+            if self.server.address.is_cut_off:
+                await self.closed.wait()
             return result.Failure(relay_servers.LOST) if self.closed.is_set() else None
         if self.fleet.is_silent:
             await self.closed.wait()
--- a/tests/lifecycle/gateway_group.py
+++ b/tests/lifecycle/gateway_group.py
@@ -28,13 +28,15 @@
         self.tasks = []
 
     def new_gateway(self, number):
-        return gateway_harness.GatewayHarness(
+        harness = gateway_harness.GatewayHarness(
             self.fleet.listed(),
             fleet=self.fleet,
             vm=f"gw-{number}",
             seed=self.rng.getrandbits(32),
             declaration=self.declaration,
         )
+        harness.gateway.start()
+        return harness
 
     def restart_gateway(self, number):
         """Replace a gateway by a new process at the same address."""
--- a/tests/lifecycle/gateway_harness.py
+++ b/tests/lifecycle/gateway_harness.py
@@ -87,6 +87,7 @@
         )
         self.servers = list(servers)
         self.count = 0
+        self.tasks = set()
         declaration = declaration or relay_builders.declaration()
         data = schema.encode(declaration)
         self.holder.activate(ids.Revision(1), schema.digest_of(data), data)
@@ -118,6 +119,8 @@
         response = FakeCallerResponse()
         request = self.request(path, **changes)
         task = asyncio.create_task(relaying.serve(self.gateway, request, response))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
         return response, task
 
     async def serve(self, path="/reads/1", **changes):
