Ask the quarantine before each send of a relayed request

Callers saw: a generation that crashes its engine in mid-stream was resumed from its backup on engine after engine (4 to 16 crashes, up to 64 sends later than 3 s after the third crash). Cause: the verdict was read once, on arrival. Resumes, retries, moves and requests that waited for an engine were sent without it, also in the moment before the check had ended; and a suspect was sent beside other suspects and its own copies, which the quarantine's rules for the own interface forbid. After a send that may have run the refusal is 502, never 503.

--- a/src/quetzalpass/lifecycle/engine_questions.py
+++ b/src/quetzalpass/lifecycle/engine_questions.py
@@ -141,12 +141,15 @@
     def avoided_engines(
         self, routed: relay_requests.RoutedRequest
     ) -> frozenset[ids.ServerId]:
-        """Return the engines of a service that are leaving or ejected."""
+        """Return the engines that are leaving or ejected, or that a request avoids."""
         now_s = asyncio.get_running_loop().time()
+        avoided = self.health.find_servers_to_avoid(routed.fingerprint)
         return frozenset(
             known.server.id
             for known in self.view.find_servers(routed.service.name)
-            if known.is_leaving or self.health.is_ejected(known.server.id, now_s)
+            if known.is_leaving
+            or self.health.is_ejected(known.server.id, now_s)
+            or known.server.id in avoided
         )
 
     def record_prefill(self, measurement: prefill_rates.PrefillMeasurement) -> None:
--- a/src/quetzalpass/lifecycle/generation_moves.py
+++ b/src/quetzalpass/lifecycle/generation_moves.py
@@ -92,17 +92,25 @@
         segment = self.segment
         await self.wait_for_backup()
         for _ in range(MAX_MOVE_ATTEMPTS):
+            if self.is_refused():
+                break
             copy = self.stream.find_backup_copy(segment) or await self.move_memory()
             if copy is not None and await self.open_next_segment(copy):
                 return
             if self.stream.is_broken:
                 return
             await asyncio.sleep(MOVE_RETRY_S)
-        detail = f"after {MAX_MOVE_ATTEMPTS} tries"
+        detail = f"after at most {MAX_MOVE_ATTEMPTS} tries"
+        if self.is_refused():
+            detail = "servers have crashed under the request"
         self.log_decision(
             "not_moved", segment.reservation.server, detail, event_log.Level.NOTICE
         )
 
+    def is_refused(self) -> bool:
+        """Return whether the generation may not be sent to any other server."""
+        return self.stream.gateway.refusal(self.stream.routed) is not None
+
     async def wait_for_backup(self) -> None:
         """Wait until the backup server should have received a first copy."""
         if self.segment.reservation.backup is None:
@@ -119,6 +127,9 @@
             Whether the other server resumed.
         """
         stream = self.stream
+        if self.is_refused():
+            # The verdict came while the memory was copied.
+            return False
         reservation = stream.gateway.reservations.reserve_on(copy.server, stream.need)
         opened = await stream.open_segment(reservation, copy)
         stream.unused_copy = None
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -15,6 +15,7 @@
 from quetzalpass.declarations import relays as declared
 from quetzalpass.declarations import schema
 from quetzalpass.lifecycle import (
+    attempts,
     crash_checks,
     relay_requests,
     relay_reservations,
@@ -139,6 +140,7 @@
         for state in discovery.ServerState:
             gauge = self.metrics.servers.labels(state.value)
             gauge.set_function(functools.partial(view.count, state))
+        reservations.health.find_servers_to_avoid = self.suspects.servers_to_avoid
         self.crash_checks = crash_checks.CrashChecks(
             view,
             reservations.health,
@@ -291,6 +293,49 @@
             level,
         )
 
+    def refusal(
+        self,
+        routed: relay_requests.RoutedRequest,
+        execution: codes.Execution = codes.Execution.NOT_RUN,
+    ) -> failures.Failure | None:
+        """Return why a request must not be sent to any server now, or ``None``.
+
+        Each send asks anew: a request may have become refused since its last one, also
+        while it waited.
+
+        Parameters
+        ----------
+        routed : relay_requests.RoutedRequest
+            The request.
+        execution : codes.Execution
+            Whether an earlier send of it ran.
+        """
+        refusal = self.suspects.refusal(routed.fingerprint)
+        if refusal is None:
+            return None
+        return attempts.with_execution(refusal, execution)
+
+    async def wait_for_other_copy(
+        self, routed: relay_requests.RoutedRequest, max_wait_s: float
+    ) -> failures.Failure | None:
+        """Wait until no other copy of a suspect runs here.
+
+        Returns
+        -------
+        Failure or None
+            ``QUEUE_FULL`` if one still runs after ``max_wait_s``.
+        """
+        if not self.suspects.has_other_copy(routed.fingerprint):
+            return None
+        self.record_decision(routed, "wait_for_copy")
+        now_s = asyncio.get_running_loop().time()
+        await self.suspects.wait_for_other_copy(routed.fingerprint, now_s + max_wait_s)
+        if not self.suspects.has_other_copy(routed.fingerprint):
+            return None
+        return self.reservations.queue_full_failure(
+            routed, "a copy of this request runs, under which a server crashed before"
+        )
+
     def on_response_head(
         self, server: discovery.DiscoveredServer, head: relays.ResponseHead
     ) -> None:
--- a/src/quetzalpass/lifecycle/relay_reservations.py
+++ b/src/quetzalpass/lifecycle/relay_reservations.py
@@ -190,9 +190,11 @@
     ) -> list[relay_placement.ServerCapacity]:
         """Return the capacities of the servers of a service that accept new work.
 
-        Ejected servers are left out unless all are ejected.
+        Ejected servers, and those that the request avoids, are left out unless no other
+        server is left.
         """
         now_s = asyncio.get_running_loop().time()
+        avoided = self.health.find_servers_to_avoid(routed.fingerprint)
         usable = [
             known
             for known in self.view.find_servers(routed.service.name)
@@ -202,6 +204,7 @@
             known
             for known in usable
             if not self.health.is_ejected(known.server.id, now_s)
+            and known.server.id not in avoided
         ]
         return [
             self.server_capacity(known, routed, now_s) for known in healthy or usable
@@ -398,18 +401,21 @@
         """Return the waiting-list entry of a request."""
         objective_s = routed.route.objective_ms / MS_PER_S
         arrived_s = routed.request.arrived_s
-        max_wait_s = min(
-            MAX_WAIT_FACTOR * objective_s, (routed.deadline_s - arrived_s) / 2
-        )
         return relay_waiting.WaitingRequest(
             routed.request.request_id,
             routed.rank,
             need,
             arrived_s,
             objective_s,
-            max_wait_s,
+            self.max_wait_s(routed),
         )
 
+    def max_wait_s(self, routed: relay_requests.RoutedRequest) -> float:
+        """Return how long a request may wait for an engine, in seconds."""
+        objective_s = routed.route.objective_ms / MS_PER_S
+        time_left_s = routed.deadline_s - routed.request.arrived_s
+        return min(MAX_WAIT_FACTOR * objective_s, time_left_s / 2)
+
     def queue_full_failure(
         self, routed: relay_requests.RoutedRequest, message: str
     ) -> failures.Failure:
--- a/src/quetzalpass/lifecycle/relayed_calls.py
+++ b/src/quetzalpass/lifecycle/relayed_calls.py
@@ -52,16 +52,22 @@
     failed_response: WholeResponse | None = None
     failure: base.AttemptFailure | None = None
 
+    def execution(self) -> codes.Execution:
+        """Return whether a server may have run the call."""
+        if self.runs:
+            return codes.Execution.MAY_HAVE_RUN
+        return codes.Execution.NOT_RUN
+
 
 async def run(
     gateway: relay_gateway.RelayGateway, routed: relay_requests.RoutedRequest
 ) -> result.Result[WholeResponse, failures.Failure]:
     """Get the response to a call; at most the declared number of servers run it."""
-    refusal = gateway.suspects.refusal(routed.fingerprint)
-    if refusal is not None:
-        return result.Failure(refusal)
     state = CallState()
     while True:
+        refusal = await check_suspect(gateway, routed, state)
+        if refusal is not None:
+            return refused_result(state, refusal)
         reservation = reserve_server(gateway, routed, state)
         if reservation is None:
             break
@@ -78,6 +84,29 @@
     return result.Failure(final_failure(gateway, routed, state))
 
 
+async def check_suspect(
+    gateway: relay_gateway.RelayGateway,
+    routed: relay_requests.RoutedRequest,
+    state: CallState,
+) -> failures.Failure | None:
+    """Wait until no other copy of a suspect runs; return why it can't be sent."""
+    left_s = routed.deadline_s - asyncio.get_running_loop().time()
+    waited = await gateway.wait_for_other_copy(routed, left_s * ATTEMPT_SHARE)
+    refusal = gateway.refusal(routed, state.execution())
+    if refusal is None and waited is not None:
+        return attempts.with_execution(waited, state.execution())
+    return refusal
+
+
+def refused_result(
+    state: CallState, refusal: failures.Failure
+) -> result.Result[WholeResponse, failures.Failure]:
+    """Return a server's error response if there is one, else the refusal."""
+    if state.failed_response is not None:
+        return result.Success(state.failed_response)
+    return result.Failure(refusal)
+
+
 def reserve_server(
     gateway: relay_gateway.RelayGateway,
     routed: relay_requests.RoutedRequest,
@@ -127,6 +156,7 @@
         gateway.suspects.remove_request(server.id, routed.request.request_id)
         return evaluate_response(gateway, routed, reservation, state, sent.unwrap())
     record_failure(gateway, routed, reservation, state, sent.failure())
+    await gateway.crash_checks.wait_for_check(server.id)
     return None
 
 
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -123,9 +123,6 @@
         StreamFailedError
             If it can't be served completely.
         """
-        refusal = self.gateway.suspects.refusal(self.routed.fingerprint)
-        if refusal is not None:
-            raise StreamFailedError(refusal)
         self.gateway.streams[self.request_id] = self
         try:
             self.segment = await self.start()
@@ -162,17 +159,39 @@
     async def start(self) -> generation_moves.StreamSegment:
         """Find an engine that accepts the request, and open the first segment."""
         while True:
-            reserved = await self.gateway.reservations.wait_for_engine(
-                self.routed, self.need
-            )
+            reservations = self.gateway.reservations
+            max_wait_s = reservations.max_wait_s(self.routed)
+            failure = await self.gateway.wait_for_other_copy(self.routed, max_wait_s)
+            self.raise_if_refused()
+            if failure is not None:
+                raise StreamFailedError(failure)
+            reserved = await reservations.wait_for_engine(self.routed, self.need)
             if isinstance(reserved, result.Failure):
                 raise StreamFailedError(reserved.failure())
             reservation = reserved.unwrap()
+            if self.gateway.suspects.has_other_copy(self.routed.fingerprint):
+                reservation.release()
+                continue
             opened = await self.open_segment(reservation, None)
             if isinstance(opened, result.Success):
                 return opened.unwrap()
             self.on_refused(reservation, opened.failure())
 
+    def raise_if_refused(self) -> None:
+        """Raise the failure of a request that must not be sent to any server now.
+
+        Raises
+        ------
+        StreamFailedError
+            If servers have crashed under it repeatedly.
+        """
+        execution = codes.Execution.NOT_RUN
+        if self.may_have_run:
+            execution = codes.Execution.MAY_HAVE_RUN
+        refusal = self.gateway.refusal(self.routed, execution)
+        if refusal is not None:
+            raise StreamFailedError(refusal)
+
     def on_refused(
         self, reservation: relay_reservations.Reservation, failure: base.AttemptFailure
     ) -> None:
@@ -218,7 +237,17 @@
             Reservation on the server that is to run it.
         copy : generation_moves.MemoryCopy or None
             Memory from which it resumes; ``None`` at its start.
+
+        Raises
+        ------
+        StreamFailedError
+            If servers have crashed under the request repeatedly.
         """
+        try:
+            self.raise_if_refused()
+        except StreamFailedError:
+            reservation.release()
+            raise
         server = reservation.server
         self.gateway.reservations.assign_backup(self.routed, reservation)
         options = relays.SendOptions(
@@ -387,6 +416,7 @@
         self.update_need(segment)
         segment.in_flight_request.opened = True
         segment.in_flight_request.tokens = self.events
+        self.gateway.suspects.clear(self.routed.fingerprint, self.events)
         await self.pacer.put(b"".join(event.data for event in new_events))
 
     def update_need(self, segment: generation_moves.StreamSegment) -> None:
@@ -483,6 +513,7 @@
         """
         broken = self.segment
         self.is_broken = True
+        await self.gateway.crash_checks.wait_for_check(broken.reservation.server.id)
         if self.next_segment is None and self.move_task is not None:
             await asyncio.wait(
                 [self.move_task], timeout=generation_moves.COPY_TIMEOUT_S
--- a/src/quetzalpass/lifecycle/server_health.py
+++ b/src/quetzalpass/lifecycle/server_health.py
@@ -1,6 +1,7 @@
 """Servers that a gateway excludes from new work after its own requests failed there."""
 
 import asyncio
+from collections.abc import Callable
 
 import logbook
 
@@ -25,6 +26,12 @@
         The backend servers.
     data_centre : DataCentreId
         Data centre of this gateway.
+
+    Attributes
+    ----------
+    find_servers_to_avoid : callable
+        Returns the servers to which a request, given its fingerprint, is not sent while
+        others are available.
     """
 
     def __init__(
@@ -32,6 +39,8 @@
     ) -> None:
         self.view = view
         self.data_centre = data_centre
+        self.find_servers_to_avoid: Callable[[str], frozenset[ids.ServerId]]
+        self.find_servers_to_avoid = avoid_none
         self.health: dict[ids.ServerId, ejection.Health] = {}
         self.ejected_until_s: dict[ids.ServerId, float] = {}
         self.cut_off_until_s: dict[ids.DataCentreId, float] = {}
@@ -83,3 +92,8 @@
         self.ejected_until_s[server_id] = now_s + EJECTION_S
         self.health.pop(server_id, None)
         LOG.warning("routing: No new work for {}: {}.", server_id, reason)
+
+
+def avoid_none(fingerprint: str) -> frozenset[ids.ServerId]:
+    """Return no server to avoid."""
+    return frozenset()
--- a/src/quetzalpass/membership/quarantine.py
+++ b/src/quetzalpass/membership/quarantine.py
@@ -468,10 +468,27 @@
         record.cleared.update(crash_ids)
         self.mark_changed(record, SUSPECT_LIFETIME_S)
 
+    def has_other_copy(self, fingerprint: str) -> bool:
+        """Return whether a copy of a suspect runs here."""
+        return self.is_suspect(fingerprint) and fingerprint in self.running_copies
+
+    def servers_to_avoid(self, fingerprint: str) -> frozenset[ids.ServerId]:
+        """Return the servers on which a suspect would run beside another suspect."""
+        if not self.is_suspect(fingerprint):
+            return frozenset()
+        return frozenset(
+            server_id
+            for server_id, requests in self.in_flight.items()
+            if any(
+                each.fingerprint != fingerprint and self.is_suspect(each.fingerprint)
+                for each in requests.values()
+            )
+        )
+
     async def wait_for_other_copy(self, fingerprint: str, deadline_s: float) -> None:
         """Wait until no other copy of a suspect runs here, or until it is refused."""
         loop = asyncio.get_running_loop()
-        while self.is_suspect(fingerprint) and fingerprint in self.running_copies:
+        while self.has_other_copy(fingerprint):
             if loop.time() >= deadline_s or self.refusal(fingerprint):
                 return
             await asyncio.sleep(OTHER_COPY_POLL_S)
