Clear no suspect for an error response

Callers saw: on a service whose servers also return errors, a request that crashes servers was never refused for good (up to 6 crashes of 5 engines). Cause: any whole response cleared the suspect, as if it had been run to its end: a status 500 of an engine, a 4xx of a service, and any status at all in the own interface. Now only a status below 400 clears one. Evidence: TestClearing (three cases) and, for the own interface, test_error_response_does_not_clear_a_crashing_call (4 crashes, now 2) fail on the code before. The stand-in service has a new fault, error. A suspect that runs to its end is still cleared.

--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -36,6 +36,8 @@
 HASH_RANGE = 2**64
 START_ID_BITS = 32
 STATUS_NOT_RUN = 503
+# From this status on, a response does not show that the request was run to its end.
+STATUS_ERROR = 400
 SERVER_ERROR = 500
 # Statuses that promise that a request has not run. A server that sends one without its
 # "not run" marker may still have run the request.
--- a/src/quetzalpass/lifecycle/relayed_calls.py
+++ b/src/quetzalpass/lifecycle/relayed_calls.py
@@ -209,7 +209,8 @@
         and status not in relay_gateway.STATUSES_PROMISING_NOT_RUN
     ):
         gateway.reservations.health.record_success(reservation.server.id)
-        gateway.suspects.clear(routed.fingerprint, None)
+        if status < relay_gateway.STATUS_ERROR:
+            gateway.suspects.clear(routed.fingerprint, None)
         return response
     gateway.record_decision(
         routed, "server_failed", reservation.server.id, f"status {status}"
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -128,7 +128,8 @@
             self.segment = await self.start()
             while await self.relay_segment() is SegmentEnd.BROKEN:
                 await self.resume_elsewhere()
-            self.gateway.suspects.clear(self.routed.fingerprint, None)
+            if self.segment.server_response.head.status < relay_gateway.STATUS_ERROR:
+                self.gateway.suspects.clear(self.routed.fingerprint, None)
             if self.response.has_begun:
                 await self.pacer.flush()
                 await self.response.finish()
--- a/src/quetzalpass/lifecycle/service_calls.py
+++ b/src/quetzalpass/lifecycle/service_calls.py
@@ -27,6 +27,8 @@
 MAX_ATTEMPTS = 3
 OUTCOME_QUERY_TIMEOUT_S = 2.0
 STATUS_OK = 200
+# From this status on, a response does not show that the call was run to its end.
+STATUS_ERROR = 400
 DIGEST_HEADER = "Quetzalpass-Body-Sha256"
 
 CallResult = result.Result["CallOutcome", failures.Failure]
@@ -153,7 +155,8 @@
         response = await backend.call(request.call, remaining_s / attempts_left)
         if isinstance(response, result.Success):
             outcome = work.ReservationOutcome.COMPLETED
-            suspects.clear(fingerprint, None)
+            if response.unwrap().status < STATUS_ERROR:
+                suspects.clear(fingerprint, None)
             return response
         failure = response.failure()
         outcome = attempts.reservation_outcome(failure)
--- a/src/quetzalpass/standin/faults.py
+++ b/src/quetzalpass/standin/faults.py
@@ -20,6 +20,7 @@
     CROSSED_ID = "crossed_id"
     NO_END_MARK = "no_end_mark"
     CRASH = "crash"
+    ERROR = "error"
     RESUME_EARLY = "resume_early"
     RESUME_LATE = "resume_late"
 
--- a/src/quetzalpass/standin/service_server.py
+++ b/src/quetzalpass/standin/service_server.py
@@ -15,6 +15,7 @@
         faults.FaultKind.REFUSE,
         faults.FaultKind.HANG,
         faults.FaultKind.CRASH,
+        faults.FaultKind.ERROR,
     }
 )
 HANG_DURATION_S = 3600.0
@@ -80,6 +81,8 @@
                 status=503,
                 headers={"Retry-After": "1", "Quetzalpass-Not-Run": "true"},
             )
+        if fault.kind is faults.FaultKind.ERROR:
+            return web.json_response({"error": "internal error"}, status=500)
         if fault.kind is faults.FaultKind.CLOSE_AFTER_RUN:
             self.run_call(key)
         if fault.kind is faults.FaultKind.CRASH:
--- a/tests/lifecycle/test_quarantine.py
+++ b/tests/lifecycle/test_quarantine.py
@@ -249,3 +249,14 @@
         for _ in range(4):
             await caller.call("look", method="POST", body="poison")
         assert sum(each.crashes for each in caller.cluster.services) == 2
+
+    async def test_error_response_does_not_clear_a_crashing_call(self, open_cluster):
+        caller = await open_cluster(engines=1, services=4)
+        crashing, *others = caller.cluster.services
+        crashing.add_fault(KIND.CRASH, times=99, marker="poison")
+        for service in others:
+            service.add_fault(KIND.ERROR, times=3, marker="poison")
+            service.add_fault(KIND.CRASH, times=99, marker="poison")
+        for _ in range(24):
+            await caller.call("look", method="POST", body="poison")
+        assert sum(each.crashes for each in caller.cluster.services) == 2
--- a/tests/lifecycle/test_refused_suspects.py
+++ b/tests/lifecycle/test_refused_suspects.py
@@ -12,6 +12,8 @@
 ENGINES = [relay_servers.discovered(f"e-{name}") for name in "abc"]
 SERVICES = [relay_servers.discovered(f"l-{number}", "ledger") for number in (1, 2, 3)]
 
+RELAYED = [("/drafts/1", ENGINES), ("/reads/1", SERVICES)]
+
 
 def make_harness(servers):
     return gateway_harness.GatewayHarness(servers, length=60)
@@ -114,13 +116,36 @@
     return send_after_verdict
 
 
+def suspect(harness, path, weight=1.0):
+    """Apply the report of a peer that a server has crashed under a request."""
+    crash = quarantine.ServerCrash(f"peer{path}", weight)
+    report = quarantine.SuspectReport(fingerprint_of(harness, path), (crash,), (), 60.0)
+    harness.gateway.suspects.merge(quarantine.SuspectReports(1, (report,)))
+
+
+class TestClearing:
+    @pytest.mark.parametrize(("path", "servers"), RELAYED)
+    @pytest.mark.parametrize("status", [404, 500])
+    async def test_error_response_clears_no_suspect(self, path, servers, status):
+        harness = make_harness(servers)
+        suspect(harness, path)
+        for each in servers:
+            harness.server(each.id).scripted_responses = [status] * 9
+        assert (await harness.serve(path)).status == status
+        assert harness.gateway.suspects.is_suspect(fingerprint_of(harness, path))
+
+    @pytest.mark.parametrize(("path", "servers"), RELAYED)
+    async def test_success_clears_a_suspect(self, path, servers):
+        harness = make_harness(servers)
+        suspect(harness, path)
+        assert (await harness.serve(path)).status == 200
+        assert not harness.gateway.suspects.is_suspect(fingerprint_of(harness, path))
+
+
 class TestCopiesOfSuspects:
     async def test_second_copy_waits_until_the_first_has_passed_the_crash(self):
         harness = make_harness(ENGINES)
-        crash = quarantine.ServerCrash("peer/1", 1.0)
-        fingerprint = fingerprint_of(harness, "/drafts/1")
-        report = quarantine.SuspectReport(fingerprint, (crash,), (), 60.0)
-        harness.gateway.suspects.merge(quarantine.SuspectReports(1, (report,)))
+        suspect(harness, "/drafts/1")
         responses = [harness.start("/drafts/1") for _ in range(3)]
         await asyncio.sleep(0)
         await asyncio.sleep(0.001)
@@ -131,13 +156,10 @@
 
     async def test_suspects_are_placed_apart(self):
         harness = make_harness(ENGINES)
-        suspects = harness.gateway.suspects
-        for number, path in enumerate(("/drafts/1", "/drafts/2", "/drafts/3")):
-            crash = quarantine.ServerCrash(f"peer/{number}", 0.5)
-            fingerprint = fingerprint_of(harness, path)
-            report = quarantine.SuspectReport(fingerprint, (crash,), (), 60.0)
-            suspects.merge(quarantine.SuspectReports(1, (report,)))
-        for path in ("/drafts/1", "/drafts/2", "/drafts/3"):
+        paths = ("/drafts/1", "/drafts/2", "/drafts/3")
+        for path in paths:
+            suspect(harness, path, weight=0.5)
+        for path in paths:
             harness.start(path)
         await asyncio.sleep(0.001)
         assert {harness.send_count(each.id) for each in ENGINES} == {1}
