Delay and bound the sends of a generation whose servers can't be reached

Callers saw nothing; the gateway did: with only dead servers left, one generation connected to the same server thousands of times at one instant, and starved all else. Cause: the bound counted servers, not sends, so one server that refuses connections never reached it, and no delay stood between two sends to it. Refused sends had the same gap. Now refused sends count each (four, within the retry budget); connects that fail are tried again with full-jitter backoff until the longest wait for an engine, as for a full one; calls back off before they return to a server.

--- a/src/quetzalpass/lifecycle/relayed_calls.py
+++ b/src/quetzalpass/lifecycle/relayed_calls.py
@@ -72,6 +72,7 @@
         if reservation is None:
             break
         try:
+            await back_off(gateway, reservation, state)
             response = await send_once(gateway, routed, reservation, state)
         finally:
             reservation.release()
@@ -121,6 +122,17 @@
     return reservation
 
 
+async def back_off(
+    gateway: relay_gateway.RelayGateway,
+    reservation: relay_reservations.Reservation,
+    state: CallState,
+) -> None:
+    """Wait before a further send to a server that has not accepted the call."""
+    if reservation.server.id in state.tried:
+        max_delay_s = attempts.max_backoff_s(state.sends)
+        await asyncio.sleep(gateway.rng.uniform(0.0, max_delay_s))
+
+
 async def send_once(
     gateway: relay_gateway.RelayGateway,
     routed: relay_requests.RoutedRequest,
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -14,6 +14,7 @@
 from quetzalpass import event_log, ids
 from quetzalpass.backends import base, event_splitter, relays
 from quetzalpass.lifecycle import (
+    attempts,
     event_pacing,
     generation_moves,
     relay_gateway,
@@ -23,7 +24,7 @@
 from quetzalpass.membership import discovery
 from quetzalpass.results import codes, failures
 
-# Maximum number of servers that may refuse one request without running it.
+# Maximum number of sends of one request that servers refuse without running it.
 MAX_REFUSALS = 4
 # A stream with a backup is treated as broken after a silence of this length. It is
 # longer than any pause that a loaded engine makes between two events.
@@ -104,7 +105,9 @@
         self.first_event_s: float | None = None
         self.segment_count = 0
         self.may_have_run = False
-        self.refused: set[ids.ServerId] = set()
+        self.refusals = 0
+        self.failed_connects = 0
+        self.tried: set[ids.ServerId] = set()
 
     @property
     def request_id(self) -> ids.RequestId:
@@ -173,6 +176,7 @@
             if self.gateway.suspects.has_other_copy(self.routed.fingerprint):
                 reservation.release()
                 continue
+            await self.back_off(reservation)
             opened = await self.open_segment(reservation, None)
             if isinstance(opened, result.Success):
                 return opened.unwrap()
@@ -205,26 +209,45 @@
         """
         if self.may_have_run:
             raise StreamFailedError(server_lost_failure(failure.message))
-        self.refused.add(reservation.server.id)
-        if failure.end is base.AttemptEnd.NOT_SENT:
-            self.gateway.reservations.health.record_unreachable(
-                reservation.server, failure.message
-            )
-        now_s = self.now_s()
-        is_exhausted = (
-            len(self.refused) >= MAX_REFUSALS or now_s >= self.routed.deadline_s
-        )
-        service = self.routed.service.name
-        was_received = failure.end is not base.AttemptEnd.NOT_SENT
-        if was_received and not self.gateway.budget.try_withdraw(service, now_s):
-            is_exhausted = True
-        if is_exhausted:
+        self.tried.add(reservation.server.id)
+        if not self.may_send_again(reservation, failure):
             raise StreamFailedError(
                 self.gateway.reservations.queue_full_failure(
                     self.routed, failure.message
                 )
             )
 
+    def may_send_again(
+        self, reservation: relay_reservations.Reservation, failure: base.AttemptFailure
+    ) -> bool:
+        """Return whether a request may be sent again after a send that did not run.
+
+        Sends that a server has refused are limited in number and by the retry budget.
+        Connections that can't be opened are limited by the longest wait for an engine.
+        """
+        reservations = self.gateway.reservations
+        now_s = self.now_s()
+        if failure.end is base.AttemptEnd.NOT_SENT:
+            self.failed_connects += 1
+            reservations.health.record_unreachable(reservation.server, failure.message)
+            arrived_s = self.routed.request.arrived_s
+            return now_s < arrived_s + reservations.max_wait_s(self.routed)
+        self.refusals += 1
+        if self.refusals >= MAX_REFUSALS or now_s >= self.routed.deadline_s:
+            return False
+        return self.gateway.budget.try_withdraw(self.routed.service.name, now_s)
+
+    async def back_off(self, reservation: relay_reservations.Reservation) -> None:
+        """Wait before a further send to a server that has not accepted the request."""
+        if reservation.server.id not in self.tried:
+            return
+        max_delay_s = attempts.max_backoff_s(self.refusals + self.failed_connects)
+        try:
+            await asyncio.sleep(self.gateway.rng.uniform(0.0, max_delay_s))
+        except asyncio.CancelledError:
+            reservation.release()
+            raise
+
     async def open_segment(
         self,
         reservation: relay_reservations.Reservation,
