Bound the retries of all gateways also while their number is unknown or falls

Now the largest number of the last window counts, none is known before the first report, a restarted gateway uses what is left of its part for one window, and each resume or move withdraws first. Gateways report their retries, so that a resume may use what all together have left; without a report under 1 s old it uses the own part.

--- a/src/quetzalpass/daemon/gateway_role.py
+++ b/src/quetzalpass/daemon/gateway_role.py
@@ -94,7 +94,9 @@
         )
         self.reported_allocations: tuple[ids.AllocationId, ...] = ()
         self.reported_prefills = 0
-        self.budget = shared_budget.SharedBudget(settings.budget)
+        self.budget = shared_budget.SharedBudget(
+            settings.budget, asyncio.get_running_loop().time()
+        )
         self.gateway = relay_gateway.RelayGateway(
             settings.vm,
             self.holder,
@@ -152,6 +154,7 @@
             suspect_reports if suspect_reports.verdicts else None,
             self.reported_allocations,
             prefills,
+            self.budget.retry_counts(asyncio.get_running_loop().time()),
         )
 
     def allocating_node(self) -> ids.VmId | None:
@@ -160,7 +163,8 @@
 
     def on_reply(self, reply: fleet_messages.FleetReply) -> None:
         """Update the retry budget, allocations and suspects from a reply."""
-        self.budget.gateways = max(1, reply.gateways)
+        now_s = asyncio.get_running_loop().time()
+        self.budget.update_gateways(max(1, reply.gateways), reply.retries, now_s)
         self.reservations.allocation_requests.confirm_reported(
             self.reported_allocations, self.reported_prefills
         )
--- a/src/quetzalpass/lifecycle/generation_moves.py
+++ b/src/quetzalpass/lifecycle/generation_moves.py
@@ -127,8 +127,8 @@
             Whether the other server resumed.
         """
         stream = self.stream
-        if self.is_refused():
-            # The verdict came while the memory was copied.
+        # The verdict may have come while the memory was copied.
+        if self.is_refused() or not stream.try_withdraw_resume():
             return False
         reservation = stream.gateway.reservations.reserve_on(copy.server, stream.need)
         opened = await stream.open_segment(reservation, copy)
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -548,7 +548,11 @@
         self.pacer.delay_s = 0.0
         self.is_broken = False
         self.end_segment(broken)
-        self.gateway.budget.try_withdraw(self.routed.service.name, self.now_s())
+
+    def try_withdraw_resume(self) -> bool:
+        """Withdraw a retry for the next segment; return whether one was left."""
+        service = self.routed.service.name
+        return self.gateway.budget.try_withdraw_resume(service, self.now_s())
 
     async def open_segment_from_copy(
         self, broken: generation_moves.StreamSegment
@@ -566,6 +570,9 @@
                 server_lost_failure("the server was lost and no copy is left")
             )
         broken.server_response.close()
+        self.raise_if_refused()
+        if not self.try_withdraw_resume():
+            raise StreamFailedError(server_lost_failure("the retry budget is used up"))
         reservation = self.gateway.reservations.reserve_on(copy.server, self.need)
         opened = await self.open_segment(reservation, copy)
         self.unused_copy = None
--- a/src/quetzalpass/membership/fleet_messages.py
+++ b/src/quetzalpass/membership/fleet_messages.py
@@ -75,7 +75,10 @@
     uses : tuple of ServerUse
         Work of all other gateways together, by server.
     verdicts : quarantine.SuspectReports or None
-        Requests that are suspected of crashing servers.
+        Requests that are suspected of crashing servers; also from a node that does not
+        read the list.
+    retries : dict of ServiceName to int
+        Retries of all other gateways together within the window of the retry budget.
     """
 
     is_watching: bool
@@ -87,6 +90,7 @@
     servers: tuple[discovery.DiscoveredServer, ...] | None = None
     uses: tuple[ServerUse, ...] = ()
     verdicts: quarantine.SuspectReports | None = None
+    retries: dict[ids.ServiceName, int] = {}
 
 
 class FleetRequest(messages.Request, frozen=True):
@@ -111,6 +115,8 @@
         reply has arrived.
     reads : tuple of PrefillMeasurement
         Prefill measurements, from first events since the last report.
+    retries : dict of ServiceName to int
+        Retries of this gateway within the window of the retry budget.
     """
 
     reply_type = FleetReply
@@ -122,3 +128,4 @@
     verdicts: quarantine.SuspectReports | None = None
     placed: tuple[ids.AllocationId, ...] = ()
     reads: tuple[prefill_rates.PrefillMeasurement, ...] = ()
+    retries: dict[ids.ServiceName, int] = {}
--- a/src/quetzalpass/membership/fleet_registry.py
+++ b/src/quetzalpass/membership/fleet_registry.py
@@ -1,6 +1,7 @@
 """The active control node's registry of servers and gateway loads."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 
 import logbook
@@ -32,6 +33,7 @@
 
     uses: tuple[fleet_messages.ServerUse, ...]
     at_s: float
+    retries: dict[ids.ServiceName, int] = {}
 
 
 class FleetRegistry:
@@ -68,6 +70,8 @@
         Loop time from which a server that has just started is no longer slow.
     totals : use_totals.UseTotals
         What all gateways together have on each server.
+    retries : Counter of ServiceName
+        Retries of all gateways together, by service.
     active_since_s : float or None
         Loop time since which this node has been active.
     report_observers : list of callable
@@ -94,6 +98,7 @@
         self.suspects = quarantine.Quarantine("board")
         self.warm_at_s: dict[ids.ServerId, float] = {}
         self.totals = use_totals.UseTotals()
+        self.retries: collections.Counter[ids.ServiceName] = collections.Counter()
         self.active_since_s: float | None = None
         self.report_observers: list[Callable[[fleet_messages.FleetRequest], None]] = []
         self.change_observers: list[Callable[[], None]] = []
@@ -200,14 +205,18 @@
             None if is_known else self.servers,
             self.uses_of_others(request.gateway),
             self.suspects.suspect_reports_since(0),
+            self.retries_of_others(request.gateway),
         )
 
     def record_report(self, request: fleet_messages.FleetRequest) -> None:
         """Record what a gateway reports, and forward it to the observers."""
         now_s = asyncio.get_running_loop().time()
         self.drop_report(request.gateway)
-        self.reports[request.gateway] = GatewayReport(request.uses, now_s)
+        self.reports[request.gateway] = GatewayReport(
+            request.uses, now_s, request.retries
+        )
         self.totals.add(request.uses)
+        self.retries.update(request.retries)
         self.expire_reports(now_s)
         for observer in self.report_observers:
             observer(request)
@@ -228,6 +237,7 @@
         report = self.reports.pop(gateway, None)
         if report is not None:
             self.totals.subtract(report.uses)
+            self.retries.subtract(report.retries)
 
     def expire_reports(self, now_s: float) -> None:
         """Drop outdated reports, which come first in the dict."""
@@ -243,6 +253,14 @@
         own = self.reports.get(gateway)
         return self.totals.without(own.uses if own is not None else ())
 
+    def retries_of_others(self, gateway: ids.VmId) -> dict[ids.ServiceName, int]:
+        """Return the summed retries of all gateways but one, by service."""
+        own = self.reports.get(gateway)
+        others = self.retries.copy()
+        if own is not None:
+            others.subtract(own.retries)
+        return dict(+others)
+
     def is_cold(self, server_id: ids.ServerId) -> bool:
         """Return whether a server is still slow after its start."""
         now_s = asyncio.get_running_loop().time()
--- a/tests/lifecycle/gateway_group.py
+++ b/tests/lifecycle/gateway_group.py
@@ -65,6 +65,7 @@
         """Report to the registry and apply its reply, as a gateway's role does."""
         harness = self.gateways[number]
         suspects = harness.gateway.suspects
+        now_s = asyncio.get_running_loop().time()
         reply = await self.registry.handle(
             fleet_messages.FleetRequest(
                 ids.VmId(f"gw-{number}"),
@@ -72,6 +73,7 @@
                 EXCHANGE_WAIT_S,
                 harness.reservations.own_uses(),
                 verdicts=suspects.suspect_reports_since(0),
+                retries=harness.budget.retry_counts(now_s),
             ),
             None,
             (),
@@ -83,7 +85,8 @@
         if reply.servers is not None:
             harness.view.replace_servers(reply.servers, reply.age_s)
         harness.view.replace_uses(reply.uses, reply.gateways)
-        harness.budget.gateways = reply.gateways
+        now_s = asyncio.get_running_loop().time()
+        harness.budget.update_gateways(reply.gateways, reply.retries, now_s)
         suspects.merge(reply.verdicts)
 
     async def call(self, path, body, number=None):
--- a/tests/lifecycle/test_relayed_streams.py
+++ b/tests/lifecycle/test_relayed_streams.py
@@ -5,7 +5,7 @@
 from declarations import relay_builders
 from fakes import relay_servers
 from lifecycle import gateway_harness
-from quetzalpass.lifecycle import relay_gateway, relayed_streams
+from quetzalpass.lifecycle import relay_gateway, relayed_streams, shared_budget
 
 EVENT_COUNT = 60
 
@@ -74,6 +74,29 @@
         assert response.is_complete
         assert response.data == gateway_harness.events(EVENT_COUNT)
 
+    async def test_resume_counts_as_a_retry_and_needs_one(self):
+        harness = engine_harness()
+        response, task = await start_stream(harness)
+        current_server(harness).is_dead = True
+        await task
+        now_s = asyncio.get_running_loop().time()
+        assert harness.budget.retry_counts(now_s) == {"model": 1}
+        harness = engine_harness()
+        harness.budget.rules = shared_budget.BudgetRules(ratio=0.0, extra=0.0)
+        response, task = await start_stream(harness)
+        current_server(harness).is_dead = True
+        await task
+        assert response.is_aborted
+
+    async def test_move_counts_as_a_retry(self):
+        harness = engine_harness()
+        response, task = await start_stream(harness)
+        harness.mark_leaving(current_server(harness).name)
+        await task
+        assert response.is_complete
+        now_s = asyncio.get_running_loop().time()
+        assert harness.budget.retry_counts(now_s) == {"model": 1}
+
     async def test_without_a_copy_the_response_is_aborted(self, monkeypatch):
         disable_backups(monkeypatch)
         harness = engine_harness()
