Spread suspects also while no control node reads the list of servers

Cause: a control node answered a gateway before it looked at the report, unless it led and had read the platform's list at least once. With the list down at a new leader, no gateway learned what another one had observed. Now each control node merges and returns suspects, and gateways take them from any reply.

--- a/src/quetzalpass/daemon/gateway_role.py
+++ b/src/quetzalpass/daemon/gateway_role.py
@@ -117,6 +117,7 @@
             rng,
         )
         self.links.reply_observers.append(self.on_reply)
+        self.links.suspect_observers.append(self.gateway.suspects.merge)
 
     def start(self) -> None:
         """Start following the control nodes."""
@@ -162,14 +163,12 @@
         return self.links.active_control
 
     def on_reply(self, reply: fleet_messages.FleetReply) -> None:
-        """Update the retry budget, allocations and suspects from a reply."""
+        """Update the retry budget and the allocations from a reply."""
         now_s = asyncio.get_running_loop().time()
         self.budget.update_gateways(max(1, reply.gateways), reply.retries, now_s)
         self.reservations.allocation_requests.confirm_reported(
             self.reported_allocations, self.reported_prefills
         )
-        if reply.verdicts is not None:
-            self.gateway.suspects.merge(reply.verdicts)
 
     async def drain(self) -> None:
         """Drain until the load balancer sends nothing more and all requests have ended.
--- a/src/quetzalpass/membership/control_links.py
+++ b/src/quetzalpass/membership/control_links.py
@@ -16,6 +16,7 @@
     fleet_view,
     peer_client,
     propagation,
+    quarantine,
 )
 from quetzalpass.wire import transport
 
@@ -74,6 +75,8 @@
         The one that has just failed, which is not tried next.
     reply_observers : list of callable
         Called with each reply of the active control node.
+    suspect_observers : list of callable
+        Called with the suspects in each reply of any control node.
     """
 
     def __init__(
@@ -105,6 +108,7 @@
         self.last_reply_s = 0.0
         self.started_at_s = 0.0
         self.reply_observers: list[Callable[[fleet_messages.FleetReply], None]] = []
+        self.suspect_observers: list[Callable[[quarantine.SuspectReports], None]] = []
 
     def start(self) -> None:
         """Start following the control nodes."""
@@ -210,6 +214,9 @@
 
     def apply_reply(self, reply: fleet_messages.FleetReply) -> bool:
         """Apply a reply; return whether it came from the active control node."""
+        if reply.verdicts is not None:
+            for observer in self.suspect_observers:
+                observer(reply.verdicts)
         if reply.controls:
             self.adopt_controls(set(reply.controls) | set(self.seeds))
         if not reply.is_watching:
--- a/src/quetzalpass/membership/fleet_registry.py
+++ b/src/quetzalpass/membership/fleet_registry.py
@@ -188,8 +188,12 @@
         controls: tuple[ids.VmId, ...],
     ) -> fleet_messages.FleetReply:
         """Record a gateway's report and return the fleet, or where to find it."""
+        if request.verdicts is not None:
+            self.suspects.merge(request.verdicts)
         if not self.is_active() or self.read_at_s is None:
-            return fleet_messages.FleetReply(False, leader, controls)
+            # Suspects spread also while there is no leader or the list can't be read.
+            reports = self.suspects.suspect_reports_since(0)
+            return fleet_messages.FleetReply(False, leader, controls, verdicts=reports)
         self.record_report(request)
         if request.known_version == self.version and request.wait_s > 0:
             await self.wait_for_change(request.wait_s)
@@ -221,8 +225,6 @@
         for observer in self.report_observers:
             observer(request)
         self.announce(request.leaving)
-        if request.verdicts is not None:
-            self.suspects.merge(request.verdicts)
 
     async def wait_for_change(self, wait_s: float) -> None:
         """Wait for the next version, at most for the given time."""
--- a/tests/membership/test_fleet_registry.py
+++ b/tests/membership/test_fleet_registry.py
@@ -11,6 +11,7 @@
     fleet_registry,
     fleet_view,
     leaving_server_monitor,
+    quarantine,
 )
 from quetzalpass.results import codes, failures
 
@@ -221,3 +222,22 @@
         await asyncio.sleep(fleet_view.USES_LIFETIME_S + 0.1)
         assert view.use_of_others(own_old).tokens == 64_000
         assert view.use_of_others(own_new).tokens == 96_000
+
+
+@pytest.mark.looptime
+class TestSuspects:
+    REPORT = quarantine.SuspectReport(
+        "f", (quarantine.ServerCrash("gw-1/1", 1.0),), (), 60.0
+    )
+
+    @pytest.mark.parametrize("active", [False, True])
+    async def test_suspects_spread_while_no_node_reads_the_list(self, active):
+        source, registry = make_registry(active)
+        source.is_down = True
+        await registry.read_once()
+        reports = quarantine.SuspectReports(1, (self.REPORT,))
+        await query(registry, verdicts=reports)
+        reply = await query(registry, gateway="gw-2")
+        assert not reply.is_watching
+        (report,) = reply.verdicts.verdicts
+        assert report.deaths == self.REPORT.deaths
