Own interface: ask the quarantine after a wait, and blame nobody in a cut

Found by reading, then by tests. Causes: a generation that had become a suspect, and any call of a service, was sent although it was refused while it waited for a reservation; a server that did not respond was always taken for crashed, also when its whole data centre was cut off; and a generation that lost its server moved to the next one without withdrawing from the retry budget, so nothing but its deadline bounded its moves.

--- a/src/quetzalpass/lifecycle/gateway.py
+++ b/src/quetzalpass/lifecycle/gateway.py
@@ -25,6 +25,8 @@
 
 RANDOM_ID_BITS = 96
 HEALTH_CHECK_TIMEOUT_S = 1.0
+# Other servers that are asked whether a data centre can be reached.
+MAX_NEIGHBOURS = 4
 DRAIN_POLL_INTERVAL_S = 0.05
 
 ResultT = TypeVar("ResultT")
@@ -166,8 +168,32 @@
         if self.is_leaving(server_id):
             return
         backend = self.get_backend(server_id, config)
-        if restarted or not await backend.check_health(HEALTH_CHECK_TIMEOUT_S):
+        if restarted:
             self.quarantine.record_crash(server_id, request_id)
+            return
+        if await backend.check_health(HEALTH_CHECK_TIMEOUT_S):
+            return
+        if not await self.is_cut_off(server_id, config):
+            self.quarantine.record_crash(server_id, request_id)
+
+    async def is_cut_off(
+        self, server_id: ids.ServerId, config: configuration.Configuration
+    ) -> bool:
+        """Return whether no other server in a server's data centre responds either."""
+        neighbours = [
+            self.get_backend(each, config)
+            for each in config.servers_beside(server_id)
+            if not self.is_leaving(each)
+        ]
+        if not neighbours:
+            return False
+        responses = await asyncio.gather(
+            *(
+                each.check_health(HEALTH_CHECK_TIMEOUT_S)
+                for each in neighbours[:MAX_NEIGHBOURS]
+            )
+        )
+        return not any(responses)
 
     def servers_for_peer_suspects(
         self, model: ids.ModelName
--- a/src/quetzalpass/lifecycle/generations.py
+++ b/src/quetzalpass/lifecycle/generations.py
@@ -219,6 +219,8 @@
             return result.Failure(lost)
         if self.delivered and not can_continue:
             return result.Failure(lost)
+        if not self.try_withdraw_retry():
+            return result.Failure(lost)
         if not can_continue:
             self.tokens.clear()
         self.consecutive_resumes = 0
--- a/src/quetzalpass/lifecycle/service_calls.py
+++ b/src/quetzalpass/lifecycle/service_calls.py
@@ -146,6 +146,11 @@
     if isinstance(acquired, result.Failure):
         return acquired
     reservation = acquired.unwrap()
+    # The verdict may have come while the call waited.
+    refusal = suspects.refusal(fingerprint)
+    if refusal is not None:
+        reservation.release(work.ReservationOutcome.CANCELLED)
+        return result.Failure(refusal)
     backend = gateway.get_backend(reservation.server_id, request.configuration)
     assert isinstance(backend, base.PlainService)
     remaining_s = request.deadline_s - asyncio.get_running_loop().time()
--- a/src/quetzalpass/lifecycle/starting.py
+++ b/src/quetzalpass/lifecycle/starting.py
@@ -150,27 +150,13 @@
     async def attempt(self) -> result.Result[None, failures.Failure]:
         """Make one attempt at one backend server."""
         self.attempts += 1
-        deadline_s = self.request.deadline_s
-        suspects = self.gateway.quarantine
-        await suspects.wait_for_other_copy(self.fingerprint, deadline_s)
-        if suspects.is_suspect(self.fingerprint):
-            await asyncio.sleep(
-                self.gateway.rng.uniform(0.0, quarantine.RESTART_JITTER_S)
-            )
-        refusal = suspects.refusal(self.fingerprint)
-        if refusal is not None:
-            return result.Failure(refusal)
-        acquired = await self.acquire_reservation()
-        if isinstance(acquired, result.Failure):
-            return acquired
-        self.reservation = acquired.unwrap()
+        reserved = await self.reserve()
+        if isinstance(reserved, result.Failure):
+            return reserved
+        assert self.reservation is not None
         self.meter.record_placement(asyncio.get_running_loop().time())
         self.server_id = self.reservation.server_id
-        if suspects.is_suspect(self.fingerprint) and not self.reservation.item.suspect:
-            # It became a suspect while it waited: wait again as a suspect.
-            self.leave_server(work.ReservationOutcome.CANCELLED)
-            return await self.attempt()
-        self.in_flight_request = suspects.add_request(
+        self.in_flight_request = self.gateway.quarantine.add_request(
             self.server_id, self.request.request_id, self.fingerprint
         )
         self.in_flight_request.tokens = len(self.tokens)
@@ -193,6 +179,42 @@
             )
         return await self.start()
 
+    async def reserve(self) -> result.Result[None, failures.Failure]:
+        """Wait for a reservation under which the generation may be sent now.
+
+        It may become a suspect, or be refused, while it waits.
+        """
+        suspects = self.gateway.quarantine
+        while True:
+            await suspects.wait_for_other_copy(
+                self.fingerprint, self.request.deadline_s
+            )
+            if suspects.is_suspect(self.fingerprint):
+                await asyncio.sleep(
+                    self.gateway.rng.uniform(0.0, quarantine.RESTART_JITTER_S)
+                )
+            refusal = suspects.refusal(self.fingerprint)
+            if refusal is not None:
+                return result.Failure(refusal)
+            acquired = await self.acquire_reservation()
+            if isinstance(acquired, result.Failure):
+                return acquired
+            self.reservation = acquired.unwrap()
+            if self.may_be_sent(self.reservation):
+                return result.Success(None)
+            self.leave_server(work.ReservationOutcome.CANCELLED)
+
+    def may_be_sent(self, reservation: admission.Reservation) -> bool:
+        """Return whether a reservation still fits what is known of the request."""
+        suspects = self.gateway.quarantine
+        if not suspects.is_suspect(self.fingerprint):
+            return True
+        return (
+            reservation.item.suspect
+            and suspects.refusal(self.fingerprint) is None
+            and not suspects.has_other_copy(self.fingerprint)
+        )
+
     async def start(self) -> result.Result[None, failures.Failure]:
         """Send the generation to the chosen server."""
         timeout_s = min(self.remaining_s(), self.gateway.limits.silent_stream_s)
--- a/src/quetzalpass/membership/configuration.py
+++ b/src/quetzalpass/membership/configuration.py
@@ -102,6 +102,22 @@
         digest = hashlib.sha256(key.encode()).hexdigest()
         return self.organisations_by_key.get(digest)
 
+    def servers_beside(self, server_id: ids.ServerId) -> list[ids.ServerId]:
+        """Return the other servers in a server's data centre, other services first."""
+        server = self.servers[server_id]
+        vm = self.vms.get(server.vm)
+        if vm is None:
+            return []
+        beside = [
+            each
+            for each in self.servers.values()
+            if each.id != server_id
+            and each.vm in self.vms
+            and self.vms[each.vm].data_centre == vm.data_centre
+        ]
+        beside.sort(key=lambda each: each.kind is server.kind)
+        return [each.id for each in beside]
+
     def state_of_server(self, server_id: ids.ServerId) -> schema.ServiceState:
         """Return the declared state of the VM that a backend server runs on."""
         vm = self.vms.get(self.servers[server_id].vm)
--- a/tests/lifecycle/test_quarantine.py
+++ b/tests/lifecycle/test_quarantine.py
@@ -260,3 +260,79 @@
         for _ in range(24):
             await caller.call("look", method="POST", body="poison")
         assert sum(each.crashes for each in caller.cluster.services) == 2
+
+
+class TestVerdictWhileWaiting:
+    """A request may become refused while it waits for a server."""
+
+    def refuse_while_waiting(self, gateway):
+        acquire = gateway.admission_queue.acquire
+
+        async def acquire_after_verdict(item):
+            # A generation becomes a suspect first, and is refused once it waits as one.
+            names = "ab" if item.suspect or not item.max_tokens else "a"
+            crashes = tuple(
+                quarantine.ServerCrash(f"peer/{each}", 1.0) for each in names
+            )
+            reports = tuple(
+                quarantine.SuspectReport(each, crashes, (), 60.0)
+                for each in self.fingerprints
+            )
+            gateway.quarantine.merge(quarantine.SuspectReports(1, reports))
+            return await acquire(item)
+
+        gateway.admission_queue.acquire = acquire_after_verdict
+
+    @pytest.fixture(autouse=True)
+    def record_fingerprints(self, monkeypatch):
+        """Collect the fingerprints that the quarantine is asked for."""
+        self.fingerprints = set()
+        refusal = quarantine.Quarantine.refusal
+
+        def recorded_refusal(suspects, fingerprint):
+            self.fingerprints.add(fingerprint)
+            return refusal(suspects, fingerprint)
+
+        monkeypatch.setattr(quarantine.Quarantine, "refusal", recorded_refusal)
+
+    async def test_generation_is_not_sent(self, open_cluster):
+        caller = await open_cluster(engines=2)
+        self.refuse_while_waiting(caller.cluster.gateways[0].gateway)
+        response = await caller.generate("draft [tokens=5]")
+        assert response.error_name == "quarantined"
+        assert response.execution == "not_run"
+
+    async def test_call_is_not_sent(self, open_cluster):
+        caller = await open_cluster(engines=1, services=2)
+        self.refuse_while_waiting(caller.cluster.gateways[0].gateway)
+        runs = [each.server.runs for each in caller.cluster.services]
+        response = await caller.call("look", method="POST", body="read")
+        assert response.error_name == "quarantined"
+        assert response.execution == "not_run"
+        assert not any(runs)
+
+
+class TestLostServers:
+    async def test_unreachable_data_centre_makes_no_suspects(self, open_cluster):
+        caller = await open_cluster(engines=3, resumes_across_replicas=True)
+        task = asyncio.create_task(caller.generate("draft [tokens=60]"))
+        await asyncio.sleep(0.3)
+        for server in (*caller.cluster.engines, *caller.cluster.services):
+            server.kill()
+        await task
+        assert not caller.cluster.gateways[0].gateway.quarantine.records
+
+    async def test_generation_moves_only_within_the_retry_budget(self, open_cluster):
+        caller = await open_cluster(engines=3, resumes_across_replicas=True)
+        gateway = caller.cluster.gateways[0].gateway
+        task = asyncio.create_task(caller.generate("draft [tokens=60]"))
+        await asyncio.sleep(0.3)
+        model = caller.cluster.declaration.models[0].name
+        while gateway.retry_budgets.try_withdraw(ids.OrganisationId("org"), model):
+            pass
+        (server_id,) = gateway.quarantine.in_flight
+        for engine in caller.cluster.engines:
+            if engine.config.id == server_id:
+                engine.kill()
+        response = await task
+        assert response.error_name == "server_lost"
