--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import contextlib
+import time
 
 from platform_standin import standin
 
@@ -10,6 +11,10 @@
 EVENT_INTERVAL_S = 0.02
 SERVICE_TIME_S = 0.01
 SLOTS = 24
+NS_PER_MS = 1_000_000
+CRASHING_BODY = b"crashes replicas"
+# Longer than any caller waits: a silent replica sends nothing more.
+CRASH_S = 60.0
 
 
 class RunRecord:
@@ -19,10 +24,13 @@
     ----------
     runs : Counter
         Number of runs of each request id.
+    on_crashing_request : callable or None
+        Called with the replica and the id of each request that crashes replicas.
     """
 
     def __init__(self):
         self.runs = collections.Counter()
+        self.on_crashing_request = None
 
 
 class Replica:
@@ -44,6 +52,7 @@
         self.link = link
         self.fault = None
         self.state = "ready"
+        self.started_ms = time.time_ns() // NS_PER_MS
         self.writers = set()
 
     async def start(self):
@@ -59,6 +68,11 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def fall_silent(self):
+        """Simulate a crash of the whole machine: drop packets of all connections."""
+        self.server.close()
+        self.link.fall_silent()
+
     def list_entry(self):
         entry = {
             "service": self.service,
@@ -69,6 +83,7 @@
             "state": self.state,
             "cold_ms": 0,
             "id": self.name,
+            "born": self.started_ms,
         }
         if self.service == "model":
             entry["stage"] = "unified"
@@ -107,6 +122,10 @@
             )
             return
         self.record.runs[request.header("X-Request-Id")] += 1
+        if request.body == CRASHING_BODY:
+            self.record.on_crashing_request(self, request.header("X-Request-Id"))
+            await asyncio.sleep(CRASH_S)
+            raise ConnectionError
         if self.fault == "hang":
             await asyncio.sleep(5.0)
         if self.service == "model":
--- /dev/null
+++ b/tests/soak/crashing.py
@@ -0,0 +1,202 @@
+"""Soak test of a request that crashes the replicas that run it.
+
+Several gateways and three control nodes run as processes. The same request comes again
+and again, at any gateway, beside innocent requests. In every other run, nodes are
+killed, stopped and paused meanwhile. Run manually with
+``make soak-crashing SEED=1 COUNT=50 SECONDS=20``.
+"""
+
+import asyncio
+import pathlib
+import signal
+import sys
+import tempfile
+
+from soak import backends, soak
+
+# The platform's rule: late sends are those more than 3 s after the third crash, by
+# gateways in touch; three are allowed.
+COUNTED_CRASHES = 3
+CONTACT_S = 3.0
+MAX_LATE_SENDS = 3
+DOWNTIME_S = 3.0
+KINDS = ("reads", "drafts")
+
+
+class CrashingSoak(soak.Soak):
+    """One run; the seed chooses the kind of request and of crash.
+
+    Attributes
+    ----------
+    crash_times_s : list of float
+        Loop times of the crashes.
+    arrivals : list
+        Loop time and request id of each time that the request reached a replica.
+    gateway_of : dict of str to Node
+        Gateway to which each copy was sent.
+    disturbed : list
+        Node, start and end of each fault of a node.
+    """
+
+    def __init__(self, seed, folder, gateways=4, has_node_faults=True):
+        super().__init__(seed, folder, gateways)
+        self.kind = self.rng.choice(KINDS)
+        self.is_silent = self.rng.random() < 0.5
+        self.copies = self.rng.choice((1, 1, 3))
+        self.has_node_faults = has_node_faults
+        self.crash_times_s = []
+        self.crashed_replicas = []
+        self.arrivals = []
+        self.gateway_of = {}
+        self.disturbed = []
+        self.tasks = set()
+        self.fleet.record.on_crashing_request = self.crash_replica
+
+    def now_s(self):
+        return asyncio.get_running_loop().time()
+
+    def spawn(self, work):
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def crash_replica(self, replica, request_id):
+        self.arrivals.append((self.now_s(), request_id))
+        if replica in self.crashed_replicas:
+            # Two copies arrived before it was down.
+            return
+        self.crashed_replicas.append(replica)
+        self.crash_times_s.append(self.now_s())
+        if self.is_silent:
+            replica.fall_silent()
+        else:
+            replica.stop()
+        self.spawn(self.restart_replica(replica))
+
+    async def restart_replica(self, replica):
+        """Start a replica anew at the address of one that has crashed."""
+        await asyncio.sleep(DOWNTIME_S)
+        replica.stop()
+        self.fleet.replicas.pop(replica.name)
+        number = int(replica.link.host.rpartition(".")[2])
+        await self.add_replica(replica.service, number)
+
+    async def send_copies(self, stop):
+        while not stop.is_set():
+            for _ in range(self.copies):
+                self.spawn(self.send_copy())
+            await asyncio.sleep(1.0)
+
+    async def send_copy(self):
+        gateway = self.rng.choice(self.cluster.gateways)
+        request_id = self.new_request_id()
+        self.gateway_of[request_id] = gateway
+        caller = soak.Caller(self, gateway=gateway)
+        await self.send(self.kind, caller, request_id, backends.CRASHING_BODY)
+        caller.close()
+
+    async def cause_node_faults(self, stop):
+        while not stop.is_set() and self.has_node_faults:
+            await asyncio.sleep(self.rng.uniform(1.0, 4.0))
+            node = self.rng.choice(self.cluster.nodes)
+            start_s = self.now_s()
+            fault = self.rng.choice(("kill", "stop", "pause"))
+            self.faults.append(f"{fault} {node.role}")
+            if fault == "pause":
+                node.pause()
+                await asyncio.sleep(self.rng.uniform(0.2, 2.0))
+                node.resume()
+            else:
+                signal_number = signal.SIGKILL if fault == "kill" else signal.SIGTERM
+                await node.stop(signal_number)
+                await node.start()
+            self.disturbed.append((node, start_s, self.now_s()))
+
+    def is_in_touch(self, gateway, at_s):
+        """Return whether neither a gateway nor the core was disturbed lately."""
+        return not any(
+            start_s <= at_s <= end_s + CONTACT_S
+            for node, start_s, end_s in self.disturbed
+            if node is gateway or node.role == "control"
+        )
+
+    async def run(self, seconds):
+        await self.start()
+        stop = asyncio.Event()
+        work = [
+            asyncio.create_task(each)
+            for each in (
+                self.call("reads", stop, False),
+                self.call("drafts", stop, False),
+                self.call("once", stop, True),
+                self.send_copies(stop),
+                self.cause_node_faults(stop),
+            )
+        ]
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            stop.set()
+            await asyncio.gather(*work)
+            while self.tasks:
+                await asyncio.wait(set(self.tasks))
+        await self.check_invariants()
+        self.check_late_sends()
+
+    def late_sends(self):
+        if len(self.crash_times_s) < COUNTED_CRASHES:
+            return 0
+        from_s = self.crash_times_s[COUNTED_CRASHES - 1] + CONTACT_S
+        return sum(
+            at_s > from_s and self.is_in_touch(self.gateway_of[request_id], at_s)
+            for at_s, request_id in self.arrivals
+        )
+
+    def check_late_sends(self):
+        if not self.crash_times_s:
+            raise self.violation("the crashing request was never run", "")
+        if self.late_sends() > MAX_LATE_SENDS:
+            raise self.violation(
+                f"{self.late_sends()} late sends, {len(self.crash_times_s)} crashes, "
+                f"{self.summary()}",
+                "",
+            )
+
+    def summary(self):
+        how = "silent" if self.is_silent else "closing"
+        return f"{self.kind}, {how}, {self.copies} copies"
+
+
+async def run_seed(seed, seconds, folder, **options):
+    """Run one seed, stop its processes and return the finished soak test."""
+    crashing = CrashingSoak(seed, folder, **options)
+    try:
+        await crashing.run(seconds)
+    finally:
+        await crashing.stop()
+    return crashing
+
+
+def main():
+    """Run seeds one after another and print the folder with the logs of failed ones."""
+    first, count, seconds = (int(each) for each in sys.argv[1:])
+    for seed in range(first, first + count):
+        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-crashing-{seed}-"))
+        try:
+            done = asyncio.run(
+                run_seed(seed, seconds, folder, has_node_faults=seed % 2 == 0)
+            )
+        except (soak.InvariantViolationError, TimeoutError) as error:
+            print(f"seed {seed} FAILED: {error!r}; logs in {folder}", flush=True)
+            continue
+        served = sum(status == 200 for _, _, status in done.responses)
+        print(
+            f"seed {seed}: {done.summary()}, {len(done.crash_times_s)} crashes, "
+            f"{done.late_sends()} late sends, {served} of {len(done.responses)} "
+            f"served, {len(done.faults)} faults",
+            flush=True,
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -3,9 +3,12 @@
 import asyncio
 import contextlib
 import enum
+import socket
 
 CHUNK_BYTES = 65_536
 POLL_S = 0.02
+# More than a listening socket with a backlog of 0 accepts.
+BACKLOG_CONNECTIONS = 4
 
 
 class Mode(enum.Enum):
@@ -41,6 +44,7 @@
         self.mode = Mode.PASS
         self.delay_s = 0.1
         self.writers = set()
+        self.full_backlog = []
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.host, self.port)
@@ -48,6 +52,27 @@
     def stop(self):
         self.server.close()
         self.reset()
+        for each in self.full_backlog:
+            each.close()
+        self.full_backlog = []
+
+    def fall_silent(self):
+        """Drop the bytes of open connections and the packets that open new ones.
+
+        The kernel drops these while the backlog of a listening socket is full.
+        """
+        self.mode = Mode.SILENT
+        self.server.close()
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((self.host, self.port))
+        listener.listen(0)
+        self.full_backlog.append(listener)
+        for _ in range(BACKLOG_CONNECTIONS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((self.host, self.port))
+            self.full_backlog.append(filler)
 
     def reset(self):
         """Reset all open connections."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -51,8 +51,9 @@
 class Caller:
     """A client that keeps its connection or opens one for each request."""
 
-    def __init__(self, soak, keep_alive=False):
+    def __init__(self, soak, keep_alive=False, gateway=None):
         self.soak = soak
+        self.gateway = gateway
         self.keep_alive = keep_alive
         self.reader = None
         self.writer = None
@@ -73,7 +74,7 @@
         return response
 
     async def connect(self):
-        node = self.soak.rng.choice(self.soak.cluster.gateways)
+        node = self.gateway or self.soak.rng.choice(self.soak.cluster.gateways)
         self.reader, self.writer = await asyncio.open_connection(
             node.link.host, self.soak.ports.front
         )
@@ -96,7 +97,7 @@
         Highest version that was acknowledged to the operator.
     """
 
-    def __init__(self, seed, folder):
+    def __init__(self, seed, folder, gateways=2):
         self.rng = random.Random(seed)
         self.seed = seed
         ports = local_ports.free_ports(6)
@@ -107,7 +108,7 @@
         self.replica_port = ports[5]
         self.net = net
         address = f"{proxy_ip}:{ports[4]}"
-        self.cluster = processes.Cluster(folder, net, self.ports, address)
+        self.cluster = processes.Cluster(folder, net, self.ports, address, gateways)
         self.responses = []
         self.acked = 0
         self.faults = []
@@ -247,9 +248,12 @@
             await asyncio.sleep(self.rng.uniform(0.0, 0.1))
         caller.close()
 
-    async def send(self, kind, caller=None):
-        request_id = uuid.UUID(int=self.rng.getrandbits(128)).hex[:16]
-        body = request_id.encode()
+    def new_request_id(self):
+        return uuid.UUID(int=self.rng.getrandbits(128)).hex[:16]
+
+    async def send(self, kind, caller=None, request_id=None, body=None):
+        request_id = request_id or self.new_request_id()
+        body = body or request_id.encode()
         headers = ["X-Token-Usage: 100,160"] if kind == "drafts" else []
         data = standin.request_bytes(
             f"/{kind}/x", headers, body, request_id=request_id
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,8 +1,9 @@
 import pytest
 
-from soak import soak
+from soak import crashing, soak
 
 SECONDS = 5
+CRASHING_SECONDS = 12
 # No seed has failed yet. Add each one that does, with its cause.
 SEEDS = (1,)
 
@@ -14,3 +15,7 @@
         done = await soak.run_seed(seed, SECONDS, tmp_path)
         assert done.faults
         assert done.acked
+
+    async def test_a_crashing_request_is_refused_by_all_gateways(self, tmp_path):
+        done = await crashing.run_seed(13, CRASHING_SECONDS, tmp_path)
+        assert done.crash_times_s
