Split the suspects' reports and the failures of streams into modules of their own

Background tasks that nothing awaits stood twice; background.BackgroundTasks serves both. Removed what nothing used: FairQueue.charge, retry_budget.RETRY_AFTER_MS, CRASH_IN_STREAM, Generation.finished of the cli, disks.seeded of the tests. No behaviour changes.

--- a/src/quetzalpass/cli/generation.py
+++ b/src/quetzalpass/cli/generation.py
@@ -69,7 +69,6 @@
         self.last_offset = -1
         self.last_text_s = 0.0
         self.started_s = 0.0
-        self.finished = False
 
     async def run(
         self,
--- a/src/quetzalpass/lifecycle/crash_checks.py
+++ b/src/quetzalpass/lifecycle/crash_checks.py
@@ -13,7 +13,7 @@
 import logbook
 import msgspec
 
-from quetzalpass import event_log, ids
+from quetzalpass import background, event_log, ids
 from quetzalpass.backends import base, relays
 from quetzalpass.lifecycle import relay_requests, server_health
 from quetzalpass.membership import discovery, fleet_view, quarantine
@@ -121,8 +121,8 @@
         Requests that stay registered on their server until its check has ended.
     crashed_starts : set of str
         Starts of servers for which this gateway has recorded a crash.
-    tasks : set of asyncio.Task
-        Background tasks.
+    tasks : background.BackgroundTasks
+        Running checks.
     """
 
     def __init__(
@@ -143,26 +143,12 @@
         self.probes: dict[ids.ServerId, asyncio.Task[CrashCheckOutcome]] = {}
         self.pending: set[PendingCheck] = set()
         self.crashed_starts: set[str] = set()
-        self.tasks: set[asyncio.Task] = set()
+        self.tasks = background.BackgroundTasks()
         view.change_observers.append(self.forget_unlisted)
 
-    def spawn(self, work) -> asyncio.Task:
-        """Run a background task; a failure is logged."""
-        task = asyncio.create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.on_task_done)
-        return task
-
-    def on_task_done(self, task: asyncio.Task) -> None:
-        """Remove a finished background task, and log its failure."""
-        self.tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            LOG.error("lifecycle: A crash check failed: {!r}.", task.exception())
-
     def close(self) -> None:
         """Cancel all checks."""
-        for task in list(self.tasks):
-            task.cancel()
+        self.tasks.cancel()
 
     def forget_unlisted(self) -> None:
         """Forget the servers that are no longer listed."""
@@ -183,7 +169,7 @@
         self.on_bytes(server.id)
         if server.start_key in self.crashed_starts:
             self.crashed_starts.discard(server.start_key)
-            self.spawn(self.withdraw_if_not_restarted(server))
+            self.tasks.spawn(self.withdraw_if_not_restarted(server))
 
     async def withdraw_if_not_restarted(
         self, server: discovery.DiscoveredServer
@@ -204,7 +190,7 @@
         """Check in the background whether a server crashed under a request."""
         check = PendingCheck(server.id, routed.request.request_id)
         self.pending.add(check)
-        self.spawn(self.check_request(check, routed, server, failure))
+        self.tasks.spawn(self.check_request(check, routed, server, failure))
 
     async def check_request(
         self,
@@ -289,7 +275,7 @@
         """Return whether a server has crashed; checks of one server share a probe."""
         task = self.probes.get(server.id)
         if task is None:
-            task = self.probes[server.id] = self.spawn(self.probe_alone(server))
+            task = self.probes[server.id] = self.tasks.spawn(self.probe_alone(server))
             task.add_done_callback(lambda _: self.probes.pop(server.id, None))
         return await asyncio.shield(task)
 
@@ -375,7 +361,7 @@
         while True:
             await asyncio.sleep(SILENCE_POLL_S)
             for server_id in self.silent_servers():
-                self.spawn(
+                self.tasks.spawn(
                     self.check_silent_server(self.view.servers[server_id].server)
                 )
 
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -4,7 +4,8 @@
 import asyncio
 import functools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import logbook
 import xxhash
@@ -151,7 +152,7 @@
             self.metrics,
         )
         self.streams: dict[ids.RequestId, LeavingObserver] = {}
-        self.tasks: set[asyncio.Task] = set()
+        self.tasks = background.BackgroundTasks()
         self.drains_until_s: float | None = None
         self.running = 0
         view.change_observers.append(self.close_unlisted)
@@ -190,18 +191,9 @@
                 continue
             self.spawn(self.relay_servers.pop(server_id).close())
 
-    def spawn(self, work) -> asyncio.Task:
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task:
         """Run a background task; a failure is logged."""
-        task = asyncio.create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.on_task_done)
-        return task
-
-    def on_task_done(self, task: asyncio.Task) -> None:
-        """Remove a finished background task, and log its failure."""
-        self.tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            LOG.error("lifecycle: A background task failed: {!r}.", task.exception())
+        return self.tasks.spawn(work)
 
     def start(self) -> None:
         """Start the background tasks."""
@@ -213,8 +205,7 @@
     async def close(self) -> None:
         """Cancel the background tasks and close the clients of all servers."""
         self.crash_checks.close()
-        for task in list(self.tasks):
-            task.cancel()
+        self.tasks.cancel()
         for server in self.relay_servers.values():
             await server.close()
 
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -20,9 +20,10 @@
     relay_gateway,
     relay_requests,
     relay_reservations,
+    stream_failures,
 )
 from quetzalpass.membership import discovery
-from quetzalpass.results import codes, failures
+from quetzalpass.results import codes
 
 # Maximum number of sends of one request that servers refuse without running it.
 MAX_REFUSALS = 4
@@ -32,8 +33,6 @@
 FIRST_EVENT_TIMEOUT_WITH_BACKUP_S = 4.0
 # Growth of a generation after which its memory need is updated.
 GROWTH_STEP_TOKENS = 64
-# Largest incomplete event that is buffered until the rest arrives.
-MAX_EVENT_BYTES = 1_048_576
 MS_PER_S = 1000
 STATUS_OK = 200
 
@@ -45,20 +44,6 @@
     BROKEN = "broken"
 
 
-class StreamFailedError(Exception):
-    """Raised if a stream can't be continued.
-
-    Parameters
-    ----------
-    failure : failures.Failure
-        Failure that the caller gets if its response has not begun.
-    """
-
-    def __init__(self, failure: failures.Failure) -> None:
-        super().__init__(failure.message)
-        self.failure = failure
-
-
 class RelayedStream(relay_gateway.LeavingObserver):
     """Relays one generation from its request to its end.
 
@@ -168,10 +153,10 @@
             failure = await self.gateway.wait_for_other_copy(self.routed, max_wait_s)
             self.raise_if_refused()
             if failure is not None:
-                raise StreamFailedError(failure)
+                raise stream_failures.StreamFailedError(failure)
             reserved = await reservations.wait_for_engine(self.routed, self.need)
             if isinstance(reserved, result.Failure):
-                raise StreamFailedError(reserved.failure())
+                raise stream_failures.StreamFailedError(reserved.failure())
             reservation = reserved.unwrap()
             if self.gateway.suspects.has_other_copy(self.routed.fingerprint):
                 reservation.release()
@@ -195,7 +180,7 @@
             execution = codes.Execution.MAY_HAVE_RUN
         refusal = self.gateway.refusal(self.routed, execution)
         if refusal is not None:
-            raise StreamFailedError(refusal)
+            raise stream_failures.StreamFailedError(refusal)
 
     def on_refused(
         self, reservation: relay_reservations.Reservation, failure: base.AttemptFailure
@@ -208,10 +193,10 @@
             If the request may have run, or if no further send is allowed.
         """
         if self.may_have_run:
-            raise StreamFailedError(server_lost_failure(failure.message))
+            raise stream_failures.server_lost(failure.message)
         self.tried.add(reservation.server.id)
         if not self.may_send_again(reservation, failure):
-            raise StreamFailedError(
+            raise stream_failures.StreamFailedError(
                 self.gateway.reservations.queue_full_failure(
                     self.routed, failure.message
                 )
@@ -269,7 +254,7 @@
         """
         try:
             self.raise_if_refused()
-        except StreamFailedError:
+        except stream_failures.StreamFailedError:
             reservation.release()
             raise
         server = reservation.server
@@ -376,8 +361,8 @@
                 )
                 return SegmentEnd.COMPLETE
             await self.relay_events(segment, splitter.feed(data))
-            if len(splitter.rest) > MAX_EVENT_BYTES:
-                raise StreamFailedError(event_too_large_failure())
+            if len(splitter.rest) > stream_failures.MAX_EVENT_BYTES:
+                raise stream_failures.event_too_large()
 
     async def relay_whole_response(
         self, segment: generation_moves.StreamSegment
@@ -385,16 +370,12 @@
         """Relay a response that is not a stream."""
         status = segment.server_response.head.status
         if self.response.has_begun:
-            raise StreamFailedError(
-                server_lost_failure("the server responded without a stream")
-            )
+            raise stream_failures.server_lost("the server responded without a stream")
         body = await segment.server_response.read_body()
         if isinstance(body, result.Failure):
-            raise StreamFailedError(server_lost_failure(body.failure().message))
+            raise stream_failures.server_lost(body.failure().message)
         if status in relay_gateway.STATUSES_PROMISING_NOT_RUN:
-            raise StreamFailedError(
-                server_lost_failure(f"the server responded {status}")
-            )
+            raise stream_failures.server_lost(f"the server responded {status}")
         if status >= relay_gateway.SERVER_ERROR:
             detail = f"status {status}"
             self.gateway.record_decision(
@@ -483,15 +464,11 @@
             return True
         if self.last_event_id is not None:
             if not event.id.isdecimal() or not self.last_event_id.isdecimal():
-                raise StreamFailedError(
-                    stream_crossed_failure(event.id, self.last_event_id)
-                )
+                raise stream_failures.stream_crossed(event.id, self.last_event_id)
             if int(event.id) <= int(self.last_event_id):
                 return False
             if int(event.id) > int(self.last_event_id) + 1:
-                raise StreamFailedError(
-                    stream_crossed_failure(event.id, self.last_event_id)
-                )
+                raise stream_failures.stream_crossed(event.id, self.last_event_id)
         self.last_event_id = event.id
         return True
 
@@ -566,47 +543,19 @@
         """
         copy = self.unused_copy or self.find_backup_copy(broken)
         if copy is None:
-            raise StreamFailedError(
-                server_lost_failure("the server was lost and no copy is left")
-            )
+            raise stream_failures.server_lost("the server was lost and no copy is left")
         broken.server_response.close()
         self.raise_if_refused()
         if not self.try_withdraw_resume():
-            raise StreamFailedError(server_lost_failure("the retry budget is used up"))
+            raise stream_failures.server_lost("the retry budget is used up")
         reservation = self.gateway.reservations.reserve_on(copy.server, self.need)
         opened = await self.open_segment(reservation, copy)
         self.unused_copy = None
         if isinstance(opened, result.Failure):
-            raise StreamFailedError(server_lost_failure(opened.failure().message))
+            raise stream_failures.server_lost(opened.failure().message)
         return opened.unwrap()
 
     async def drop_copy(self, copy: generation_moves.MemoryCopy) -> None:
         """Free an unused copy on both of its servers, through its holder."""
         holder = self.gateway.get_relay_server(copy.holder)
         await holder.drop_copy(copy.copy_id, generation_moves.COPY_TIMEOUT_S)
-
-
-def server_lost_failure(message: str) -> failures.Failure:
-    """Return the failure of a generation that can't be resumed."""
-    return failures.Failure(
-        codes.Code.SERVER_LOST, message, codes.Execution.MAY_HAVE_RUN
-    )
-
-
-def event_too_large_failure() -> failures.Failure:
-    """Return the failure of a stream with an event above the size limit."""
-    return failures.Failure(
-        codes.Code.EVENT_TOO_LARGE,
-        f"an event is larger than {MAX_EVENT_BYTES} bytes",
-        codes.Execution.MAY_HAVE_RUN,
-    )
-
-
-def stream_crossed_failure(found: str, last: str) -> failures.Failure:
-    """Return the failure of a stream with an unexpected event."""
-    return failures.Failure(
-        codes.Code.STREAM_CROSSED,
-        f"event {event_log.sanitize(found)} arrived after event "
-        f"{event_log.sanitize(last)}",
-        codes.Execution.MAY_HAVE_RUN,
-    )
--- a/src/quetzalpass/lifecycle/relaying.py
+++ b/src/quetzalpass/lifecycle/relaying.py
@@ -13,6 +13,7 @@
     relay_requests,
     relayed_calls,
     relayed_streams,
+    stream_failures,
 )
 from quetzalpass.results import codes, failures
 
@@ -84,7 +85,7 @@
         stream = relayed_streams.RelayedStream(gateway, routed, response)
         try:
             await stream.run()
-        except relayed_streams.StreamFailedError as error:
+        except stream_failures.StreamFailedError as error:
             return error.failure
         return None
     called = await relayed_calls.run(gateway, routed)
--- a/src/quetzalpass/lifecycle/retry_budget.py
+++ b/src/quetzalpass/lifecycle/retry_budget.py
@@ -11,7 +11,6 @@
 RETRIES_PER_S = 0.5
 RESERVED_RETRIES = 10.0
 MAX_SAVED_RETRIES = 100.0
-RETRY_AFTER_MS = 2_000
 
 
 class BudgetKey(msgspec.Struct, frozen=True):
--- a/src/quetzalpass/membership/control_links.py
+++ b/src/quetzalpass/membership/control_links.py
@@ -16,7 +16,7 @@
     fleet_view,
     peer_client,
     propagation,
-    quarantine,
+    suspect_reports,
 )
 from quetzalpass.wire import transport
 
@@ -108,7 +108,9 @@
         self.last_reply_s = 0.0
         self.started_at_s = 0.0
         self.reply_observers: list[Callable[[fleet_messages.FleetReply], None]] = []
-        self.suspect_observers: list[Callable[[quarantine.SuspectReports], None]] = []
+        self.suspect_observers: list[
+            Callable[[suspect_reports.SuspectReports], None]
+        ] = []
 
     def start(self) -> None:
         """Start following the control nodes."""
--- a/src/quetzalpass/membership/fleet_messages.py
+++ b/src/quetzalpass/membership/fleet_messages.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from quetzalpass import ids
-from quetzalpass.membership import discovery, quarantine
+from quetzalpass.membership import discovery, suspect_reports
 from quetzalpass.routing import prefill_rates
 from quetzalpass.wire import messages
 
@@ -74,7 +74,7 @@
         The list; ``None`` if the gateway already has this version.
     uses : tuple of ServerUse
         Work of all other gateways together, by server.
-    verdicts : quarantine.SuspectReports or None
+    verdicts : suspect_reports.SuspectReports or None
         Requests that are suspected of crashing servers; also from a node that does not
         read the list.
     retries : dict of ServiceName to int
@@ -89,7 +89,7 @@
     age_s: float = 0.0
     servers: tuple[discovery.DiscoveredServer, ...] | None = None
     uses: tuple[ServerUse, ...] = ()
-    verdicts: quarantine.SuspectReports | None = None
+    verdicts: suspect_reports.SuspectReports | None = None
     retries: dict[ids.ServiceName, int] = {}
 
 
@@ -108,7 +108,7 @@
         Work of this gateway, by server.
     leaving : tuple of ServerId
         Servers that have announced to this gateway that they are leaving.
-    verdicts : quarantine.SuspectReports or None
+    verdicts : suspect_reports.SuspectReports or None
         Requests that this gateway suspects of crashing servers.
     placed : tuple of AllocationId
         Allocations of engines that ``uses`` already includes; each is listed until a
@@ -125,7 +125,7 @@
     wait_s: float
     uses: tuple[ServerUse, ...] = ()
     leaving: tuple[ids.ServerId, ...] = ()
-    verdicts: quarantine.SuspectReports | None = None
+    verdicts: suspect_reports.SuspectReports | None = None
     placed: tuple[ids.AllocationId, ...] = ()
     reads: tuple[prefill_rates.PrefillMeasurement, ...] = ()
     retries: dict[ids.ServiceName, int] = {}
--- a/src/quetzalpass/membership/inner_messages.py
+++ b/src/quetzalpass/membership/inner_messages.py
@@ -2,7 +2,7 @@
 
 from quetzalpass import ids
 from quetzalpass.control import messages as control_messages
-from quetzalpass.membership import opinions, quarantine, usages
+from quetzalpass.membership import opinions, suspect_reports, usages
 from quetzalpass.results import failures
 from quetzalpass.routing import servers
 from quetzalpass.wire import messages
@@ -105,7 +105,7 @@
         Its in-flight load on each backend server.
     server_opinions : tuple of opinions.ServerHealthReport
         Results of its own probes.
-    verdicts : quarantine.SuspectReports or None
+    verdicts : suspect_reports.SuspectReports or None
         Requests that it suspects of crashing servers.
     usage : usages.UsageReport or None
         Usage by organisations on this gateway.
@@ -115,5 +115,5 @@
     vm: ids.VmId
     dispatches: servers.PeerDispatches
     server_opinions: tuple[opinions.ServerHealthReport, ...] = ()
-    verdicts: quarantine.SuspectReports | None = None
+    verdicts: suspect_reports.SuspectReports | None = None
     usage: usages.UsageReport | None = None
--- a/src/quetzalpass/membership/quarantine.py
+++ b/src/quetzalpass/membership/quarantine.py
@@ -12,12 +12,12 @@
 """
 
 import asyncio
-import enum
 
 import logbook
 import msgspec
 
 from quetzalpass import event_log, ids
+from quetzalpass.membership import suspect_reports
 from quetzalpass.results import codes, failures
 
 LOG = logbook.Logger("quarantine")
@@ -40,65 +40,6 @@
 MS_PER_S = 1000
 
 
-class SuspectChange(enum.Enum):
-    """Why the crashes that are attributed to a request have changed."""
-
-    ATTRIBUTED = "attributed"
-    CLEARED = "cleared"
-    MERGED = "merged"
-    WITHDRAWN = "withdrawn"
-
-
-class SuspectEvent(event_log.Event, frozen=True, tag="suspect"):
-    """Log event for a change of what is known about a suspect.
-
-    Attributes
-    ----------
-    fingerprint : str
-        The request; all its copies share it.
-    change : SuspectChange
-        Cause of the change.
-    crashes : tuple of str
-        Ids of the crashes that are attributed to it now.
-    refused : bool
-        Whether it is refused now.
-    """
-
-    fingerprint: str
-    change: SuspectChange
-    crashes: tuple[str, ...]
-    refused: bool
-
-
-class ServerCrash(msgspec.Struct, frozen=True):
-    """One crash of a server, as it counts against one request.
-
-    Attributes
-    ----------
-    id : str
-        Unique among all gateways.
-    weight : float
-        One over the number of requests that the crash is attributed to.
-    place : int
-        Tokens of the request's output that had been received.
-    opened : bool
-        Whether the server had begun to respond.
-    server_start : str
-        The crashed server and its start, the same at all gateways; empty if unknown.
-    """
-
-    id: str
-    weight: float
-    place: int = 0
-    opened: bool = False
-    server_start: str = ""
-
-    @property
-    def event_key(self) -> str:
-        """Return the key that all reports of the same crash share."""
-        return self.server_start or self.id
-
-
 class InFlightRequest(msgspec.Struct):
     """A request that runs on a server; its owner keeps the fields up to date.
 
@@ -118,46 +59,10 @@
     sent_s: float = 0.0
 
 
-class SuspectReport(msgspec.Struct, frozen=True):
-    """What one gateway knows about a suspected request.
-
-    Attributes
-    ----------
-    fingerprint : str
-        Digest of the request's body.
-    deaths : tuple of ServerCrash
-        Crashes that are attributed to it.
-    cleared : tuple of str
-        Ids of crashes that it has been cleared of since.
-    left_s : float
-        How long this remains valid, in seconds.
-    """
-
-    fingerprint: str
-    deaths: tuple[ServerCrash, ...]
-    cleared: tuple[str, ...]
-    left_s: float
-
-
-class SuspectReports(msgspec.Struct, frozen=True):
-    """Reports that changed after a sequence number; peers merge them in any order.
-
-    Attributes
-    ----------
-    sequence : int
-        Number to pass to the next query.
-    verdicts : tuple of SuspectReport
-        The changed reports.
-    """
-
-    sequence: int
-    verdicts: tuple[SuspectReport, ...]
-
-
 class SuspectRecord(msgspec.Struct):
     """Crashes that are attributed to one request here, by id."""
 
-    crashes: dict[str, ServerCrash]
+    crashes: dict[str, suspect_reports.ServerCrash]
     cleared: set[str]
     expires_s: float
     sequence: int
@@ -170,7 +75,7 @@
             for each in self.crashes.values()
         )
 
-    def find_crash(self, event_key: str) -> ServerCrash | None:
+    def find_crash(self, event_key: str) -> suspect_reports.ServerCrash | None:
         """Return one report of a crash, or ``None``."""
         return next(
             (each for each in self.crashes.values() if each.event_key == event_key),
@@ -274,7 +179,7 @@
         self.crash_count += 1
         crash_id = f"{self.name}/{self.crash_count}"
         for request in attributed:
-            crash = ServerCrash(
+            crash = suspect_reports.ServerCrash(
                 crash_id,
                 1 / len(attributed),
                 request.tokens,
@@ -296,7 +201,9 @@
         crashes = self.records[request.fingerprint].crashes.values()
         return any(each.opened is request.opened for each in crashes)
 
-    def attribute_crash(self, fingerprint: str, crash: ServerCrash) -> None:
+    def attribute_crash(
+        self, fingerprint: str, crash: suspect_reports.ServerCrash
+    ) -> None:
         """Attribute a crash to a request."""
         record = self.get_or_create_record(fingerprint)
         if crash.id in record.cleared:
@@ -304,13 +211,13 @@
         self.set_crashes(fingerprint, record, {**record.crashes, crash.id: crash})
         is_refused = self.is_refused(fingerprint)
         self.mark_changed(record, QUARANTINE_S if is_refused else SUSPECT_LIFETIME_S)
-        self.log_change(fingerprint, SuspectChange.ATTRIBUTED)
+        self.log_change(fingerprint, suspect_reports.SuspectChange.ATTRIBUTED)
 
     def set_crashes(
         self,
         fingerprint: str,
         record: SuspectRecord,
-        crashes: dict[str, ServerCrash],
+        crashes: dict[str, suspect_reports.ServerCrash],
     ) -> None:
         """Replace the crashes of a record, and update the index by crash."""
         for crash in record.crashes.values():
@@ -345,7 +252,7 @@
                 return True
         return False
 
-    def weight_of(self, fingerprint: str, crash: ServerCrash) -> float:
+    def weight_of(self, fingerprint: str, crash: suspect_reports.ServerCrash) -> float:
         """Return the weight of a crash, given what all gateways report about it.
 
         If other crashes are attributed to some of its requests, it counts against
@@ -441,7 +348,7 @@
         if not passed:
             return
         self.remove_crashes(fingerprint, record, passed)
-        self.log_change(fingerprint, SuspectChange.CLEARED)
+        self.log_change(fingerprint, suspect_reports.SuspectChange.CLEARED)
 
     def withdraw(self, server_start: str) -> None:
         """Withdraw the crash of a server that has proved to run still."""
@@ -453,7 +360,7 @@
                 if each.server_start == server_start
             }
             self.remove_crashes(fingerprint, record, withdrawn)
-            self.log_change(fingerprint, SuspectChange.WITHDRAWN)
+            self.log_change(fingerprint, suspect_reports.SuspectChange.WITHDRAWN)
 
     def remove_crashes(
         self, fingerprint: str, record: SuspectRecord, crash_ids: set[str]
@@ -493,12 +400,12 @@
                 return
             await asyncio.sleep(OTHER_COPY_POLL_S)
 
-    def suspect_reports_since(self, sequence: int) -> SuspectReports:
+    def suspect_reports_since(self, sequence: int) -> suspect_reports.SuspectReports:
         """Return the reports that changed after a sequence number; 0 for all."""
         self.expire()
         now_s = asyncio.get_running_loop().time()
         changed = tuple(
-            SuspectReport(
+            suspect_reports.SuspectReport(
                 fingerprint,
                 tuple(record.crashes.values()),
                 tuple(record.cleared),
@@ -507,9 +414,9 @@
             for fingerprint, record in self.records.items()
             if record.sequence > sequence
         )
-        return SuspectReports(self.sequence, changed)
+        return suspect_reports.SuspectReports(self.sequence, changed)
 
-    def merge(self, message: SuspectReports) -> None:
+    def merge(self, message: suspect_reports.SuspectReports) -> None:
         """Merge reports of a peer; their order and duplicates don't matter."""
         for report in message.verdicts:
             record = self.get_or_create_record(report.fingerprint)
@@ -522,10 +429,14 @@
             self.set_crashes(report.fingerprint, record, merged)
             record.cleared = cleared
             self.mark_changed(record, report.left_s)
-            self.log_change(report.fingerprint, SuspectChange.MERGED)
+            self.log_change(report.fingerprint, suspect_reports.SuspectChange.MERGED)
 
-    def log_change(self, fingerprint: str, change: SuspectChange) -> None:
+    def log_change(
+        self, fingerprint: str, change: suspect_reports.SuspectChange
+    ) -> None:
         """Log what is known about a suspect after a change."""
         crashes = tuple(self.records[fingerprint].crashes)
-        event = SuspectEvent(fingerprint, change, crashes, self.is_refused(fingerprint))
+        event = suspect_reports.SuspectEvent(
+            fingerprint, change, crashes, self.is_refused(fingerprint)
+        )
         event_log.record(event, event_log.Level.NOTICE)
--- a/src/quetzalpass/routing/queues.py
+++ b/src/quetzalpass/routing/queues.py
@@ -118,12 +118,6 @@
         organisation = self.organisations[queued.item.organisation]
         organisation.drop_removed()
 
-    def charge(self, name: ids.OrganisationId, cost: float) -> None:
-        """Correct an organisation's finish tag after the real cost is known."""
-        organisation = self.organisations.get(name)
-        if organisation is not None:
-            organisation.finish_tag += cost / self.weights.get(name, 1.0)
-
     def newest_of_longest(self) -> QueuedWork | None:
         """Return the request to refuse first; never one that must not be dropped.
 
--- a/src/quetzalpass/standin/engine_streams.py
+++ b/src/quetzalpass/standin/engine_streams.py
@@ -26,7 +26,6 @@
         faults.FaultKind.NO_END_MARK,
     }
 )
-CRASH_IN_STREAM = frozenset({faults.FaultKind.CRASH})
 
 
 class StreamWriter:
--- a/tests/fakes/disks.py
+++ b/tests/fakes/disks.py
@@ -1,7 +1,6 @@
 """An in-memory disk that loses or tears unsynced writes and can flip bits."""
 
 import asyncio
-import random
 
 from quetzalpass.storage import disk
 
@@ -138,7 +137,3 @@
 
     def file(self, name):
         return self.files.setdefault(name, FakeFile())
-
-
-def seeded(seed):
-    return random.Random(seed)
--- a/tests/lifecycle/test_quarantine.py
+++ b/tests/lifecycle/test_quarantine.py
@@ -3,7 +3,7 @@
 import pytest
 
 from quetzalpass import ids
-from quetzalpass.membership import quarantine
+from quetzalpass.membership import quarantine, suspect_reports
 from quetzalpass.standin import faults
 
 pytestmark = pytest.mark.looptime
@@ -272,13 +272,13 @@
             # A generation becomes a suspect first, and is refused once it waits as one.
             names = "ab" if item.suspect or not item.max_tokens else "a"
             crashes = tuple(
-                quarantine.ServerCrash(f"peer/{each}", 1.0) for each in names
+                suspect_reports.ServerCrash(f"peer/{each}", 1.0) for each in names
             )
             reports = tuple(
-                quarantine.SuspectReport(each, crashes, (), 60.0)
+                suspect_reports.SuspectReport(each, crashes, (), 60.0)
                 for each in self.fingerprints
             )
-            gateway.quarantine.merge(quarantine.SuspectReports(1, reports))
+            gateway.quarantine.merge(suspect_reports.SuspectReports(1, reports))
             return await acquire(item)
 
         gateway.admission_queue.acquire = acquire_after_verdict
--- a/tests/lifecycle/test_refused_suspects.py
+++ b/tests/lifecycle/test_refused_suspects.py
@@ -5,7 +5,7 @@
 from fakes import relay_servers
 from lifecycle import gateway_harness
 from quetzalpass.lifecycle import relay_gateway
-from quetzalpass.membership import quarantine
+from quetzalpass.membership import suspect_reports
 
 pytestmark = pytest.mark.looptime
 
@@ -26,9 +26,11 @@
 
 def refuse(harness, path):
     """Apply the report of a peer that servers have crashed under a request."""
-    crashes = tuple(quarantine.ServerCrash(f"peer/{each}", 1.0) for each in (1, 2))
-    report = quarantine.SuspectReport(fingerprint_of(harness, path), crashes, (), 60.0)
-    harness.gateway.suspects.merge(quarantine.SuspectReports(1, (report,)))
+    crashes = tuple(suspect_reports.ServerCrash(f"peer/{each}", 1.0) for each in (1, 2))
+    report = suspect_reports.SuspectReport(
+        fingerprint_of(harness, path), crashes, (), 60.0
+    )
+    harness.gateway.suspects.merge(suspect_reports.SuspectReports(1, (report,)))
 
 
 def send_count(harness):
@@ -118,9 +120,11 @@
 
 def suspect(harness, path, weight=1.0):
     """Apply the report of a peer that a server has crashed under a request."""
-    crash = quarantine.ServerCrash(f"peer{path}", weight)
-    report = quarantine.SuspectReport(fingerprint_of(harness, path), (crash,), (), 60.0)
-    harness.gateway.suspects.merge(quarantine.SuspectReports(1, (report,)))
+    crash = suspect_reports.ServerCrash(f"peer{path}", weight)
+    report = suspect_reports.SuspectReport(
+        fingerprint_of(harness, path), (crash,), (), 60.0
+    )
+    harness.gateway.suspects.merge(suspect_reports.SuspectReports(1, (report,)))
 
 
 class TestClearing:
--- a/tests/membership/test_control_links.py
+++ b/tests/membership/test_control_links.py
@@ -8,7 +8,7 @@
     control_links,
     fleet_messages,
     fleet_view,
-    quarantine,
+    suspect_reports,
 )
 
 
@@ -32,7 +32,7 @@
         links = make_links()
         received = []
         links.suspect_observers.append(received.append)
-        reports = quarantine.SuspectReports(1, ())
+        reports = suspect_reports.SuspectReports(1, ())
         links.apply_reply(fleet_messages.FleetReply(is_watching, verdicts=reports))
         assert received == [reports]
 
--- a/tests/membership/test_fleet_registry.py
+++ b/tests/membership/test_fleet_registry.py
@@ -11,7 +11,7 @@
     fleet_registry,
     fleet_view,
     leaving_server_monitor,
-    quarantine,
+    suspect_reports,
 )
 from quetzalpass.results import codes, failures
 
@@ -226,8 +226,8 @@
 
 @pytest.mark.looptime
 class TestSuspects:
-    REPORT = quarantine.SuspectReport(
-        "f", (quarantine.ServerCrash("gw-1/1", 1.0),), (), 60.0
+    REPORT = suspect_reports.SuspectReport(
+        "f", (suspect_reports.ServerCrash("gw-1/1", 1.0),), (), 60.0
     )
 
     @pytest.mark.parametrize("active", [False, True])
@@ -235,7 +235,7 @@
         source, registry = make_registry(active)
         source.is_down = True
         await registry.read_once()
-        reports = quarantine.SuspectReports(1, (self.REPORT,))
+        reports = suspect_reports.SuspectReports(1, (self.REPORT,))
         await query(registry, verdicts=reports)
         reply = await query(registry, gateway="gw-2")
         assert not reply.is_watching
