Give up a response whose head or body does not end

Callers would have seen a gateway killed for its memory. Cause: whole bodies were read without a limit, here and in the own interface's services, and interim responses before a head were read for ever (the parser limits only lines).

--- a/src/quetzalpass/backends/connections.py
+++ b/src/quetzalpass/backends/connections.py
@@ -13,6 +13,10 @@
 import aiohttp
 from aiohttp import client_proto, helpers, streams
 
+# The parser limits each line, but not the number of interim responses before the head.
+MAX_HEAD_BYTES = 1024 * 1024
+FIRST_FINAL_STATUS = 200
+
 
 class EngineConnection(client_proto.ResponseHandler):
     """One connection to a backend server.
@@ -21,6 +25,8 @@
     ----------
     body_parts : list of bytes
         Parts of the body in the data that is being parsed.
+    head_bytes : int
+        Bytes received since the last complete response head.
     on_data : callable or None
         Called with bytes of the response body; they are buffered while it is ``None``.
     on_end : callable or None
@@ -33,6 +39,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self.body_parts: list[bytes] = []
+        self.head_bytes = 0
 
     def data_received(self, data: bytes) -> None:
         """Parse received data and pass all its body parts to the listener at once.
@@ -40,12 +47,27 @@
         A gateway that lags behind receives several tokens at once. It forwards them in
         one event, which lets it catch up.
         """
+        if self._payload is None or self._payload.is_eof():
+            self.head_bytes += len(data)
         super().data_received(data)
+        if self.head_bytes > MAX_HEAD_BYTES:
+            self.set_exception(
+                aiohttp.ClientPayloadError(f"no head within {MAX_HEAD_BYTES} bytes")
+            )
+            if self.transport is not None:
+                self.transport.abort()
         parts = self.body_parts
         if parts and self.on_data is not None:
             self.body_parts = []
             self.on_data(parts[0] if len(parts) == 1 else b"".join(parts))
 
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Pass on a parsed response; interim responses belong to the head."""
+        message, _ = data
+        if message.code >= FIRST_FINAL_STATUS:
+            self.head_bytes = 0
+        super().feed_data(data, size)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a response body that is truncated by a connection reset.
 
--- a/src/quetzalpass/backends/http_client.py
+++ b/src/quetzalpass/backends/http_client.py
@@ -10,6 +10,33 @@
 TIME_LEFT_HEADER = "Quetzalpass-Timeout-Ms"
 
 
+# Larger than any response that is held in memory; a broken server may send without end.
+MAX_BODY_BYTES = 8 * 1024 * 1024
+
+
+class BodyTooLargeError(ValueError):
+    """Raised if a response body exceeds ``MAX_BODY_BYTES``."""
+
+
+async def read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Read a whole response body.
+
+    Raises
+    ------
+    BodyTooLargeError
+        If it is larger than ``MAX_BODY_BYTES``.
+    """
+    parts: list[bytes] = []
+    size = 0
+    async for part in response.content.iter_any():
+        size += len(part)
+        if size > MAX_BODY_BYTES:
+            response.close()
+            raise BodyTooLargeError(f"the body is larger than {MAX_BODY_BYTES} bytes")
+        parts.append(part)
+    return b"".join(parts)
+
+
 def open_session(limits: schema.Limits, reuse: bool) -> aiohttp.ClientSession:
     """Open a session for one backend server.
 
--- a/src/quetzalpass/backends/service_http.py
+++ b/src/quetzalpass/backends/service_http.py
@@ -78,7 +78,7 @@
                         allow_redirects=False,
                     )
                 )
-                response_body = await response.read()
+                response_body = await http_client.read_body(response)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             return result.Failure(engine_http.attempt_failure_from(error))
         return result.Success(
