Recognise a crash of a silent server that is back before it is checked

Cause: the check asks whether something accepts a connection at the address; a restarted server does. Now a request lost on a server that responds is remembered for 10 s, and counts once the list shows a newer start at that address, unless the server had announced that it leaves. A crash is withdrawn only by a list read lately, and neighbours that are ejected are asked last. Ruled out: the address of a server that left and is used again blames nobody (TestStops).

--- a/src/quetzalpass/lifecycle/crash_checks.py
+++ b/src/quetzalpass/lifecycle/crash_checks.py
@@ -41,6 +41,10 @@
 MAX_NEIGHBOURS = 4
 # The list shows by then whether a server that responds again was restarted.
 CONFIRMATION_S = 3.0
+MAX_LIST_AGE_S = 1.5
+# The list shows a restarted server well within this time.
+LOST_LIFETIME_S = 10.0
+MAX_LOST_REQUESTS = 1_000
 MS_PER_S = 1000
 
 
@@ -54,6 +58,10 @@
     NO_SYMPTOM = "no_symptom"
     RESPONDS = "responds"
     CUT_OFF = "cut_off"
+    RESTARTED = "restarted"
+
+
+UNEXPLAINED = frozenset({CrashCheckOutcome.RESPONDS, CrashCheckOutcome.CUT_OFF})
 
 
 class CrashCheckEvent(event_log.Event, frozen=True, tag="crash_check"):
@@ -93,6 +101,24 @@
     request: ids.RequestId
 
 
+class LostRequest(msgspec.Struct, frozen=True):
+    """A request that ended without a response on a server that still responded.
+
+    Attributes
+    ----------
+    server : discovery.DiscoveredServer
+        The start of the server to which it was sent.
+    request : quarantine.InFlightRequest
+        How far it had got.
+    expires_s : float
+        Loop time at which it is forgotten.
+    """
+
+    server: discovery.DiscoveredServer
+    request: quarantine.InFlightRequest
+    expires_s: float
+
+
 class CrashChecks:
     """Checks of one gateway's servers, and what it last received from each.
 
@@ -121,6 +147,13 @@
         Requests that stay registered on their server until its check has ended.
     crashed_starts : set of str
         Starts of servers for which this gateway has recorded a crash.
+    sent_to : dict of ServerId to discovery.DiscoveredServer
+        The start of each server with requests in flight.
+    lost : list of LostRequest
+        Requests that were lost recently. If the list shows that their server has been
+        restarted, it had crashed and was back before it was checked.
+    leaving_starts : set of str
+        Starts of servers that have announced that they leave.
     tasks : background.BackgroundTasks
         Running checks.
     """
@@ -143,15 +176,37 @@
         self.probes: dict[ids.ServerId, asyncio.Task[CrashCheckOutcome]] = {}
         self.pending: set[PendingCheck] = set()
         self.crashed_starts: set[str] = set()
+        self.sent_to: dict[ids.ServerId, discovery.DiscoveredServer] = {}
+        self.lost: list[LostRequest] = []
+        self.leaving_starts: set[str] = set()
         self.tasks = background.BackgroundTasks()
-        view.change_observers.append(self.forget_unlisted)
+        view.change_observers.append(self.on_list_change)
+        view.leaving_observers.append(self.on_server_leaving)
 
     def close(self) -> None:
         """Cancel all checks."""
         self.tasks.cancel()
 
-    def forget_unlisted(self) -> None:
-        """Forget the servers that are no longer listed."""
+    def on_list_change(self) -> None:
+        """Forget the servers that are no longer listed, and find restarted ones."""
+        self.forget_old_servers()
+        silent = self.silent_servers()
+        if not self.lost and not silent:
+            return
+        newest_ms = self.newest_starts()
+        for server_id in silent:
+            server = self.sent_to.get(server_id)
+            if server is not None and self.has_restarted(server, newest_ms):
+                self.record_outcome(server, CrashCheckOutcome.RESTARTED, "in flight")
+                requests = self.suspects.in_flight[server_id]
+                self.record_crash(server, next(iter(requests)))
+        for each in list(self.lost):
+            if self.has_restarted(each.server, newest_ms):
+                self.record_late_crash(each.server)
+
+    def forget_old_servers(self) -> None:
+        """Forget servers that are no longer listed, and lost requests that expired."""
+        now_s = asyncio.get_running_loop().time()
         for times_s in (self.heard_s, self.probed_s):
             for server_id in [
                 each for each in times_s if each not in self.view.servers
@@ -159,6 +214,55 @@
                 del times_s[server_id]
         starts = {each.server.start_key for each in self.view.servers.values()}
         self.crashed_starts &= starts
+        self.lost = [each for each in self.lost if each.expires_s > now_s]
+        for server_id in [
+            each for each in self.sent_to if each not in self.suspects.in_flight
+        ]:
+            del self.sent_to[server_id]
+        used = {each.start_key for each in self.sent_to.values()}
+        used |= {each.server.start_key for each in self.lost}
+        self.leaving_starts &= starts | used
+
+    def on_server_leaving(self, server_id: ids.ServerId) -> None:
+        """Remember the start of a server that has announced that it leaves."""
+        known = self.view.servers.get(server_id)
+        if known is not None and known.is_leaving:
+            self.leaving_starts.add(known.server.start_key)
+
+    def newest_starts(self) -> dict[str, int]:
+        """Return the time of the newest listed start at each address."""
+        newest_ms: dict[str, int] = {}
+        for each in self.view.servers.values():
+            started_ms = each.server.started_ms or 0
+            address = each.server.address
+            newest_ms[address] = max(started_ms, newest_ms.get(address, 0))
+        return newest_ms
+
+    def has_restarted(
+        self, server: discovery.DiscoveredServer, newest_ms: dict[str, int]
+    ) -> bool:
+        """Return whether a server that did not leave has a newer start in its place."""
+        if server.started_ms is None or server.start_key in self.leaving_starts:
+            return False
+        return newest_ms.get(server.address, 0) > server.started_ms
+
+    def record_late_crash(self, server: discovery.DiscoveredServer) -> None:
+        """Attribute the crash of a restarted server to the requests lost on it."""
+        requests = [
+            each.request
+            for each in self.lost
+            if each.server.start_key == server.start_key
+        ]
+        self.lost = [
+            each for each in self.lost if each.server.start_key != server.start_key
+        ]
+        if requests:
+            self.record_outcome(server, CrashCheckOutcome.RESTARTED, "lost before")
+            self.suspects.attribute_to_requests(server.id, requests, server.start_key)
+
+    def on_send(self, server: discovery.DiscoveredServer) -> None:
+        """Record to which start of a server a request is sent."""
+        self.sent_to[server.id] = server
 
     def on_bytes(self, server_id: ids.ServerId) -> None:
         """Record that bytes have arrived from a server."""
@@ -176,6 +280,8 @@
     ) -> None:
         """Withdraw a crash if the server still runs under the same start."""
         await asyncio.sleep(CONFIRMATION_S)
+        if self.view.age_s() > MAX_LIST_AGE_S:
+            return
         known = self.view.servers.get(server.id)
         if known is not None and known.server.start_key == server.start_key:
             LOG.info("lifecycle: {} responds again and has not crashed.", server.id)
@@ -212,10 +318,22 @@
             )
             if outcome is CrashCheckOutcome.CRASHED:
                 self.record_crash(server, check.request)
+            elif outcome in UNEXPLAINED:
+                self.remember_lost(server, check.request)
         finally:
             self.pending.discard(check)
             self.suspects.remove_request(check.server, check.request)
 
+    def remember_lost(
+        self, server: discovery.DiscoveredServer, request_id: ids.RequestId
+    ) -> None:
+        """Remember a request, as the list may show later that its server crashed."""
+        request = self.suspects.in_flight.get(server.id, {}).get(request_id)
+        if request is None or len(self.lost) >= MAX_LOST_REQUESTS:
+            return
+        now_s = asyncio.get_running_loop().time()
+        self.lost.append(LostRequest(server, request, now_s + LOST_LIFETIME_S))
+
     def on_request_left(
         self,
         routed: relay_requests.RoutedRequest,
@@ -314,7 +432,11 @@
     def find_neighbours(
         self, server: discovery.DiscoveredServer
     ) -> list[discovery.DiscoveredServer]:
-        """Return the other servers of a data centre, those of other services first."""
+        """Return the other servers of a data centre, the likeliest to respond first.
+
+        A request crashes servers of its own service only.
+        """
+        now_s = asyncio.get_running_loop().time()
         neighbours = [
             each.server
             for each in self.view.servers.values()
@@ -322,7 +444,12 @@
             and each.server.id != server.id
             and not each.is_leaving
         ]
-        neighbours.sort(key=lambda each: each.service == server.service)
+        neighbours.sort(
+            key=lambda each: (
+                self.health.is_ejected(each.id, now_s),
+                each.service == server.service,
+            )
+        )
         return neighbours
 
     def record_outcome(
@@ -360,27 +487,36 @@
         """Check servers that send nothing while requests are in flight, forever."""
         while True:
             await asyncio.sleep(SILENCE_POLL_S)
-            for server_id in self.silent_servers():
+            for server_id in self.servers_to_check():
                 self.tasks.spawn(
                     self.check_silent_server(self.view.servers[server_id].server)
                 )
 
-    def silent_servers(self) -> list[ids.ServerId]:
-        """Return the servers whose check is due."""
+    def servers_to_check(self) -> list[ids.ServerId]:
+        """Return the silent servers whose check is due."""
         due_s = asyncio.get_running_loop().time() - SILENCE_S
+        return [
+            each
+            for each in self.silent_servers()
+            if each in self.view.servers
+            and each not in self.probes
+            and self.probed_s.get(each, 0.0) <= due_s
+        ]
+
+    def silent_servers(self) -> list[ids.ServerId]:
+        """Return the servers that send nothing while a request is in flight."""
+        since_s = asyncio.get_running_loop().time() - SILENCE_S
         return [
             server_id
             for server_id, requests in self.suspects.in_flight.items()
-            if server_id in self.view.servers
-            and server_id not in self.probes
-            and self.heard_s.get(server_id, 0.0) <= due_s
-            and self.probed_s.get(server_id, 0.0) <= due_s
-            and min(each.sent_s for each in requests.values()) <= due_s
+            if self.heard_s.get(server_id, 0.0) <= since_s
+            and min(each.sent_s for each in requests.values()) <= since_s
         ]
 
     async def check_silent_server(self, server: discovery.DiscoveredServer) -> None:
         """Check a server that has been silent, unless it is leaving."""
-        if self.view.servers[server.id].is_leaving:
+        known = self.view.servers.get(server.id)
+        if known is None or known.is_leaving:
             return
         outcome = await self.probe(server)
         self.probed_s[server.id] = asyncio.get_running_loop().time()
--- a/src/quetzalpass/membership/quarantine.py
+++ b/src/quetzalpass/membership/quarantine.py
@@ -170,10 +170,19 @@
         """
         if request_id not in self.in_flight.get(server_id, {}):
             return
-        lost: dict[str, InFlightRequest] = {}
-        for request in self.in_flight.pop(server_id).values():
-            lost[request.fingerprint] = request
+        requests = self.in_flight.pop(server_id).values()
+        for request in requests:
             self.remove_running_copy(request.fingerprint)
+        self.attribute_to_requests(server_id, list(requests), server_start)
+
+    def attribute_to_requests(
+        self,
+        server_id: ids.ServerId,
+        requests: list[InFlightRequest],
+        server_start: str,
+    ) -> None:
+        """Attribute a server's crash to given requests, which ran on it."""
+        lost = {each.fingerprint: each for each in requests}
         known = [each for each in lost.values() if self.is_repeated_crash(each)]
         attributed = known or list(lost.values())
         self.crash_count += 1
--- a/tests/fakes/crashing_servers.py
+++ b/tests/fakes/crashing_servers.py
@@ -75,6 +75,7 @@
             self.data_centre,
             started_ms=1_000_000 + int(now_s * 1000),
         )
+        server = msgspec.structs.replace(server, address=f"{self.name}:80")
         self.incarnations.append(Incarnation(server, now_s))
 
     def crash(self, downtime_s):
@@ -200,7 +201,7 @@
         if options.continuation is not None and copy_key not in self.fleet.copies:
             return result.Failure(relay_servers.REFUSED)
         if options.backup_address is not None:
-            holder, _, _ = options.backup_address.rpartition("-")
+            holder, _, _ = options.backup_address.partition(":")
             self.fleet.copies.add((holder, call.request_id))
         response = FakeResponse(self, incarnation, call)
         if options.continuation is not None:
--- a/tests/lifecycle/gateway_group.py
+++ b/tests/lifecycle/gateway_group.py
@@ -84,8 +84,9 @@
         self.versions[number] = reply.version
         if reply.servers is not None:
             harness.view.replace_servers(reply.servers, reply.age_s)
-        harness.view.replace_uses(reply.uses, reply.gateways)
         now_s = asyncio.get_running_loop().time()
+        harness.view.read_at_s = now_s - reply.age_s
+        harness.view.replace_uses(reply.uses, reply.gateways)
         harness.budget.update_gateways(reply.gateways, reply.retries, now_s)
         suspects.merge(reply.verdicts)
 
--- a/tests/lifecycle/test_crash_checks.py
+++ b/tests/lifecycle/test_crash_checks.py
@@ -101,6 +101,20 @@
             await asyncio.sleep(2.0)
         assert world.suspects.records == {}
 
+    async def test_new_server_at_the_address_of_one_that_left_makes_no_suspects(self):
+        world = World(is_silent=True, downtime_s=1.0)
+        async with world.group:
+            task = await world.start_call(b"draft")
+            address = world.busy_address()
+            address.is_leaving = True
+            await asyncio.sleep(0.6)
+            world.fleet.crash(address)
+            await asyncio.sleep(1.2)
+            address.is_leaving = False
+            await task
+            await asyncio.sleep(2.0)
+        assert world.suspects.records == {}
+
 
 class TestSilence:
     async def test_caller_that_leaves_a_silent_server_does_not_acquit_it(self):
--- a/tests/lifecycle/test_crashing_requests.py
+++ b/tests/lifecycle/test_crashing_requests.py
@@ -157,6 +157,12 @@
         await scenario.run()
         scenario.check()
 
+    async def test_silent_servers_that_are_soon_back(self, service, gateways, seed):
+        fleet = build_fleet(seed, is_silent=True, downtime_s=0.4)
+        scenario = Scenario(fleet, service, gateways, seed=seed)
+        await scenario.run()
+        scenario.check()
+
     async def test_errors_between_the_crashes(self, service, gateways, seed):
         fleet = build_fleet(seed, error_share=0.4)
         scenario = Scenario(fleet, service, gateways, seed=seed)
