Clear no lone suspect for output beyond the place of its crash

Cause: output beyond the place of a crash cleared the suspect, on the assumption that a request crashes at one place; a lone request needs no second look, it was the only one there. Now output clears only crashes that the request shared; a lone suspect is cleared by a complete run. A copy no longer waits for one that is past the place. The unit test that cleared a lone suspect contradicts the rule of the incident: it now has two suspects with the same offsets, and a new one beside it holds the lone case.

--- a/src/quetzalpass/membership/quarantine.py
+++ b/src/quetzalpass/membership/quarantine.py
@@ -352,13 +352,22 @@
         passed = {
             each
             for each, crash in record.crashes.items()
-            if tokens is None or tokens >= crash.place + CLEARING_TOKENS
+            if tokens is None or self.has_passed(crash, tokens)
         }
         if not passed:
             return
         self.remove_crashes(fingerprint, record, passed)
         self.log_change(fingerprint, suspect_reports.SuspectChange.CLEARED)
 
+    def has_passed(self, crash: suspect_reports.ServerCrash, tokens: int) -> bool:
+        """Return whether output beyond the place of a crash clears a request of it.
+
+        A request that was alone on the server may crash the next one at another place,
+        so only a complete run clears it.
+        """
+        is_shared = crash.weight < 1.0
+        return is_shared and tokens >= crash.place + CLEARING_TOKENS
+
     def withdraw(self, server_start: str) -> None:
         """Withdraw the crash of a server that has proved to run still."""
         for fingerprint in list(self.suspects_by_crash.get(server_start, ())):
@@ -385,8 +394,19 @@
         self.mark_changed(record, SUSPECT_LIFETIME_S)
 
     def has_other_copy(self, fingerprint: str) -> bool:
-        """Return whether a copy of a suspect runs here."""
-        return self.is_suspect(fingerprint) and fingerprint in self.running_copies
+        """Return whether a copy of a suspect runs here that may crash its server.
+
+        A copy whose output has passed the places of all crashes is not waited for.
+        """
+        if not self.is_suspect(fingerprint) or fingerprint not in self.running_copies:
+            return False
+        crashes = self.records[fingerprint].crashes.values()
+        last_place = max(each.place for each in crashes)
+        return any(
+            each.fingerprint == fingerprint and each.tokens <= last_place
+            for requests in self.in_flight.values()
+            for each in requests.values()
+        )
 
     def servers_to_avoid(self, fingerprint: str) -> frozenset[ids.ServerId]:
         """Return the servers on which a suspect would run beside another suspect."""
--- a/tests/fakes/crashing_servers.py
+++ b/tests/fakes/crashing_servers.py
@@ -115,6 +115,8 @@
     crash_event : int or None
         Event of a stream after which the marked request crashes its server; ``None``
         for a crash before the response begins.
+    crash_share : float
+        If above 0, each event crashes its server with this probability instead.
     crash_times_s : list of float
         Loop times of the crashes.
     crashing_sends_s : list of float
@@ -129,6 +131,7 @@
         self.is_silent = is_silent
         self.error_share = error_share
         self.crash_event = None
+        self.crash_share = 0.0
         self.length = 60
         self.addresses = {}
         self.copies = set()
@@ -167,6 +170,16 @@
             for server in address.listed(now_s)
         )
 
+    @property
+    def crashes_later(self):
+        return bool(self.crash_event or self.crash_share)
+
+    def crashes_at(self, event):
+        """Return whether a server crashes before an event of the marked request."""
+        if self.crash_share:
+            return self.rng.random() < self.crash_share
+        return event == self.crash_event
+
     def crash(self, address):
         self.crash_times_s.append(asyncio.get_running_loop().time())
         address.crash(self.downtime_s)
@@ -206,7 +219,7 @@
         response = FakeResponse(self, incarnation, call)
         if options.continuation is not None:
             response.next_event = int(options.continuation.last_event_id or 0) + 1
-        if is_crashing and (options.urgency is None or not self.fleet.crash_event):
+        if is_crashing and (options.urgency is None or not self.fleet.crashes_later):
             self.fleet.crash(self.address)
         is_stream = options.urgency is not None
         failure = await response.wait(PREFILL_S if is_stream else CALL_S)
@@ -267,7 +280,7 @@
         number = self.next_event
         self.next_event += 1
         is_crashing = self.call.body == CRASHING_BODY
-        if is_crashing and number == self.fleet.crash_event:
+        if is_crashing and self.fleet.crashes_at(number):
             self.fleet.crash(self.server.address)
             return await self.wait(relay_servers.STEP_S)
         return result.Success(relay_servers.event(number))
--- a/tests/lifecycle/test_crashing_requests.py
+++ b/tests/lifecycle/test_crashing_requests.py
@@ -184,6 +184,17 @@
         scenario.check()
 
 
+@pytest.mark.parametrize("seed", range(1, 5))
+@pytest.mark.parametrize("gateways", [1, 4])
+class TestCrashAtAnyPlace:
+    async def test_generation_that_crashes_after_ever_more_events(self, gateways, seed):
+        fleet = build_fleet(seed)
+        fleet.crash_share = 0.1
+        scenario = Scenario(fleet, "model", gateways, seed=seed)
+        await scenario.run()
+        scenario.check()
+
+
 class TestGatewayRestarts:
     @pytest.mark.parametrize("seed", range(1, 5))
     async def test_crashes_after_a_restart_are_new_ones(self, seed):
--- a/tests/lifecycle/test_quarantine.py
+++ b/tests/lifecycle/test_quarantine.py
@@ -65,16 +65,23 @@
         assert gateway_quarantine.refusal("f") is None
 
     async def test_suspect_is_cleared_only_past_the_offset_of_its_crash(self):
-        gateway_quarantine = quarantine.Quarantine("a")
-        gateway_quarantine.add_request(
-            ids.ServerId("s"), ids.RequestId("r0"), "f"
-        ).tokens = 50
+        gateway_quarantine = quarantine_running("a", "s", ["f", "g"])
+        in_flight = gateway_quarantine.in_flight[ids.ServerId("s")]
+        in_flight[ids.RequestId("r0")].tokens = 50
         crash_server(gateway_quarantine)
         gateway_quarantine.clear("f", 50 + quarantine.CLEARING_TOKENS - 1)
         assert gateway_quarantine.is_suspect("f")
         gateway_quarantine.clear("f", 50 + quarantine.CLEARING_TOKENS)
         assert not gateway_quarantine.is_suspect("f")
 
+    async def test_request_that_was_alone_is_cleared_only_by_a_complete_run(self):
+        gateway_quarantine = quarantine_running("a", "s", ["f"])
+        crash_server(gateway_quarantine)
+        gateway_quarantine.clear("f", 1_000)
+        assert gateway_quarantine.is_suspect("f")
+        gateway_quarantine.clear("f", None)
+        assert not gateway_quarantine.is_suspect("f")
+
     async def test_crash_in_another_phase_does_not_count_as_a_second_one(self):
         gateway_quarantine = quarantine.Quarantine("a")
         gateway_quarantine.add_request(
