Tell a request that lost a server by chance from the one that crashed the next

Callers would have seen: an unrelated request, alone on a server that was killed, then beside a crashing request on the next, was refused for ten minutes; more likely since lone suspects are cleared only by a complete run. Cause: a weight that was fixed when the crash was seen, and a threshold that one lone and one shared crash exceed. Now the weight follows from all that is known: a crash counts against the requests that other servers crashed under too, and a request is refused from a sum of 2. Evidence: test_request_that_lost_a_server_by_chance_is_not_refused.

--- a/src/quetzalpass/membership/quarantine.py
+++ b/src/quetzalpass/membership/quarantine.py
@@ -1,9 +1,10 @@
 """Finds requests that crash backend servers, and shares suspects between gateways.
 
-When a server crashes, each request that was running on it becomes a suspect with a
-weight of one over their number. A suspect runs again only where no other suspect runs.
-If servers crash under it repeatedly, it is refused for a time, whoever sends it. A
-suspect is cleared when it completes or when its output passes the offset that it had
+When a server crashes, each request that was running on it becomes a suspect. The crash
+counts against those that other servers crashed under too, or else against all of them,
+by a weight of one over their number. A suspect runs again only where no other suspect
+runs. If servers crash under it repeatedly, it is refused for a time, whoever sends it.
+A suspect is cleared when it completes or when its output passes the offset that it had
 reached at the crash. No request is suspected if the platform had announced the end of
 the server or if the server still responds.
 
@@ -24,10 +25,9 @@
 
 SUSPECT_LIFETIME_S = 600.0
 QUARANTINE_S = 600.0
-# A request is refused above this sum of weights. Two requests that were twice together
-# on a crashed server reach it, but don't exceed it, as one of them may be unrelated.
-MAX_WEIGHT = 1.0
-REFUSAL_CRASHES = 2
+# A request is refused from this sum of weights on: after two crashes that count against
+# it alone, or after more that it shared.
+REFUSAL_WEIGHT = 2.0
 # Tokens beyond the output offset at the crash that clear a request: a step that crashes
 # the engine emits nothing, and the tokens of the step before it have arrived.
 CLEARING_TOKENS = 1
@@ -250,32 +250,29 @@
         """
         record = self.records[fingerprint]
         for opened in (False, True):
-            weights: dict[str, float] = {}
-            for crash in record.crashes.values():
-                if crash.opened is opened:
-                    weight = self.weight_of(fingerprint, crash)
-                    weights[crash.event_key] = max(
-                        weight, weights.get(crash.event_key, 0.0)
-                    )
-            if len(weights) >= REFUSAL_CRASHES and sum(weights.values()) > MAX_WEIGHT:
+            event_keys = {
+                each.event_key
+                for each in record.crashes.values()
+                if each.opened is opened
+            }
+            weights = [self.weight_of(fingerprint, each) for each in event_keys]
+            if sum(weights) >= REFUSAL_WEIGHT:
                 return True
         return False
 
-    def weight_of(self, fingerprint: str, crash: suspect_reports.ServerCrash) -> float:
-        """Return the weight of a crash, given what all gateways report about it.
+    def weight_of(self, fingerprint: str, event_key: str) -> float:
+        """Return how much a crash counts against a request now.
 
-        If other crashes are attributed to some of its requests, it counts against
-        these alone.
+        It counts against the requests to which other crashes are attributed too, or
+        against all requests on the server if there are none.
         """
-        involved = self.suspects_by_crash[crash.event_key]
+        involved = self.suspects_by_crash[event_key]
         repeated = {
-            each
-            for each in involved
-            if self.records[each].has_other_crash(crash.event_key)
+            each for each in involved if self.records[each].has_other_crash(event_key)
         }
         if repeated and fingerprint not in repeated:
             return 0.0
-        return min(crash.weight, 1 / len(repeated or involved))
+        return 1 / len(repeated or involved)
 
     def get_or_create_record(self, fingerprint: str) -> SuspectRecord:
         """Return the record of a request, which is created if there is none."""
--- a/tests/lifecycle/test_crash_checks.py
+++ b/tests/lifecycle/test_crash_checks.py
@@ -4,7 +4,6 @@
 
 from fakes import crashing_servers
 from lifecycle import gateway_group, test_crashing_requests
-from quetzalpass.membership import quarantine
 
 pytestmark = pytest.mark.looptime
 
@@ -150,4 +149,4 @@
         (record,) = world.suspects.records.values()
         crashes = {each.server_start for each in record.crashes.values()}
         assert len(crashes) == len(world.fleet.crash_times_s)
-        assert len(crashes) >= quarantine.REFUSAL_CRASHES
+        assert len(crashes) >= 2
--- a/tests/lifecycle/test_quarantine.py
+++ b/tests/lifecycle/test_quarantine.py
@@ -155,6 +155,16 @@
         assert suspects.refusal("crashing") is not None
         assert suspects.refusal("unrelated") is None
 
+    async def test_request_that_lost_a_server_by_chance_is_not_refused(self):
+        suspects = quarantine.Quarantine("a")
+        crash_at(suspects, "killed", ["unrelated"])
+        crash_at(suspects, "s", ["crashing", "other"])
+        crash_at(suspects, "t", ["crashing", "unrelated"])
+        assert suspects.refusal("unrelated") is None
+        crash_at(suspects, "u", ["crashing"])
+        assert suspects.refusal("crashing") is not None
+        assert suspects.refusal("unrelated") is None
+
 
 class TestCrashingRequests:
     async def add_crash_faults(self, caller):
