--- a/src/quetzalpass/membership/quarantine.py
+++ b/src/quetzalpass/membership/quarantine.py
@@ -25,9 +25,11 @@
 
 SUSPECT_LIFETIME_S = 600.0
 QUARANTINE_S = 600.0
-# A request is refused from this sum of weights on: after two crashes that count against
-# it alone, or after more that it shared.
-REFUSAL_WEIGHT = 2.0
+# A request is refused after two crashes that count against it alone, or after three
+# with a larger sum of weights than one.
+TWO_CRASHES = 2
+TWO_CRASHES_WEIGHT = 2.0
+MAX_WEIGHT = 1.0
 # Tokens beyond the output offset at the crash that clear a request: a step that crashes
 # the engine emits nothing, and the tokens of the step before it have arrived.
 CLEARING_TOKENS = 1
@@ -255,8 +257,10 @@
                 for each in record.crashes.values()
                 if each.opened is opened
             }
-            weights = [self.weight_of(fingerprint, each) for each in event_keys]
-            if sum(weights) >= REFUSAL_WEIGHT:
+            weight = sum(self.weight_of(fingerprint, each) for each in event_keys)
+            if weight >= TWO_CRASHES_WEIGHT:
+                return True
+            if len(event_keys) > TWO_CRASHES and weight > MAX_WEIGHT:
                 return True
         return False
 
--- a/tests/lifecycle/test_quarantine.py
+++ b/tests/lifecycle/test_quarantine.py
@@ -155,6 +155,15 @@
         assert suspects.refusal("crashing") is not None
         assert suspects.refusal("unrelated") is None
 
+    async def test_third_crash_tells_a_request_from_those_that_shared_two(self):
+        suspects = quarantine.Quarantine("a")
+        for server in ("s", "t"):
+            crash_at(suspects, server, ["crashing", "first", "second", "third"])
+        assert suspects.refusal("crashing") is None
+        crash_at(suspects, "u", ["crashing"])
+        assert suspects.refusal("crashing") is not None
+        assert suspects.refusal("first") is None
+
     async def test_request_that_lost_a_server_by_chance_is_not_refused(self):
         suspects = quarantine.Quarantine("a")
         crash_at(suspects, "killed", ["unrelated"])
