--- a/src/quetzalpass/lifecycle/relayed_calls.py
+++ b/src/quetzalpass/lifecycle/relayed_calls.py
@@ -217,6 +217,12 @@
     state.runs += 1
     state.failure = None
     status = response.head.status
+    gateway.record_decision(
+        routed,
+        "responded",
+        reservation.server.id,
+        f"status {status}, body ended by {response.head.body_end.value}",
+    )
     if (
         status < relay_gateway.SERVER_ERROR
         and status not in relay_gateway.STATUSES_PROMISING_NOT_RUN
--- a/tests/fakes/crashing_servers.py
+++ b/tests/fakes/crashing_servers.py
@@ -127,6 +127,11 @@
         Time for which the marked request runs before it crashes its server.
     listed_after_crash_s : float
         Time for which the list shows a server that has crashed.
+    every_second_fails : bool
+        Whether every second marked request gets an error response and crashes nothing.
+    unframed_services : frozenset of str
+        Services whose responses have neither a length nor chunks: a crash inside one
+        looks like its end.
     crash_times_s : list of float
         Loop times of the crashes.
     crashing_sends_s : list of float
@@ -143,6 +148,8 @@
         self.crash_event = None
         self.crash_share = 0.0
         self.crash_delay_s = 0.0
+        self.every_second_fails = False
+        self.unframed_services = frozenset()
         self.listed_after_crash_s = LISTED_AFTER_CRASH_S
         self.length = 60
         self.addresses = {}
@@ -192,6 +199,10 @@
             return self.rng.random() < self.crash_share
         return event == self.crash_event
 
+    def fails_this_time(self):
+        """Return whether the marked request that has just arrived only fails."""
+        return self.every_second_fails and len(self.crashing_sends_s) % 2 == 0
+
     def crash(self, address):
         self.crash_times_s.append(asyncio.get_running_loop().time())
         address.crash(self.downtime_s)
@@ -220,6 +231,8 @@
             self.fleet.crashing_sends_s.append(now_s)
         if incarnation.server.id != self.server_id:
             return result.Failure(MISDIRECTED)
+        if is_crashing and self.fleet.fails_this_time():
+            return result.Success(FakeResponse(self, incarnation, call, status=500))
         if self.fleet.rng.random() < self.fleet.error_share:
             return result.Success(FakeResponse(self, incarnation, call, status=500))
         copy_key = (self.address.name, call.request_id)
@@ -238,6 +251,8 @@
                     return failure
             if incarnation.crashed_s is None:
                 self.fleet.crash(self.address)
+            if self.address.service in self.fleet.unframed_services:
+                return result.Success(response)
         is_stream = options.urgency is not None
         failure = await response.wait(PREFILL_S if is_stream else CALL_S)
         return result.Success(response) if failure is None else failure
@@ -270,7 +285,12 @@
         self.call = call
         self.next_event = 1
         self.closed = asyncio.Event()
-        self.head = relays.ResponseHead(status, relay_servers.HEADERS)
+        body_end = relays.BodyEnd.LENGTH
+        if server.address.service in server.fleet.unframed_services:
+            body_end = relays.BodyEnd.CLOSE
+        self.head = relays.ResponseHead(
+            status, relay_servers.HEADERS, body_end=body_end
+        )
 
     async def wait(self, seconds):
         """Wait while the server works; return the failure if it crashes meanwhile."""
