--- a/tests/fakes/crashing_servers.py
+++ b/tests/fakes/crashing_servers.py
@@ -127,11 +127,12 @@
         Time for which the marked request runs before it crashes its server.
     listed_after_crash_s : float
         Time for which the list shows a server that has crashed.
-    every_second_fails : bool
-        Whether every second marked request gets an error response and crashes nothing.
+    failing_remainder : int or None
+        If set, every second marked request gets an error response and crashes nothing:
+        those whose number has this remainder.
     unframed_services : frozenset of str
-        Services whose responses have neither a length nor chunks: a crash inside one
-        looks like its end.
+        Services whose responses have neither a length nor chunks: an orderly close at
+        a crash looks like the end of the response.
     crash_times_s : list of float
         Loop times of the crashes.
     crashing_sends_s : list of float
@@ -148,7 +149,7 @@
         self.crash_event = None
         self.crash_share = 0.0
         self.crash_delay_s = 0.0
-        self.every_second_fails = False
+        self.failing_remainder = None
         self.unframed_services = frozenset()
         self.listed_after_crash_s = LISTED_AFTER_CRASH_S
         self.length = 60
@@ -201,7 +202,7 @@
 
     def fails_this_time(self):
         """Return whether the marked request that has just arrived only fails."""
-        return self.every_second_fails and len(self.crashing_sends_s) % 2 == 0
+        return len(self.crashing_sends_s) % 2 == self.failing_remainder
 
     def crash(self, address):
         self.crash_times_s.append(asyncio.get_running_loop().time())
@@ -305,7 +306,15 @@
             await self.closed.wait()
         return result.Failure(relay_servers.LOST)
 
+    def end_after_crash(self):
+        """Return what a gateway reads after its server has crashed inside the body."""
+        if self.head.body_end is relays.BodyEnd.CLOSE:
+            return result.Success(b"")
+        return result.Failure(relay_servers.LOST)
+
     async def read_body(self):
+        if self.incarnation.crashed.is_set() and not self.fleet.is_silent:
+            return self.end_after_crash()
         return result.Success(b"whole")
 
     async def next_chunk(self):
@@ -319,7 +328,9 @@
         is_crashing = crashes_servers(self.call)
         if is_crashing and self.fleet.crashes_at(number):
             self.fleet.crash(self.server.address)
-            return await self.wait(relay_servers.STEP_S)
+            if self.fleet.is_silent:
+                return await self.wait(relay_servers.STEP_S)
+            return self.end_after_crash()
         return result.Success(relay_servers.event(number))
 
     def close(self):
--- a/tests/lifecycle/test_crashing_requests.py
+++ b/tests/lifecycle/test_crashing_requests.py
@@ -65,12 +65,15 @@
     ----------
     copies : int
         Copies of the crashing request that arrive at the same moment, once a second.
+    has_innocents : bool
+        Whether innocent requests are sent.
     """
 
     def __init__(self, fleet, service, gateways=1, copies=1, seed=1):
         self.fleet = fleet
         self.path = PATHS[service]
         self.copies = copies
+        self.has_innocents = True
         self.rng = random.Random(seed)
         source = crashing_servers.LaggingList(fleet)
         self.group = gateway_group.GatewayGroup(fleet, source, gateways, seed)
@@ -84,7 +87,8 @@
 
     async def run(self, seconds=RUN_S):
         async with self.group:
-            self.spawn(self.send_innocents(seconds))
+            if self.has_innocents:
+                self.spawn(self.send_innocents(seconds))
             for _ in range(int(seconds)):
                 for _ in range(self.copies):
                     body = crashing_servers.CRASHING_BODY
@@ -226,6 +230,48 @@
         assert late_sends(fleet) <= MAX_LATE_SENDS
 
 
+@pytest.mark.parametrize("seed", range(1, 4))
+@pytest.mark.parametrize("gateways", [1, 3])
+@pytest.mark.parametrize("copies", [1, 4])
+class TestResponsesThatEndWithTheirConnection:
+    """A crash closes the connection, which ends a body without length or chunks."""
+
+    async def test_calls(self, copies, gateways, seed):
+        fleet = build_fleet(seed, services=6)
+        fleet.unframed_services = frozenset({"ledger"})
+        scenario = Scenario(fleet, "ledger", gateways, copies, seed)
+        await scenario.run()
+        scenario.check()
+
+    async def test_streams_that_end_between_two_events(self, copies, gateways, seed):
+        fleet = build_fleet(seed)
+        fleet.unframed_services = frozenset({"model"})
+        fleet.crash_event = 3
+        scenario = Scenario(fleet, "model", gateways, copies, seed)
+        await scenario.run()
+        scenario.check()
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+@pytest.mark.parametrize("crash_delay_s", [0.0, 0.045, 0.2])
+@pytest.mark.parametrize("is_silent", [False, True])
+@pytest.mark.parametrize("services", [3, 6])
+@pytest.mark.parametrize("failing_remainder", [0, 1])
+class TestErrorsInsteadOfCrashes:
+    """Four copies at once; every second one only fails, and the others crash."""
+
+    async def test_copies_in_three_data_centres(
+        self, failing_remainder, services, is_silent, crash_delay_s, seed
+    ):
+        fleet = build_fleet(seed, engines=0, services=services, is_silent=is_silent)
+        fleet.failing_remainder = failing_remainder
+        fleet.crash_delay_s = crash_delay_s
+        scenario = Scenario(fleet, "ledger", copies=4, seed=seed)
+        scenario.has_innocents = False
+        await scenario.run()
+        assert late_sends(fleet) <= MAX_LATE_SENDS
+
+
 class TestGatewayRestarts:
     @pytest.mark.parametrize("seed", range(1, 5))
     async def test_crashes_after_a_restart_are_new_ones(self, seed):
--- a/tests/lifecycle/test_refused_suspects.py
+++ b/tests/lifecycle/test_refused_suspects.py
@@ -62,6 +62,19 @@
         assert send_count(harness) == 0
         assert response.status == relay_gateway.STATUS_NOT_RUN
 
+    async def test_call_that_waits_before_its_retry_is_not_sent(self):
+        harness = make_harness(SERVICES[:1])
+        harness.server("l-1").scripted_responses = [relay_servers.REFUSED]
+        response, task = harness.start("/reads/1")
+        while send_count(harness) == 0:
+            await asyncio.sleep(0)
+        # The call now sleeps before it is sent to the same server again.
+        await asyncio.sleep(0)
+        refuse(harness, "/reads/1")
+        await task
+        assert send_count(harness) == 1
+        assert response.status == relay_gateway.STATUS_NOT_RUN
+
     async def test_generation_does_not_resume_from_its_backup(self):
         harness = make_harness(ENGINES)
         response, task = await start_stream(harness, "/drafts/1")
