--- a/src/quetzalpass/lifecycle/crash_checks.py
+++ b/src/quetzalpass/lifecycle/crash_checks.py
@@ -45,6 +45,19 @@
 # The list shows by then whether a server that responds again was restarted.
 CONFIRMATION_S = 3.0
 MAX_LIST_AGE_S = 1.5
+# A response that ended with its connection is complete after these outcomes.
+COMPLETE_AFTER = frozenset(
+    {
+        crash_events.CrashCheckOutcome.RESPONDS,
+        crash_events.CrashCheckOutcome.LEAVING,
+        crash_events.CrashCheckOutcome.UNLISTED,
+    }
+)
+ENDED_WITH_CONNECTION = base.AttemptFailure(
+    base.AttemptEnd.MAY_HAVE_RUN,
+    base.FailureKind.CLOSED,
+    "the server is down after a response that ended with its connection",
+)
 UNEXPLAINED = frozenset(
     {
         crash_events.CrashCheckOutcome.RESPONDS,
@@ -218,30 +231,78 @@
     ) -> None:
         """Check the server of a request, then remove the request from it."""
         try:
-            outcome = self.outcome_without_probe(server, failure)
-            if outcome is None:
-                outcome = await self.probes.probe(server)
-            self.record_outcome(
-                server,
-                outcome,
-                f"{failure.end.value}, {failure.kind.value}",
-                routed,
-            )
-            if outcome is crash_events.CrashCheckOutcome.CRASHED:
-                self.record_crash(server, check.request)
-            elif outcome in UNEXPLAINED:
-                self.remember_lost(server, check.request)
-                if outcome is crash_events.CrashCheckOutcome.CUT_OFF:
-                    self.suspects.separated.add(
-                        routed.fingerprint, lost_requests.LOST_LIFETIME_S
-                    )
-            elif outcome is crash_events.CrashCheckOutcome.REPLACED:
-                self.health.eject(server.id, "another server has its address")
-                self.record_late_crash(server)
+            outcome = await self.find_outcome(routed, server, failure)
+            self.apply_outcome(routed, server, outcome)
+        finally:
+            self.pending.discard(check)
+            self.suspects.remove_request(check.server, check.request)
+
+    async def is_complete(
+        self,
+        routed: relay_requests.RoutedRequest,
+        server: discovery.DiscoveredServer,
+    ) -> bool:
+        """Return whether a response that ended with its connection is complete.
+
+        A crash closes the connection too, so the server must still run, or must have
+        announced that it leaves. A crash is attributed to the server's requests.
+        """
+        check = PendingCheck(server.id, routed.request.request_id)
+        self.pending.add(check)
+        checking = self.tasks.spawn(self.check_end(check, routed, server))
+        return await asyncio.shield(checking)
+
+    async def check_end(
+        self,
+        check: PendingCheck,
+        routed: relay_requests.RoutedRequest,
+        server: discovery.DiscoveredServer,
+    ) -> bool:
+        """Check the server of a response that ended with its connection."""
+        try:
+            outcome = await self.find_outcome(routed, server, ENDED_WITH_CONNECTION)
+            if outcome in COMPLETE_AFTER:
+                return True
+            self.apply_outcome(routed, server, outcome)
+            return False
         finally:
             self.pending.discard(check)
             self.suspects.remove_request(check.server, check.request)
 
+    async def find_outcome(
+        self,
+        routed: relay_requests.RoutedRequest,
+        server: discovery.DiscoveredServer,
+        failure: base.AttemptFailure,
+    ) -> crash_events.CrashCheckOutcome:
+        """Find out whether a server has crashed, and log the outcome."""
+        outcome = self.outcome_without_probe(server, failure)
+        if outcome is None:
+            outcome = await self.probes.probe(server)
+        cause = f"{failure.end.value}, {failure.kind.value}"
+        self.record_outcome(server, outcome, cause, routed)
+        return outcome
+
+    def apply_outcome(
+        self,
+        routed: relay_requests.RoutedRequest,
+        server: discovery.DiscoveredServer,
+        outcome: crash_events.CrashCheckOutcome,
+    ) -> None:
+        """Attribute a crash to a broken request, or remember the request if unsure."""
+        request_id = routed.request.request_id
+        if outcome is crash_events.CrashCheckOutcome.CRASHED:
+            self.record_crash(server, request_id)
+        elif outcome in UNEXPLAINED:
+            self.remember_lost(server, request_id)
+            if outcome is crash_events.CrashCheckOutcome.CUT_OFF:
+                self.suspects.separated.add(
+                    routed.fingerprint, lost_requests.LOST_LIFETIME_S
+                )
+        elif outcome is crash_events.CrashCheckOutcome.REPLACED:
+            self.health.eject(server.id, "another server has its address")
+            self.record_late_crash(server)
+
     def remember_lost(
         self, server: discovery.DiscoveredServer, request_id: ids.RequestId
     ) -> None:
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -20,7 +20,6 @@
     crash_checks,
     relay_requests,
     relay_reservations,
-    server_probes,
     shared_budget,
 )
 from quetzalpass.membership import configuration, discovery, fleet_view, quarantine
@@ -345,34 +344,40 @@
             if not known.is_leaving:
                 self.spawn(self.confirm_leaving(server))
 
-    def record_completion(
+    async def is_complete(
         self,
         routed: relay_requests.RoutedRequest,
         server: discovery.DiscoveredServer,
         head: relays.ResponseHead,
-    ) -> None:
-        """Clear a request, and the parts of its prompt, that a server has run.
+    ) -> bool:
+        """Return whether a response whose body has ended is complete.
 
-        A crash, too, closes the connection, which ends a body without framing. The
-        parts are then cleared only if the server still responds.
+        A body without framing ends with its connection, which a crash closes too.
         """
-        self.suspects.clear(routed.fingerprint, None)
-        if not routed.parts:
-            return
-        if head.body_end is relays.BodyEnd.CLOSE:
-            self.spawn(self.clear_parts_if_running(routed, server))
-        else:
-            self.suspects.parts.clear(routed.parts)
+        if head.body_end is not relays.BodyEnd.CLOSE:
+            return True
+        return await self.crash_checks.is_complete(routed, server)
 
-    async def clear_parts_if_running(
+    def record_completion(
         self,
         routed: relay_requests.RoutedRequest,
         server: discovery.DiscoveredServer,
+        head: relays.ResponseHead,
     ) -> None:
-        """Clear the parts of a prompt if the server that ran it still responds."""
-        backend = self.get_relay_server(server)
-        if await backend.check_health(server_probes.HEALTH_TIMEOUT_S):
-            self.suspects.parts.clear(routed.parts)
+        """Clear a request, and the parts of its prompt, that a server has run.
+
+        A body without framing that ended on a server that leaves does not show whether
+        the server ran the request to its end.
+        """
+        if head.body_end is relays.BodyEnd.CLOSE and self.is_leaving(server.id):
+            return
+        self.suspects.clear(routed.fingerprint, None)
+        self.suspects.parts.clear(routed.parts)
+
+    def is_leaving(self, server_id: ids.ServerId) -> bool:
+        """Return whether a server is leaving or has left."""
+        known = self.view.servers.get(server_id)
+        return known is None or known.is_leaving
 
     def on_broken_request(
         self,
@@ -381,8 +386,7 @@
         failure: base.AttemptFailure,
     ) -> None:
         """Record a request that broke off, and check its server for a crash."""
-        known = self.view.servers.get(server.id)
-        is_leaving = known is None or known.is_leaving
+        is_leaving = self.is_leaving(server.id)
         if not is_leaving and failure.end not in crash_checks.NOT_STARTED:
             self.reservations.health.record_failure(server.id, failure.message)
         self.crash_checks.start_check(routed, server, failure)
--- a/src/quetzalpass/lifecycle/relayed_calls.py
+++ b/src/quetzalpass/lifecycle/relayed_calls.py
@@ -10,6 +10,7 @@
 from quetzalpass.declarations import relays as declared
 from quetzalpass.lifecycle import (
     attempts,
+    crash_checks,
     relay_gateway,
     relay_requests,
     relay_reservations,
@@ -190,7 +191,11 @@
         body = await response.read_body()
     finally:
         response.close()
-    return body.map(lambda data: WholeResponse(response.head, data))
+    if isinstance(body, result.Failure):
+        return body
+    if not await gateway.is_complete(routed, reservation.server, response.head):
+        return result.Failure(crash_checks.ENDED_WITH_CONNECTION)
+    return result.Success(WholeResponse(response.head, body.unwrap()))
 
 
 def attempt_timeout_s(routed: relay_requests.RoutedRequest, state: CallState) -> float:
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -14,6 +14,7 @@
 from quetzalpass import event_log, ids
 from quetzalpass.backends import base, event_splitter, relays
 from quetzalpass.lifecycle import (
+    crash_checks,
     event_pacing,
     generation_moves,
     relay_gateway,
@@ -257,6 +258,13 @@
         self, server: discovery.DiscoveredServer, failure: base.AttemptFailure
     ) -> None:
         """Log a broken stream, and check in the background for a crash."""
+        self.log_broken(server, failure)
+        self.gateway.on_broken_request(self.routed, server, failure)
+
+    def log_broken(
+        self, server: discovery.DiscoveredServer, failure: base.AttemptFailure
+    ) -> None:
+        """Log why a stream has broken off."""
         self.gateway.record_decision(
             self.routed,
             "broken",
@@ -264,7 +272,6 @@
             f"after {self.events} events, {failure.kind.value}: {failure.message}",
             event_log.Level.NOTICE,
         )
-        self.gateway.on_broken_request(self.routed, server, failure)
 
     async def relay_segment(self) -> SegmentEnd:
         """Relay the current segment until its stream ends or breaks."""
@@ -275,7 +282,7 @@
             return SegmentEnd.COMPLETE
         if not self.response.has_begun:
             await self.response.begin(head)
-        if self.is_leaving(segment.reservation.server.id):
+        if self.gateway.is_leaving(segment.reservation.server.id):
             self.start_move()
         while True:
             received = await segment.next_batch(has_begun=self.events > 0)
@@ -287,9 +294,20 @@
             batch = received.unwrap()
             await self.relay_events(segment, batch.events)
             if batch.is_last:
+                if not await self.is_complete(segment):
+                    return SegmentEnd.BROKEN
                 await self.relay_rest(segment, batch.rest)
                 return SegmentEnd.COMPLETE
 
+    async def is_complete(self, segment: stream_segments.StreamSegment) -> bool:
+        """Return whether a stream that has ended is complete; log it if not."""
+        server = segment.reservation.server
+        head = segment.server_response.head
+        if await self.gateway.is_complete(self.routed, server, head):
+            return True
+        self.log_broken(server, crash_checks.ENDED_WITH_CONNECTION)
+        return False
+
     def check_reported_events(
         self, batch: stream_segments.EventBatch
     ) -> result.Result[stream_segments.EventBatch, base.AttemptFailure]:
@@ -319,6 +337,8 @@
         body = await segment.server_response.read_body()
         if isinstance(body, result.Failure):
             raise stream_failures.server_lost(body.failure().message)
+        if not await self.is_complete(segment):
+            raise stream_failures.server_lost("the server was lost with its response")
         if status in relay_gateway.STATUSES_PROMISING_NOT_RUN:
             raise stream_failures.server_lost(f"the server responded {status}")
         if status >= relay_gateway.SERVER_ERROR:
@@ -407,11 +427,6 @@
         self.last_event_id = event.id
         return True
 
-    def is_leaving(self, server_id: ids.ServerId) -> bool:
-        """Return whether a server is leaving or has left."""
-        known = self.gateway.view.servers.get(server_id)
-        return known is None or known.is_leaving
-
     def on_server_leaving(self, server_id: ids.ServerId) -> None:
         """Move away from a server that is leaving, and stop using a backup on it."""
         for segment in (self.segment, self.next_segment):
@@ -435,7 +450,7 @@
     ) -> generation_moves.MemoryCopy | None:
         """Return the backup of a segment, unless its server is leaving or has left."""
         backup = segment.reservation.backup
-        if backup is None or self.is_leaving(backup.id):
+        if backup is None or self.gateway.is_leaving(backup.id):
             return None
         return generation_moves.MemoryCopy(backup, backup, self.request_id)
 
--- a/tests/lifecycle/test_relayed_calls.py
+++ b/tests/lifecycle/test_relayed_calls.py
@@ -5,6 +5,7 @@
 from declarations import relay_builders
 from fakes import relay_servers
 from lifecycle import gateway_harness
+from quetzalpass.backends import relays as backend_relays
 from quetzalpass.declarations import relays
 from quetzalpass.lifecycle import relay_gateway
 
@@ -28,6 +29,53 @@
     return sum(harness.send_count(each.id) for each in harness.servers)
 
 
+@pytest.mark.looptime
+class TestResponsesThatEndWithTheirConnection:
+    async def serve(self, harness, is_crashing):
+        for each in harness.servers:
+            server = harness.server(each.id)
+            server.body_end = backend_relays.BodyEnd.CLOSE
+            server.delay_s = 0.1
+        response, task = harness.start()
+        await asyncio.sleep(0.05)
+        for each in harness.servers:
+            harness.server(each.id).is_dead = is_crashing and harness.send_count(
+                each.id
+            )
+        await task
+        return response
+
+    async def test_response_of_a_running_server_is_complete(self):
+        response = await self.serve(non_idempotent_harness(), is_crashing=False)
+        assert response.status == 200
+        assert response.data == b"whole"
+
+    async def test_response_of_a_crashed_server_is_not_passed_on(self):
+        harness = non_idempotent_harness()
+        response = await self.serve(harness, is_crashing=True)
+        assert response.status == relay_gateway.STATUS_BAD_GATEWAY
+        assert len(harness.gateway.suspects.suspects_by_crash) == 1
+
+    async def test_idempotent_call_is_retried(self):
+        harness = ledger_harness()
+        response = await self.serve(harness, is_crashing=True)
+        assert response.status == 200
+        assert total_send_count(harness) == 2
+
+    async def test_response_of_a_leaving_server_is_complete_but_acquits_nothing(self):
+        harness = non_idempotent_harness(1)
+        cleared = []
+        harness.gateway.suspects.clear = lambda *args: cleared.append(args)
+        response, task = harness.start()
+        harness.server("l-1").body_end = backend_relays.BodyEnd.CLOSE
+        harness.server("l-1").delay_s = 0.1
+        await asyncio.sleep(0.05)
+        harness.mark_leaving("l-1")
+        await task
+        assert response.status == 200
+        assert cleared == []
+
+
 @pytest.mark.looptime
 class TestRouting:
     async def test_without_declaration_response_says_not_run(self):
--- a/tests/soak/crashing.py
+++ b/tests/soak/crashing.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import pathlib
+import random
 import signal
 import sys
 import tempfile
@@ -28,6 +29,10 @@
 
     Attributes
     ----------
+    is_orderly : bool
+        Whether a replica that is not silent closes its connections without a reset.
+    before_crash : backends.BeforeCrash
+        What replicas send of the response before they crash.
     crash_times_s : list of float
         Loop times of the crashes.
     arrivals : list
@@ -54,6 +59,11 @@
         self.gateway_of = {}
         self.disturbed = []
         self.tasks = set()
+        # Its own generator leaves what the other draws of a seed give unchanged.
+        crash_rng = random.Random(f"crash-{seed}")
+        self.is_orderly = crash_rng.random() < 0.5
+        self.before_crash = crash_rng.choice(list(backends.BeforeCrash))
+        self.fleet.record.before_crash = self.before_crash
         self.fleet.record.on_crashing_request = self.crash_replica
 
     def now_s(self):
@@ -77,6 +87,8 @@
     def crash(self, replica):
         if self.is_silent:
             replica.fall_silent()
+        elif self.is_orderly:
+            replica.close_orderly()
         else:
             replica.stop()
 
@@ -170,8 +182,9 @@
             )
 
     def summary(self):
-        how = "silent" if self.is_silent else "closing"
-        return f"{self.kind}, {how}, {self.copies} copies"
+        closing = "closing in an orderly way" if self.is_orderly else "resetting"
+        how = "silent" if self.is_silent else closing
+        return f"{self.kind}, {how}, {self.before_crash.value}, {self.copies} copies"
 
 
 async def run_seed(seed, seconds, folder, **options):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -17,8 +17,10 @@
         assert done.faults
         assert done.acked
 
-    async def test_a_crashing_request_is_refused_by_all_gateways(self, tmp_path):
-        done = await crashing.run_seed(13, CRASHING_SECONDS, tmp_path)
+    # Seed 33: a crash closes a call without framing in an orderly way.
+    @pytest.mark.parametrize("seed", [13, 33])
+    async def test_a_crashing_request_is_refused_by_all_gateways(self, tmp_path, seed):
+        done = await crashing.run_seed(seed, CRASHING_SECONDS, tmp_path)
         assert done.crash_times_s
 
     async def test_a_crashing_part_is_refused_and_sound_prompts_served(self, tmp_path):
