--- a/src/quetzalpass/lifecycle/relayed_calls.py
+++ b/src/quetzalpass/lifecycle/relayed_calls.py
@@ -74,6 +74,9 @@
             break
         try:
             await back_off(gateway, reservation, state)
+            refusal = gateway.refusal(routed, state.execution())
+            if refusal is not None:
+                return refused_result(state, refusal)
             response = await send_once(gateway, routed, reservation, state)
         finally:
             reservation.release()
