--- a/src/quetzalpass/lifecycle/crash_checks.py
+++ b/src/quetzalpass/lifecycle/crash_checks.py
@@ -195,6 +195,7 @@
     def on_response(self, server: discovery.DiscoveredServer) -> None:
         """Record a response, which shows that a server runs."""
         self.on_bytes(server.id)
+        self.suspects.losses.explain(server.start_key)
         if server.start_key in self.probes.crashed_starts:
             self.probes.crashed_starts.discard(server.start_key)
             self.tasks.spawn(self.withdraw_if_not_restarted(server))
@@ -296,8 +297,11 @@
         elif outcome in UNEXPLAINED:
             self.remember_lost(server, request_id)
             if outcome is crash_events.CrashCheckOutcome.CUT_OFF:
-                self.suspects.separated.add(
-                    routed.fingerprint, lost_requests.LOST_LIFETIME_S
+                self.suspects.losses.add(
+                    routed.fingerprint,
+                    server.start_key,
+                    server.data_centre,
+                    lost_requests.LOST_LIFETIME_S,
                 )
         elif outcome is crash_events.CrashCheckOutcome.REPLACED:
             self.health.eject(server.id, "another server has its address")
--- a/src/quetzalpass/membership/in_flight_requests.py
+++ b/src/quetzalpass/membership/in_flight_requests.py
@@ -1,7 +1,5 @@
 """Requests that run on servers now, as the quarantine tracks them."""
 
-import asyncio
-
 import msgspec
 
 from quetzalpass import ids
@@ -11,7 +9,6 @@
 SETTLED_OUTPUT_S = 1.0
 # If this process was stopped meanwhile, output of a moment seems to last for longer.
 MIN_SETTLED_OUTPUTS = 8
-MAX_SEPARATED = 10_000
 
 
 class InFlightRequest(msgspec.Struct):
@@ -57,33 +54,3 @@
         if self.outputs < MIN_SETTLED_OUTPUTS:
             return False
         return self.last_output_s - self.first_output_s >= SETTLED_OUTPUT_S
-
-
-class SeparatedRequests:
-    """Requests whose copies run one at a time, as one was lost on a doubtful server.
-
-    Attributes
-    ----------
-    until_s : dict of str to float
-        Loop time until which this holds, by fingerprint.
-    """
-
-    def __init__(self) -> None:
-        self.until_s: dict[str, float] = {}
-
-    def add(self, fingerprint: str, lifetime_s: float) -> None:
-        """Separate the copies of a request for some time."""
-        now_s = asyncio.get_running_loop().time()
-        self.until_s = {
-            each: until_s for each, until_s in self.until_s.items() if until_s > now_s
-        }
-        if len(self.until_s) < MAX_SEPARATED:
-            self.until_s[fingerprint] = now_s + lifetime_s
-
-    def remove(self, fingerprint: str) -> None:
-        """Let copies of a request run side by side again."""
-        self.until_s.pop(fingerprint, None)
-
-    def __contains__(self, fingerprint: str) -> bool:
-        now_s = asyncio.get_running_loop().time()
-        return self.until_s.get(fingerprint, 0.0) > now_s
--- a/src/quetzalpass/membership/quarantine.py
+++ b/src/quetzalpass/membership/quarantine.py
@@ -23,6 +23,7 @@
     part_suspects,
     suspect_records,
     suspect_reports,
+    unexplained_losses,
 )
 from quetzalpass.results import codes, failures
 
@@ -76,8 +77,8 @@
         Fingerprints to which each crash is attributed, by the crash's event key.
     parts : part_suspects.PartSuspects
         Parts of prompts that crash servers in different requests.
-    separated : in_flight_requests.SeparatedRequests
-        Requests that were lost on a server that may have crashed.
+    losses : unexplained_losses.UnexplainedLosses
+        Requests that were lost on servers that may have crashed.
     """
 
     def __init__(self, name: str) -> None:
@@ -92,7 +93,7 @@
         self.crash_count = 0
         self.suspects_by_crash: dict[str, set[str]] = {}
         self.parts = part_suspects.PartSuspects(name)
-        self.separated = in_flight_requests.SeparatedRequests()
+        self.losses = unexplained_losses.UnexplainedLosses()
 
     def add_request(
         self,
@@ -162,6 +163,7 @@
         server_start: str,
     ) -> None:
         """Attribute a server's crash to given requests, which ran on it."""
+        self.losses.explain(server_start)
         lost = {each.fingerprint: each for each in requests}
         known = [each for each in lost.values() if self.is_repeated_crash(each)]
         attributed = known or list(lost.values())
@@ -336,11 +338,10 @@
 
     def refusal(self, fingerprint: str) -> failures.Failure | None:
         """Return why a request is refused for its own crashes, or ``None``."""
-        if not self.is_suspect(fingerprint):
-            return None
+        is_suspect = self.is_suspect(fingerprint)
+        if not is_suspect or not self.is_refused(fingerprint):
+            return self.refusal_for_losses(fingerprint, is_suspect)
         record = self.records[fingerprint]
-        if not self.is_refused(fingerprint):
-            return None
         left_s = record.expires_s - asyncio.get_running_loop().time()
         return failures.Failure(
             codes.Code.QUARANTINED,
@@ -348,6 +349,19 @@
             retry_after_ms=int(left_s * MS_PER_S) + 1,
         )
 
+    def refusal_for_losses(
+        self, fingerprint: str, is_suspect: bool
+    ) -> failures.Failure | None:
+        """Return why a request is refused for losses without an explanation."""
+        held_back_s = self.losses.held_back_s(fingerprint, is_suspect)
+        if held_back_s <= 0.0:
+            return None
+        return failures.Failure(
+            codes.Code.QUARANTINED,
+            "this request was lost in several data centres; its servers are checked",
+            retry_after_ms=int(held_back_s * MS_PER_S) + 1,
+        )
+
     def clear(self, fingerprint: str, tokens: int | None) -> None:
         """Clear a suspect that has run without a crash; a refused one stays refused.
 
@@ -359,7 +373,7 @@
             Output tokens so far; ``None`` if it is complete.
         """
         if tokens is None:
-            self.separated.remove(fingerprint)
+            self.losses.remove(fingerprint)
         record = self.records.get(fingerprint)
         if record is None or not record.crashes or self.is_refused(fingerprint):
             return
@@ -418,7 +432,7 @@
         """
         if fingerprint not in self.running_copies:
             return False
-        if not self.is_suspect(fingerprint) and fingerprint not in self.separated:
+        if not self.is_suspect(fingerprint) and fingerprint not in self.losses:
             return False
         last_place = self.last_crash_place(fingerprint)
         return any(
