--- a/src/quetzalpass/backends/http_client.py
+++ b/src/quetzalpass/backends/http_client.py
@@ -69,6 +69,17 @@
     return session
 
 
+async def accepts_connection(host: str, port: int, timeout_s: float) -> bool:
+    """Return whether a server accepts a new connection."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, writer = await asyncio.open_connection(host, port)
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return True
+
+
 async def responds_on_new_connection(
     url: str, limits: schema.Limits, timeout_s: float
 ) -> bool:
--- a/src/quetzalpass/backends/service_http.py
+++ b/src/quetzalpass/backends/service_http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import urllib.parse
 
 import aiohttp
 from returns import result
@@ -26,6 +27,7 @@
     }
 )
 MS_PER_S = 1000
+BODILESS_STATUSES = frozenset({204, 304})
 NOT_RUN_HEADER = "Quetzalpass-Not-Run"
 
 
@@ -81,12 +83,27 @@
                 response_body = await http_client.read_body(response)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             return result.Failure(engine_http.attempt_failure_from(error))
+        if ends_with_connection(response) and not await self.accepts_connection():
+            return result.Failure(
+                base.AttemptFailure(
+                    base.AttemptEnd.MAY_HAVE_RUN,
+                    base.FailureKind.CLOSED,
+                    "the service is down after a response without length or chunks",
+                )
+            )
         return result.Success(
             base.ServiceResponse(
                 response.status, end_to_end_headers(response.headers), response_body
             )
         )
 
+    async def accepts_connection(self) -> bool:
+        """Return whether the service still accepts connections."""
+        address = urllib.parse.urlsplit(self.url)
+        return await http_client.accepts_connection(
+            address.hostname, address.port, self.limits.connect_timeout_s
+        )
+
     async def check_health(self, timeout_s: float) -> bool:
         """Return whether the service responds on a new connection."""
         return await http_client.responds_on_new_connection(
@@ -98,6 +115,19 @@
         await self.session.close()
 
 
+def ends_with_connection(response: aiohttp.ClientResponse) -> bool:
+    """Return whether only the end of the connection marks the end of the body.
+
+    A crash of the service closes the connection too.
+    """
+    if response.status in BODILESS_STATUSES or response.method == "HEAD":
+        return False
+    transfer_encoding = response.headers.get("Transfer-Encoding", "").lower()
+    return "chunked" not in transfer_encoding and (
+        "Content-Length" not in response.headers
+    )
+
+
 def check_not_run(
     response: base.ServiceResponse,
 ) -> result.Result[base.ServiceResponse, base.AttemptFailure]:
--- a/tests/backends/test_unframed_responses.py
+++ b/tests/backends/test_unframed_responses.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 import math
 import socket
 import struct
@@ -7,7 +8,7 @@
 import pytest
 
 from quetzalpass import ids
-from quetzalpass.backends import base, engine_http, http_client
+from quetzalpass.backends import base, engine_http, http_client, service_http
 from quetzalpass.settings import schema
 
 HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
@@ -48,6 +49,38 @@
             await read_unframed_body(is_reset=True)
 
 
+async def call_service(is_crashing):
+    """Return the result of a call whose response has no length, as it ends."""
+
+    async def respond(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            if is_crashing:
+                server.close()
+            writer.write(HEAD + b"part")
+        writer.close()
+
+    server = await asyncio.start_server(respond, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    service = service_http.HttpService(f"http://127.0.0.1:{port}", schema.Limits())
+    call = base.ServiceCall("GET", "read", "", {}, b"", ids.RequestId("r-1"), None)
+    try:
+        return await service.call(call, 2.0)
+    finally:
+        await service.close()
+        server.close()
+
+
+class TestServiceResponsesWithoutALength:
+    async def test_response_of_a_running_service_is_complete(self):
+        response = await call_service(is_crashing=False)
+        assert response.unwrap().body == b"part"
+
+    async def test_response_of_a_crashed_service_is_not_passed_on(self):
+        response = await call_service(is_crashing=True)
+        assert response.failure().end is base.AttemptEnd.MAY_HAVE_RUN
+
+
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 TOKEN = b'data: {"id": "g-1", "offset": 0, "choices": [{"text": "a"}]}\n\n'
 END = b"data: [DONE]\n\n"
