--- a/src/quetzalpass/daemon/peers.py
+++ b/src/quetzalpass/daemon/peers.py
@@ -71,10 +71,21 @@
     if current is None or current.revision <= request.newer_than:
         return inner_messages.DeclarationReply(ids.Revision(0))
     delta = None if request.whole else holder.delta_from(request.newer_than)
+    if not request.accepts_compressed:
+        if delta is not None:
+            return inner_messages.DeclarationReply(
+                current.revision, current.digest, delta=delta
+            )
+        return inner_messages.DeclarationReply(
+            current.revision, current.digest, current.data
+        )
     if delta is not None:
         return inner_messages.DeclarationReply(
-            current.revision, current.digest, delta=delta
+            current.revision,
+            current.digest,
+            delta=holder.compressed_delta(request.newer_than, delta),
+            is_compressed=True,
         )
     return inner_messages.DeclarationReply(
-        current.revision, current.digest, current.data
+        current.revision, current.digest, holder.compressed_data(), is_compressed=True
     )
--- a/src/quetzalpass/membership/configuration.py
+++ b/src/quetzalpass/membership/configuration.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import zlib
 from collections.abc import Callable
 
 import logbook
@@ -143,6 +144,8 @@
         The last revisions before it, as bases for deltas.
     deltas : dict of Revision to bytes
         Cached deltas to the current revision, by base.
+    compressed : dict of Revision to bytes
+        Compressed forms of these deltas, and of the whole revision under its number.
     """
 
     def __init__(self) -> None:
@@ -152,6 +155,7 @@
         self.changed = asyncio.Event()
         self.earlier: list[Configuration] = []
         self.deltas: dict[ids.Revision, bytes] = {}
+        self.compressed: dict[ids.Revision, bytes] = {}
 
     def revision(self) -> ids.Revision:
         """Return the revision in force; 0 if there is none."""
@@ -225,6 +229,17 @@
         self.deltas[base] = delta.encode(change)
         return self.deltas[base]
 
+    def compressed_delta(self, base: ids.Revision, delta_bytes: bytes) -> bytes:
+        """Return a delta in compressed form, which is kept for the next peers."""
+        if base not in self.compressed:
+            self.compressed[base] = zlib.compress(delta_bytes)
+        return self.compressed[base]
+
+    def compressed_data(self) -> bytes:
+        """Return the whole current revision in compressed form."""
+        assert self.current is not None
+        return self.compressed_delta(self.current.revision, self.current.data)
+
     def put_in_force(self, configuration: Configuration) -> None:
         """Put a validated revision in force and notify observers and waiters."""
         revision = configuration.revision
@@ -232,6 +247,7 @@
             self.earlier.append(self.current)
             del self.earlier[:-EARLIER_REVISIONS]
         self.deltas.clear()
+        self.compressed.clear()
         self.current = configuration
         self.in_force_since_s = asyncio.get_running_loop().time()
         LOG.info("membership: Revision {} is in force.", revision)
--- a/src/quetzalpass/membership/inner_messages.py
+++ b/src/quetzalpass/membership/inner_messages.py
@@ -21,12 +21,15 @@
         Canonical form of the declaration; empty if ``delta`` is given.
     delta : bytes
         Delta from the revision that the request names.
+    is_compressed : bool
+        Whether ``data`` and ``delta`` are compressed with zlib.
     """
 
     revision: ids.Revision
     digest: str = ""
     data: bytes = b""
     delta: bytes = b""
+    is_compressed: bool = False
 
 
 class DeclarationRequest(messages.Request, frozen=True):
@@ -40,12 +43,15 @@
         How long to wait for a newer one, in seconds.
     whole : bool
         Asks for the whole revision, because a delta could not be applied.
+    accepts_compressed : bool
+        Whether the sender can read a compressed reply; earlier releases can't.
     """
 
     reply_type = DeclarationReply
     newer_than: ids.Revision
     wait_s: float
     whole: bool = False
+    accepts_compressed: bool = False
 
 
 class VmStatusReply(messages.Reply, frozen=True):
--- a/src/quetzalpass/membership/peer_client.py
+++ b/src/quetzalpass/membership/peer_client.py
@@ -1,13 +1,19 @@
 """Typed calls from one daemon to another over the peer protocol."""
 
+import zlib
+
+import logbook
+import msgspec
 from returns import result
 
 from quetzalpass import ids
 from quetzalpass.control import messages
 from quetzalpass.membership import inner_messages
-from quetzalpass.results import failures
+from quetzalpass.results import codes, failures
 from quetzalpass.wire import transport
 
+LOG = logbook.Logger("membership")
+
 # A call is tried on a pooled connection first, and on a new one after half its time.
 TRIES_PER_CALL = 2
 
@@ -52,8 +58,11 @@
         Result
             The revision; revision 0 if there was none within ``wait_s`` seconds.
         """
-        request = inner_messages.DeclarationRequest(newer_than, wait_s, whole)
-        return await self.channel.call(self.vm, request, TRIES_PER_CALL * timeout_s)
+        request = inner_messages.DeclarationRequest(
+            newer_than, wait_s, whole, accepts_compressed=True
+        )
+        received = await self.channel.call(self.vm, request, TRIES_PER_CALL * timeout_s)
+        return received.bind(decompress)
 
     async def fetch_status(
         self, timeout_s: float
@@ -74,3 +83,24 @@
     ) -> result.Result[inner_messages.SummaryReply, failures.Failure]:
         """Send a summary."""
         return await self.channel.call(self.vm, summary, timeout_s)
+
+
+def decompress(
+    reply: inner_messages.DeclarationReply,
+) -> result.Result[inner_messages.DeclarationReply, failures.Failure]:
+    """Return a reply with its revision or delta in plain form."""
+    if not reply.is_compressed:
+        return result.Success(reply)
+    try:
+        data = zlib.decompress(reply.data) if reply.data else b""
+        delta = zlib.decompress(reply.delta) if reply.delta else b""
+    except zlib.error as error:
+        LOG.error(
+            "membership: Revision {} can't be decoded: {}.", reply.revision, error
+        )
+        return result.Failure(
+            failures.Failure(codes.Code.UNREACHABLE, "the reply can't be decoded")
+        )
+    return result.Success(
+        msgspec.structs.replace(reply, data=data, delta=delta, is_compressed=False)
+    )
