--- a/src/quetzalpass/backends/base.py
+++ b/src/quetzalpass/backends/base.py
@@ -48,6 +48,18 @@
     FENCED = "fenced"
 
 
+class RateNotice(msgspec.Struct, frozen=True):
+    """What a response says about the requests that its server takes from all gateways.
+
+    Attributes
+    ----------
+    per_s : float or None
+        Requests per second; ``None`` if the server names no limit.
+    """
+
+    per_s: float | None = None
+
+
 class AttemptFailure(msgspec.Struct, frozen=True):
     """A failed attempt.
 
@@ -61,12 +73,16 @@
         One sentence for the log and the caller.
     retry_after_ms : int or None
         Delay after which the server asks for a retry.
+    rate_notice : RateNotice or None
+        Limit that a response named; ``None`` if there was no response, or if the limit
+        in it can't be read.
     """
 
     end: AttemptEnd
     kind: FailureKind
     message: str
     retry_after_ms: int | None = None
+    rate_notice: RateNotice | None = None
 
 
 class GenerationCall(msgspec.Struct, frozen=True):
--- a/src/quetzalpass/backends/relays.py
+++ b/src/quetzalpass/backends/relays.py
@@ -109,12 +109,16 @@
         Whether the server closes the connection, which may mean that it will leave.
     body_end : BodyEnd
         How the end of the body is marked.
+    rate_notice : base.RateNotice or None
+        Limit on the rate of requests that the server names; ``None`` if the limit in
+        the response can't be read.
     """
 
     status: int
     headers: tuple[Header, ...]
     is_closing: bool = False
     body_end: BodyEnd = BodyEnd.LENGTH
+    rate_notice: base.RateNotice | None = base.RateNotice()
 
 
 class RelayResponse(abc.ABC):
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -25,6 +25,7 @@
 from quetzalpass.membership import configuration, discovery, fleet_view, quarantine
 from quetzalpass.metrics import exposition
 from quetzalpass.results import codes, failures
+from quetzalpass.routing import rate_limits
 
 LOG = logbook.Logger("lifecycle")
 
@@ -84,6 +85,22 @@
     crashes: int = 0
 
 
+class RateLimitEvent(event_log.Event, frozen=True, tag="rate_limit"):
+    """Log event for a server that begins or ceases to name a limit, or changes it.
+
+    Attributes
+    ----------
+    server : ServerId
+        The server.
+    before_per_s, per_s : float or None
+        Limit before and now, in requests per second.
+    """
+
+    server: ids.ServerId
+    before_per_s: float | None
+    per_s: float | None
+
+
 class LeavingObserver(abc.ABC):
     """Something that must move away from a server that is leaving."""
 
@@ -133,6 +150,7 @@
         self.suspects = quarantine.Quarantine(
             f"{vm}/{rng.getrandbits(START_ID_BITS):x}"
         )
+        self.rate_limits = rate_limits.RateLimits()
         self.relay_servers: dict[ids.ServerId, relays.RelayServer] = {}
         self.metrics = exposition.ProcessMetrics()
         self.metrics.running.set_function(lambda: self.running)
@@ -339,11 +357,27 @@
     ) -> None:
         """Record a response; if it closes the connection, check for leaving."""
         self.crash_checks.on_response(server)
+        self.observe_rate(server, head.rate_notice)
         if head.is_closing and server.id in self.view.servers:
             known = self.view.servers[server.id]
             if not known.is_leaving:
                 self.spawn(self.confirm_leaving(server))
 
+    def observe_rate(
+        self, server: discovery.DiscoveredServer, notice: base.RateNotice | None
+    ) -> None:
+        """Record what a response says about the rate that its server takes."""
+        if notice is None:
+            return
+        now_s = asyncio.get_running_loop().time()
+        before = self.rate_limits.find(server.id, now_s)
+        self.rate_limits.observe(server.id, notice.per_s, now_s)
+        after = self.rate_limits.find(server.id, now_s)
+        if before != after:
+            event_log.record(
+                RateLimitEvent(server.id, before, after), event_log.Level.NOTICE
+            )
+
     async def is_complete(
         self,
         routed: relay_requests.RoutedRequest,
@@ -386,6 +420,7 @@
         failure: base.AttemptFailure,
     ) -> None:
         """Record a request that broke off, and check its server for a crash."""
+        self.observe_rate(server, failure.rate_notice)
         is_leaving = self.is_leaving(server.id)
         if not is_leaving and failure.end not in crash_checks.NOT_STARTED:
             self.reservations.health.record_failure(server.id, failure.message)
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -1,6 +1,8 @@
 import multidict
+import pytest
 
 from fleet_adapter import headers
+from quetzalpass.backends import base
 
 
 def shared_parts(*values):
@@ -22,3 +24,30 @@
         assert shared_parts("5c1e:800") == ()
         assert shared_parts() == ()
         assert shared_parts("") == ()
+
+
+class FakeResponse:
+    def __init__(self, *limits):
+        self.headers = multidict.CIMultiDict(
+            (headers.SERVER_LIMIT, each) for each in limits
+        )
+
+
+class TestRateNotice:
+    def test_response_without_the_header_names_no_limit(self):
+        assert headers.rate_notice(FakeResponse()) == base.RateNotice()
+
+    @pytest.mark.parametrize(
+        ("text", "per_s"), [("2", 2.0), ("1.5", 1.5), (".2", 0.2), (" 1000 ", 1000.0)]
+    )
+    def test_decimal_number_is_the_limit(self, text, per_s):
+        assert headers.rate_notice(FakeResponse(text)) == base.RateNotice(per_s)
+
+    @pytest.mark.parametrize(
+        "text", ["", "0", "0.0", "-1", "nan", "inf", "1e400", "two", "2;3", "1_0"]
+    )
+    def test_anything_else_is_no_information(self, text):
+        assert headers.rate_notice(FakeResponse(text)) is None
+
+    def test_two_limits_are_no_information(self):
+        assert headers.rate_notice(FakeResponse("2", "3")) is None
