--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 ENVIRONMENT = $(VENV_STAMP)
 endif
 
-.PHONY: demo test check format fuzz soak soak-crashing soak-crashing-parts latency failover
+.PHONY: demo test check format fuzz soak soak-crashing soak-crashing-parts soak-limits latency failover
 
 $(VENV_STAMP): requirements.lock pyproject.toml
 	python3.11 -m venv .venv
@@ -50,6 +50,10 @@
 	cd tests && PYTHONPATH=.:../src:../platform $(abspath $(PYTHON)) \
 		-m soak.crashing_parts $(SEED) $(COUNT) $(SECONDS)
 
+soak-limits: $(ENVIRONMENT)
+	cd tests && PYTHONPATH=.:../src:../platform $(abspath $(PYTHON)) \
+		-m soak.limits $(SEED) $(COUNT) $(SECONDS)
+
 latency: $(ENVIRONMENT)
 	cd tests && PYTHONPATH=.:../src:../platform $(abspath $(PYTHON)) \
 		-m soak.latency $(SEED) $(SECONDS)
--- a/tests/platform_standin/standin.py
+++ b/tests/platform_standin/standin.py
@@ -59,12 +59,16 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-def stream_head(request):
-    return (
-        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-        f"X-Request-Id: {request.header('X-Request-Id')}\r\n"
-        "X-Response-Signature: sig.s\r\nTransfer-Encoding: chunked\r\n\r\n"
-    ).encode()
+def stream_head(request, extra=()):
+    lines = [
+        "HTTP/1.1 200 OK",
+        "Content-Type: text/event-stream",
+        f"X-Request-Id: {request.header('X-Request-Id')}",
+        "X-Response-Signature: sig.s",
+        "Transfer-Encoding: chunked",
+        *extra,
+    ]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
 
 class RawServer:
--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -27,6 +27,22 @@
     EVENTS = "two events"
 
 
+class Arrival:
+    """A request that reached a replica, at a loop time.
+
+    Attributes
+    ----------
+    limit_per_s : float or None
+        Limit that the replica names in its answer.
+    """
+
+    def __init__(self, replica, request_id, at_s):
+        self.replica_name = replica.name
+        self.limit_per_s = replica.limit_per_s
+        self.request_id = request_id
+        self.at_s = at_s
+
+
 class RunRecord:
     """Requests that the replicas have run.
 
@@ -38,12 +54,15 @@
         Called with the replica and the id of each request that crashes replicas.
     before_crash : BeforeCrash
         What replicas send before they crash.
+    arrivals : list of Arrival
+        Each time that a caller's request has reached a replica.
     """
 
     def __init__(self):
         self.runs = collections.Counter()
         self.on_crashing_request = None
         self.before_crash = BeforeCrash.NOTHING
+        self.arrivals = []
 
 
 class Replica:
@@ -56,6 +75,8 @@
     fault : str or None
         Failure of all further requests: ``refuse``, ``hang``, ``cut`` or
         ``extra_response``.
+    limit_per_s : float or None
+        Limit on the rate of requests that it names in each answer.
     """
 
     def __init__(self, record, name, service, link):
@@ -64,6 +85,7 @@
         self.service = service
         self.link = link
         self.fault = None
+        self.limit_per_s = None
         self.state = "ready"
         self.started_ms = time.time_ns() // NS_PER_MS
         self.writers = set()
@@ -128,18 +150,17 @@
         if path.startswith("/v1/"):
             await self.respond_to_api_call(path, writer)
             return
+        now_s = asyncio.get_running_loop().time()
+        request_id = request.header("X-Request-Id")
+        self.record.arrivals.append(Arrival(self, request_id, now_s))
         if request.header("X-Target-Instance") != self.name:
             writer.write(standin.response_bytes(request, 421, b""))
             return
         if self.fault == "refuse":
-            writer.write(
-                standin.response_bytes(request, 503, b"", ["X-Not-Executed: 1"])
-            )
+            self.refuse(request, writer)
             return
         if request.header("Kv-From"):
-            writer.write(
-                standin.response_bytes(request, 503, b"", ["X-Not-Executed: 1"])
-            )
+            self.refuse(request, writer)
             return
         self.record.runs[request.header("X-Request-Id")] += 1
         if crashes_replicas(request):
@@ -154,6 +175,16 @@
         else:
             await self.respond_to_service_call(request, writer)
 
+    def limit_headers(self):
+        """Return the header lines that name the limit, if there is one."""
+        if self.limit_per_s is None:
+            return []
+        return [f"Server-Limit: {self.limit_per_s}"]
+
+    def refuse(self, request, writer):
+        lines = ["X-Not-Executed: 1", *self.limit_headers()]
+        writer.write(standin.response_bytes(request, 503, b"", lines))
+
     async def send_before_crash(self, request, writer):
         if self.record.before_crash is BeforeCrash.TORN_EVENT:
             head = standin.stream_head(request)
@@ -176,7 +207,9 @@
 
     async def respond_to_service_call(self, request, writer):
         await asyncio.sleep(SERVICE_TIME_S)
-        data = standin.response_bytes(request, body=request.body * 3)
+        data = standin.response_bytes(
+            request, body=request.body * 3, extra=self.limit_headers()
+        )
         if self.fault == "cut":
             writer.write(data[:-1])
             await writer.drain()
@@ -186,7 +219,7 @@
         writer.write(data)
 
     async def send_stream(self, request, writer):
-        writer.write(standin.stream_head(request))
+        writer.write(standin.stream_head(request, self.limit_headers()))
         for number in range(1, EVENTS_PER_STREAM + 1):
             writer.write(standin.chunk(event(number)))
             await writer.drain()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,10 +1,11 @@
 import pytest
 
-from soak import crashing, crashing_parts, soak
+from soak import crashing, crashing_parts, limits, soak
 
 SECONDS = 5
 CRASHING_SECONDS = 12
 CRASHING_PARTS_SECONDS = 14
+LIMITED_SECONDS = 10
 # No seed has failed yet. Add each one that does, with its cause.
 SEEDS = (1,)
 
@@ -26,3 +27,6 @@
     async def test_a_crashing_part_is_refused_and_sound_prompts_served(self, tmp_path):
         done = await crashing_parts.run_seed(2, CRASHING_PARTS_SECONDS, tmp_path)
         assert done.crash_times_s
+
+    async def test_replicas_get_no_more_than_the_limit_that_they_name(self, tmp_path):
+        await limits.run_seed(2, LIMITED_SECONDS, tmp_path)
