--- a/src/quetzalpass/allocation/allocator.py
+++ b/src/quetzalpass/allocation/allocator.py
@@ -160,7 +160,12 @@
         service = self.find_service(request.service)
         if service is None or service.engine is None or not service.engine.backups:
             return None
-        others = [each for each in found if each.server_id != chosen]
+        limited = self.registry.limits.servers(asyncio.get_running_loop().time())
+        others = [
+            each
+            for each in found
+            if each.server_id != chosen and each.server_id not in limited
+        ]
         engine_data_centre = self.find_server(chosen).data_centre
         return relay_placement.choose_backup(
             request.need, others, engine_data_centre, self.rng
--- a/src/quetzalpass/backends/base.py
+++ b/src/quetzalpass/backends/base.py
@@ -32,12 +32,14 @@
 class FailureKind(enum.Enum):
     """Why an attempt or a stream failed.
 
-    ``REPLACED`` means that another server responded at the server's address.
+    ``REPLACED`` means that another server responded at the server's address, and
+    ``RATE_LIMITED`` that the server's limit allowed no request.
     """
 
     UNREACHABLE = "unreachable"
     OVERLOADED = "overloaded"
     REPLACED = "replaced"
+    RATE_LIMITED = "rate_limited"
     CLOSED = "closed"
     SILENT = "silent"
     CROSSED = "crossed"
--- a/src/quetzalpass/daemon/control_role.py
+++ b/src/quetzalpass/daemon/control_role.py
@@ -14,7 +14,7 @@
 from returns import result
 
 from quetzalpass import background, ids
-from quetzalpass.allocation import allocator
+from quetzalpass.allocation import allocator, permits
 from quetzalpass.allocation import messages as allocation_messages
 from quetzalpass.consensus import group as consensus_group
 from quetzalpass.consensus import registry, timing
@@ -121,6 +121,7 @@
         self.server_registry = fleet_registry.FleetRegistry(
             source, self.is_active, rng.getrandbits(VERSION_BITS)
         )
+        self.permit_desk = permits.PermitDesk(self.server_registry)
         self.allocator = allocator.Allocator(self.server_registry, self.holder, rng)
         self.metrics = exposition.ProcessMetrics()
         self.metrics.revision.set_function(self.holder.revision)
@@ -148,6 +149,7 @@
         self.table.add(inner_messages.DeclarationRequest, self.handle_declaration)
         self.table.add(fleet_messages.FleetRequest, self.handle_fleet)
         self.table.add(allocation_messages.AllocationRequest, self.handle_allocation)
+        self.table.add(permits.PermitRequest, self.handle_permit)
         await self.listen()
         replica_role.value_or_raise(await self.group.start())
         for name, work in (
@@ -248,6 +250,10 @@
         """Allocate an engine for a generation of a gateway."""
         return result.Success(await self.allocator.handle(request))
 
+    async def handle_permit(self, request: permits.PermitRequest) -> handlers.Outcome:
+        """Give out a permit for a server that names a limit."""
+        return result.Success(self.permit_desk.handle(request))
+
     async def propose(
         self, command: declared_state.Command
     ) -> result.Result[bytes, failures.Failure]:
--- a/src/quetzalpass/daemon/gateway_role.py
+++ b/src/quetzalpass/daemon/gateway_role.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from quetzalpass import ids
-from quetzalpass.allocation import client
+from quetzalpass.allocation import client, permits
 from quetzalpass.declarations import relays
 from quetzalpass.lifecycle import relay_gateway, relay_reservations, shared_budget
 from quetzalpass.membership import (
@@ -105,6 +105,7 @@
             self.budget,
             connect,
             rng,
+            permits.RemotePermitSource(self.allocating_node, self.allocation_channel),
         )
         self.links = control_links.ControlLinks(
             settings.vm,
@@ -118,6 +119,7 @@
         )
         self.links.reply_observers.append(self.on_reply)
         self.links.suspect_observers.append(self.gateway.suspects.merge)
+        self.links.limit_observers.append(self.gateway.merge_limits)
 
     def start(self) -> None:
         """Start following the control nodes."""
@@ -140,6 +142,7 @@
         self, known_version: int, wait_s: float
     ) -> fleet_messages.FleetRequest:
         """Return a request for the fleet that reports this gateway's load."""
+        now_s = asyncio.get_running_loop().time()
         suspect_reports = self.gateway.suspects.suspect_reports_since(0)
         prefills = tuple(self.reservations.allocation_requests.unreported_prefills)
         self.reported_allocations = tuple(
@@ -155,7 +158,8 @@
             None if suspect_reports.is_empty else suspect_reports,
             self.reported_allocations,
             prefills,
-            self.budget.retry_counts(asyncio.get_running_loop().time()),
+            self.budget.retry_counts(now_s),
+            self.gateway.rate_limits.reports(now_s),
         )
 
     def allocating_node(self) -> ids.VmId | None:
--- a/src/quetzalpass/lifecycle/engine_questions.py
+++ b/src/quetzalpass/lifecycle/engine_questions.py
@@ -7,7 +7,7 @@
 
 from quetzalpass import ids
 from quetzalpass.allocation import client, messages
-from quetzalpass.lifecycle import relay_requests, server_health
+from quetzalpass.lifecycle import rate_gate, relay_requests, server_health
 from quetzalpass.membership import discovery, fleet_view
 from quetzalpass.results import failures
 from quetzalpass.routing import prefill_rates, relay_placement
@@ -35,6 +35,8 @@
         Draws the number that identifies this run of the gateway.
     source : client.AllocationSource or None
         Client of the allocating node; ``None`` where no node allocates.
+    gate : rate_gate.RateGate
+        Knows the engines whose limit allows no request now.
 
     Attributes
     ----------
@@ -51,11 +53,13 @@
         health: server_health.ServerHealth,
         rng: random.Random,
         source: client.AllocationSource | None,
+        gate: rate_gate.RateGate,
     ) -> None:
         self.vm = vm
         self.view = view
         self.health = health
         self.source = source
+        self.gate = gate
         # Keeps allocation ids unique across restarts of the gateway.
         self.incarnation = rng.getrandbits(INCARNATION_BITS)
         self.count = 0
@@ -141,7 +145,10 @@
     def avoided_engines(
         self, routed: relay_requests.RoutedRequest
     ) -> frozenset[ids.ServerId]:
-        """Return the engines that are leaving or ejected, or that a request avoids."""
+        """Return the engines to which a request should not be sent now.
+
+        These are leaving, ejected, avoided by the request, or at their limit.
+        """
         now_s = asyncio.get_running_loop().time()
         avoided = self.health.find_servers_to_avoid(routed.fingerprint)
         return frozenset(
@@ -150,6 +157,7 @@
             if known.is_leaving
             or self.health.is_ejected(known.server.id, now_s)
             or known.server.id in avoided
+            or self.gate.blocked_s(known.server.id, routed.rank)
         )
 
     def record_prefill(self, measurement: prefill_rates.PrefillMeasurement) -> None:
--- a/src/quetzalpass/lifecycle/generation_moves.py
+++ b/src/quetzalpass/lifecycle/generation_moves.py
@@ -112,6 +112,8 @@
             return False
         reservation = stream.gateway.reservations.reserve_on(copy.server, stream.need)
         opened = await stream.open_segment(reservation, copy)
+        if stream_segments.is_rate_limited(opened):
+            return False
         stream.unused_copy = None
         if isinstance(opened, result.Failure):
             if copy.copy_id == stream.request_id:
--- /dev/null
+++ b/src/quetzalpass/lifecycle/rate_gate.py
@@ -0,0 +1,113 @@
+"""Holds a gateway's sends to the limits that servers name."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import msgspec
+from returns import result
+
+from quetzalpass import ids
+from quetzalpass.allocation import permits
+from quetzalpass.routing import rate_limits, rate_permits
+
+
+class Block(msgspec.Struct, frozen=True):
+    """Until when a server takes no request of a rank or a less urgent one."""
+
+    rank: int
+    until_s: float
+
+
+class RateGate:
+    """Asks for a permit before each send to a server that names a limit.
+
+    While no node decides, this gateway uses an equal part of each limit.
+
+    Parameters
+    ----------
+    vm : VmId
+        This gateway.
+    limits : rate_limits.RateLimits
+        The limits of the servers.
+    source : permits.PermitSource or None
+        Gives out the permits; ``None`` where no node does.
+    count_gateways : callable
+        Returns the number of gateways; 0 if it is unknown, which allows no sends
+        while no node decides.
+    rng : random.Random
+        Spreads the sends of several gateways over time while no node decides.
+
+    Attributes
+    ----------
+    blocks : dict of ServerId to Block
+        Servers for which a permit has been denied, until the next one is due.
+    own_permits : rate_permits.RatePermits
+        This gateway's part of the limits while no node decides.
+    """
+
+    def __init__(
+        self,
+        vm: ids.VmId,
+        limits: rate_limits.RateLimits,
+        source: permits.PermitSource | None,
+        count_gateways: Callable[[], int],
+        rng: random.Random,
+    ) -> None:
+        self.vm = vm
+        self.limits = limits
+        self.source = source
+        self.count_gateways = count_gateways
+        self.blocks: dict[ids.ServerId, Block] = {}
+        self.own_permits = rate_permits.RatePermits(rng)
+
+    def is_limited(self, server: ids.ServerId) -> bool:
+        """Return whether a server has a limit now."""
+        now_s = asyncio.get_running_loop().time()
+        return self.limits.find(server, now_s) is not None
+
+    def blocked_s(self, server: ids.ServerId, rank: int) -> float:
+        """Return for how long a server takes no request of a rank, in seconds."""
+        block = self.blocks.get(server)
+        if block is None or rank < block.rank:
+            return 0.0
+        now_s = asyncio.get_running_loop().time()
+        if block.until_s <= now_s or not self.is_limited(server):
+            del self.blocks[server]
+            return 0.0
+        return block.until_s - now_s
+
+    async def acquire(self, server: ids.ServerId, rank: int) -> float:
+        """Return 0 if a request may be sent to a server now, else the delay until then.
+
+        Each call that returns 0 stands for one send.
+        """
+        now_s = asyncio.get_running_loop().time()
+        per_s = self.limits.find(server, now_s)
+        if per_s is None:
+            return 0.0
+        blocked_s = self.blocked_s(server, rank)
+        if blocked_s > 0.0:
+            return blocked_s
+        delay_s = await self.request(server, per_s, rank)
+        if delay_s > 0.0:
+            now_s = asyncio.get_running_loop().time()
+            self.blocks[server] = Block(rank, now_s + delay_s)
+        return delay_s
+
+    async def request(self, server: ids.ServerId, per_s: float, rank: int) -> float:
+        """Ask the deciding node for a permit, or decide here if there is none."""
+        now_s = asyncio.get_running_loop().time()
+        if self.source is not None:
+            report = self.limits.report(server, now_s)
+            asked = permits.PermitRequest(self.vm, rank, report)
+            reply = await self.source.request_permit(asked)
+            if isinstance(reply, result.Success):
+                # What is saved here is given out there.
+                self.own_permits.clear()
+                return reply.unwrap()
+            now_s = asyncio.get_running_loop().time()
+        gateways = self.count_gateways()
+        if not gateways:
+            return 1.0 / per_s
+        return self.own_permits.take(server, per_s / gateways, rank, now_s)
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -12,6 +12,7 @@
 from returns import result
 
 from quetzalpass import background, event_log, ids
+from quetzalpass.allocation import permits
 from quetzalpass.backends import base, relays
 from quetzalpass.declarations import relays as declared
 from quetzalpass.declarations import schema
@@ -128,6 +129,15 @@
         Creates the client of a server.
     rng : random.Random
         Source of randomness.
+    permit_source : permits.PermitSource or None
+        Shares the limits of servers out; ``None`` where no node does.
+
+    Attributes
+    ----------
+    rate_limits : rate_limits.RateLimits
+        Limits on the rate of requests that servers have named.
+    rate_gate : rate_gate.RateGate
+        Holds this gateway's sends to them.
     """
 
     def __init__(
@@ -139,6 +149,7 @@
         budget: shared_budget.SharedBudget,
         connect: Connect,
         rng: random.Random,
+        permit_source: permits.PermitSource | None = None,
     ) -> None:
         self.holder = holder
         self.view = view
@@ -150,7 +161,10 @@
         self.suspects = quarantine.Quarantine(
             f"{vm}/{rng.getrandbits(START_ID_BITS):x}"
         )
-        self.rate_limits = rate_limits.RateLimits()
+        self.rate_limits = reservations.rate_limits
+        self.rate_gate = reservations.rate_gate
+        self.rate_gate.source = permit_source
+        self.rate_gate.count_gateways = lambda: budget.gateways
         self.relay_servers: dict[ids.ServerId, relays.RelayServer] = {}
         self.metrics = exposition.ProcessMetrics()
         self.metrics.running.set_function(lambda: self.running)
@@ -378,6 +392,10 @@
                 RateLimitEvent(server.id, before, after), event_log.Level.NOTICE
             )
 
+    def merge_limits(self, reports: tuple[rate_limits.LimitReport, ...]) -> None:
+        """Merge what other gateways have read about the limits of servers."""
+        self.rate_limits.merge(reports, asyncio.get_running_loop().time())
+
     async def is_complete(
         self,
         routed: relay_requests.RoutedRequest,
--- a/src/quetzalpass/lifecycle/relay_reservations.py
+++ b/src/quetzalpass/lifecycle/relay_reservations.py
@@ -9,10 +9,20 @@
 from quetzalpass import ids
 from quetzalpass.allocation import client, queueing, server_capacities
 from quetzalpass.allocation import messages as allocation_messages
-from quetzalpass.lifecycle import engine_questions, relay_requests, server_health
+from quetzalpass.lifecycle import (
+    engine_questions,
+    rate_gate,
+    relay_requests,
+    server_health,
+)
 from quetzalpass.membership import discovery, fleet_messages, fleet_view
 from quetzalpass.results import codes, failures
-from quetzalpass.routing import prefill_rates, relay_placement, relay_waiting
+from quetzalpass.routing import (
+    prefill_rates,
+    rate_limits,
+    relay_placement,
+    relay_waiting,
+)
 
 MS_PER_S = 1000
 # Longest wait for capacity as a multiple of the objective. Callers of streams
@@ -146,9 +156,13 @@
         self.rng = rng
         self.uses: dict[ids.ServerId, fleet_messages.ServerUse] = {}
         self.rates = prefill_rates.PrefillRates()
+        self.rate_limits = rate_limits.RateLimits()
+        self.rate_gate = rate_gate.RateGate(
+            vm, self.rate_limits, None, count_gateways=lambda: 1, rng=rng
+        )
         self.health = server_health.ServerHealth(view, data_centre)
         self.allocation_requests = engine_questions.EngineRequests(
-            vm, view, self.health, rng, allocation
+            vm, view, self.health, rng, allocation, self.rate_gate
         )
         self.queues: dict[ids.ServiceName, queueing.PlacementQueue[Reservation]] = {}
         view.change_observers.append(self.process_queues)
@@ -191,14 +205,16 @@
         """Return the capacities of the servers of a service that accept new work.
 
         Ejected servers, and those that the request avoids, are left out unless no other
-        server is left.
+        server is left. Servers whose limit allows no request now are always left out.
         """
         now_s = asyncio.get_running_loop().time()
         avoided = self.health.find_servers_to_avoid(routed.fingerprint)
         usable = [
             known
             for known in self.view.find_servers(routed.service.name)
-            if not known.is_leaving and known.server.id not in excluded
+            if not known.is_leaving
+            and known.server.id not in excluded
+            and not self.rate_gate.blocked_s(known.server.id, routed.rank)
         ]
         healthy = [
             known
@@ -287,7 +303,9 @@
         engine = routed.service.engine
         if reservation.is_granted or engine is None or not engine.backups:
             return
-        capacities = self.server_capacities(routed, frozenset((reservation.server.id,)))
+        limited = self.rate_limits.servers(asyncio.get_running_loop().time())
+        excluded = frozenset((reservation.server.id, *limited))
+        capacities = self.server_capacities(routed, excluded)
         chosen = relay_placement.choose_backup(
             reservation.need, capacities, reservation.server.data_centre, self.rng
         )
@@ -426,6 +444,42 @@
             codes.Code.QUEUE_FULL, message, retry_after_ms=int(return_s * MS_PER_S)
         )
 
+    def time_until_permit_s(self, routed: relay_requests.RoutedRequest) -> float:
+        """Return when the limits of a service allow a request again, in seconds.
+
+        Returns
+        -------
+        float
+            0 if one of its servers can be sent a request now, or if it has no servers.
+        """
+        blocked_s = [
+            self.rate_gate.blocked_s(known.server.id, routed.rank)
+            for known in self.view.find_servers(routed.service.name)
+            if not known.is_leaving
+        ]
+        return min(blocked_s, default=0.0)
+
+    def rate_limited_failure(
+        self, routed: relay_requests.RoutedRequest, delay_s: float
+    ) -> failures.Failure:
+        """Return the failure of a request that the limits of its servers don't allow.
+
+        Parameters
+        ----------
+        routed : relay_requests.RoutedRequest
+            The request.
+        delay_s : float
+            Time until the next permit, in seconds.
+        """
+        now_s = asyncio.get_running_loop().time()
+        left_s = routed.deadline_s - now_s
+        return_s = relay_waiting.retry_delay_s(left_s, self.rng, delay_s)
+        return failures.Failure(
+            codes.Code.QUEUE_FULL,
+            f"the servers take no further request for {delay_s:.2f} s",
+            retry_after_ms=int(return_s * MS_PER_S),
+        )
+
     def process_queues(self) -> None:
         """Reserve servers for the waiting requests for which there is capacity."""
         for queue in self.queues.values():
--- a/src/quetzalpass/lifecycle/relayed_calls.py
+++ b/src/quetzalpass/lifecycle/relayed_calls.py
@@ -45,6 +45,8 @@
         Last error response of a server, for the caller if no retry succeeds.
     failure : base.AttemptFailure or None
         Last failure without a response.
+    denied : set of ServerId
+        Servers whose limit allowed no request.
     """
 
     sends: int = 0
@@ -52,6 +54,7 @@
     tried: set[ids.ServerId] = msgspec.field(default_factory=set)
     failed_response: WholeResponse | None = None
     failure: base.AttemptFailure | None = None
+    denied: set[ids.ServerId] = msgspec.field(default_factory=set)
 
     def execution(self) -> codes.Execution:
         """Return whether a server may have run the call."""
@@ -77,6 +80,9 @@
             refusal = gateway.refusal(routed, state.execution())
             if refusal is not None:
                 return refused_result(state, refusal)
+            if await gateway.rate_gate.acquire(reservation.server.id, routed.rank):
+                state.denied.add(reservation.server.id)
+                continue
             response = await send_once(gateway, routed, reservation, state)
         finally:
             reservation.release()
@@ -119,10 +125,12 @@
 ) -> relay_reservations.Reservation | None:
     """Reserve a server, one that was not tried yet if there is one."""
     reservation = gateway.reservations.reserve_service_server(
-        routed, frozenset(state.tried)
+        routed, frozenset(state.tried | state.denied)
     )
     if reservation is None and state.tried and state.runs == 0:
-        reservation = gateway.reservations.reserve_service_server(routed)
+        reservation = gateway.reservations.reserve_service_server(
+            routed, frozenset(state.denied)
+        )
     return reservation
 
 
@@ -303,6 +311,9 @@
     state: CallState,
 ) -> failures.Failure:
     """Return the failure of a call to which no server has responded."""
+    delay_s = gateway.reservations.time_until_permit_s(routed)
+    if state.runs == 0 and delay_s:
+        return gateway.reservations.rate_limited_failure(routed, delay_s)
     if state.runs == 0:
         reason = state.failure.message if state.failure else "there is no server"
         return gateway.reservations.queue_full_failure(routed, reason)
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -29,6 +29,9 @@
 
 # Growth of a generation after which its memory need is updated.
 GROWTH_STEP_TOKENS = 64
+# A generation waits this long for a server at its limit to resume on; callers leave
+# after a longer pause.
+MAX_RESUME_DELAY_S = 1.0
 MS_PER_S = 1000
 STATUS_OK = 200
 
@@ -191,6 +194,9 @@
             reservation.release()
             raise
         server = reservation.server
+        denied = await self.find_rate_limit(reservation)
+        if denied is not None:
+            return result.Failure(denied)
         self.gateway.reservations.assign_backup(self.routed, reservation)
         options = relays.SendOptions(
             self.routed.deadline_s - self.now_s(),
@@ -228,6 +234,31 @@
         self.on_broken(server, failure)
         return sent
 
+    async def find_rate_limit(
+        self, reservation: relay_reservations.Reservation
+    ) -> base.AttemptFailure | None:
+        """Return the failure of a send that the server's limit does not allow.
+
+        The reservation is then released.
+        """
+        server = reservation.server
+        try:
+            delay_s = await self.gateway.rate_gate.acquire(server.id, self.routed.rank)
+        except BaseException:
+            reservation.release()
+            raise
+        if not delay_s:
+            return None
+        reservation.release()
+        detail = f"the limit of the server allows none for {delay_s:.3f} s"
+        self.gateway.record_decision(self.routed, "rate_limited", server.id, detail)
+        return base.AttemptFailure(
+            base.AttemptEnd.NOT_SENT,
+            base.FailureKind.RATE_LIMITED,
+            detail,
+            int(delay_s * MS_PER_S) + 1,
+        )
+
     def build_continuation(
         self, copy: generation_moves.MemoryCopy | None
     ) -> relays.Continuation | None:
@@ -498,13 +529,30 @@
         self.raise_if_refused()
         if not self.try_withdraw_resume():
             raise stream_failures.server_lost("the retry budget is used up")
-        reservation = self.gateway.reservations.reserve_on(copy.server, self.need)
-        opened = await self.open_segment(reservation, copy)
+        opened = await self.open_on_copy(copy)
         self.unused_copy = None
         if isinstance(opened, result.Failure):
             raise stream_failures.server_lost(opened.failure().message)
         return opened.unwrap()
 
+    async def open_on_copy(
+        self, copy: generation_moves.MemoryCopy
+    ) -> result.Result[stream_segments.StreamSegment, base.AttemptFailure]:
+        """Resume from a copy; wait for a short time if its server is at its limit."""
+        reservations = self.gateway.reservations
+        opened = await self.open_segment(
+            reservations.reserve_on(copy.server, self.need), copy
+        )
+        if not stream_segments.is_rate_limited(opened):
+            return opened
+        delay_s = opened.failure().retry_after_ms / MS_PER_S
+        if delay_s > MAX_RESUME_DELAY_S:
+            return opened
+        await asyncio.sleep(delay_s)
+        return await self.open_segment(
+            reservations.reserve_on(copy.server, self.need), copy
+        )
+
     async def drop_copy(self, copy: generation_moves.MemoryCopy) -> None:
         """Free an unused copy on both of its servers, through its holder."""
         holder = self.gateway.get_relay_server(copy.holder)
--- a/src/quetzalpass/lifecycle/stream_segments.py
+++ b/src/quetzalpass/lifecycle/stream_segments.py
@@ -147,3 +147,13 @@
     return base.AttemptFailure(
         base.AttemptEnd.MAY_HAVE_RUN, base.FailureKind.CLOSED, message
     )
+
+
+def is_rate_limited(
+    opened: result.Result[StreamSegment, base.AttemptFailure],
+) -> bool:
+    """Return whether a segment was not opened because of its server's limit."""
+    return (
+        isinstance(opened, result.Failure)
+        and opened.failure().kind is base.FailureKind.RATE_LIMITED
+    )
--- a/src/quetzalpass/lifecycle/stream_starts.py
+++ b/src/quetzalpass/lifecycle/stream_starts.py
@@ -19,6 +19,8 @@
 
 # Maximum number of sends of one request that servers refuse without running it.
 MAX_REFUSALS = 4
+# Maximum number of servers at their limit that are chosen for one request.
+MAX_DENIALS = 8
 
 
 class StreamStart:
@@ -35,6 +37,8 @@
         Sends that servers have refused.
     failed_connects : int
         Connections that could not be opened.
+    denials : int
+        Sends that the limit of a server did not allow.
     tried : set of ServerId
         Servers that have not accepted the request.
     """
@@ -45,6 +49,7 @@
         self.routed = stream.routed
         self.refusals = 0
         self.failed_connects = 0
+        self.denials = 0
         self.tried: set[ids.ServerId] = set()
 
     async def run(self) -> stream_segments.StreamSegment:
@@ -63,6 +68,7 @@
             stream.raise_if_refused()
             if failure is not None:
                 raise stream_failures.StreamFailedError(failure)
+            self.raise_if_at_limit()
             reserved = await reservations.wait_for_engine(self.routed, stream.need)
             if isinstance(reserved, result.Failure):
                 raise stream_failures.StreamFailedError(reserved.failure())
@@ -76,6 +82,21 @@
                 return opened.unwrap()
             self.on_refused(reservation, opened.failure())
 
+    def raise_if_at_limit(self) -> None:
+        """Raise the failure of a request that the limits of its servers don't allow.
+
+        Raises
+        ------
+        StreamFailedError
+            If all servers of the service are at their limit.
+        """
+        reservations = self.gateway.reservations
+        delay_s = reservations.time_until_permit_s(self.routed)
+        if delay_s:
+            raise stream_failures.StreamFailedError(
+                reservations.rate_limited_failure(self.routed, delay_s)
+            )
+
     def on_refused(
         self, reservation: relay_reservations.Reservation, failure: base.AttemptFailure
     ) -> None:
@@ -106,6 +127,10 @@
         """
         reservations = self.gateway.reservations
         now_s = self.stream.now_s()
+        if failure.kind is base.FailureKind.RATE_LIMITED:
+            self.denials += 1
+            self.raise_if_at_limit()
+            return self.denials < MAX_DENIALS
         if failure.end is base.AttemptEnd.NOT_SENT:
             self.failed_connects += 1
             reservations.health.record_unreachable(reservation.server, failure.message)
--- a/src/quetzalpass/membership/control_links.py
+++ b/src/quetzalpass/membership/control_links.py
@@ -18,6 +18,7 @@
     propagation,
     suspect_reports,
 )
+from quetzalpass.routing import rate_limits
 from quetzalpass.wire import transport
 
 LOG = logbook.Logger("membership")
@@ -77,6 +78,8 @@
         Called with each reply of the active control node.
     suspect_observers : list of callable
         Called with the suspects in each reply of any control node.
+    limit_observers : list of callable
+        Called with the limits of servers in each reply of any control node.
     """
 
     def __init__(
@@ -111,6 +114,9 @@
         self.suspect_observers: list[
             Callable[[suspect_reports.SuspectReports], None]
         ] = []
+        self.limit_observers: list[
+            Callable[[tuple[rate_limits.LimitReport, ...]], None]
+        ] = []
 
     def start(self) -> None:
         """Start following the control nodes."""
@@ -219,6 +225,8 @@
         if reply.verdicts is not None:
             for observer in self.suspect_observers:
                 observer(reply.verdicts)
+        for limit_observer in self.limit_observers:
+            limit_observer(reply.limits)
         if reply.controls:
             self.adopt_controls(set(reply.controls) | set(self.seeds))
         if not reply.is_watching:
--- a/src/quetzalpass/membership/fleet_messages.py
+++ b/src/quetzalpass/membership/fleet_messages.py
@@ -4,7 +4,7 @@
 
 from quetzalpass import ids
 from quetzalpass.membership import discovery, suspect_reports
-from quetzalpass.routing import prefill_rates
+from quetzalpass.routing import prefill_rates, rate_limits
 from quetzalpass.wire import messages
 
 
@@ -79,6 +79,9 @@
         read the list.
     retries : dict of ServiceName to int
         Retries of all other gateways together within the window of the retry budget.
+    limits : tuple of LimitReport
+        Limits that servers have named to any gateway; also from a node that does not
+        read the list.
     """
 
     is_watching: bool
@@ -91,6 +94,7 @@
     uses: tuple[ServerUse, ...] = ()
     verdicts: suspect_reports.SuspectReports | None = None
     retries: dict[ids.ServiceName, int] = {}
+    limits: tuple[rate_limits.LimitReport, ...] = ()
 
 
 class FleetRequest(messages.Request, frozen=True):
@@ -117,6 +121,8 @@
         Prefill measurements, from first events since the last report.
     retries : dict of ServiceName to int
         Retries of this gateway within the window of the retry budget.
+    limits : tuple of LimitReport
+        Limits that servers have named, as far as this gateway knows.
     """
 
     reply_type = FleetReply
@@ -129,3 +135,4 @@
     placed: tuple[ids.AllocationId, ...] = ()
     reads: tuple[prefill_rates.PrefillMeasurement, ...] = ()
     retries: dict[ids.ServiceName, int] = {}
+    limits: tuple[rate_limits.LimitReport, ...] = ()
--- a/src/quetzalpass/membership/fleet_registry.py
+++ b/src/quetzalpass/membership/fleet_registry.py
@@ -14,6 +14,7 @@
     quarantine,
     use_totals,
 )
+from quetzalpass.routing import rate_limits
 
 LOG = logbook.Logger("membership")
 
@@ -66,6 +67,8 @@
         Loop time at which a gateway last reported that a server is leaving.
     suspects : quarantine.Quarantine
         Merged suspects of all gateways.
+    limits : rate_limits.RateLimits
+        Limits that servers have named to any gateway.
     warm_at_s : dict of ServerId to float
         Loop time from which a server that has just started is no longer slow.
     totals : use_totals.UseTotals
@@ -96,6 +99,7 @@
         self.reports: dict[ids.VmId, GatewayReport] = {}
         self.announcements: dict[ids.ServerId, float] = {}
         self.suspects = quarantine.Quarantine("board")
+        self.limits = rate_limits.RateLimits()
         self.warm_at_s: dict[ids.ServerId, float] = {}
         self.totals = use_totals.UseTotals()
         self.retries: collections.Counter[ids.ServiceName] = collections.Counter()
@@ -190,10 +194,16 @@
         """Record a gateway's report and return the fleet, or where to find it."""
         if request.verdicts is not None:
             self.suspects.merge(request.verdicts)
+        self.limits.merge(request.limits, asyncio.get_running_loop().time())
         if not self.is_active() or self.read_at_s is None:
             # Suspects spread also while there is no leader or the list can't be read.
-            reports = self.suspects.suspect_reports_since(0)
-            return fleet_messages.FleetReply(False, leader, controls, verdicts=reports)
+            return fleet_messages.FleetReply(
+                False,
+                leader,
+                controls,
+                verdicts=self.suspects.suspect_reports_since(0),
+                limits=self.limits.reports(asyncio.get_running_loop().time()),
+            )
         self.record_report(request)
         if request.known_version == self.version and request.wait_s > 0:
             await self.wait_for_change(request.wait_s)
@@ -210,6 +220,7 @@
             self.uses_of_others(request.gateway),
             self.suspects.suspect_reports_since(0),
             self.retries_of_others(request.gateway),
+            self.limits.reports(now_s),
         )
 
     def record_report(self, request: fleet_messages.FleetRequest) -> None:
--- a/src/quetzalpass/routing/rate_limits.py
+++ b/src/quetzalpass/routing/rate_limits.py
@@ -103,6 +103,12 @@
             return None
         return known.per_s
 
+    def servers(self, now_s: float) -> frozenset[ids.ServerId]:
+        """Return the servers whose limit is in force."""
+        return frozenset(
+            each for each, known in self.limits.items() if known.holds(now_s)
+        )
+
     def expire(self, now_s: float) -> None:
         """Forget limits that have ended so long ago that no report names them."""
         self.limits = {
@@ -114,15 +120,15 @@
     def reports(self, now_s: float) -> tuple[LimitReport, ...]:
         """Return all that other processes need to know."""
         self.expire(now_s)
-        return tuple(
-            LimitReport(
-                server,
-                known.per_s,
-                now_s - known.named_s,
-                now_s - known.unnamed_s if known.unnamed_s > -math.inf else None,
-            )
-            for server, known in self.limits.items()
-        )
+        return tuple(self.report(server, now_s) for server in self.limits)
+
+    def report(self, server: ids.ServerId, now_s: float) -> LimitReport:
+        """Return what is known about the limit of a server."""
+        known = self.limits[server]
+        unnamed_age_s = None
+        if known.unnamed_s > -math.inf:
+            unnamed_age_s = now_s - known.unnamed_s
+        return LimitReport(server, known.per_s, now_s - known.named_s, unnamed_age_s)
 
     def merge(self, reports: Iterable[LimitReport], now_s: float) -> None:
         """Merge the reports of another process, in any order."""
--- a/src/quetzalpass/routing/relay_waiting.py
+++ b/src/quetzalpass/routing/relay_waiting.py
@@ -105,11 +105,22 @@
         return [each for each in self.waiting.values() if each.expires_at_s <= now_s]
 
 
-def retry_delay_s(time_left_s: float, rng: random.Random) -> float:
+def retry_delay_s(
+    time_left_s: float, rng: random.Random, min_delay_s: float = 0.0
+) -> float:
     """Return after how many seconds a refused caller should retry.
 
     The delay is randomised, so that callers refused together don't retry together.
+
+    Parameters
+    ----------
+    time_left_s : float
+        Time until the caller's deadline, in seconds.
+    rng : random.Random
+        Source of randomness.
+    min_delay_s : float
+        Time before which a retry would be refused again, in seconds.
     """
     max_delay_s = max(0.0, time_left_s * MAX_RETRY_SHARE)
-    delay_s = MIN_RETRY_S * (1.0 + RETRY_JITTER * rng.random())
+    delay_s = max(MIN_RETRY_S, min_delay_s) * (1.0 + RETRY_JITTER * rng.random())
     return min(max_delay_s, delay_s)
--- a/tests/fakes/relay_servers.py
+++ b/tests/fakes/relay_servers.py
@@ -76,7 +76,12 @@
         self.is_closed = False
         self.is_ended = False
         self.closed = asyncio.Event()
-        self.head = relays.ResponseHead(status, HEADERS, body_end=server.body_end)
+        self.head = relays.ResponseHead(
+            status,
+            HEADERS,
+            body_end=server.body_end,
+            rate_notice=server.rate_notice,
+        )
 
     async def read_body(self):
         if self.server.body_failure is not None:
@@ -121,6 +126,8 @@
         Event at which the body of a stream ends early, though in an orderly way.
     torn_bytes : int
         Bytes of that event that are sent.
+    rate_notice : base.RateNotice or None
+        Limit that it names in each response.
     """
 
     def __init__(self, fleet, name):
@@ -137,6 +144,7 @@
         self.copy_delay_s = 0.2
         self.refuses_copies = False
         self.body_end = relays.BodyEnd.CHUNKS
+        self.rate_notice = base.RateNotice()
         self.ends_at = None
         self.torn_bytes = 0
 
