--- a/src/quetzalpass/membership/part_reports.py
+++ b/src/quetzalpass/membership/part_reports.py
@@ -105,11 +105,14 @@
         Time since the last crash that counts against them, in seconds.
     trials : int
         Requests that were let through later and crashed their servers.
+    outweighs_runs : bool
+        Whether runs of the parts before the crash are disregarded.
     """
 
     parts: tuple[ids.PromptPartId, ...]
     crash_age_s: float
     trials: int
+    outweighs_runs: bool = False
 
 
 class PartReports(msgspec.Struct, frozen=True):
--- a/src/quetzalpass/membership/part_suspects.py
+++ b/src/quetzalpass/membership/part_suspects.py
@@ -21,7 +21,11 @@
 import xxhash
 
 from quetzalpass import event_log, ids
-from quetzalpass.membership import part_evidence, part_reports
+from quetzalpass.membership import (
+    doubtful_clearances,
+    part_evidence,
+    part_reports,
+)
 from quetzalpass.results import codes, failures
 
 LOG = logbook.Logger("quarantine")
@@ -65,12 +69,15 @@
         Event keys of the known crashes during which a request had all these parts.
     trial : Trial or None
         The present trial.
+    outweighs_runs : bool
+        Whether runs of the parts before the last crash are disregarded.
     """
 
     crashed_s: float
     trials: int = 0
     explained: set[str] = msgspec.field(default_factory=set)
     trial: Trial | None = None
+    outweighs_runs: bool = False
 
     def delay_s(self) -> float:
         """Return after which time without a crash the next trial is due."""
@@ -162,8 +169,22 @@
             inseparable = self.find_inseparable(part, crashes, beside)
             if self.has_lead(beside, inseparable, crashes):
                 self.refuse(inseparable, crashes)
+        for part in parts:
+            self.refuse_if_wrongly_cleared(part)
         self.review()
 
+    def refuse_if_wrongly_cleared(self, part: ids.PromptPartId) -> None:
+        """Refuse a part although it has run, if enough crashes speak against it."""
+        crashes = [
+            each
+            for each in doubtful_clearances.find_unexplained_crashes(
+                self.evidence, part
+            )
+            if not self.is_explained_without(each, part)
+        ]
+        if is_repeated(part, crashes):
+            self.refuse(frozenset((part,)), crashes, outweighs_runs=True)
+
     def revise(self, parts: Iterable[ids.PromptPartId]) -> None:
         """Extend refused sets by parts that later reports show beside them."""
         for known in [each for each in self.refused if not each.isdisjoint(parts)]:
@@ -255,13 +276,21 @@
         )
         return len(beside) - max(counts.values(), default=0) >= MIN_LEAD
 
-    def refuse(self, parts: Parts, crashes: list[RecordedCrash]) -> None:
+    def refuse(
+        self,
+        parts: Parts,
+        crashes: list[RecordedCrash],
+        outweighs_runs: bool = False,
+    ) -> None:
         """Refuse requests whose prompt has all given parts."""
         if any(known <= parts for known in self.refused):
             return
         explained = self.evidence.explained_events(parts)
         crashed_s = max(each.at_s for each in crashes)
-        self.add_refusal(parts, RefusedParts(crashed_s, explained=explained))
+        refused = RefusedParts(
+            crashed_s, explained=explained, outweighs_runs=outweighs_runs
+        )
+        self.add_refusal(parts, refused)
         LOG.warning(
             "quarantine: {} servers crashed under requests with the same {} parts.",
             len(explained),
@@ -288,7 +317,7 @@
         self.evidence.set_cleared(part, at_s)
         for parts in [each for each in self.refused if part in each]:
             refused = self.refused[parts]
-            if not self.evidence.is_cleared(part, refused.crashed_s):
+            if not self.is_acquitted(part, refused.crashed_s, refused.outweighs_runs):
                 continue
             del self.refused[parts]
             rest = parts - {part}
@@ -297,6 +326,24 @@
             elif not any(known <= rest for known in self.refused):
                 self.add_refusal(rest, refused)
 
+    def is_acquitted(
+        self, part: ids.PromptPartId, crashed_s: float, outweighs_runs: bool
+    ) -> bool:
+        """Return whether a run of a part speaks against its refusal.
+
+        Parameters
+        ----------
+        part : PromptPartId
+            The part.
+        crashed_s : float
+            Loop time of the last crash that counts against it.
+        outweighs_runs : bool
+            Whether only a run after that crash counts.
+        """
+        if not outweighs_runs:
+            return self.evidence.is_cleared(part, crashed_s)
+        return self.evidence.cleared_s.get(part, -math.inf) > crashed_s
+
     def withdraw(self, server_start: str) -> None:
         """Withdraw the crash of a server that has proved to run still."""
         if not self.evidence.withdraw(server_start):
@@ -356,7 +403,10 @@
         named = set(self.evidence.crashes_by_part).union(*self.refused)
         refusals = tuple(
             part_reports.PartRefusal(
-                tuple(sorted(parts)), now_s - refused.crashed_s, refused.trials
+                tuple(sorted(parts)),
+                now_s - refused.crashed_s,
+                refused.trials,
+                refused.outweighs_runs,
             )
             for parts, refused in self.refused.items()
         )
@@ -394,7 +444,7 @@
         parts = frozenset(
             each
             for each in refusal.parts
-            if not self.evidence.is_cleared(each, crashed_s)
+            if not self.is_acquitted(each, crashed_s, refusal.outweighs_runs)
         )
         if not parts:
             return
@@ -405,7 +455,13 @@
             known.trials = max(known.trials, refusal.trials)
         elif not any(each <= parts for each in self.refused):
             explained = self.evidence.explained_events(parts)
-            self.add_refusal(parts, RefusedParts(crashed_s, refusal.trials, explained))
+            refused = RefusedParts(
+                crashed_s,
+                refusal.trials,
+                explained,
+                outweighs_runs=refusal.outweighs_runs,
+            )
+            self.add_refusal(parts, refused)
             self.review()
 
     def log(
--- a/tests/membership/test_part_suspects.py
+++ b/tests/membership/test_part_suspects.py
@@ -204,6 +204,30 @@
             assert each.refuses("first guilty")
             assert not each.refuses("first sound")
 
+    async def test_cleared_part_beside_the_crashing_one_stays_cleared(self):
+        process = Process()
+        process.run("first sound")
+        for number in range(6):
+            await asyncio.sleep(1.0)
+            process.crash("first guilty", "first sound", f"first other-{number}")
+        assert process.refuses("first guilty")
+        assert not process.refuses("first sound")
+
+    async def test_run_after_the_crashes_clears_a_part_that_was_refused_despite_runs(
+        self,
+    ):
+        process = Process()
+        process.run("guilty")
+        for _ in range(4):
+            await asyncio.sleep(2.0)
+            process.run("first")
+            await asyncio.sleep(1.0)
+            process.crash("first guilty")
+        assert process.refuses("first guilty")
+        await asyncio.sleep(1.0)
+        process.run("guilty")
+        assert not process.refuses("first guilty")
+
 
 class TestSeveralProcesses:
     async def test_crashes_at_different_gateways_add_up(self):
