--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -8,19 +8,18 @@
 from typing import Any
 
 import logbook
-import xxhash
 from returns import result
 
 from quetzalpass import background, event_log, ids
 from quetzalpass.allocation import permits
 from quetzalpass.backends import base, relays
-from quetzalpass.declarations import relays as declared
-from quetzalpass.declarations import schema
 from quetzalpass.lifecycle import (
     attempts,
     crash_checks,
+    relay_events,
     relay_requests,
     relay_reservations,
+    request_routing,
     shared_budget,
 )
 from quetzalpass.membership import configuration, discovery, fleet_view, quarantine
@@ -35,73 +34,10 @@
 MAX_START_WAIT_S = 1.5
 START_WAIT_SHARE = 0.4
 START_POLL_S = 0.02
-MS_PER_S = 1000
-HASH_RANGE = 2**64
 START_ID_BITS = 32
-STATUS_NOT_RUN = 503
-# From this status on, a response does not show that the request was run to its end.
-STATUS_ERROR = 400
-SERVER_ERROR = 500
-# Statuses that promise that a request has not run. A server that sends one without its
-# "not run" marker may still have run the request.
-STATUSES_PROMISING_NOT_RUN = frozenset({408, 421, 429, 503})
-STATUS_TIMEOUT = 504
-STATUS_BAD_GATEWAY = 502
-
 Connect = Callable[[discovery.DiscoveredServer], relays.RelayServer]
 
 
-class RelayEvent(event_log.Event, frozen=True, tag="request"):
-    """Log event for a decision on one request.
-
-    Attributes
-    ----------
-    request : RequestId
-        Identifier of the request.
-    decision : str
-        Short name of the decision.
-    route, organisation, server : str or None
-        Route, organisation and server of the decision, where known.
-    revision : int
-        Revision of the declaration on which the decision was based.
-    list_age_ms : int or None
-        Age of the server list on which the decision was based, in milliseconds.
-    detail : str
-        Further inputs of the decision.
-    suspect : str or None
-        Fingerprint of the request, if servers have crashed under it.
-    crashes : int
-        Number of those crashes.
-    """
-
-    request: ids.RequestId
-    decision: str
-    revision: int
-    route: str | None = None
-    organisation: str | None = None
-    server: str | None = None
-    list_age_ms: int | None = None
-    detail: str = ""
-    suspect: str | None = None
-    crashes: int = 0
-
-
-class RateLimitEvent(event_log.Event, frozen=True, tag="rate_limit"):
-    """Log event for a server that begins or ceases to name a limit, or changes it.
-
-    Attributes
-    ----------
-    server : ServerId
-        The server.
-    before_per_s, per_s : float or None
-        Limit before and now, in requests per second.
-    """
-
-    server: ids.ServerId
-    before_per_s: float | None
-    per_s: float | None
-
-
 class LeavingObserver(abc.ABC):
     """Something that must move away from a server that is leaving."""
 
@@ -269,28 +205,36 @@
         """Route a request by the declaration in force, or return why it is refused."""
         current = self.holder.current
         if self.outlasts_drain(request):
-            return refuse(
+            return request_routing.refuse(
                 codes.Code.DRAINING, "this gateway is draining", RETRY_ELSEWHERE_MS
             )
         if current is None:
-            return refuse(
+            return request_routing.refuse(
                 codes.Code.NOT_READY,
                 "this gateway has not received a declaration yet",
                 RETRY_WHEN_READY_MS,
             )
         route = current.find_route(request.host, request.path)
         if route is None:
-            return refuse(codes.Code.NOT_FOUND, "no route matches this host and path")
+            return request_routing.refuse(
+                codes.Code.NOT_FOUND, "no route matches this host and path"
+            )
         organisation = None
         if not route.public:
             organisation = current.find_organisation(request.key or "")
             if organisation is None:
-                return refuse(codes.Code.UNKNOWN_KEY, "the key is unknown")
-        service = current.services[choose_service(route, request.request_id)]
+                return request_routing.refuse(
+                    codes.Code.UNKNOWN_KEY, "the key is unknown"
+                )
+        service = current.services[
+            request_routing.choose_service(route, request.request_id)
+        ]
         now_s = asyncio.get_running_loop().time()
         self.budget.record_request(service.name, now_s)
         return result.Success(
-            routed_request(request, route, service, organisation, current)
+            request_routing.routed_request(
+                request, route, service, organisation, current
+            )
         )
 
     def record_decision(
@@ -306,7 +250,7 @@
         self.metrics.decisions.labels(decision, route).inc()
         crashes = self.suspects.crash_count_of(routed.fingerprint)
         event_log.record(
-            RelayEvent(
+            relay_events.RelayEvent(
                 routed.request.request_id,
                 decision,
                 routed.configuration.revision,
@@ -389,7 +333,8 @@
         after = self.rate_limits.find(server.id, now_s)
         if before != after:
             event_log.record(
-                RateLimitEvent(server.id, before, after), event_log.Level.NOTICE
+                relay_events.RateLimitEvent(server.id, before, after),
+                event_log.Level.NOTICE,
             )
 
     def merge_limits(self, reports: tuple[rate_limits.LimitReport, ...]) -> None:
@@ -448,72 +393,3 @@
         """Ask a server whether it is leaving; a closed connection does not prove it."""
         if await self.get_relay_server(server).is_leaving():
             self.view.announce(server.id)
-
-
-def refuse(
-    code: codes.Code, message: str, retry_after_ms: int | None = None
-) -> result.Result[relay_requests.RoutedRequest, failures.Failure]:
-    """Return the failure of a request that is not routed."""
-    return result.Failure(
-        failures.Failure(code, message, retry_after_ms=retry_after_ms)
-    )
-
-
-def routed_request(
-    request: relay_requests.RelayRequest,
-    route: declared.HostRoute,
-    service: schema.Service,
-    organisation: schema.Organisation | None,
-    current: configuration.Configuration,
-) -> relay_requests.RoutedRequest:
-    """Return a routed request with the earlier of the caller's and route's deadline."""
-    time_left_s = route.timeout_ms / MS_PER_S
-    if request.time_left_s is not None:
-        time_left_s = min(time_left_s, request.time_left_s)
-    deadline_s = request.arrived_s + time_left_s
-    return relay_requests.RoutedRequest(
-        request,
-        route,
-        service,
-        organisation,
-        current,
-        deadline_s,
-        relay_requests.fingerprint_of(request, organisation),
-        relay_requests.parts_of_service(request, service.name),
-    )
-
-
-def choose_service(
-    route: declared.HostRoute, request_id: ids.RequestId
-) -> ids.ServiceName:
-    """Return the service of a request, chosen by a hash of its id and the weights.
-
-    All copies of a request go to the same service.
-    """
-    total = sum(share.weight for share in route.shares)
-    point = xxhash.xxh64_intdigest(request_id.encode()) / HASH_RANGE * total
-    for share in route.shares:
-        point -= share.weight
-        if point < 0:
-            return share.service
-    return max(route.shares, key=share_weight).service
-
-
-def share_weight(share: declared.ServiceShare) -> float:
-    """Return the weight of a share."""
-    return share.weight
-
-
-def failure_status(failure: failures.Failure) -> int:
-    """Return the HTTP status with which a failure is reported to the caller.
-
-    503 is a promise that the request has not run; 502 and 504 promise nothing.
-    """
-    spec = codes.spec_of(failure.code)
-    if failure.effective_execution() is codes.Execution.NOT_RUN:
-        if spec.retry or failure.code is codes.Code.QUARANTINED:
-            return STATUS_NOT_RUN
-        return spec.http_status
-    if failure.code is codes.Code.DEADLINE_EXCEEDED:
-        return STATUS_TIMEOUT
-    return STATUS_BAD_GATEWAY
--- a/src/quetzalpass/lifecycle/relayed_calls.py
+++ b/src/quetzalpass/lifecycle/relayed_calls.py
@@ -14,6 +14,7 @@
     relay_gateway,
     relay_requests,
     relay_reservations,
+    response_statuses,
 )
 from quetzalpass.results import codes, failures
 
@@ -240,17 +241,17 @@
         f"status {status}, body ended by {response.head.body_end.value}",
     )
     if (
-        status < relay_gateway.SERVER_ERROR
-        and status not in relay_gateway.STATUSES_PROMISING_NOT_RUN
+        status < response_statuses.SERVER_ERROR
+        and status not in response_statuses.STATUSES_PROMISING_NOT_RUN
     ):
         gateway.reservations.health.record_success(reservation.server.id)
-        if status < relay_gateway.STATUS_ERROR:
+        if status < response_statuses.STATUS_ERROR:
             gateway.record_completion(routed, reservation.server, response.head)
         return response
     gateway.record_decision(
         routed, "server_failed", reservation.server.id, f"status {status}"
     )
-    if status in relay_gateway.STATUSES_PROMISING_NOT_RUN:
+    if status in response_statuses.STATUSES_PROMISING_NOT_RUN:
         state.failure = base.AttemptFailure(
             base.AttemptEnd.MAY_HAVE_RUN,
             base.FailureKind.MALFORMED,
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -20,6 +20,7 @@
     relay_gateway,
     relay_requests,
     relay_reservations,
+    response_statuses,
     stream_failures,
     stream_segments,
     stream_starts,
@@ -131,7 +132,7 @@
         """Clear the request of crashes, unless its response is an error."""
         segment = self.segment
         head = segment.server_response.head
-        if head.status < relay_gateway.STATUS_ERROR:
+        if head.status < response_statuses.STATUS_ERROR:
             server = segment.reservation.server
             self.gateway.record_completion(self.routed, server, head)
 
@@ -370,9 +371,9 @@
             raise stream_failures.server_lost(body.failure().message)
         if not await self.is_complete(segment):
             raise stream_failures.server_lost("the server was lost with its response")
-        if status in relay_gateway.STATUSES_PROMISING_NOT_RUN:
+        if status in response_statuses.STATUSES_PROMISING_NOT_RUN:
             raise stream_failures.server_lost(f"the server responded {status}")
-        if status >= relay_gateway.SERVER_ERROR:
+        if status >= response_statuses.SERVER_ERROR:
             detail = f"status {status}"
             self.gateway.record_decision(
                 self.routed, "server_failed", segment.reservation.server.id, detail
--- a/src/quetzalpass/lifecycle/relaying.py
+++ b/src/quetzalpass/lifecycle/relaying.py
@@ -9,10 +9,12 @@
 from quetzalpass.backends import relays
 from quetzalpass.declarations import relays as declared
 from quetzalpass.lifecycle import (
+    relay_events,
     relay_gateway,
     relay_requests,
     relayed_calls,
     relayed_streams,
+    response_statuses,
     stream_failures,
 )
 from quetzalpass.results import codes, failures
@@ -110,7 +112,7 @@
     """Log and count a request that is not routed."""
     gateway.metrics.decisions.labels("not_routed", "").inc()
     event_log.record(
-        relay_gateway.RelayEvent(
+        relay_events.RelayEvent(
             request.request_id,
             "not_routed",
             gateway.holder.revision(),
@@ -131,6 +133,8 @@
     if failure.retry_after_ms is not None:
         seconds = f"{failure.retry_after_ms / MS_PER_S:.3f}"
         headers.append(relays.Header("Retry-After", seconds))
-    head = relays.ResponseHead(relay_gateway.failure_status(failure), tuple(headers))
+    head = relays.ResponseHead(
+        response_statuses.failure_status(failure), tuple(headers)
+    )
     text = f"{failure.code.value} {failure.message}\n"
     await response.send_whole(head, text.encode())
--- a/tests/adapter/test_broken_off_streams.py
+++ b/tests/adapter/test_broken_off_streams.py
@@ -7,7 +7,7 @@
 
 from platform_standin import standin
 from quetzalpass import event_log
-from quetzalpass.lifecycle import relay_gateway
+from quetzalpass.lifecycle import relay_events
 
 LAST_EVENT = 12
 LINE_ENDINGS = (b"\n", b"\r\n", b"\r")
@@ -248,7 +248,6 @@
         (detail,) = [
             each.detail
             for each in recorded
-            if isinstance(each, relay_gateway.RelayEvent)
-            and each.decision == "streamed"
+            if isinstance(each, relay_events.RelayEvent) and each.decision == "streamed"
         ]
         assert f"body ended by {body_end}, 6 bytes after the last event" in detail
--- a/tests/lifecycle/test_crashing_requests.py
+++ b/tests/lifecycle/test_crashing_requests.py
@@ -5,7 +5,7 @@
 
 from fakes import crashing_servers
 from lifecycle import gateway_group
-from quetzalpass.lifecycle import relay_gateway
+from quetzalpass.lifecycle import response_statuses
 
 pytestmark = pytest.mark.looptime
 
@@ -300,7 +300,7 @@
         loop = asyncio.get_running_loop()
         async with group:
             response = await group.call(path, b"innocent")
-        assert response.status == relay_gateway.STATUS_NOT_RUN
+        assert response.status == response_statuses.STATUS_NOT_RUN
         assert response.header("Retry-After") is not None
         # 3 objectives of 1.8 s, and the last delay.
         assert loop.time() <= 5.4 + 1.0
--- a/tests/lifecycle/test_rate_gate.py
+++ b/tests/lifecycle/test_rate_gate.py
@@ -9,7 +9,7 @@
 from quetzalpass import ids
 from quetzalpass.allocation import permits
 from quetzalpass.backends import base
-from quetzalpass.lifecycle import rate_gate, relay_gateway
+from quetzalpass.lifecycle import rate_gate, response_statuses
 from quetzalpass.routing import rate_limits
 
 pytestmark = pytest.mark.looptime
@@ -54,7 +54,7 @@
         start_s = loop.time()
         response = await self.harness.serve(self.path)
         self.responses.append(response)
-        if response.status == relay_gateway.STATUS_NOT_RUN:
+        if response.status == response_statuses.STATUS_NOT_RUN:
             self.refusal_times_s.append(loop.time() - start_s)
 
 
@@ -118,7 +118,7 @@
         )
         harness.server("l-1").scripted_responses = [refusal] * 10
         response = await harness.serve("/reads/1")
-        assert response.status == relay_gateway.STATUS_NOT_RUN
+        assert response.status == response_statuses.STATUS_NOT_RUN
         assert harness.send_count("l-1") == 1
 
 
--- a/tests/lifecycle/test_refused_suspects.py
+++ b/tests/lifecycle/test_refused_suspects.py
@@ -4,7 +4,7 @@
 
 from fakes import relay_servers
 from lifecycle import gateway_harness
-from quetzalpass.lifecycle import relay_gateway
+from quetzalpass.lifecycle import response_statuses
 from quetzalpass.membership import suspect_reports
 
 pytestmark = pytest.mark.looptime
@@ -60,7 +60,7 @@
         reservations.process_queues()
         await task
         assert send_count(harness) == 0
-        assert response.status == relay_gateway.STATUS_NOT_RUN
+        assert response.status == response_statuses.STATUS_NOT_RUN
 
     async def test_call_that_waits_before_its_retry_is_not_sent(self):
         harness = make_harness(SERVICES[:1])
@@ -73,7 +73,7 @@
         refuse(harness, "/reads/1")
         await task
         assert send_count(harness) == 1
-        assert response.status == relay_gateway.STATUS_NOT_RUN
+        assert response.status == response_statuses.STATUS_NOT_RUN
 
     async def test_generation_does_not_resume_from_its_backup(self):
         harness = make_harness(ENGINES)
@@ -104,7 +104,7 @@
         refuse_at_first_send(harness, "/reads/1")
         await task
         assert send_count(harness) == 1
-        assert response.status == relay_gateway.STATUS_BAD_GATEWAY
+        assert response.status == response_statuses.STATUS_BAD_GATEWAY
 
     async def test_error_response_of_a_server_is_delivered(self):
         harness = make_harness(SERVICES)
--- a/tests/lifecycle/test_relayed_calls.py
+++ b/tests/lifecycle/test_relayed_calls.py
@@ -7,7 +7,7 @@
 from lifecycle import gateway_harness
 from quetzalpass.backends import relays as backend_relays
 from quetzalpass.declarations import relays
-from quetzalpass.lifecycle import relay_gateway
+from quetzalpass.lifecycle import request_routing, response_statuses
 
 UNKNOWN_KEY = "stolen"
 
@@ -53,7 +53,7 @@
     async def test_response_of_a_crashed_server_is_not_passed_on(self):
         harness = non_idempotent_harness()
         response = await self.serve(harness, is_crashing=True)
-        assert response.status == relay_gateway.STATUS_BAD_GATEWAY
+        assert response.status == response_statuses.STATUS_BAD_GATEWAY
         assert len(harness.gateway.suspects.suspects_by_crash) == 1
 
     async def test_idempotent_call_is_retried(self):
@@ -82,7 +82,7 @@
         harness = ledger_harness()
         harness.holder.current = None
         response = await harness.serve()
-        assert response.status == relay_gateway.STATUS_NOT_RUN
+        assert response.status == response_statuses.STATUS_NOT_RUN
         assert float(response.header("Retry-After")) > 0
 
     async def test_request_waits_for_the_first_declaration(self):
@@ -100,7 +100,7 @@
         loop = asyncio.get_running_loop()
         start_s = loop.time()
         response = await harness.serve(time_left_s=1.5)
-        assert response.status == relay_gateway.STATUS_NOT_RUN
+        assert response.status == response_statuses.STATUS_NOT_RUN
         assert loop.time() - start_s < 0.75
 
     async def test_unknown_path_or_host_is_not_found(self):
@@ -138,10 +138,10 @@
             )
         )
         chosen = [
-            relay_gateway.choose_service(route, f"r-{each}") for each in range(4000)
+            request_routing.choose_service(route, f"r-{each}") for each in range(4000)
         ]
         assert chosen == [
-            relay_gateway.choose_service(route, f"r-{each}") for each in range(4000)
+            request_routing.choose_service(route, f"r-{each}") for each in range(4000)
         ]
         assert 0.7 < chosen.count("one") / len(chosen) < 0.8
         assert "never" not in chosen
@@ -184,7 +184,7 @@
         for each in harness.servers:
             harness.server(each.id).scripted_responses = [relay_servers.LOST]
         response = await harness.serve()
-        assert response.status == relay_gateway.STATUS_BAD_GATEWAY
+        assert response.status == response_statuses.STATUS_BAD_GATEWAY
         assert total_send_count(harness) == 1
 
     async def test_refusal_by_all_servers_says_not_run_and_when_to_retry(self):
@@ -192,13 +192,13 @@
         for each in harness.servers:
             harness.server(each.id).scripted_responses = [relay_servers.REFUSED] * 9
         response = await harness.serve()
-        assert response.status == relay_gateway.STATUS_NOT_RUN
+        assert response.status == response_statuses.STATUS_NOT_RUN
         assert 0 < float(response.header("Retry-After")) <= 0.8 / 3
 
     async def test_503_without_the_not_run_marker_is_not_relayed(self):
         harness = non_idempotent_harness(1)
         harness.server("l-1").scripted_responses = [503]
-        assert (await harness.serve()).status == relay_gateway.STATUS_BAD_GATEWAY
+        assert (await harness.serve()).status == response_statuses.STATUS_BAD_GATEWAY
 
     async def test_unresponsive_server_leaves_time_for_a_retry(self):
         harness = ledger_harness(2)
@@ -221,7 +221,7 @@
         loop = asyncio.get_running_loop()
         start_s = loop.time()
         response = await harness.serve()
-        assert response.status == relay_gateway.STATUS_TIMEOUT
+        assert response.status == response_statuses.STATUS_TIMEOUT
         assert loop.time() - start_s == pytest.approx(0.8, abs=0.05)
 
     async def test_servers_get_no_more_time_than_the_caller_has(self):
@@ -244,4 +244,4 @@
         harness = non_idempotent_harness(1)
         harness.server("l-1").body_failure = relay_servers.LOST
         response = await harness.serve()
-        assert response.status == relay_gateway.STATUS_BAD_GATEWAY
+        assert response.status == response_statuses.STATUS_BAD_GATEWAY
--- a/tests/lifecycle/test_relayed_streams.py
+++ b/tests/lifecycle/test_relayed_streams.py
@@ -5,7 +5,12 @@
 from declarations import relay_builders
 from fakes import relay_servers
 from lifecycle import gateway_harness
-from quetzalpass.lifecycle import relay_gateway, shared_budget, stream_segments
+from quetzalpass.lifecycle import (
+    relay_gateway,
+    response_statuses,
+    shared_budget,
+    stream_segments,
+)
 
 EVENT_COUNT = 60
 
@@ -63,7 +68,7 @@
         for name in ("e-a", "e-b", "e-c"):
             harness.server(name).scripted_responses = [relay_servers.LOST]
         response = await harness.serve("/drafts/1")
-        assert response.status == relay_gateway.STATUS_BAD_GATEWAY
+        assert response.status == response_statuses.STATUS_BAD_GATEWAY
         assert sum(harness.send_count(each.id) for each in harness.servers) == 1
 
     async def test_stream_resumes_from_the_backup_after_a_crash(self):
@@ -233,7 +238,7 @@
         loop = asyncio.get_running_loop()
         start_s = loop.time()
         response = await harness.serve("/drafts/1")
-        assert response.status == relay_gateway.STATUS_NOT_RUN
+        assert response.status == response_statuses.STATUS_NOT_RUN
         assert float(response.header("Retry-After")) > 0
         assert loop.time() - start_s < 6.0
         for task in tasks:
@@ -309,7 +314,7 @@
         loop = asyncio.get_running_loop()
         harness.gateway.drains_until_s = loop.time() + 5.0
         response = await harness.serve("/drafts/1")
-        assert response.status == relay_gateway.STATUS_NOT_RUN
+        assert response.status == response_statuses.STATUS_NOT_RUN
         assert harness.send_count("e-a") + harness.send_count("e-b") == 0
 
     async def test_hint_at_a_short_output_is_ignored(self):
@@ -318,7 +323,7 @@
         harness.gateway.drains_until_s = loop.time() + 3.4
         size = gateway_harness.relay_requests.GenerationSize(3_000, 2_000, 80)
         response = await harness.serve("/drafts/1", size=size)
-        assert response.status == relay_gateway.STATUS_NOT_RUN
+        assert response.status == response_statuses.STATUS_NOT_RUN
         assert harness.send_count("e-a") + harness.send_count("e-b") == 0
 
     async def test_short_generation_is_served(self):
