--- /dev/null
+++ b/src/quetzalpass/lifecycle/event_order.py
@@ -0,0 +1,37 @@
+"""Checks that the events of a stream arrive once and in order."""
+
+from quetzalpass.backends import event_splitter
+from quetzalpass.lifecycle import stream_failures
+
+
+class EventOrder:
+    """Order of the events of one stream, which several servers may produce.
+
+    Attributes
+    ----------
+    last_id : str or None
+        Id of the last event that was relayed.
+    """
+
+    def __init__(self) -> None:
+        self.last_id: str | None = None
+
+    def accept(self, event: event_splitter.Event) -> bool:
+        """Return whether an event is new; repeated events are not.
+
+        Raises
+        ------
+        StreamFailedError
+            If events are missing before it.
+        """
+        if event.id is None:
+            return True
+        if self.last_id is not None:
+            if not event.id.isdecimal() or not self.last_id.isdecimal():
+                raise stream_failures.stream_crossed(event.id, self.last_id)
+            if int(event.id) <= int(self.last_id):
+                return False
+            if int(event.id) > int(self.last_id) + 1:
+                raise stream_failures.stream_crossed(event.id, self.last_id)
+        self.last_id = event.id
+        return True
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -15,6 +15,7 @@
 from quetzalpass.backends import base, event_splitter, relays
 from quetzalpass.lifecycle import (
     crash_checks,
+    event_order,
     event_pacing,
     generation_moves,
     relay_gateway,
@@ -22,6 +23,7 @@
     relay_reservations,
     response_statuses,
     stream_failures,
+    stream_resumes,
     stream_segments,
     stream_starts,
 )
@@ -30,9 +32,6 @@
 
 # Growth of a generation after which its memory need is updated.
 GROWTH_STEP_TOKENS = 64
-# A generation waits this long for a server at its limit to resume on; callers leave
-# after a longer pause.
-MAX_RESUME_DELAY_S = 1.0
 MS_PER_S = 1000
 STATUS_OK = 200
 
@@ -64,8 +63,8 @@
         Segment on the next server, while the current server still runs the generation.
     unused_copy : generation_moves.MemoryCopy or None
         Copy that was made for a move and not used yet.
-    last_event_id : str or None
-        Id of the last event that was relayed.
+    order : event_order.EventOrder
+        Order of the events that were relayed.
     bytes_after_events : int
         Bytes that the last server sent after its last whole event.
     reported_events : int
@@ -89,7 +88,7 @@
         self.unused_copy: generation_moves.MemoryCopy | None = None
         self.is_broken = False
         self.move_task: asyncio.Task | None = None
-        self.last_event_id: str | None = None
+        self.order = event_order.EventOrder()
         self.events = 0
         self.first_event_s: float | None = None
         self.segment_count = 0
@@ -118,7 +117,7 @@
         try:
             self.segment = await stream_starts.StreamStart(self).run()
             while await self.relay_segment() is SegmentEnd.BROKEN:
-                await self.resume_elsewhere()
+                await stream_resumes.StreamResume(self).run()
             self.clear_suspicion()
             if self.response.has_begun:
                 await self.pacer.flush()
@@ -267,7 +266,7 @@
         if copy is None:
             return None
         holder = copy.holder.address
-        return relays.Continuation(holder, copy.copy_id, self.last_event_id)
+        return relays.Continuation(holder, copy.copy_id, self.order.last_id)
 
     def log_send(
         self,
@@ -283,7 +282,7 @@
         )
         detail += f", {chooser}: {reservation.reason}" if reservation.reason else ""
         if copy is not None:
-            detail += f", resumes after event {self.last_event_id}"
+            detail += f", resumes after event {self.order.last_id}"
         self.gateway.record_decision(self.routed, "send", reservation.server.id, detail)
 
     def on_broken(
@@ -387,7 +386,7 @@
     ) -> None:
         """Relay complete events, each once and in order."""
         self.gateway.crash_checks.on_bytes(segment.reservation.server.id)
-        new_events = [event for event in events if self.is_next_event(event)]
+        new_events = [event for event in events if self.order.accept(event)]
         if not new_events:
             return
         if self.first_event_s is None:
@@ -439,26 +438,6 @@
             "last event"
         )
 
-    def is_next_event(self, event: event_splitter.Event) -> bool:
-        """Return whether an event is new; repeated events are not.
-
-        Raises
-        ------
-        StreamFailedError
-            If events are missing before it.
-        """
-        if event.id is None:
-            return True
-        if self.last_event_id is not None:
-            if not event.id.isdecimal() or not self.last_event_id.isdecimal():
-                raise stream_failures.stream_crossed(event.id, self.last_event_id)
-            if int(event.id) <= int(self.last_event_id):
-                return False
-            if int(event.id) > int(self.last_event_id) + 1:
-                raise stream_failures.stream_crossed(event.id, self.last_event_id)
-        self.last_event_id = event.id
-        return True
-
     def on_server_leaving(self, server_id: ids.ServerId) -> None:
         """Move away from a server that is leaving, and stop using a backup on it."""
         for segment in (self.segment, self.next_segment):
@@ -486,74 +465,11 @@
             return None
         return generation_moves.MemoryCopy(backup, backup, self.request_id)
 
-    async def resume_elsewhere(self) -> None:
-        """Continue with the next segment, or resume on a server with a copy.
-
-        Raises
-        ------
-        StreamFailedError
-            If no copy of the memory is left.
-        """
-        broken = self.segment
-        self.is_broken = True
-        await self.gateway.crash_checks.wait_for_check(broken.reservation.server.id)
-        if self.next_segment is None and self.move_task is not None:
-            await asyncio.wait(
-                [self.move_task], timeout=generation_moves.COPY_TIMEOUT_S
-            )
-        if self.next_segment is None:
-            self.next_segment = await self.open_segment_from_copy(broken)
-        self.segment, self.next_segment = self.next_segment, None
-        self.pacer.delay_s = 0.0
-        self.is_broken = False
-        self.end_segment(broken)
-
     def try_withdraw_resume(self) -> bool:
         """Withdraw a retry for the next segment; return whether one was left."""
         service = self.routed.service.name
         return self.gateway.budget.try_withdraw_resume(service, self.now_s())
 
-    async def open_segment_from_copy(
-        self, broken: stream_segments.StreamSegment
-    ) -> stream_segments.StreamSegment:
-        """Resume from the remaining copy of a broken segment.
-
-        Raises
-        ------
-        StreamFailedError
-            If there is none, or if its server fails too.
-        """
-        copy = self.unused_copy or self.find_backup_copy(broken)
-        if copy is None:
-            raise stream_failures.server_lost("the server was lost and no copy is left")
-        broken.server_response.close()
-        self.raise_if_refused()
-        if not self.try_withdraw_resume():
-            raise stream_failures.server_lost("the retry budget is used up")
-        opened = await self.open_on_copy(copy)
-        self.unused_copy = None
-        if isinstance(opened, result.Failure):
-            raise stream_failures.server_lost(opened.failure().message)
-        return opened.unwrap()
-
-    async def open_on_copy(
-        self, copy: generation_moves.MemoryCopy
-    ) -> result.Result[stream_segments.StreamSegment, base.AttemptFailure]:
-        """Resume from a copy; wait for a short time if its server is at its limit."""
-        reservations = self.gateway.reservations
-        opened = await self.open_segment(
-            reservations.reserve_on(copy.server, self.need), copy
-        )
-        if not stream_segments.is_rate_limited(opened):
-            return opened
-        delay_s = opened.failure().retry_after_ms / MS_PER_S
-        if delay_s > MAX_RESUME_DELAY_S:
-            return opened
-        await asyncio.sleep(delay_s)
-        return await self.open_segment(
-            reservations.reserve_on(copy.server, self.need), copy
-        )
-
     async def drop_copy(self, copy: generation_moves.MemoryCopy) -> None:
         """Free an unused copy on both of its servers, through its holder."""
         holder = self.gateway.get_relay_server(copy.holder)
--- a/src/quetzalpass/membership/quarantine.py
+++ b/src/quetzalpass/membership/quarantine.py
@@ -18,6 +18,7 @@
 
 from quetzalpass import event_log, ids
 from quetzalpass.membership import (
+    crash_weights,
     in_flight_requests,
     part_reports,
     part_suspects,
@@ -31,11 +32,6 @@
 
 SUSPECT_LIFETIME_S = 600.0
 QUARANTINE_S = 600.0
-# A request is refused after two crashes that count against it alone, or after three
-# with a larger sum of weights than one.
-TWO_CRASHES = 2
-TWO_CRASHES_WEIGHT = 2.0
-MAX_WEIGHT = 1.0
 # Tokens beyond the output offset at the crash that clear a request: a step that crashes
 # the engine emits nothing, and the tokens of the step before it have arrived.
 CLEARING_TOKENS = 1
@@ -75,6 +71,8 @@
         Crashes recorded by this gateway.
     suspects_by_crash : dict of str to set of str
         Fingerprints to which each crash is attributed, by the crash's event key.
+    weights : crash_weights.CrashWeights
+        How much the crashes count against each request.
     parts : part_suspects.PartSuspects
         Parts of prompts that crash servers in different requests.
     losses : unexplained_losses.UnexplainedLosses
@@ -92,6 +90,7 @@
         self.changed = asyncio.Event()
         self.crash_count = 0
         self.suspects_by_crash: dict[str, set[str]] = {}
+        self.weights = crash_weights.CrashWeights(self.records, self.suspects_by_crash)
         self.parts = part_suspects.PartSuspects(name)
         self.losses = unexplained_losses.UnexplainedLosses()
 
@@ -219,7 +218,7 @@
         if crash.id in record.cleared:
             return
         self.set_crashes(fingerprint, record, {**record.crashes, crash.id: crash})
-        is_refused = self.is_refused(fingerprint)
+        is_refused = self.weights.is_refused(fingerprint)
         self.mark_changed(record, QUARANTINE_S if is_refused else SUSPECT_LIFETIME_S)
         self.log_change(fingerprint, suspect_reports.SuspectChange.ATTRIBUTED)
 
@@ -244,39 +243,6 @@
         self.set_crashes(fingerprint, self.records[fingerprint], {})
         del self.records[fingerprint]
 
-    def is_refused(self, fingerprint: str) -> bool:
-        """Return whether servers crashed repeatedly at one stage of a request.
-
-        The stages are before and after the server begins to respond.
-        """
-        record = self.records[fingerprint]
-        for opened in (False, True):
-            event_keys = {
-                each.event_key
-                for each in record.crashes.values()
-                if each.opened is opened
-            }
-            weight = sum(self.weight_of(fingerprint, each) for each in event_keys)
-            if weight >= TWO_CRASHES_WEIGHT:
-                return True
-            if len(event_keys) > TWO_CRASHES and weight > MAX_WEIGHT:
-                return True
-        return False
-
-    def weight_of(self, fingerprint: str, event_key: str) -> float:
-        """Return how much a crash counts against a request now.
-
-        It counts against the requests to which other crashes are attributed too, or
-        against all requests on the server if there are none.
-        """
-        involved = self.suspects_by_crash[event_key]
-        repeated = {
-            each for each in involved if self.records[each].has_other_crash(event_key)
-        }
-        if repeated and fingerprint not in repeated:
-            return 0.0
-        return 1 / len(repeated or involved)
-
     def get_or_create_record(self, fingerprint: str) -> suspect_records.SuspectRecord:
         """Return the record of a request, which is created if there is none."""
         self.expire()
@@ -339,7 +305,7 @@
     def refusal(self, fingerprint: str) -> failures.Failure | None:
         """Return why a request is refused for its own crashes, or ``None``."""
         is_suspect = self.is_suspect(fingerprint)
-        if not is_suspect or not self.is_refused(fingerprint):
+        if not is_suspect or not self.weights.is_refused(fingerprint):
             return self.refusal_for_losses(fingerprint, is_suspect)
         record = self.records[fingerprint]
         left_s = record.expires_s - asyncio.get_running_loop().time()
@@ -375,7 +341,7 @@
         if tokens is None:
             self.losses.remove(fingerprint)
         record = self.records.get(fingerprint)
-        if record is None or not record.crashes or self.is_refused(fingerprint):
+        if record is None or not record.crashes or self.weights.is_refused(fingerprint):
             return
         passed = {
             each
@@ -510,6 +476,6 @@
         """Log what is known about a suspect after a change."""
         crashes = tuple(self.records[fingerprint].crashes)
         event = suspect_reports.SuspectEvent(
-            fingerprint, change, crashes, self.is_refused(fingerprint)
+            fingerprint, change, crashes, self.weights.is_refused(fingerprint)
         )
         event_log.record(event, event_log.Level.NOTICE)
