--- a/src/quetzalpass/allocation/permits.py
+++ b/src/quetzalpass/allocation/permits.py
@@ -4,22 +4,15 @@
 import asyncio
 from collections.abc import Callable
 
-import logbook
 from returns import result
 
 from quetzalpass import ids
+from quetzalpass.allocation import leader_client
 from quetzalpass.membership import fleet_registry
-from quetzalpass.results import codes, failures
+from quetzalpass.results import failures
 from quetzalpass.routing import rate_limits, rate_permits
 from quetzalpass.wire import messages, transport
 
-LOG = logbook.Logger("allocation")
-
-# Longest wait for a reply; the caller of a refused request must not wait much longer.
-REPLY_TIMEOUT_S = 0.15
-# After a call fails, a gateway shares the limit out by itself for this time.
-BACKOFF_S = 0.6
-
 
 class PermitReply(messages.Reply, frozen=True):
     """Reply to a request for a permit.
@@ -80,37 +73,12 @@
     def __init__(
         self, leader: Callable[[], ids.VmId | None], channel: transport.PeerTransport
     ) -> None:
-        self.leader = leader
-        self.channel = channel
-        self.backoff_until_s = 0.0
+        self.client = leader_client.LeaderClient("limits", leader, channel)
 
     async def request_permit(self, request: PermitRequest) -> PermitResult:
         """Call the leader, unless a recent call has failed."""
-        leader = self.leader()
-        now_s = asyncio.get_running_loop().time()
-        if leader is None or now_s < self.backoff_until_s:
-            return no_decision("no node decides")
-        try:
-            async with asyncio.timeout(REPLY_TIMEOUT_S):
-                reply = await self.channel.call(leader, request, 2 * REPLY_TIMEOUT_S)
-        except TimeoutError:
-            reply = no_decision(f"no reply within {REPLY_TIMEOUT_S} s")
-        if isinstance(reply, result.Failure):
-            return self.back_off(leader, reply.failure().message)
-        if not reply.unwrap().is_deciding:
-            return self.back_off(leader, "it does not lead")
-        return result.Success(reply.unwrap().delay_s)
-
-    def back_off(self, leader: ids.VmId, reason: str) -> PermitResult:
-        """Send no calls for ``BACKOFF_S``."""
-        LOG.warning("allocation: Sharing limits without {}: {}.", leader, reason)
-        self.backoff_until_s = asyncio.get_running_loop().time() + BACKOFF_S
-        return no_decision(reason)
-
-
-def no_decision(message: str) -> PermitResult:
-    """Return the failure of a request that no node decided."""
-    return result.Failure(failures.Failure(codes.Code.UNREACHABLE, message))
+        reply = await self.client.call(request, 0.0, lambda each: each.is_deciding)
+        return reply.map(lambda each: each.delay_s)
 
 
 class PermitDesk:
--- a/src/quetzalpass/daemon/gateway_role.py
+++ b/src/quetzalpass/daemon/gateway_role.py
@@ -83,6 +83,9 @@
         self.allocation_channel = transport.HttpTransport(
             transport.DirectAddresses(), cluster_key
         )
+        self.budget = shared_budget.SharedBudget(
+            settings.budget, asyncio.get_running_loop().time()
+        )
         self.reservations = relay_reservations.ServerReservations(
             self.view,
             settings.data_centre,
@@ -91,12 +94,11 @@
             client.RemoteAllocationSource(
                 self.allocating_node, self.allocation_channel
             ),
+            permits.RemotePermitSource(self.allocating_node, self.allocation_channel),
+            lambda: self.budget.gateways,
         )
         self.reported_allocations: tuple[ids.AllocationId, ...] = ()
         self.reported_prefills = 0
-        self.budget = shared_budget.SharedBudget(
-            settings.budget, asyncio.get_running_loop().time()
-        )
         self.gateway = relay_gateway.RelayGateway(
             settings.vm,
             self.holder,
@@ -105,7 +107,6 @@
             self.budget,
             connect,
             rng,
-            permits.RemotePermitSource(self.allocating_node, self.allocation_channel),
         )
         self.links = control_links.ControlLinks(
             settings.vm,
--- a/src/quetzalpass/daemon/peers.py
+++ b/src/quetzalpass/daemon/peers.py
@@ -83,9 +83,12 @@
         return inner_messages.DeclarationReply(
             current.revision,
             current.digest,
-            delta=holder.compressed_delta(request.newer_than, delta),
+            delta=holder.compress(request.newer_than, delta),
             is_compressed=True,
         )
     return inner_messages.DeclarationReply(
-        current.revision, current.digest, holder.compressed_data(), is_compressed=True
+        current.revision,
+        current.digest,
+        holder.compress(current.revision, current.data),
+        is_compressed=True,
     )
--- a/src/quetzalpass/lifecycle/engine_questions.py
+++ b/src/quetzalpass/lifecycle/engine_questions.py
@@ -6,7 +6,7 @@
 from returns import result
 
 from quetzalpass import ids
-from quetzalpass.allocation import client, messages
+from quetzalpass.allocation import client, leader_client, messages
 from quetzalpass.lifecycle import rate_gate, relay_requests, server_health
 from quetzalpass.membership import discovery, fleet_view
 from quetzalpass.results import failures
@@ -107,7 +107,7 @@
     async def send(self, request: messages.AllocationRequest) -> GrantResult:
         """Send a request to the allocating node, and record its grant as unreported."""
         if self.source is None:
-            return client.unavailable("no node allocates")
+            return leader_client.unavailable("no node allocates")
         reply = await self.source.request_grant(request)
         if isinstance(reply, result.Failure):
             return reply
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -11,7 +11,6 @@
 from returns import result
 
 from quetzalpass import background, event_log, ids
-from quetzalpass.allocation import permits
 from quetzalpass.backends import base, relays
 from quetzalpass.lifecycle import (
     attempts,
@@ -65,8 +64,6 @@
         Creates the client of a server.
     rng : random.Random
         Source of randomness.
-    permit_source : permits.PermitSource or None
-        Shares the limits of servers out; ``None`` where no node does.
 
     Attributes
     ----------
@@ -85,7 +82,6 @@
         budget: shared_budget.SharedBudget,
         connect: Connect,
         rng: random.Random,
-        permit_source: permits.PermitSource | None = None,
     ) -> None:
         self.holder = holder
         self.view = view
@@ -99,8 +95,6 @@
         )
         self.rate_limits = reservations.rate_limits
         self.rate_gate = reservations.rate_gate
-        self.rate_gate.source = permit_source
-        self.rate_gate.count_gateways = lambda: budget.gateways
         self.relay_servers: dict[ids.ServerId, relays.RelayServer] = {}
         self.metrics = exposition.ProcessMetrics()
         self.metrics.running.set_function(lambda: self.running)
--- a/src/quetzalpass/lifecycle/relay_reservations.py
+++ b/src/quetzalpass/lifecycle/relay_reservations.py
@@ -3,11 +3,12 @@
 import asyncio
 import functools
 import random
+from collections.abc import Callable
 
 from returns import result
 
 from quetzalpass import ids
-from quetzalpass.allocation import client, queueing, server_capacities
+from quetzalpass.allocation import client, permits, queueing, server_capacities
 from quetzalpass.allocation import messages as allocation_messages
 from quetzalpass.lifecycle import (
     engine_questions,
@@ -141,6 +142,17 @@
     allocation : client.AllocationSource or None
         Client of the node that allocates engines. Without such a node, or while it does
         not respond, this gateway chooses engines by itself.
+    permit_source : permits.PermitSource or None
+        Shares the limits of servers out; ``None`` where no node does.
+    count_gateways : callable
+        Returns the number of gateways; 0 if it is unknown.
+
+    Attributes
+    ----------
+    rate_limits : rate_limits.RateLimits
+        Limits on the rate of requests that servers have named.
+    rate_gate : rate_gate.RateGate
+        Holds this gateway's sends to them.
     """
 
     def __init__(
@@ -150,6 +162,8 @@
         rng: random.Random,
         vm: ids.VmId,
         allocation: client.AllocationSource | None = None,
+        permit_source: permits.PermitSource | None = None,
+        count_gateways: Callable[[], int] = lambda: 1,
     ) -> None:
         self.view = view
         self.data_centre = data_centre
@@ -158,7 +172,7 @@
         self.rates = prefill_rates.PrefillRates()
         self.rate_limits = rate_limits.RateLimits()
         self.rate_gate = rate_gate.RateGate(
-            vm, self.rate_limits, None, count_gateways=lambda: 1, rng=rng
+            vm, self.rate_limits, permit_source, count_gateways, rng
         )
         self.health = server_health.ServerHealth(view, data_centre)
         self.allocation_requests = engine_questions.EngineRequests(
--- a/src/quetzalpass/membership/configuration.py
+++ b/src/quetzalpass/membership/configuration.py
@@ -229,16 +229,19 @@
         self.deltas[base] = delta.encode(change)
         return self.deltas[base]
 
-    def compressed_delta(self, base: ids.Revision, delta_bytes: bytes) -> bytes:
-        """Return a delta in compressed form, which is kept for the next peers."""
-        if base not in self.compressed:
-            self.compressed[base] = zlib.compress(delta_bytes)
-        return self.compressed[base]
-
-    def compressed_data(self) -> bytes:
-        """Return the whole current revision in compressed form."""
-        assert self.current is not None
-        return self.compressed_delta(self.current.revision, self.current.data)
+    def compress(self, revision: ids.Revision, plain: bytes) -> bytes:
+        """Return bytes in compressed form, which is kept for the next peers.
+
+        Parameters
+        ----------
+        revision : Revision
+            Base of a delta to the current revision, or the current one itself.
+        plain : bytes
+            The delta, or the whole current revision.
+        """
+        if revision not in self.compressed:
+            self.compressed[revision] = zlib.compress(plain)
+        return self.compressed[revision]
 
     def put_in_force(self, configuration: Configuration) -> None:
         """Put a validated revision in force and notify observers and waiters."""
--- a/tests/allocation/allocation_builders.py
+++ b/tests/allocation/allocation_builders.py
@@ -8,7 +8,7 @@
 from declarations import relay_builders
 from fakes import relay_servers
 from quetzalpass import ids
-from quetzalpass.allocation import allocator, client, messages
+from quetzalpass.allocation import allocator, client, leader_client, messages
 from quetzalpass.declarations import schema
 from quetzalpass.membership import (
     configuration,
@@ -103,7 +103,7 @@
     async def request_grant(self, request):
         reply = await self.node.allocator.handle(request)
         if not reply.is_allocating:
-            return client.unavailable("it does not allocate engines")
+            return leader_client.unavailable("it does not allocate engines")
         return result.Success(reply)
 
 
--- a/tests/allocation/test_asking.py
+++ b/tests/allocation/test_asking.py
@@ -8,7 +8,7 @@
 from fakes import relay_servers
 from lifecycle import gateway_harness
 from quetzalpass import ids
-from quetzalpass.allocation import client, messages
+from quetzalpass.allocation import client, leader_client, messages
 from quetzalpass.wire import transport
 
 LEADER = ids.VmId("c-1")
@@ -50,7 +50,7 @@
         channel.is_frozen = True
         await source.request_grant(node.request())
         channel.is_frozen = False
-        await asyncio.sleep(client.BACKOFF_S + 0.1)
+        await asyncio.sleep(leader_client.BACKOFF_S + 0.1)
         reply = await source.request_grant(node.request())
         assert reply.unwrap().grant is not None
 
--- a/tests/allocation/test_permits.py
+++ b/tests/allocation/test_permits.py
@@ -4,7 +4,7 @@
 from returns import result
 
 from quetzalpass import ids
-from quetzalpass.allocation import permits
+from quetzalpass.allocation import leader_client, permits
 from quetzalpass.membership import fleet_registry
 from quetzalpass.results import codes, failures
 from quetzalpass.routing import rate_limits
@@ -87,8 +87,8 @@
             asked = await source.request_permit(make_request())
             assert isinstance(asked, result.Failure)
         assert channel.calls == 1
-        assert loop.time() <= permits.REPLY_TIMEOUT_S + 0.01
-        await asyncio.sleep(permits.BACKOFF_S)
+        assert loop.time() <= leader_client.REPLY_MARGIN_S + 0.01
+        await asyncio.sleep(leader_client.BACKOFF_S)
         await source.request_permit(make_request())
         assert channel.calls == 2
 
--- a/tests/lifecycle/test_rate_gate.py
+++ b/tests/lifecycle/test_rate_gate.py
@@ -7,7 +7,7 @@
 from fakes import relay_servers
 from lifecycle import gateway_harness
 from quetzalpass import ids
-from quetzalpass.allocation import permits
+from quetzalpass.allocation import leader_client, permits
 from quetzalpass.backends import base
 from quetzalpass.lifecycle import rate_gate, response_statuses
 from quetzalpass.routing import rate_limits
@@ -160,7 +160,7 @@
     async def request_permit(self, request):
         self.requests.append(request)
         if self.fails:
-            return permits.no_decision("fails")
+            return leader_client.unavailable("fails")
         return result.Success(self.delay_s)
 
 
