--- a/src/quetzalpass/backends/http_client.py
+++ b/src/quetzalpass/backends/http_client.py
@@ -8,7 +8,7 @@
 from quetzalpass.settings import schema
 
 TIME_LEFT_HEADER = "Quetzalpass-Timeout-Ms"
-
+BODILESS_STATUSES = frozenset({204, 304})
 
 # Larger than any response that is held in memory; a broken server may send without end.
 MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -69,6 +69,21 @@
     return session
 
 
+def is_chunked(response: aiohttp.ClientResponse) -> bool:
+    """Return whether a response is sent in chunks, the last of which ends its body."""
+    return "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+
+
+def ends_with_connection(response: aiohttp.ClientResponse) -> bool:
+    """Return whether only the end of the connection marks the end of the body.
+
+    A crash of the server closes the connection too.
+    """
+    if response.status in BODILESS_STATUSES or response.method == "HEAD":
+        return False
+    return not is_chunked(response) and "Content-Length" not in response.headers
+
+
 async def accepts_connection(host: str, port: int, timeout_s: float) -> bool:
     """Return whether a server accepts a new connection."""
     try:
--- a/src/quetzalpass/backends/service_http.py
+++ b/src/quetzalpass/backends/service_http.py
@@ -27,7 +27,6 @@
     }
 )
 MS_PER_S = 1000
-BODILESS_STATUSES = frozenset({204, 304})
 NOT_RUN_HEADER = "Quetzalpass-Not-Run"
 
 
@@ -83,7 +82,10 @@
                 response_body = await http_client.read_body(response)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             return result.Failure(engine_http.attempt_failure_from(error))
-        if ends_with_connection(response) and not await self.accepts_connection():
+        if (
+            http_client.ends_with_connection(response)
+            and not await self.accepts_connection()
+        ):
             return result.Failure(
                 base.AttemptFailure(
                     base.AttemptEnd.MAY_HAVE_RUN,
@@ -115,19 +117,6 @@
         await self.session.close()
 
 
-def ends_with_connection(response: aiohttp.ClientResponse) -> bool:
-    """Return whether only the end of the connection marks the end of the body.
-
-    A crash of the service closes the connection too.
-    """
-    if response.status in BODILESS_STATUSES or response.method == "HEAD":
-        return False
-    transfer_encoding = response.headers.get("Transfer-Encoding", "").lower()
-    return "chunked" not in transfer_encoding and (
-        "Content-Length" not in response.headers
-    )
-
-
 def check_not_run(
     response: base.ServiceResponse,
 ) -> result.Result[base.ServiceResponse, base.AttemptFailure]:
