--- a/src/quetzalpass/lifecycle/crash_checks.py
+++ b/src/quetzalpass/lifecycle/crash_checks.py
@@ -7,21 +7,19 @@
 """
 
 import asyncio
-from collections.abc import Callable
 
 import logbook
 import msgspec
 
-from quetzalpass import background, event_log, ids
-from quetzalpass.backends import base, relays
+from quetzalpass import event_log, ids
+from quetzalpass.backends import base
 from quetzalpass.lifecycle import (
     crash_events,
     lost_requests,
     relay_requests,
-    server_health,
     server_probes,
 )
-from quetzalpass.membership import discovery, fleet_view, quarantine
+from quetzalpass.membership import discovery
 from quetzalpass.metrics import exposition
 
 LOG = logbook.Logger("lifecycle")
@@ -78,21 +76,13 @@
 
     Parameters
     ----------
-    view : fleet_view.FleetView
-        The backend servers.
-    health : server_health.ServerHealth
-        Excludes crashed servers from new work.
-    suspects : quarantine.Quarantine
-        Attributes crashes to requests.
-    get_relay_server : callable
-        Returns the client of a server.
+    probes : server_probes.ServerProbes
+        Probes of the servers, and when they were last heard.
     metrics : exposition.ProcessMetrics
         Counts the outcomes.
 
     Attributes
     ----------
-    probes : server_probes.ServerProbes
-        Probes of the servers, and when they were last heard.
     probed_s : dict of ServerId to float
         Loop time at which the last check of a silent server ended.
     pending : set of PendingCheck
@@ -107,26 +97,21 @@
 
     def __init__(
         self,
-        view: fleet_view.FleetView,
-        health: server_health.ServerHealth,
-        suspects: quarantine.Quarantine,
-        get_relay_server: Callable[[discovery.DiscoveredServer], relays.RelayServer],
+        probes: server_probes.ServerProbes,
         metrics: exposition.ProcessMetrics,
     ) -> None:
-        self.view = view
-        self.health = health
-        self.suspects = suspects
+        self.probes = probes
+        self.view = probes.view
+        self.health = probes.health
+        self.suspects = probes.suspects
+        self.tasks = probes.tasks
         self.metrics = metrics
-        self.tasks = background.BackgroundTasks()
-        self.probes = server_probes.ServerProbes(
-            view, health, suspects, get_relay_server, self.tasks
-        )
         self.probed_s: dict[ids.ServerId, float] = {}
         self.pending: set[PendingCheck] = set()
         self.sent_to: dict[ids.ServerId, discovery.DiscoveredServer] = {}
-        self.lost = lost_requests.LostRequests(view)
-        view.change_observers.append(self.on_list_change)
-        view.leaving_observers.append(self.on_server_leaving)
+        self.lost = lost_requests.LostRequests(self.view)
+        self.view.change_observers.append(self.on_list_change)
+        self.view.leaving_observers.append(self.on_server_leaving)
 
     def close(self) -> None:
         """Cancel all checks."""
@@ -217,26 +202,26 @@
         routed: relay_requests.RoutedRequest,
         server: discovery.DiscoveredServer,
         failure: base.AttemptFailure,
-    ) -> None:
-        """Check in the background whether a server crashed under a request."""
+        complete_after: frozenset[crash_events.CrashCheckOutcome] = frozenset(),
+    ) -> asyncio.Task[bool]:
+        """Check in the background whether a server crashed under a request.
+
+        Parameters
+        ----------
+        routed : relay_requests.RoutedRequest
+            The request.
+        server : discovery.DiscoveredServer
+            The server.
+        failure : base.AttemptFailure
+            How the request ended there.
+        complete_after : frozenset of CrashCheckOutcome
+            Outcomes that show that the server completed it.
+        """
         check = PendingCheck(server.id, routed.request.request_id)
         self.pending.add(check)
-        self.tasks.spawn(self.check_request(check, routed, server, failure))
-
-    async def check_request(
-        self,
-        check: PendingCheck,
-        routed: relay_requests.RoutedRequest,
-        server: discovery.DiscoveredServer,
-        failure: base.AttemptFailure,
-    ) -> None:
-        """Check the server of a request, then remove the request from it."""
-        try:
-            outcome = await self.find_outcome(routed, server, failure)
-            self.apply_outcome(routed, server, outcome)
-        finally:
-            self.pending.discard(check)
-            self.suspects.remove_request(check.server, check.request)
+        return self.tasks.spawn(
+            self.check_request(check, routed, server, failure, complete_after)
+        )
 
     async def is_complete(
         self,
@@ -248,21 +233,29 @@
         A crash closes the connection too, so the server must still run, or must have
         announced that it leaves. A crash is attributed to the server's requests.
         """
-        check = PendingCheck(server.id, routed.request.request_id)
-        self.pending.add(check)
-        checking = self.tasks.spawn(self.check_end(check, routed, server))
+        checking = self.start_check(
+            routed, server, ENDED_WITH_CONNECTION, COMPLETE_AFTER
+        )
         return await asyncio.shield(checking)
 
-    async def check_end(
+    async def check_request(
         self,
         check: PendingCheck,
         routed: relay_requests.RoutedRequest,
         server: discovery.DiscoveredServer,
+        failure: base.AttemptFailure,
+        complete_after: frozenset[crash_events.CrashCheckOutcome],
     ) -> bool:
-        """Check the server of a response that ended with its connection."""
+        """Check the server of a request, then remove the request from it.
+
+        Returns
+        -------
+        bool
+            Whether the outcome shows that the server completed the request.
+        """
         try:
-            outcome = await self.find_outcome(routed, server, ENDED_WITH_CONNECTION)
-            if outcome in COMPLETE_AFTER:
+            outcome = await self.find_outcome(routed, server, failure)
+            if outcome in complete_after:
                 return True
             self.apply_outcome(routed, server, outcome)
             return False
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -19,6 +19,7 @@
     relay_requests,
     relay_reservations,
     request_routing,
+    server_probes,
     shared_budget,
 )
 from quetzalpass.membership import configuration, discovery, fleet_view, quarantine
@@ -110,10 +111,9 @@
             gauge.set_function(functools.partial(view.count, state))
         reservations.health.find_servers_to_avoid = self.suspects.servers_to_avoid
         self.crash_checks = crash_checks.CrashChecks(
-            view,
-            reservations.health,
-            self.suspects,
-            self.get_relay_server,
+            server_probes.ServerProbes(
+                view, reservations.health, self.suspects, self.get_relay_server
+            ),
             self.metrics,
         )
         self.streams: dict[ids.RequestId, LeavingObserver] = {}
--- a/src/quetzalpass/lifecycle/server_probes.py
+++ b/src/quetzalpass/lifecycle/server_probes.py
@@ -28,11 +28,11 @@
         Knows the crashes that other gateways have recorded.
     get_relay_server : callable
         Returns the client of a server.
-    tasks : background.BackgroundTasks
-        Runs the probes.
 
     Attributes
     ----------
+    tasks : background.BackgroundTasks
+        Running probes, and the checks that wait for them.
     heard_s : dict of ServerId to float
         Loop time at which the last byte from a server arrived.
     running : dict of ServerId to asyncio.Task
@@ -47,13 +47,12 @@
         health: server_health.ServerHealth,
         suspects: quarantine.Quarantine,
         get_relay_server: Callable[[discovery.DiscoveredServer], relays.RelayServer],
-        tasks: background.BackgroundTasks,
     ) -> None:
         self.view = view
         self.health = health
         self.suspects = suspects
         self.get_relay_server = get_relay_server
-        self.tasks = tasks
+        self.tasks = background.BackgroundTasks()
         self.heard_s: dict[ids.ServerId, float] = {}
         self.running: dict[
             ids.ServerId, asyncio.Task[crash_events.CrashCheckOutcome]
