--- a/src/quetzalpass/daemon/peers.py
+++ b/src/quetzalpass/daemon/peers.py
@@ -2,6 +2,7 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
 from aiohttp import web
 from returns import result
 
@@ -71,24 +72,27 @@
     if current is None or current.revision <= request.newer_than:
         return inner_messages.DeclarationReply(ids.Revision(0))
     delta = None if request.whole else holder.delta_from(request.newer_than)
-    if not request.accepts_compressed:
-        if delta is not None:
-            return inner_messages.DeclarationReply(
-                current.revision, current.digest, delta=delta
-            )
-        return inner_messages.DeclarationReply(
-            current.revision, current.digest, current.data
-        )
     if delta is not None:
-        return inner_messages.DeclarationReply(
-            current.revision,
-            current.digest,
-            delta=holder.compress(request.newer_than, delta),
-            is_compressed=True,
+        base = request.newer_than
+        reply = inner_messages.DeclarationReply(
+            current.revision, current.digest, delta=delta
+        )
+    else:
+        base = current.revision
+        reply = inner_messages.DeclarationReply(
+            current.revision, current.digest, current.data
         )
-    return inner_messages.DeclarationReply(
-        current.revision,
-        current.digest,
-        holder.compress(current.revision, current.data),
-        is_compressed=True,
-    )
+    if not request.accepts_compressed:
+        return reply
+    return compress_reply(holder, base, reply)
+
+
+def compress_reply(
+    holder: configuration.ConfigurationHolder,
+    base: ids.Revision,
+    reply: inner_messages.DeclarationReply,
+) -> inner_messages.DeclarationReply:
+    """Return a reply in compressed form, which the holder keeps for the next peers."""
+    compressed = holder.compress(base, reply.delta or reply.data)
+    field = "delta" if reply.delta else "data"
+    return msgspec.structs.replace(reply, is_compressed=True, **{field: compressed})
