--- a/src/quetzalpass/allocation/permits.py
+++ b/src/quetzalpass/allocation/permits.py
@@ -106,8 +106,9 @@
         now_s = asyncio.get_running_loop().time()
         limits = self.registry.limits
         limits.merge((request.limit,), now_s)
-        self.permits.keep_only(frozenset(limits.limits))
         server = request.limit.server
+        if server not in self.permits.buckets:
+            self.permits.keep_only(limits.servers(now_s))
         per_s = limits.find(server, now_s)
         if per_s is None:
             return PermitReply(True)
