--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -2,7 +2,7 @@
 import pytest
 
 from fleet_adapter import headers
-from quetzalpass.backends import base
+from quetzalpass.backends import base, relays
 
 
 def shared_parts(*values):
@@ -51,3 +51,29 @@
 
     def test_two_limits_are_no_information(self):
         assert headers.rate_notice(FakeResponse("2", "3")) is None
+
+
+class TestBodyEnd:
+    def response(self, status=200, method="GET", **fields):
+        response = FakeResponse()
+        response.status = status
+        response.method = method
+        for name, value in fields.items():
+            response.headers[name.replace("_", "-")] = value
+        return response
+
+    def test_length_or_chunks_end_the_body(self):
+        framed = self.response(Content_Length="3")
+        assert headers.body_end(framed) is relays.BodyEnd.LENGTH
+        chunked = self.response(Transfer_Encoding="chunked")
+        assert headers.body_end(chunked) is relays.BodyEnd.CHUNKS
+
+    def test_without_framing_the_connection_ends_the_body(self):
+        assert headers.body_end(self.response()) is relays.BodyEnd.CLOSE
+
+    @pytest.mark.parametrize(
+        ("status", "method"), [(204, "GET"), (304, "GET"), (200, "HEAD")]
+    )
+    def test_response_that_has_no_body_needs_no_framing(self, status, method):
+        response = self.response(status, method)
+        assert headers.body_end(response) is relays.BodyEnd.LENGTH
