--- a/src/quetzalpass/daemon/peers.py
+++ b/src/quetzalpass/daemon/peers.py
@@ -94,5 +94,6 @@
 ) -> inner_messages.DeclarationReply:
     """Return a reply in compressed form, which the holder keeps for the next peers."""
     compressed = holder.compress(base, reply.delta or reply.data)
-    field = "delta" if reply.delta else "data"
-    return msgspec.structs.replace(reply, is_compressed=True, **{field: compressed})
+    if reply.delta:
+        return msgspec.structs.replace(reply, delta=compressed, is_compressed=True)
+    return msgspec.structs.replace(reply, data=compressed, is_compressed=True)
