--- a/src/quetzalpass/daemon/gateway_role.py
+++ b/src/quetzalpass/daemon/gateway_role.py
@@ -120,7 +120,7 @@
         )
         self.links.reply_observers.append(self.on_reply)
         self.links.suspect_observers.append(self.gateway.suspects.merge)
-        self.links.limit_observers.append(self.gateway.merge_limits)
+        self.links.limit_observers.append(self.reservations.rate_gate.merge)
 
     def start(self) -> None:
         """Start following the control nodes."""
@@ -143,7 +143,6 @@
         self, known_version: int, wait_s: float
     ) -> fleet_messages.FleetRequest:
         """Return a request for the fleet that reports this gateway's load."""
-        now_s = asyncio.get_running_loop().time()
         suspect_reports = self.gateway.suspects.suspect_reports_since(0)
         prefills = tuple(self.reservations.allocation_requests.unreported_prefills)
         self.reported_allocations = tuple(
@@ -159,8 +158,8 @@
             None if suspect_reports.is_empty else suspect_reports,
             self.reported_allocations,
             prefills,
-            self.budget.retry_counts(now_s),
-            self.gateway.rate_limits.reports(now_s),
+            self.budget.retry_counts(asyncio.get_running_loop().time()),
+            self.reservations.rate_gate.reports(),
         )
 
     def allocating_node(self) -> ids.VmId | None:
--- a/src/quetzalpass/lifecycle/rate_gate.py
+++ b/src/quetzalpass/lifecycle/rate_gate.py
@@ -7,8 +7,10 @@
 import msgspec
 from returns import result
 
-from quetzalpass import ids
+from quetzalpass import event_log, ids
 from quetzalpass.allocation import permits
+from quetzalpass.backends import base
+from quetzalpass.lifecycle import relay_events
 from quetzalpass.routing import rate_limits, rate_permits
 
 
@@ -28,8 +30,6 @@
     ----------
     vm : VmId
         This gateway.
-    limits : rate_limits.RateLimits
-        The limits of the servers.
     source : permits.PermitSource or None
         Gives out the permits; ``None`` where no node does.
     count_gateways : callable
@@ -40,6 +40,8 @@
 
     Attributes
     ----------
+    limits : rate_limits.RateLimits
+        The limits that servers have named.
     blocks : dict of ServerId to Block
         Servers for which a permit has been denied, until the next one is due.
     own_permits : rate_permits.RatePermits
@@ -49,18 +51,43 @@
     def __init__(
         self,
         vm: ids.VmId,
-        limits: rate_limits.RateLimits,
         source: permits.PermitSource | None,
         count_gateways: Callable[[], int],
         rng: random.Random,
     ) -> None:
         self.vm = vm
-        self.limits = limits
+        self.limits = rate_limits.RateLimits()
         self.source = source
         self.count_gateways = count_gateways
         self.blocks: dict[ids.ServerId, Block] = {}
         self.own_permits = rate_permits.RatePermits(rng)
 
+    def observe(self, server: ids.ServerId, notice: base.RateNotice | None) -> None:
+        """Record what a response says about the rate that its server takes."""
+        if notice is None:
+            return
+        now_s = asyncio.get_running_loop().time()
+        before = self.limits.find(server, now_s)
+        self.limits.observe(server, notice.per_s, now_s)
+        after = self.limits.find(server, now_s)
+        if before != after:
+            event_log.record(
+                relay_events.RateLimitEvent(server, before, after),
+                event_log.Level.NOTICE,
+            )
+
+    def merge(self, reports: tuple[rate_limits.LimitReport, ...]) -> None:
+        """Merge what other gateways have read about the limits of servers."""
+        self.limits.merge(reports, asyncio.get_running_loop().time())
+
+    def reports(self) -> tuple[rate_limits.LimitReport, ...]:
+        """Return what other gateways need to know about the limits of servers."""
+        return self.limits.reports(asyncio.get_running_loop().time())
+
+    def limited_servers(self) -> frozenset[ids.ServerId]:
+        """Return the servers that have a limit now."""
+        return self.limits.servers(asyncio.get_running_loop().time())
+
     def is_limited(self, server: ids.ServerId) -> bool:
         """Return whether a server has a limit now."""
         now_s = asyncio.get_running_loop().time()
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -25,7 +25,6 @@
 from quetzalpass.membership import configuration, discovery, fleet_view, quarantine
 from quetzalpass.metrics import exposition
 from quetzalpass.results import codes, failures
-from quetzalpass.routing import rate_limits
 
 LOG = logbook.Logger("lifecycle")
 
@@ -65,13 +64,6 @@
         Creates the client of a server.
     rng : random.Random
         Source of randomness.
-
-    Attributes
-    ----------
-    rate_limits : rate_limits.RateLimits
-        Limits on the rate of requests that servers have named.
-    rate_gate : rate_gate.RateGate
-        Holds this gateway's sends to them.
     """
 
     def __init__(
@@ -94,8 +86,6 @@
         self.suspects = quarantine.Quarantine(
             f"{vm}/{rng.getrandbits(START_ID_BITS):x}"
         )
-        self.rate_limits = reservations.rate_limits
-        self.rate_gate = reservations.rate_gate
         self.relay_servers: dict[ids.ServerId, relays.RelayServer] = {}
         self.metrics = exposition.ProcessMetrics()
         self.metrics.running.set_function(lambda: self.running)
@@ -309,32 +299,12 @@
     ) -> None:
         """Record a response; if it closes the connection, check for leaving."""
         self.crash_checks.on_response(server)
-        self.observe_rate(server, head.rate_notice)
+        self.reservations.rate_gate.observe(server.id, head.rate_notice)
         if head.is_closing and server.id in self.view.servers:
             known = self.view.servers[server.id]
             if not known.is_leaving:
                 self.spawn(self.confirm_leaving(server))
 
-    def observe_rate(
-        self, server: discovery.DiscoveredServer, notice: base.RateNotice | None
-    ) -> None:
-        """Record what a response says about the rate that its server takes."""
-        if notice is None:
-            return
-        now_s = asyncio.get_running_loop().time()
-        before = self.rate_limits.find(server.id, now_s)
-        self.rate_limits.observe(server.id, notice.per_s, now_s)
-        after = self.rate_limits.find(server.id, now_s)
-        if before != after:
-            event_log.record(
-                relay_events.RateLimitEvent(server.id, before, after),
-                event_log.Level.NOTICE,
-            )
-
-    def merge_limits(self, reports: tuple[rate_limits.LimitReport, ...]) -> None:
-        """Merge what other gateways have read about the limits of servers."""
-        self.rate_limits.merge(reports, asyncio.get_running_loop().time())
-
     async def is_complete(
         self,
         routed: relay_requests.RoutedRequest,
@@ -377,7 +347,7 @@
         failure: base.AttemptFailure,
     ) -> None:
         """Record a request that broke off, and check its server for a crash."""
-        self.observe_rate(server, failure.rate_notice)
+        self.reservations.rate_gate.observe(server.id, failure.rate_notice)
         is_leaving = self.is_leaving(server.id)
         if not is_leaving and failure.end not in crash_checks.NOT_STARTED:
             self.reservations.health.record_failure(server.id, failure.message)
--- a/src/quetzalpass/lifecycle/relay_reservations.py
+++ b/src/quetzalpass/lifecycle/relay_reservations.py
@@ -20,7 +20,6 @@
 from quetzalpass.results import codes, failures
 from quetzalpass.routing import (
     prefill_rates,
-    rate_limits,
     relay_placement,
     relay_waiting,
 )
@@ -149,10 +148,8 @@
 
     Attributes
     ----------
-    rate_limits : rate_limits.RateLimits
-        Limits on the rate of requests that servers have named.
     rate_gate : rate_gate.RateGate
-        Holds this gateway's sends to them.
+        Holds this gateway's sends to the limits that servers name.
     """
 
     def __init__(
@@ -170,10 +167,7 @@
         self.rng = rng
         self.uses: dict[ids.ServerId, fleet_messages.ServerUse] = {}
         self.rates = prefill_rates.PrefillRates()
-        self.rate_limits = rate_limits.RateLimits()
-        self.rate_gate = rate_gate.RateGate(
-            vm, self.rate_limits, permit_source, count_gateways, rng
-        )
+        self.rate_gate = rate_gate.RateGate(vm, permit_source, count_gateways, rng)
         self.health = server_health.ServerHealth(view, data_centre)
         self.allocation_requests = engine_questions.EngineRequests(
             vm, view, self.health, rng, allocation, self.rate_gate
@@ -317,8 +311,7 @@
         engine = routed.service.engine
         if reservation.is_granted or engine is None or not engine.backups:
             return
-        limited = self.rate_limits.servers(asyncio.get_running_loop().time())
-        excluded = frozenset((reservation.server.id, *limited))
+        excluded = self.rate_gate.limited_servers() | {reservation.server.id}
         capacities = self.server_capacities(routed, excluded)
         chosen = relay_placement.choose_backup(
             reservation.need, capacities, reservation.server.data_centre, self.rng
@@ -458,6 +451,12 @@
             codes.Code.QUEUE_FULL, message, retry_after_ms=int(return_s * MS_PER_S)
         )
 
+    async def acquire_permit(
+        self, routed: relay_requests.RoutedRequest, reservation: Reservation
+    ) -> float:
+        """Return 0 if a request may be sent to its server now, else the delay."""
+        return await self.rate_gate.acquire(reservation.server.id, routed.rank)
+
     def time_until_permit_s(self, routed: relay_requests.RoutedRequest) -> float:
         """Return when the limits of a service allow a request again, in seconds.
 
--- a/src/quetzalpass/lifecycle/relayed_calls.py
+++ b/src/quetzalpass/lifecycle/relayed_calls.py
@@ -78,12 +78,12 @@
             break
         try:
             await back_off(gateway, reservation, state)
+            if await gateway.reservations.acquire_permit(routed, reservation):
+                state.denied.add(reservation.server.id)
+                continue
             refusal = gateway.refusal(routed, state.execution())
             if refusal is not None:
                 return refused_result(state, refusal)
-            if await gateway.rate_gate.acquire(reservation.server.id, routed.rank):
-                state.denied.add(reservation.server.id)
-                continue
             response = await send_once(gateway, routed, reservation, state)
         finally:
             reservation.release()
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -188,15 +188,15 @@
         StreamFailedError
             If servers have crashed under the request repeatedly.
         """
+        server = reservation.server
+        denied = await self.find_rate_limit(reservation)
+        if denied is not None:
+            return result.Failure(denied)
         try:
             self.raise_if_refused()
         except stream_failures.StreamFailedError:
             reservation.release()
             raise
-        server = reservation.server
-        denied = await self.find_rate_limit(reservation)
-        if denied is not None:
-            return result.Failure(denied)
         self.gateway.reservations.assign_backup(self.routed, reservation)
         options = relays.SendOptions(
             self.routed.deadline_s - self.now_s(),
@@ -243,7 +243,9 @@
         """
         server = reservation.server
         try:
-            delay_s = await self.gateway.rate_gate.acquire(server.id, self.routed.rank)
+            delay_s = await self.gateway.reservations.acquire_permit(
+                self.routed, reservation
+            )
         except BaseException:
             reservation.release()
             raise
--- a/tests/lifecycle/test_rate_gate.py
+++ b/tests/lifecycle/test_rate_gate.py
@@ -10,7 +10,6 @@
 from quetzalpass.allocation import leader_client, permits
 from quetzalpass.backends import base
 from quetzalpass.lifecycle import rate_gate, response_statuses
-from quetzalpass.routing import rate_limits
 
 pytestmark = pytest.mark.looptime
 
@@ -127,7 +126,7 @@
         harness = make_harness(ENGINES)
         now_s = asyncio.get_running_loop().time()
         for each in ENGINES[1:]:
-            harness.gateway.rate_limits.observe(each.id, 2.0, now_s)
+            harness.reservations.rate_gate.limits.observe(each.id, 2.0, now_s)
         await harness.serve("/drafts/1")
         ((_, options),) = harness.server("e-a").sent
         assert options.backup_address is None
@@ -141,8 +140,8 @@
         broken = run.owners[0]
         now_s = asyncio.get_running_loop().time()
         for each in ENGINES:
-            harness.gateway.rate_limits.observe(each.id, 2.0, now_s)
-        harness.gateway.rate_gate.own_permits.part_rng = None
+            harness.reservations.rate_gate.limits.observe(each.id, 2.0, now_s)
+        harness.reservations.rate_gate.own_permits.part_rng = None
         broken.is_dead = True
         await task
         assert response.data == gateway_harness.events(60)
@@ -165,10 +164,10 @@
 
 
 def make_gate(source, gateways=4):
-    limits = rate_limits.RateLimits()
-    limits.observe(SERVER, 2.0, asyncio.get_running_loop().time())
     rng = random.Random(1)
-    return rate_gate.RateGate(ids.VmId("gw-1"), limits, source, lambda: gateways, rng)
+    gate = rate_gate.RateGate(ids.VmId("gw-1"), source, lambda: gateways, rng)
+    gate.limits.observe(SERVER, 2.0, asyncio.get_running_loop().time())
+    return gate
 
 
 class TestGate:
--- a/tests/lifecycle/test_refused_suspects.py
+++ b/tests/lifecycle/test_refused_suspects.py
@@ -1,9 +1,11 @@
 import asyncio
 
 import pytest
+from returns import result
 
 from fakes import relay_servers
 from lifecycle import gateway_harness
+from quetzalpass.allocation import permits
 from quetzalpass.lifecycle import response_statuses
 from quetzalpass.membership import suspect_reports
 
@@ -75,6 +77,23 @@
         assert send_count(harness) == 1
         assert response.status == response_statuses.STATUS_NOT_RUN
 
+    @pytest.mark.parametrize(("path", "servers"), RELAYED)
+    async def test_request_that_waits_for_a_permit_is_not_sent(self, path, servers):
+        harness = make_harness(servers)
+        gate = harness.reservations.rate_gate
+        for each in servers:
+            gate.limits.observe(each.id, 2.0, asyncio.get_running_loop().time())
+
+        class SlowSource(permits.PermitSource):
+            async def request_permit(self, request):
+                refuse(harness, path)
+                return result.Success(0.0)
+
+        gate.source = SlowSource()
+        response = await harness.serve(path)
+        assert send_count(harness) == 0
+        assert response.status == response_statuses.STATUS_NOT_RUN
+
     async def test_generation_does_not_resume_from_its_backup(self):
         harness = make_harness(ENGINES)
         response, task = await start_stream(harness, "/drafts/1")
