--- a/src/quetzalpass/membership/doubtful_clearances.py
+++ b/src/quetzalpass/membership/doubtful_clearances.py
@@ -37,15 +37,9 @@
         for each in evidence.crashes_by_part.get(part, ())
         if evidence.crashes[each].at_s > cleared_s
     ]
-    requests = {
-        cause.fingerprint
-        for crash in crashes
-        for cause in crash.causes
-        if part in cause.parts
-    }
-    events = {each.event_key for each in crashes}
-    if min(len(events), len(requests)) < MIN_CRASHES:
+    if part_evidence.count_independent(part, crashes) < MIN_CRASHES:
         return []
+    events = {each.event_key for each in crashes}
     explained = most_explained_by_others(evidence, part, crashes)
     return crashes if len(events) - explained >= MIN_LEAD else []
 
--- a/src/quetzalpass/membership/part_evidence.py
+++ b/src/quetzalpass/membership/part_evidence.py
@@ -86,26 +86,28 @@
         self.cleared_s = collections.OrderedDict()
         self.withdrawn: dict[str, None] = {}
 
-    def add_crash(
-        self,
-        crash_id: str,
-        server: ids.ServerId,
-        server_start: str,
-        at_s: float,
-        causes: tuple[part_reports.PossibleCause, ...],
-    ) -> RecordedCrash | None:
+    def add_crash(self, report: part_reports.CrashReport) -> RecordedCrash | None:
         """Add a crash; return ``None`` if it is known, withdrawn or without causes."""
-        if not causes or crash_id in self.crashes or server_start in self.withdrawn:
+        if not report.causes or report.id in self.crashes:
+            return None
+        if report.server_start in self.withdrawn:
             return None
         if len(self.crashes) >= MAX_CRASHES:
             self.remove_crash(next(iter(self.crashes)))
-        event_key = server_start or self.find_event_key(server, at_s) or crash_id
+        at_s = asyncio.get_running_loop().time() - report.age_s
+        event_key = (
+            report.server_start or self.find_event_key(report.server, at_s) or report.id
+        )
         crash = RecordedCrash(
-            server, server_start, event_key, at_s, causes[:MAX_CAUSES]
+            report.server,
+            report.server_start,
+            event_key,
+            at_s,
+            report.causes[:MAX_CAUSES],
         )
-        self.crashes[crash_id] = crash
+        self.crashes[report.id] = crash
         for part in crash.parts():
-            self.crashes_by_part.setdefault(part, set()).add(crash_id)
+            self.crashes_by_part.setdefault(part, set()).add(report.id)
         return crash
 
     def find_event_key(self, server: ids.ServerId, at_s: float) -> str | None:
@@ -207,3 +209,18 @@
             part_reports.ClearedPart(part, now_s - self.cleared_s[part])
             for part in newest
         )
+
+
+def count_independent(part: ids.PromptPartId, crashes: list[RecordedCrash]) -> int:
+    """Return how many servers crashed under as many different requests with a part.
+
+    A request that crashes servers by itself counts once, however often it is repeated.
+    """
+    fingerprints = {
+        cause.fingerprint
+        for crash in crashes
+        for cause in crash.causes
+        if part in cause.parts
+    }
+    event_keys = {each.event_key for each in crashes}
+    return min(len(event_keys), len(fingerprints))
--- a/src/quetzalpass/membership/part_suspects.py
+++ b/src/quetzalpass/membership/part_suspects.py
@@ -17,7 +17,6 @@
 from collections.abc import Iterable
 
 import logbook
-import msgspec
 import xxhash
 
 from quetzalpass import event_log, ids
@@ -25,6 +24,7 @@
     doubtful_clearances,
     part_evidence,
     part_reports,
+    refused_parts,
 )
 from quetzalpass.results import codes, failures
 
@@ -35,10 +35,6 @@
 # A part that is beside another in some of its crashes must lag behind it by as many.
 # With less, the missing crashes may be some that other gateways still report.
 MIN_LEAD = 2
-# Delay of the first trial; each trial that fails multiplies it.
-TRIAL_DELAY_S = 120.0
-TRIAL_DELAY_FACTOR = 4
-MAX_TRIAL_DELAY_S = 3600.0
 # A trial that has not been sent within this time is replaced by another one.
 TRIAL_LIFETIME_S = 10.0
 MAX_REFUSALS = 256
@@ -49,50 +45,6 @@
 RecordedCrash = part_evidence.RecordedCrash
 
 
-class Trial(msgspec.Struct, frozen=True):
-    """A request that is let through to test refused parts, until a loop time."""
-
-    request: ids.RequestId
-    until_s: float
-
-
-class RefusedParts(msgspec.Struct):
-    """Parts that are refused where a prompt has all of them.
-
-    Attributes
-    ----------
-    crashed_s : float
-        Loop time of the last crash that counts against them.
-    trials : int
-        Trials that have crashed a server.
-    explained : set of str
-        Event keys of the known crashes during which a request had all these parts.
-    trial : Trial or None
-        The present trial.
-    outweighs_runs : bool
-        Whether runs of the parts before the last crash are disregarded.
-    """
-
-    crashed_s: float
-    trials: int = 0
-    explained: set[str] = msgspec.field(default_factory=set)
-    trial: Trial | None = None
-    outweighs_runs: bool = False
-
-    def delay_s(self) -> float:
-        """Return after which time without a crash the next trial is due."""
-        delay_s = TRIAL_DELAY_S * TRIAL_DELAY_FACTOR**self.trials
-        return min(delay_s, MAX_TRIAL_DELAY_S)
-
-    def add_crash(self, crash: RecordedCrash) -> None:
-        """Record a further crash, which ends a trial."""
-        self.explained.add(crash.event_key)
-        if crash.at_s > self.crashed_s + self.delay_s():
-            self.trials += 1
-        self.trial = None
-        self.crashed_s = max(self.crashed_s, crash.at_s)
-
-
 class PartSuspects:
     """Parts of prompts that may crash servers, as known to one process.
 
@@ -105,14 +57,14 @@
     ----------
     evidence : part_evidence.PartEvidence
         Crashes, and parts that ran without one.
-    refused : dict of frozenset of PromptPartId to RefusedParts
+    refused : dict of frozenset of PromptPartId to refused_parts.RefusedParts
         Refused sets of parts.
     """
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.evidence = part_evidence.PartEvidence()
-        self.refused: dict[Parts, RefusedParts] = {}
+        self.refused: dict[Parts, refused_parts.RefusedParts] = {}
 
     def now_s(self) -> float:
         """Return the event loop's time, in seconds."""
@@ -133,18 +85,13 @@
             for each in causes
             if each.parts
         )
-        self.add_crash(crash_id, server, server_start, self.now_s(), known_causes)
+        self.add_crash(
+            part_reports.CrashReport(crash_id, server, server_start, 0.0, known_causes)
+        )
 
-    def add_crash(
-        self,
-        crash_id: str,
-        server: ids.ServerId,
-        server_start: str,
-        at_s: float,
-        causes: tuple[part_reports.PossibleCause, ...],
-    ) -> bool:
+    def add_crash(self, report: part_reports.CrashReport) -> bool:
         """Add a crash, and evaluate its parts; return whether it is new."""
-        crash = self.evidence.add_crash(crash_id, server, server_start, at_s, causes)
+        crash = self.evidence.add_crash(report)
         if crash is None:
             return False
         self.log(part_reports.PartChange.CRASHED, crash.parts(), {crash.event_key})
@@ -287,7 +234,7 @@
             return
         explained = self.evidence.explained_events(parts)
         crashed_s = max(each.at_s for each in crashes)
-        refused = RefusedParts(
+        refused = refused_parts.RefusedParts(
             crashed_s, explained=explained, outweighs_runs=outweighs_runs
         )
         self.add_refusal(parts, refused)
@@ -297,7 +244,7 @@
             len(parts),
         )
 
-    def add_refusal(self, parts: Parts, refused: RefusedParts) -> None:
+    def add_refusal(self, parts: Parts, refused: refused_parts.RefusedParts) -> None:
         """Add a refusal, in place of those that it includes."""
         for known in [each for each in self.refused if parts < each]:
             del self.refused[known]
@@ -361,12 +308,12 @@
         if not self.refused or not parts:
             return None
         present = frozenset(parts)
-        for refused_parts, refused in self.refused.items():
-            if not refused_parts <= present:
+        for parts_refused, refused in self.refused.items():
+            if not parts_refused <= present:
                 continue
-            if self.is_trial(refused_parts, refused, request):
+            if self.is_trial(parts_refused, refused, request):
                 continue
-            left_s = max(0.0, self.trial_at_s(refused_parts, refused) - self.now_s())
+            left_s = max(0.0, self.trial_at_s(parts_refused, refused) - self.now_s())
             return failures.Failure(
                 codes.Code.QUARANTINED,
                 "backend servers crashed under other requests with the same part of "
@@ -376,18 +323,18 @@
         return None
 
     def is_trial(
-        self, parts: Parts, refused: RefusedParts, request: ids.RequestId
+        self, parts: Parts, refused: refused_parts.RefusedParts, request: ids.RequestId
     ) -> bool:
         """Return whether a request is the trial of refused parts; choose one if due."""
         now_s = self.now_s()
         if now_s < self.trial_at_s(parts, refused):
             return False
         if refused.trial is None or now_s >= refused.trial.until_s:
-            refused.trial = Trial(request, now_s + TRIAL_LIFETIME_S)
+            refused.trial = refused_parts.Trial(request, now_s + TRIAL_LIFETIME_S)
             self.log(part_reports.PartChange.TRIED, parts, refused.explained, request)
         return refused.trial.request == request
 
-    def trial_at_s(self, parts: Parts, refused: RefusedParts) -> float:
+    def trial_at_s(self, parts: Parts, refused: refused_parts.RefusedParts) -> float:
         """Return the loop time of this process's next trial of refused parts.
 
         Processes wait for different times, up to twice the delay.
@@ -429,12 +376,7 @@
                 self.set_cleared(cleared.part, at_s)
         for refusal in reports.refusals:
             self.merge_refusal(refusal, now_s - refusal.crash_age_s)
-        added = [
-            self.add_crash(
-                each.id, each.server, each.server_start, now_s - each.age_s, each.causes
-            )
-            for each in reports.crashes
-        ]
+        added = [self.add_crash(each) for each in reports.crashes]
         return any(added)
 
     def merge_refusal(
@@ -455,7 +397,7 @@
             known.trials = max(known.trials, refusal.trials)
         elif not any(each <= parts for each in self.refused):
             explained = self.evidence.explained_events(parts)
-            refused = RefusedParts(
+            refused = refused_parts.RefusedParts(
                 crashed_s,
                 refusal.trials,
                 explained,
@@ -480,14 +422,7 @@
 
 def is_repeated(part: ids.PromptPartId, crashes: list[RecordedCrash]) -> bool:
     """Return whether enough servers crashed under enough requests with a part."""
-    fingerprints = {
-        cause.fingerprint
-        for crash in crashes
-        for cause in crash.causes
-        if part in cause.parts
-    }
-    event_keys = {each.event_key for each in crashes}
-    return min(len(event_keys), len(fingerprints)) >= MIN_CRASHES
+    return part_evidence.count_independent(part, crashes) >= MIN_CRASHES
 
 
 def parts_beside(
--- a/tests/membership/test_part_suspects.py
+++ b/tests/membership/test_part_suspects.py
@@ -3,7 +3,12 @@
 import pytest
 
 from quetzalpass import ids
-from quetzalpass.membership import part_evidence, part_reports, part_suspects
+from quetzalpass.membership import (
+    part_evidence,
+    part_reports,
+    part_suspects,
+    refused_parts,
+)
 
 pytestmark = pytest.mark.looptime
 
@@ -327,7 +332,7 @@
     async def test_one_request_is_let_through_after_the_delay(self):
         process = Process()
         await self.convict(process)
-        await asyncio.sleep(2 * part_suspects.TRIAL_DELAY_S)
+        await asyncio.sleep(2 * refused_parts.TRIAL_DELAY_S)
         assert not process.refuses("first guilty", "r-2")
         assert process.refuses("first guilty", "r-3")
         assert not process.refuses("first guilty", "r-2")
@@ -335,17 +340,17 @@
     async def test_failed_trial_is_refused_at_once_and_delays_the_next(self):
         process = Process()
         await self.convict(process)
-        await asyncio.sleep(2 * part_suspects.TRIAL_DELAY_S)
+        await asyncio.sleep(2 * refused_parts.TRIAL_DELAY_S)
         assert not process.refuses("first guilty", "r-2")
         process.crash("first guilty")
         assert process.refuses("first guilty", "r-2")
-        await asyncio.sleep(2 * part_suspects.TRIAL_DELAY_S)
+        await asyncio.sleep(2 * refused_parts.TRIAL_DELAY_S)
         assert process.refuses("first guilty", "r-4")
 
     async def test_successful_trial_ends_the_refusal(self):
         process = Process()
         await self.convict(process)
-        await asyncio.sleep(2 * part_suspects.TRIAL_DELAY_S)
+        await asyncio.sleep(2 * refused_parts.TRIAL_DELAY_S)
         assert not process.refuses("first guilty", "r-2")
         process.run("first guilty")
         assert not process.refuses("first guilty", "r-3")
@@ -358,14 +363,14 @@
             for each in processes
             for parts_, refused in each.suspects.refused.items()
         )
-        assert times_s[0] >= part_suspects.TRIAL_DELAY_S
+        assert times_s[0] >= refused_parts.TRIAL_DELAY_S
         assert times_s[MAX_LATE_SENDS] - times_s[0] > VERDICT_DELAY_S
 
     async def test_refusal_tells_when_to_come_back(self):
         process = Process()
         await self.convict(process)
         failure = process.suspects.refusal(parts("first guilty"), REQUEST)
-        assert failure.retry_after_ms >= part_suspects.TRIAL_DELAY_S * 1000
+        assert failure.retry_after_ms >= refused_parts.TRIAL_DELAY_S * 1000
 
 
 class TestLimits:
