--- a/src/quetzalpass/lifecycle/relay_reservations.py
+++ b/src/quetzalpass/lifecycle/relay_reservations.py
@@ -15,6 +15,7 @@
     rate_gate,
     relay_requests,
     server_health,
+    server_reservation,
 )
 from quetzalpass.membership import discovery, fleet_messages, fleet_view
 from quetzalpass.results import codes, failures
@@ -32,93 +33,7 @@
 MAX_ALLOCATION_WAIT_S = 0.25
 
 
-class Reservation:
-    """Capacity that a request holds on a server, and on the server of its backup.
-
-    Attributes
-    ----------
-    server : discovery.DiscoveredServer
-        Server that runs the request.
-    need : relay_placement.GenerationNeed
-        Memory that the request is expected to need; none for a plain service.
-    backup : discovery.DiscoveredServer or None
-        Server that holds the backup, a copy that grows with the generation.
-    prefill : prefill_rates.PendingPrefill or None
-        The prefill of its prompt, until that is complete.
-    is_granted : bool
-        Whether the allocating node chose the server, and the backup if there is one.
-    reason : str
-        Figures on which the choice of the server was based.
-    """
-
-    def __init__(
-        self,
-        reservations: "ServerReservations",
-        server: discovery.DiscoveredServer,
-        need: relay_placement.GenerationNeed,
-        prefill: prefill_rates.PendingPrefill | None = None,
-    ) -> None:
-        self.reservations = reservations
-        self.server = server
-        self.need = need
-        self.backup: discovery.DiscoveredServer | None = None
-        self.is_held = True
-        self.is_granted = False
-        self.reason = ""
-        self.prefill = prefill
-        prefill_tokens = prefill.tokens if prefill is not None else 0
-        reservations.add_use(server.id, 1, need.tokens, 0, prefill_tokens)
-
-    def set_backup(self, backup: discovery.DiscoveredServer | None) -> None:
-        """Set or clear the server of the backup, and update the use of both servers."""
-        if self.backup is not None:
-            self.reservations.add_use(self.backup.id, copy_tokens=-self.need.tokens)
-        self.backup = backup
-        if backup is not None:
-            self.reservations.add_use(backup.id, copy_tokens=self.need.tokens)
-
-    def on_first_event(self) -> None:
-        """Record the end of the prefill and how long it took."""
-        prefill = self.prefill
-        if prefill is None:
-            return
-        self.end_prefill()
-        elapsed_s = asyncio.get_running_loop().time() - prefill.sent_s
-        self.reservations.record_prefill(
-            prefill_rates.PrefillMeasurement(
-                self.server.id,
-                prefill.tokens + prefill.tokens_ahead,
-                elapsed_s,
-                prefill.declared_tokens_per_s,
-            )
-        )
-
-    def end_prefill(self) -> None:
-        """Remove the prompt from the pending prefills of the server."""
-        if self.prefill is not None:
-            self.reservations.add_use(
-                self.server.id, prefill_tokens=-self.prefill.tokens
-            )
-            self.prefill = None
-
-    def grow(self, need: relay_placement.GenerationNeed) -> None:
-        """Update the memory need of a generation that has generated more tokens."""
-        growth_tokens = need.tokens - self.need.tokens
-        self.need = need
-        self.reservations.add_use(self.server.id, tokens=growth_tokens)
-        if self.backup is not None:
-            self.reservations.add_use(self.backup.id, copy_tokens=growth_tokens)
-
-    def release(self) -> None:
-        """Release the reservation; a second call has no effect."""
-        if not self.is_held:
-            return
-        self.is_held = False
-        self.set_backup(None)
-        self.end_prefill()
-        self.reservations.add_use(self.server.id, requests=-1, tokens=-self.need.tokens)
-        self.reservations.process_queues()
-
+Reservation = server_reservation.Reservation
 
 NO_NEED = relay_placement.GenerationNeed(0, 0)
 
@@ -280,7 +195,9 @@
             return None
         capacity = next(each for each in capacities if each.server_id == chosen)
         server = self.view.servers[chosen].server
-        prefill = pending_prefill(routed, need, capacity.prefill_tokens)
+        prefill = server_reservation.pending_prefill(
+            routed, need, capacity.prefill_tokens
+        )
         reservation = Reservation(self, server, need, prefill)
         reservation.reason = relay_placement.describe(capacity, need)
         return reservation
@@ -305,7 +222,9 @@
         return Reservation(self, self.view.servers[chosen].server, need)
 
     def assign_backup(
-        self, routed: relay_requests.RoutedRequest, reservation: Reservation
+        self,
+        routed: relay_requests.RoutedRequest,
+        reservation: Reservation,
     ) -> None:
         """Choose the backup server of a generation, unless the grant decided it."""
         engine = routed.service.engine
@@ -380,7 +299,9 @@
                 return granted
             grant = granted.unwrap()
             if grant is not None:
-                prefill = pending_prefill(routed, need, grant.prefill_tokens)
+                prefill = server_reservation.pending_prefill(
+                    routed, need, grant.prefill_tokens
+                )
                 return result.Success(self.reserve_granted(need, grant, prefill))
             left_s = request.expires_at_s - loop.time()
             if left_s <= 0:
@@ -452,7 +373,9 @@
         )
 
     async def acquire_permit(
-        self, routed: relay_requests.RoutedRequest, reservation: Reservation
+        self,
+        routed: relay_requests.RoutedRequest,
+        reservation: Reservation,
     ) -> float:
         """Return 0 if a request may be sent to its server now, else the delay."""
         return await self.rate_gate.acquire(reservation.server.id, routed.rank)
@@ -497,20 +420,3 @@
         """Reserve servers for the waiting requests for which there is capacity."""
         for queue in self.queues.values():
             queue.process_queue()
-
-
-def pending_prefill(
-    routed: relay_requests.RoutedRequest,
-    need: relay_placement.GenerationNeed,
-    ahead_tokens: int,
-) -> prefill_rates.PendingPrefill | None:
-    """Return the pending prefill of a generation; ``None`` for a plain service."""
-    engine = routed.service.engine
-    if engine is None:
-        return None
-    return prefill_rates.PendingPrefill(
-        need.prompt_tokens,
-        ahead_tokens,
-        asyncio.get_running_loop().time(),
-        engine.prefill_tokens_per_s,
-    )
--- a/src/quetzalpass/lifecycle/relayed_calls.py
+++ b/src/quetzalpass/lifecycle/relayed_calls.py
@@ -13,8 +13,8 @@
     crash_checks,
     relay_gateway,
     relay_requests,
-    relay_reservations,
     response_statuses,
+    server_reservation,
 )
 from quetzalpass.results import codes, failures
 
@@ -123,7 +123,7 @@
     gateway: relay_gateway.RelayGateway,
     routed: relay_requests.RoutedRequest,
     state: CallState,
-) -> relay_reservations.Reservation | None:
+) -> server_reservation.Reservation | None:
     """Reserve a server, one that was not tried yet if there is one."""
     reservation = gateway.reservations.reserve_service_server(
         routed, frozenset(state.tried | state.denied)
@@ -137,7 +137,7 @@
 
 async def back_off(
     gateway: relay_gateway.RelayGateway,
-    reservation: relay_reservations.Reservation,
+    reservation: server_reservation.Reservation,
     state: CallState,
 ) -> None:
     """Wait before a further send to a server that has not accepted the call."""
@@ -149,7 +149,7 @@
 async def send_once(
     gateway: relay_gateway.RelayGateway,
     routed: relay_requests.RoutedRequest,
-    reservation: relay_reservations.Reservation,
+    reservation: server_reservation.Reservation,
     state: CallState,
 ) -> WholeResponse | None:
     """Send a call to one server; return its response, or ``None`` on failure."""
@@ -189,7 +189,7 @@
 async def exchange(
     gateway: relay_gateway.RelayGateway,
     routed: relay_requests.RoutedRequest,
-    reservation: relay_reservations.Reservation,
+    reservation: server_reservation.Reservation,
 ) -> result.Result[WholeResponse, base.AttemptFailure]:
     """Send a call and read the complete response."""
     server = gateway.get_relay_server(reservation.server)
@@ -226,7 +226,7 @@
 def evaluate_response(
     gateway: relay_gateway.RelayGateway,
     routed: relay_requests.RoutedRequest,
-    reservation: relay_reservations.Reservation,
+    reservation: server_reservation.Reservation,
     state: CallState,
     response: WholeResponse,
 ) -> WholeResponse | None:
@@ -265,7 +265,7 @@
 def record_failure(
     gateway: relay_gateway.RelayGateway,
     routed: relay_requests.RoutedRequest,
-    reservation: relay_reservations.Reservation,
+    reservation: server_reservation.Reservation,
     state: CallState,
     failure: base.AttemptFailure,
 ) -> None:
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -20,8 +20,8 @@
     generation_moves,
     relay_gateway,
     relay_requests,
-    relay_reservations,
     response_statuses,
+    server_reservation,
     stream_failures,
     stream_resumes,
     stream_segments,
@@ -171,14 +171,14 @@
 
     async def open_segment(
         self,
-        reservation: relay_reservations.Reservation,
+        reservation: server_reservation.Reservation,
         copy: generation_moves.MemoryCopy | None,
     ) -> result.Result[stream_segments.StreamSegment, base.AttemptFailure]:
         """Send the request to a reserved server; release the reservation on failure.
 
         Parameters
         ----------
-        reservation : relay_reservations.Reservation
+        reservation : server_reservation.Reservation
             Reservation on the server that is to run it.
         copy : generation_moves.MemoryCopy or None
             Memory from which it resumes; ``None`` at its start.
@@ -235,7 +235,7 @@
         return sent
 
     async def find_rate_limit(
-        self, reservation: relay_reservations.Reservation
+        self, reservation: server_reservation.Reservation
     ) -> base.AttemptFailure | None:
         """Return the failure of a send that the server's limit does not allow.
 
@@ -272,7 +272,7 @@
 
     def log_send(
         self,
-        reservation: relay_reservations.Reservation,
+        reservation: server_reservation.Reservation,
         copy: generation_moves.MemoryCopy | None,
     ) -> None:
         """Log to which server the request is sent and why."""
--- a/src/quetzalpass/lifecycle/stream_segments.py
+++ b/src/quetzalpass/lifecycle/stream_segments.py
@@ -6,7 +6,10 @@
 from returns import result
 
 from quetzalpass.backends import base, event_splitter, relays
-from quetzalpass.lifecycle import relay_reservations, stream_failures
+from quetzalpass.lifecycle import (
+    server_reservation,
+    stream_failures,
+)
 from quetzalpass.membership import in_flight_requests
 
 # A stream with a backup is treated as broken after a silence of this length. It is
@@ -38,7 +41,7 @@
 
     Parameters
     ----------
-    reservation : relay_reservations.Reservation
+    reservation : server_reservation.Reservation
         Reservation on that server.
     server_response : relays.RelayResponse
         The server's response, whose body is the stream.
@@ -57,7 +60,7 @@
 
     def __init__(
         self,
-        reservation: relay_reservations.Reservation,
+        reservation: server_reservation.Reservation,
         server_response: relays.RelayResponse,
         in_flight_request: in_flight_requests.InFlightRequest,
     ) -> None:
--- a/src/quetzalpass/lifecycle/stream_starts.py
+++ b/src/quetzalpass/lifecycle/stream_starts.py
@@ -9,7 +9,7 @@
 from quetzalpass.backends import base
 from quetzalpass.lifecycle import (
     attempts,
-    relay_reservations,
+    server_reservation,
     stream_failures,
     stream_segments,
 )
@@ -98,7 +98,7 @@
             )
 
     def on_refused(
-        self, reservation: relay_reservations.Reservation, failure: base.AttemptFailure
+        self, reservation: server_reservation.Reservation, failure: base.AttemptFailure
     ) -> None:
         """Return if a refused request may be sent again; else raise its failure.
 
@@ -118,7 +118,7 @@
             )
 
     def may_send_again(
-        self, reservation: relay_reservations.Reservation, failure: base.AttemptFailure
+        self, reservation: server_reservation.Reservation, failure: base.AttemptFailure
     ) -> bool:
         """Return whether a request may be sent again after a send that did not run.
 
@@ -141,7 +141,7 @@
             return False
         return self.gateway.budget.try_withdraw(self.routed.service.name, now_s)
 
-    async def back_off(self, reservation: relay_reservations.Reservation) -> None:
+    async def back_off(self, reservation: server_reservation.Reservation) -> None:
         """Wait before a further send to a server that has not accepted the request."""
         if reservation.server.id not in self.tried:
             return
