--- a/src/quetzalpass/routing/rate_limits.py
+++ b/src/quetzalpass/routing/rate_limits.py
@@ -15,10 +15,9 @@
 # Responses without a limit end it only after this time. A single one may be older than
 # the limit, as responses overtake each other.
 END_AFTER_S = 1.0
-# Without any response, a limit holds for this many of its intervals between requests.
-HOLD_INTERVALS = 3.0
-MIN_HOLD_S = 3.0
-MAX_HOLD_S = 15.0
+# Without any response, a limit holds for this time. A server in need may lose some;
+# one without a limit any more says so in its first response.
+HOLD_S = 30.0
 
 
 class NamedLimit(msgspec.Struct):
@@ -43,8 +42,7 @@
         age_s = now_s - self.named_s
         if self.unnamed_s > self.named_s and age_s >= END_AFTER_S:
             return False
-        hold_s = max(MIN_HOLD_S, HOLD_INTERVALS / self.per_s)
-        return age_s < min(hold_s, MAX_HOLD_S)
+        return age_s < HOLD_S
 
 
 class LimitReport(msgspec.Struct, frozen=True):
@@ -114,7 +112,7 @@
         self.limits = {
             server: known
             for server, known in self.limits.items()
-            if now_s - known.named_s < MAX_HOLD_S
+            if now_s - known.named_s < HOLD_S
         }
 
     def reports(self, now_s: float) -> tuple[LimitReport, ...]:
