--- a/tests/soak/crashing.py
+++ b/tests/soak/crashing.py
@@ -7,11 +7,8 @@
 """
 
 import asyncio
-import pathlib
 import random
 import signal
-import sys
-import tempfile
 
 from soak import backends, soak
 
@@ -175,48 +172,27 @@
         if not self.crash_times_s:
             raise self.violation("the crashing request was never run", "")
         if self.late_sends() > MAX_LATE_SENDS:
-            raise self.violation(
-                f"{self.late_sends()} late sends, {len(self.crash_times_s)} crashes, "
-                f"{self.summary()}",
-                "",
-            )
+            raise self.violation(f"too many late sends: {self.summary()}", "")
 
     def summary(self):
         closing = "closing in an orderly way" if self.is_orderly else "resetting"
         how = "silent" if self.is_silent else closing
-        return f"{self.kind}, {how}, {self.before_crash.value}, {self.copies} copies"
+        return (
+            f"{self.kind}, {how}, {self.before_crash.value}, {self.copies} copies; "
+            f"{len(self.crash_times_s)} crashes, {self.late_sends()} late sends, "
+            f"{super().summary()}"
+        )
 
 
 async def run_seed(seed, seconds, folder, **options):
     """Run one seed, stop its processes and return the finished soak test."""
-    crashing = CrashingSoak(seed, folder, **options)
-    try:
-        await crashing.run(seconds)
-    finally:
-        await crashing.stop()
-    return crashing
-
-
-def main():
-    """Run seeds one after another and print the folder with the logs of failed ones."""
-    first, count, seconds = (int(each) for each in sys.argv[1:])
-    for seed in range(first, first + count):
-        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-crashing-{seed}-"))
-        try:
-            done = asyncio.run(
-                run_seed(seed, seconds, folder, has_node_faults=seed % 2 == 0)
-            )
-        except (soak.InvariantViolationError, TimeoutError) as error:
-            print(f"seed {seed} FAILED: {error!r}; logs in {folder}", flush=True)
-            continue
-        served = sum(status == 200 for _, _, status in done.responses)
-        print(
-            f"seed {seed}: {done.summary()}, {len(done.crash_times_s)} crashes, "
-            f"{done.late_sends()} late sends, {served} of {len(done.responses)} "
-            f"served, {len(done.faults)} faults",
-            flush=True,
-        )
+    return await soak.run_to_end(CrashingSoak(seed, folder, **options), seconds)
+
+
+async def run_by_hand(seed, seconds, folder):
+    """Run one seed, every other one with faults of nodes."""
+    return await run_seed(seed, seconds, folder, has_node_faults=seed % 2 == 0)
 
 
 if __name__ == "__main__":
-    main()
+    soak.run_seeds("soak-crashing", run_by_hand)
--- a/tests/soak/crashing_parts.py
+++ b/tests/soak/crashing_parts.py
@@ -6,9 +6,6 @@
 """
 
 import asyncio
-import pathlib
-import sys
-import tempfile
 
 from soak import backends, crashing, soak
 
@@ -142,26 +139,8 @@
 
 async def run_seed(seed, seconds, folder, **options):
     """Run one seed, stop its processes and return the finished soak test."""
-    parts_soak = CrashingPartsSoak(seed, folder, **options)
-    try:
-        await parts_soak.run(seconds)
-    finally:
-        await parts_soak.stop()
-    return parts_soak
-
-
-def main():
-    """Run seeds one after another and print the folder with the logs of failed ones."""
-    first, count, seconds = (int(each) for each in sys.argv[1:])
-    for seed in range(first, first + count):
-        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-parts-{seed}-"))
-        try:
-            done = asyncio.run(run_seed(seed, seconds, folder))
-        except (soak.InvariantViolationError, TimeoutError) as error:
-            print(f"seed {seed} FAILED: {error!r}; logs in {folder}", flush=True)
-            continue
-        print(f"seed {seed}: {done.summary()}", flush=True)
+    return await soak.run_to_end(CrashingPartsSoak(seed, folder, **options), seconds)
 
 
 if __name__ == "__main__":
-    main()
+    soak.run_seeds("soak-parts", run_seed)
--- a/tests/soak/limits.py
+++ b/tests/soak/limits.py
@@ -1,16 +1,14 @@
 """Soak test of replicas that name a limit on the rate of requests.
 
 Gateways and three control nodes run as processes. For some seconds one replica of a
-service, or all of them, name a limit in each answer. In some runs a gateway is killed,
-or a control node is cut off. Run manually with
-``make soak-limits SEED=1 COUNT=10 SECONDS=12``.
+service, or all of them, name a limit in each answer. In some runs a gateway or a
+control node fails, or a limited replica breaks off, refuses or delays its responses.
+Run manually with ``make soak-limits SEED=1 COUNT=10 SECONDS=12``.
 """
 
 import asyncio
-import pathlib
+import random
 import signal
-import sys
-import tempfile
 
 from soak import soak
 
@@ -32,6 +30,8 @@
 AFTER_S = 8.0
 REQUESTS_PER_S = 24
 LIMITS_PER_S = (1.5, 2.0, 4.0)
+# Broken responses lead to retries and resumes, refusals to further sends.
+REPLICA_FAULTS = (None, None, "cut", "refuse", "hang")
 SERVICES = {"reads": "ledger", "once": "ledger", "drafts": "model"}
 
 
@@ -63,8 +63,10 @@
         self.limits_all = self.rng.random() < 0.5
         self.limit_per_s = self.rng.choice(LIMITS_PER_S)
         self.fault = self.rng.choice(
-            (None, "kill gateway", "kill control", "cut control")
+            (None, "kill gateway", "kill control", "pause control")
         )
+        # Its own generator leaves what the other draws of a seed give unchanged.
+        self.replica_fault = random.Random(f"replica-{seed}").choice(REPLICA_FAULTS)
         self.gateway_of = {}
         self.outcomes = []
         self.excused = []
@@ -106,9 +108,13 @@
         self.limited_from_s = self.now_s()
         for each in self.limited_replicas():
             each.limit_per_s = self.limit_per_s
-        await asyncio.sleep(seconds / 2)
+        await asyncio.sleep(seconds / 3)
+        self.limited_replicas()[0].fault = self.replica_fault
+        await asyncio.sleep(seconds / 6)
         await self.cause_node_fault()
-        await asyncio.sleep(seconds / 2)
+        await asyncio.sleep(seconds / 3)
+        self.limited_replicas()[0].fault = None
+        await asyncio.sleep(seconds / 6)
         self.limited_until_s = self.now_s()
         for each in self.limited_replicas():
             each.limit_per_s = None
@@ -127,14 +133,14 @@
         elif self.fault == "kill control":
             node = self.rng.choice(self.cluster.controls)
         else:
-            await self.cut_control_node()
+            await self.pause_control_node()
             return
         self.faults.append(self.fault)
         await node.stop(signal.SIGKILL)
         await node.start()
         self.excused.append((node, start_s, self.now_s()))
 
-    async def cut_control_node(self):
+    async def pause_control_node(self):
         """Pause a control node, which its peers take for a cut."""
         if self.fault is None:
             return
@@ -227,7 +233,7 @@
         return after / before
 
     def check_goals(self):
-        has_goals = self.fault is None
+        has_goals = self.fault is None and self.replica_fault is None
         if has_goals and self.limits_all and self.used_share() < MIN_USED_SHARE:
             raise self.violation(f"limits left idle: {self.summary()}", "")
         if has_goals and self.slowest_refusal_s() > MAX_REFUSAL_S:
@@ -238,7 +244,8 @@
     def summary(self):
         who = "all" if self.limits_all else "one"
         return (
-            f"{self.kind}, {who} to {self.limit_per_s}, {self.fault}; most in 4 s "
+            f"{self.kind}, {who} to {self.limit_per_s}, {self.fault}, replica: "
+            f"{self.replica_fault}; most in 4 s "
             f"{self.most()}, allowed {self.allowed()}; served "
             f"{self.used_share():.2f} of the limits, refused within "
             f"{self.slowest_refusal_s():.2f} s, {self.share_after():.2f} served after"
@@ -247,26 +254,8 @@
 
 async def run_seed(seed, seconds, folder, **options):
     """Run one seed, stop its processes and return the finished soak test."""
-    limits_soak = LimitsSoak(seed, folder, **options)
-    try:
-        await limits_soak.run(seconds)
-    finally:
-        await limits_soak.stop()
-    return limits_soak
-
-
-def main():
-    """Run seeds one after another and print the folder with the logs of failed ones."""
-    first, count, seconds = (int(each) for each in sys.argv[1:])
-    for seed in range(first, first + count):
-        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-limits-{seed}-"))
-        try:
-            done = asyncio.run(run_seed(seed, seconds, folder))
-        except (soak.InvariantViolationError, TimeoutError) as error:
-            print(f"seed {seed} FAILED: {error!r}; logs in {folder}", flush=True)
-            continue
-        print(f"seed {seed}: {done.summary()}", flush=True)
+    return await soak.run_to_end(LimitsSoak(seed, folder, **options), seconds)
 
 
 if __name__ == "__main__":
-    main()
+    soak.run_seeds("soak-limits", run_seed)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -21,6 +21,7 @@
 STATUS_OK = 200
 NOT_RUN = (408, 421, 429, 503)
 START_TIMEOUT_S = 15.0
+DEFAULT_SECONDS = 15
 RECOVERY_TIMEOUT_S = 20.0
 RESPONSE_TIMEOUT_S = 8.0
 # Within this time, a node whose disk was wiped has recovered its data.
@@ -279,6 +280,15 @@
                     "a response belongs to another request", request_id
                 )
 
+    def served_count(self):
+        return sum(status == STATUS_OK for _, _, status in self.responses)
+
+    def summary(self):
+        return (
+            f"{self.served_count()} of {len(self.responses)} served, "
+            f"{len(self.faults)} faults, acked {self.acked}"
+        )
+
     def violation(self, what, request_id):
         return InvariantViolationError(
             f"{what}: request {request_id}, seed {self.seed}, faults {self.faults}"
@@ -379,9 +389,8 @@
         await soak.stop()
 
 
-async def run_seed(seed, seconds, folder):
-    """Run one seed, stop its processes and return the finished soak test."""
-    soak = Soak(seed, folder)
+async def run_to_end(soak, seconds):
+    """Run a soak test, stop its processes and return it."""
     try:
         await soak.run(seconds)
     finally:
@@ -389,24 +398,34 @@
     return soak
 
 
-def main():
-    """Run seeds one after another and print the folder with the logs of failed ones."""
+async def run_seed(seed, seconds, folder):
+    """Run one seed, stop its processes and return the finished soak test."""
+    return await run_to_end(Soak(seed, folder), seconds)
+
+
+def run_seeds(name, run):
+    """Run the seeds that the command line names, and print their summaries.
+
+    Of a failed seed the folder with its logs is printed.
+
+    Parameters
+    ----------
+    name : str
+        Part of the folder's name.
+    run : callable
+        Runs a seed for some seconds with its files in a folder.
+    """
     first, count, *rest = (int(each) for each in sys.argv[1:])
-    seconds = rest[0] if rest else 15
+    seconds = rest[0] if rest else DEFAULT_SECONDS
     for seed in range(first, first + count):
-        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"{name}-{seed}-"))
         try:
-            soak = asyncio.run(run_seed(seed, seconds, folder))
+            done = asyncio.run(run(seed, seconds, folder))
         except (InvariantViolationError, TimeoutError) as error:
             print(f"seed {seed} FAILED: {error!r}; logs in {folder}", flush=True)
             continue
-        served = sum(status == 200 for _, _, status in soak.responses)
-        print(
-            f"seed {seed}: {served} of {len(soak.responses)} served, "
-            f"{len(soak.faults)} faults, acked {soak.acked}",
-            flush=True,
-        )
+        print(f"seed {seed}: {done.summary()}", flush=True)
 
 
 if __name__ == "__main__":
-    main()
+    run_seeds("soak", run_seed)
