--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -28,6 +28,7 @@
         self.starts = 0
         self.process = None
         self.is_paused = False
+        self.zone = "flx-a"
         self.link = self.create_link()
 
     def create_link(self):
@@ -54,7 +55,7 @@
         return {
             "node": f"{self.role}-{self.ip}",
             "ip": self.ip,
-            "zone": "flx-a",
+            "zone": self.zone,
             "listen": listen,
             "internal_ports": [ports.inner, ports.inner],
             "seeds": [f"{ip}:{ports.control}" for ip in self.cluster.control_ips],
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import enum
+import os
+import pathlib
 import socket
 
 CHUNK_BYTES = 65_536
@@ -25,6 +27,79 @@
 BLOCKS_RESPONSES = frozenset({Mode.NO_RESPONSES, Mode.SILENT})
 
 
+class Cut(enum.Enum):
+    """How the path from one process to all proxies is cut."""
+
+    SILENT = "silent"
+    RESET = "reset"
+    NEW_RESET = "new connections reset"
+
+
+class Cuts:
+    """Processes that are cut off from all proxies that share this object.
+
+    A proxy can't tell processes apart by their address, as all connect from the same
+    one. The kernel's tables tell which process owns a connection.
+
+    Attributes
+    ----------
+    processes : dict of int to Cut
+        How each process that is cut off is cut, by process id.
+    connections : dict of writer to int
+        Process at the other end of each open connection, by its writer.
+    observed : list of int
+        Process ids whose connections are attributed.
+    """
+
+    def __init__(self):
+        self.processes = {}
+        self.connections = {}
+        self.observed = []
+
+    def cut(self, process_id, how):
+        self.processes[process_id] = how
+        if how is Cut.RESET:
+            for writer, owner in list(self.connections.items()):
+                if owner == process_id:
+                    writer.transport.abort()
+
+    def cut_of(self, writer):
+        return self.processes.get(self.connections.get(writer))
+
+    def attribute(self, writer):
+        """Find out which process owns a new connection."""
+        inode = socket_inode(writer.get_extra_info("peername"))
+        for process_id in self.observed:
+            if inode is not None and inode in socket_inodes(process_id):
+                self.connections[writer] = process_id
+
+    def forget(self, writer):
+        self.connections.pop(writer, None)
+
+
+def socket_inode(address):
+    """Return the inode of the socket that is bound to a loopback address."""
+    host, port = address[:2]
+    packed = bytes(reversed(socket.inet_aton(host))).hex().upper()
+    for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        fields = line.split()
+        if fields[1] == f"{packed}:{port:04X}":
+            return fields[9]
+    return None
+
+
+def socket_inodes(process_id):
+    """Return the inodes of the sockets that a process has open."""
+    found = set()
+    with contextlib.suppress(OSError):
+        for each in os.scandir(f"/proc/{process_id}/fd"):
+            with contextlib.suppress(OSError):
+                target = os.readlink(each.path)
+                if target.startswith("socket:["):
+                    found.add(target[len("socket:[") : -1])
+    return found
+
+
 class Link:
     """A TCP proxy for one target address.
 
@@ -34,6 +109,8 @@
         How bytes are forwarded, on open connections too.
     delay_s : float
         Delay of each chunk in mode ``DELAY``.
+    cuts : Cuts or None
+        Processes that are cut off from this proxy.
     """
 
     def __init__(self, host, port, target_host, target_port):
@@ -45,6 +122,7 @@
         self.delay_s = 0.1
         self.writers = set()
         self.full_backlog = []
+        self.cuts = None
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.host, self.port)
@@ -80,6 +158,12 @@
             writer.transport.abort()
 
     async def serve(self, reader, writer):
+        if self.cuts is not None:
+            self.cuts.attribute(writer)
+            if self.cuts.cut_of(writer) in (Cut.RESET, Cut.NEW_RESET):
+                self.cuts.forget(writer)
+                writer.transport.abort()
+                return
         self.writers.add(writer)
         try:
             target_reader, target_writer = await asyncio.open_connection(
@@ -91,8 +175,8 @@
             return
         self.writers.add(target_writer)
         forwarding = asyncio.gather(
-            self.forward(reader, target_writer, BLOCKS_REQUESTS),
-            self.forward(target_reader, writer, BLOCKS_RESPONSES),
+            self.forward(reader, target_writer, BLOCKS_REQUESTS, writer),
+            self.forward(target_reader, writer, BLOCKS_RESPONSES, writer),
         )
         try:
             await forwarding
@@ -102,20 +186,28 @@
             return
         finally:
             forwarding.cancel()
+            if self.cuts is not None:
+                self.cuts.forget(writer)
             for each in (writer, target_writer):
                 self.writers.discard(each)
                 each.transport.abort()
 
-    async def forward(self, reader, writer, blocking_modes):
+    def is_blocked(self, blocking_modes, client):
+        """Return whether a direction of the connection of a client is blocked now."""
+        if self.cuts is not None and self.cuts.cut_of(client) is Cut.SILENT:
+            return True
+        return self.mode in blocking_modes
+
+    async def forward(self, reader, writer, blocking_modes, client):
         """Forward the bytes of one direction, then the end of the stream."""
         while data := await reader.read(CHUNK_BYTES):
             if self.mode is Mode.DELAY:
                 await asyncio.sleep(self.delay_s)
-            while self.mode in blocking_modes:
+            while self.is_blocked(blocking_modes, client):
                 await asyncio.sleep(POLL_S)
             writer.write(data)
             await writer.drain()
-        while self.mode in blocking_modes:
+        while self.is_blocked(blocking_modes, client):
             await asyncio.sleep(POLL_S)
         with contextlib.suppress(OSError):
             writer.write_eof()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,11 +1,12 @@
 import pytest
 
-from soak import crashing, crashing_parts, limits, soak
+from soak import crashing, crashing_parts, cut_off, limits, soak
 
 SECONDS = 5
 CRASHING_SECONDS = 12
 CRASHING_PARTS_SECONDS = 14
 LIMITED_SECONDS = 10
+CUT_OFF_SECONDS = 8
 # No seed has failed yet. Add each one that does, with its cause.
 SEEDS = (1,)
 
@@ -30,3 +31,9 @@
 
     async def test_replicas_get_no_more_than_the_limit_that_they_name(self, tmp_path):
         await limits.run_seed(2, LIMITED_SECONDS, tmp_path)
+
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    async def test_gateways_that_reach_no_replica_serve_their_callers(
+        self, tmp_path, seed
+    ):
+        await cut_off.run_seed(seed, CUT_OFF_SECONDS, tmp_path)
