--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -12,6 +12,10 @@
 EVENT_INTERVAL_S = 0.02
 SERVICE_TIME_S = 0.01
 SLOTS = 24
+# A brittle replica runs so many requests at once, and lets none wait.
+BRITTLE_ROOM = 3
+BRITTLE_SERVICE_TIME_S = 0.25
+BRITTLE_DOWN_S = 4.0
 NS_PER_MS = 1_000_000
 CRASHING_BODY = b"crashes replicas"
 CRASHING_PART = "bad0bad0"
@@ -43,6 +47,25 @@
         self.at_s = at_s
 
 
+class Brittleness:
+    """How many requests a brittle replica takes, and when it falls over.
+
+    Attributes
+    ----------
+    limit_per_s : int
+        It falls over once it has refused more than this within a second.
+    enforced_from_s : float
+        Loop time from which it lets no request wait.
+    falls_s : list of float
+        Loop times at which a replica has fallen over.
+    """
+
+    def __init__(self, limit_per_s, enforced_from_s):
+        self.limit_per_s = limit_per_s
+        self.enforced_from_s = enforced_from_s
+        self.falls_s = []
+
+
 class RunRecord:
     """Requests that the replicas have run.
 
@@ -77,6 +100,10 @@
         ``extra_response``.
     limit_per_s : float or None
         Limit on the rate of requests that it names in each answer.
+    brittleness : Brittleness or None
+        Set while it is brittle and says so in each answer.
+    running : int
+        Requests that it runs now.
     """
 
     def __init__(self, record, name, service, link):
@@ -86,6 +113,9 @@
         self.link = link
         self.fault = None
         self.limit_per_s = None
+        self.brittleness = None
+        self.running = 0
+        self.refused_s = []
         self.state = "ready"
         self.started_ms = time.time_ns() // NS_PER_MS
         self.writers = set()
@@ -162,6 +192,9 @@
         if request.header("Kv-From"):
             self.refuse(request, writer)
             return
+        if self.brittleness is not None and not self.has_room(now_s):
+            self.refuse(request, writer)
+            return
         self.record.runs[request.header("X-Request-Id")] += 1
         if crashes_replicas(request):
             await self.send_before_crash(request, writer)
@@ -170,16 +203,45 @@
             raise ConnectionError
         if self.fault == "hang":
             await asyncio.sleep(5.0)
-        if self.service == "model":
-            await self.send_stream(request, writer)
-        else:
-            await self.respond_to_service_call(request, writer)
+        self.running += 1
+        try:
+            if self.service == "model":
+                await self.send_stream(request, writer)
+            else:
+                await self.respond_to_service_call(request, writer)
+        finally:
+            self.running -= 1
+
+    def has_room(self, now_s):
+        """Return whether a brittle replica runs one more; it may fall over if not."""
+        brittleness = self.brittleness
+        if now_s < brittleness.enforced_from_s or self.running < BRITTLE_ROOM:
+            return True
+        self.refused_s = [each for each in self.refused_s if each > now_s - 1.0]
+        self.refused_s.append(now_s)
+        if len(self.refused_s) > brittleness.limit_per_s:
+            self.refused_s = []
+            brittleness.falls_s.append(now_s)
+            self.stop()
+            asyncio.get_running_loop().create_task(self.start_again())
+            raise ConnectionError
+        return False
+
+    async def start_again(self):
+        """Come back after a fall, at the same address under the same name."""
+        await asyncio.sleep(BRITTLE_DOWN_S)
+        self.started_ms = time.time_ns() // NS_PER_MS
+        self.running = 0
+        await self.start()
 
     def limit_headers(self):
-        """Return the header lines that name the limit, if there is one."""
-        if self.limit_per_s is None:
-            return []
-        return [f"Server-Limit: {self.limit_per_s}"]
+        """Return the header lines that name a limit or say that it is brittle."""
+        lines = []
+        if self.limit_per_s is not None:
+            lines.append(f"Server-Limit: {self.limit_per_s}")
+        if self.brittleness is not None:
+            lines.append(f"Server-Brittle: {self.brittleness.limit_per_s}")
+        return lines
 
     def refuse(self, request, writer):
         lines = ["X-Not-Executed: 1", *self.limit_headers()]
@@ -206,7 +268,8 @@
         writer.write(head.encode() + body)
 
     async def respond_to_service_call(self, request, writer):
-        await asyncio.sleep(SERVICE_TIME_S)
+        is_brittle = self.brittleness is not None
+        await asyncio.sleep(BRITTLE_SERVICE_TIME_S if is_brittle else SERVICE_TIME_S)
         data = standin.response_bytes(
             request, body=request.body * 3, extra=self.limit_headers()
         )
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,12 +1,13 @@
 import pytest
 
-from soak import crashing, crashing_parts, cut_off, limits, soak
+from soak import brittle, crashing, crashing_parts, cut_off, limits, soak
 
 SECONDS = 5
 CRASHING_SECONDS = 12
 CRASHING_PARTS_SECONDS = 14
 LIMITED_SECONDS = 10
 CUT_OFF_SECONDS = 8
+BRITTLE_SECONDS = 8
 # No seed has failed yet. Add each one that does, with its cause.
 SEEDS = (1,)
 
@@ -37,3 +38,7 @@
         self, tmp_path, seed
     ):
         await cut_off.run_seed(seed, CUT_OFF_SECONDS, tmp_path)
+
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    async def test_brittle_replicas_are_not_felled(self, tmp_path, seed):
+        await brittle.run_seed(seed, BRITTLE_SECONDS, tmp_path)
