Share the room of brittle servers out, found from below (LIMIT)

Ruled out: permits by rate (the rate that a server bears is not known); each gateway for itself (the sum exceeds what fells a server).

--- a/src/quetzalpass/backends/base.py
+++ b/src/quetzalpass/backends/base.py
@@ -62,6 +62,19 @@
     per_s: float | None = None
 
 
+class ServerNotice(msgspec.Struct, frozen=True):
+    """What a response says about the state of its server.
+
+    Attributes
+    ----------
+    max_refusals_per_s : float or None
+        Set while the servers of the service are brittle: each falls over if it has to
+        refuse more requests than this within a second.
+    """
+
+    max_refusals_per_s: float | None = None
+
+
 class AttemptFailure(msgspec.Struct, frozen=True):
     """A failed attempt.
 
@@ -78,6 +91,8 @@
     rate_notice : RateNotice or None
         Limit that a response named; ``None`` if there was no response, or if the limit
         in it can't be read.
+    notice : ServerNotice or None
+        What a response said about its server; ``None`` if there was no response.
     """
 
     end: AttemptEnd
@@ -85,6 +100,7 @@
     message: str
     retry_after_ms: int | None = None
     rate_notice: RateNotice | None = None
+    notice: ServerNotice | None = None
 
 
 class GenerationCall(msgspec.Struct, frozen=True):
--- a/src/quetzalpass/backends/relays.py
+++ b/src/quetzalpass/backends/relays.py
@@ -112,6 +112,8 @@
     rate_notice : base.RateNotice or None
         Limit on the rate of requests that the server names; ``None`` if the limit in
         the response can't be read.
+    notice : base.ServerNotice
+        What the response says about its server.
     """
 
     status: int
@@ -119,6 +121,7 @@
     is_closing: bool = False
     body_end: BodyEnd = BodyEnd.LENGTH
     rate_notice: base.RateNotice | None = base.RateNotice()
+    notice: base.ServerNotice = base.ServerNotice()
 
 
 class RelayResponse(abc.ABC):
--- a/src/quetzalpass/daemon/control_role.py
+++ b/src/quetzalpass/daemon/control_role.py
@@ -14,7 +14,7 @@
 from returns import result
 
 from quetzalpass import background, ids
-from quetzalpass.allocation import allocator, permits
+from quetzalpass.allocation import allocator, permits, rooms
 from quetzalpass.allocation import messages as allocation_messages
 from quetzalpass.consensus import group as consensus_group
 from quetzalpass.consensus import registry, timing
@@ -122,6 +122,7 @@
             source, self.is_active, rng.getrandbits(VERSION_BITS)
         )
         self.permit_desk = permits.PermitDesk(self.server_registry)
+        self.room_desk = rooms.RoomDesk(self.server_registry)
         self.allocator = allocator.Allocator(self.server_registry, self.holder, rng)
         self.metrics = exposition.ProcessMetrics()
         self.metrics.revision.set_function(self.holder.revision)
@@ -150,6 +151,8 @@
         self.table.add(fleet_messages.FleetRequest, self.handle_fleet)
         self.table.add(allocation_messages.AllocationRequest, self.handle_allocation)
         self.table.add(permits.PermitRequest, self.handle_permit)
+        self.table.add(rooms.RoomRequest, self.handle_room)
+        self.table.add(rooms.RoomRelease, self.handle_room_release)
         await self.listen()
         replica_role.value_or_raise(await self.group.start())
         for name, work in (
@@ -254,6 +257,14 @@
         """Give out a permit for a server that names a limit."""
         return result.Success(self.permit_desk.handle(request))
 
+    async def handle_room(self, request: rooms.RoomRequest) -> handlers.Outcome:
+        """Admit a request to a brittle server."""
+        return result.Success(self.room_desk.handle(request))
+
+    async def handle_room_release(self, release: rooms.RoomRelease) -> handlers.Outcome:
+        """Record that a request to a brittle server has ended."""
+        return result.Success(self.room_desk.handle_release(release))
+
     async def propose(
         self, command: declared_state.Command
     ) -> result.Result[bytes, failures.Failure]:
--- a/src/quetzalpass/daemon/gateway_role.py
+++ b/src/quetzalpass/daemon/gateway_role.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from quetzalpass import ids
-from quetzalpass.allocation import client, permits
+from quetzalpass.allocation import client, permits, rooms
 from quetzalpass.daemon import handover_receiver
 from quetzalpass.declarations import relays
 from quetzalpass.lifecycle import (
@@ -105,6 +105,7 @@
             ),
             permits.RemotePermitSource(self.allocating_node, self.allocation_channel),
             lambda: self.budget.gateways,
+            rooms.RemoteRoomSource(self.allocating_node, self.allocation_channel),
         )
         self.reported_allocations: tuple[ids.AllocationId, ...] = ()
         self.reported_prefills = 0
@@ -133,6 +134,7 @@
         self.links.reply_observers.append(self.on_reply)
         self.links.suspect_observers.append(self.gateway.suspects.merge)
         self.links.limit_observers.append(self.reservations.rate_gate.merge)
+        self.links.brittle_observers.append(self.reservations.room_gate.merge)
 
     def start(self) -> None:
         """Start following the control nodes."""
@@ -195,6 +197,7 @@
             self.reservations.rate_gate.reports(),
             self.settings.data_centre,
             self.peer_state(),
+            self.reservations.room_gate.reports(),
         )
 
     def allocating_node(self) -> ids.VmId | None:
--- a/src/quetzalpass/lifecycle/engine_questions.py
+++ b/src/quetzalpass/lifecycle/engine_questions.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from returns import result
 
 from quetzalpass import ids
 from quetzalpass.allocation import client, leader_client, messages
-from quetzalpass.lifecycle import rate_gate, relay_requests, server_health
+from quetzalpass.lifecycle import relay_requests, server_health
 from quetzalpass.membership import discovery, fleet_view
 from quetzalpass.results import failures
 from quetzalpass.routing import prefill_rates, relay_placement
@@ -35,8 +36,8 @@
         Draws the number that identifies this run of the gateway.
     source : client.AllocationSource or None
         Client of the allocating node; ``None`` where no node allocates.
-    gate : rate_gate.RateGate
-        Knows the engines whose limit allows no request now.
+    blocked_s : callable
+        Returns for how long an engine takes no request of a rank, in seconds.
 
     Attributes
     ----------
@@ -53,13 +54,13 @@
         health: server_health.ServerHealth,
         rng: random.Random,
         source: client.AllocationSource | None,
-        gate: rate_gate.RateGate,
+        blocked_s: Callable[[ids.ServerId, int], float],
     ) -> None:
         self.vm = vm
         self.view = view
         self.health = health
         self.source = source
-        self.gate = gate
+        self.blocked_s = blocked_s
         # Keeps allocation ids unique across restarts of the gateway.
         self.incarnation = rng.getrandbits(INCARNATION_BITS)
         self.count = 0
@@ -157,7 +158,7 @@
             if known.is_leaving
             or self.health.is_ejected(known.server.id, now_s)
             or known.server.id in avoided
-            or self.gate.blocked_s(known.server.id, routed.rank)
+            or self.blocked_s(known.server.id, routed.rank)
         )
 
     def record_prefill(self, measurement: prefill_rates.PrefillMeasurement) -> None:
--- a/src/quetzalpass/lifecycle/relay_events.py
+++ b/src/quetzalpass/lifecycle/relay_events.py
@@ -73,3 +73,22 @@
     is_reached: bool
     probed: int = 0
     list_age_ms: int | None = None
+
+
+class BrittleEvent(event_log.Event, frozen=True, tag="brittle"):
+    """Log event for a service whose servers become brittle, or cease to be.
+
+    Attributes
+    ----------
+    service : ServiceName
+        The service.
+    server : ServerId
+        Server whose response says so.
+    before, now : float or None
+        Refusals a second that a server bears, before and now; ``None`` for any number.
+    """
+
+    service: ids.ServiceName
+    server: ids.ServerId
+    before: float | None
+    now: float | None
--- a/src/quetzalpass/lifecycle/relay_reservations.py
+++ b/src/quetzalpass/lifecycle/relay_reservations.py
@@ -8,12 +8,20 @@
 from returns import result
 
 from quetzalpass import ids
-from quetzalpass.allocation import client, permits, queueing, server_capacities
+from quetzalpass.allocation import (
+    client,
+    permits,
+    queueing,
+    rooms,
+    server_capacities,
+)
 from quetzalpass.allocation import messages as allocation_messages
+from quetzalpass.backends import base
 from quetzalpass.lifecycle import (
     engine_questions,
     rate_gate,
     relay_requests,
+    room_gate,
     server_health,
     server_reservation,
 )
@@ -31,6 +39,7 @@
 MAX_WAIT_FACTOR = 3.0
 # Longest wait of one allocation request, so that the loss of one is noticed soon.
 MAX_ALLOCATION_WAIT_S = 0.25
+ADMISSION_BITS = 64
 
 
 Reservation = server_reservation.Reservation
@@ -60,11 +69,15 @@
         Shares the limits of servers out; ``None`` where no node does.
     count_gateways : callable
         Returns the number of gateways; 0 if it is unknown.
+    room_source : rooms.RoomSource or None
+        Shares the room of brittle servers out; ``None`` where no node does.
 
     Attributes
     ----------
     rate_gate : rate_gate.RateGate
         Holds this gateway's sends to the limits that servers name.
+    room_gate : room_gate.RoomGate
+        Holds this gateway's sends to the room of brittle servers.
     """
 
     def __init__(
@@ -76,6 +89,7 @@
         allocation: client.AllocationSource | None = None,
         permit_source: permits.PermitSource | None = None,
         count_gateways: Callable[[], int] = lambda: 1,
+        room_source: rooms.RoomSource | None = None,
     ) -> None:
         self.view = view
         self.data_centre = data_centre
@@ -83,9 +97,15 @@
         self.uses: dict[ids.ServerId, fleet_messages.ServerUse] = {}
         self.rates = prefill_rates.PrefillRates()
         self.rate_gate = rate_gate.RateGate(vm, permit_source, count_gateways, rng)
+        self.room_gate = room_gate.RoomGate(
+            vm,
+            room_source,
+            count_gateways,
+            lambda: f"{vm}/{rng.getrandbits(ADMISSION_BITS):x}",
+        )
         self.health = server_health.ServerHealth(view, data_centre)
         self.allocation_requests = engine_questions.EngineRequests(
-            vm, view, self.health, rng, allocation, self.rate_gate
+            vm, view, self.health, rng, allocation, self.blocked_s
         )
         self.queues: dict[ids.ServiceName, queueing.PlacementQueue[Reservation]] = {}
         view.change_observers.append(self.process_queues)
@@ -137,7 +157,7 @@
             for known in self.view.find_servers(routed.service.name)
             if not known.is_leaving
             and known.server.id not in excluded
-            and not self.rate_gate.blocked_s(known.server.id, routed.rank)
+            and not self.blocked_s(known.server.id, routed.rank)
         ]
         healthy = [
             known
@@ -149,6 +169,25 @@
             self.server_capacity(known, routed, now_s) for known in healthy or usable
         ]
 
+    def blocked_s(self, server_id: ids.ServerId, rank: int) -> float:
+        """Return for how long a server takes no request of a rank, in seconds."""
+        return max(
+            self.rate_gate.blocked_s(server_id, rank),
+            self.room_gate.blocked_s(server_id),
+        )
+
+    def may_send_after(
+        self, routed: relay_requests.RoutedRequest, failure: base.AttemptFailure
+    ) -> bool:
+        """Return whether a request may go to another server after a refusal.
+
+        Brittle servers fall over if they refuse too many, and if one had less room than
+        expected, so may the others.
+        """
+        if failure.kind is not base.FailureKind.OVERLOADED:
+            return True
+        return not self.room_gate.is_brittle(routed.service.name)
+
     def server_capacity(
         self,
         known: fleet_view.KnownServer,
@@ -377,8 +416,17 @@
         routed: relay_requests.RoutedRequest,
         reservation: Reservation,
     ) -> float:
-        """Return 0 if a request may be sent to its server now, else the delay."""
-        return await self.rate_gate.acquire(reservation.server.id, routed.rank)
+        """Return 0 if a request may be sent to its server now, else the delay.
+
+        The room that it gets is released with the reservation.
+        """
+        server = reservation.server
+        left_s = routed.deadline_s - asyncio.get_running_loop().time()
+        room = await self.room_gate.acquire(server, routed.rank, left_s)
+        if isinstance(room, result.Failure):
+            return room.failure()
+        reservation.admission = room.unwrap()
+        return await self.rate_gate.acquire(server.id, routed.rank)
 
     def time_until_permit_s(self, routed: relay_requests.RoutedRequest) -> float:
         """Return when the limits of a service allow a request again, in seconds.
@@ -389,7 +437,7 @@
             0 if one of its servers can be sent a request now, or if it has no servers.
         """
         blocked_s = [
-            self.rate_gate.blocked_s(known.server.id, routed.rank)
+            self.blocked_s(known.server.id, routed.rank)
             for known in self.view.find_servers(routed.service.name)
             if not known.is_leaving
         ]
--- a/src/quetzalpass/lifecycle/relayed_calls.py
+++ b/src/quetzalpass/lifecycle/relayed_calls.py
@@ -343,6 +343,10 @@
         return False
     if state.runs >= routed.route.attempts:
         return False
+    if state.failure is not None and not gateway.reservations.may_send_after(
+        routed, state.failure
+    ):
+        return False
     if state.failure is not None and state.failure.end is base.AttemptEnd.NOT_SENT:
         # No server has received the request, so the retry costs no budget.
         return True
--- a/src/quetzalpass/lifecycle/server_reservation.py
+++ b/src/quetzalpass/lifecycle/server_reservation.py
@@ -28,6 +28,8 @@
         Whether the allocating node chose the server, and the backup if there is one.
     reason : str
         Figures on which the choice of the server was based.
+    admission : str or None
+        Id of the room that the request holds on a brittle server.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         self.is_held = True
         self.is_granted = False
         self.reason = ""
+        self.admission: str | None = None
         self.prefill = prefill
         prefill_tokens = prefill.tokens if prefill is not None else 0
         reservations.add_use(server.id, 1, need.tokens, 0, prefill_tokens)
@@ -93,6 +96,8 @@
         if not self.is_held:
             return
         self.is_held = False
+        if self.admission is not None:
+            self.reservations.room_gate.release(self.admission)
         self.set_backup(None)
         self.end_prefill()
         self.reservations.add_use(self.server.id, requests=-1, tokens=-self.need.tokens)
--- a/src/quetzalpass/lifecycle/stream_starts.py
+++ b/src/quetzalpass/lifecycle/stream_starts.py
@@ -155,6 +155,8 @@
             arrived_s = self.routed.request.arrived_s
             return now_s < arrived_s + reservations.max_wait_s(self.routed)
         self.refusals += 1
+        if not reservations.may_send_after(self.routed, failure):
+            return False
         if self.refusals >= MAX_REFUSALS or now_s >= self.routed.deadline_s:
             return False
         return self.gateway.budget.try_withdraw(self.routed.service.name, now_s)
--- a/src/quetzalpass/membership/control_links.py
+++ b/src/quetzalpass/membership/control_links.py
@@ -18,7 +18,7 @@
     propagation,
     suspect_reports,
 )
-from quetzalpass.routing import rate_limits
+from quetzalpass.routing import brittle_services, rate_limits
 from quetzalpass.wire import transport
 
 LOG = logbook.Logger("membership")
@@ -80,6 +80,8 @@
         Called with the suspects in each reply of any control node.
     limit_observers : list of callable
         Called with the limits of servers in each reply of any control node.
+    brittle_observers : list of callable
+        Called with the brittle services in each reply of any control node.
     """
 
     def __init__(
@@ -117,6 +119,9 @@
         self.limit_observers: list[
             Callable[[tuple[rate_limits.LimitReport, ...]], None]
         ] = []
+        self.brittle_observers: list[
+            Callable[[tuple[brittle_services.BrittleReport, ...]], None]
+        ] = []
 
     def start(self) -> None:
         """Start following the control nodes."""
@@ -227,6 +232,8 @@
                 observer(reply.verdicts)
         for limit_observer in self.limit_observers:
             limit_observer(reply.limits)
+        for brittle_observer in self.brittle_observers:
+            brittle_observer(reply.brittle)
         if reply.controls:
             self.adopt_controls(set(reply.controls) | set(self.seeds))
         if not reply.is_watching:
--- a/src/quetzalpass/membership/fleet_messages.py
+++ b/src/quetzalpass/membership/fleet_messages.py
@@ -4,7 +4,7 @@
 
 from quetzalpass import ids
 from quetzalpass.membership import discovery, peer_gateways, suspect_reports
-from quetzalpass.routing import prefill_rates, rate_limits
+from quetzalpass.routing import brittle_services, prefill_rates, rate_limits
 from quetzalpass.wire import messages
 
 
@@ -84,6 +84,9 @@
         read the list.
     peers : tuple of PeerGateway
         Some gateways that take requests which reach no server from this one.
+    brittle : tuple of BrittleReport
+        Brittle services, as any gateway has read; also from a node that does not read
+        the list.
     """
 
     is_watching: bool
@@ -98,6 +101,7 @@
     retries: dict[ids.ServiceName, int] = {}
     limits: tuple[rate_limits.LimitReport, ...] = ()
     peers: tuple[peer_gateways.PeerGateway, ...] = ()
+    brittle: tuple[brittle_services.BrittleReport, ...] = ()
 
 
 class FleetRequest(messages.Request, frozen=True):
@@ -130,6 +134,8 @@
         Data centre of this gateway.
     peer : PeerGateway or None
         State of this gateway for others; ``None`` while it takes no requests of others.
+    brittle : tuple of BrittleReport
+        Brittle services, as far as this gateway knows.
     """
 
     reply_type = FleetReply
@@ -145,3 +151,4 @@
     limits: tuple[rate_limits.LimitReport, ...] = ()
     data_centre: ids.DataCentreId = ids.DataCentreId("")
     peer: peer_gateways.PeerGateway | None = None
+    brittle: tuple[brittle_services.BrittleReport, ...] = ()
--- a/src/quetzalpass/membership/fleet_registry.py
+++ b/src/quetzalpass/membership/fleet_registry.py
@@ -15,7 +15,7 @@
     quarantine,
     use_totals,
 )
-from quetzalpass.routing import rate_limits
+from quetzalpass.routing import brittle_services, rate_limits
 
 LOG = logbook.Logger("membership")
 
@@ -71,6 +71,8 @@
         Merged suspects of all gateways.
     limits : rate_limits.RateLimits
         Limits that servers have named to any gateway.
+    brittle : brittle_services.BrittleServices
+        Brittle services, as any gateway has read.
     warm_at_s : dict of ServerId to float
         Loop time from which a server that has just started is no longer slow.
     totals : use_totals.UseTotals
@@ -104,6 +106,7 @@
         self.announcements: dict[ids.ServerId, float] = {}
         self.suspects = quarantine.Quarantine("board")
         self.limits = rate_limits.RateLimits()
+        self.brittle = brittle_services.BrittleServices()
         self.warm_at_s: dict[ids.ServerId, float] = {}
         self.totals = use_totals.UseTotals()
         self.retries: collections.Counter[ids.ServiceName] = collections.Counter()
@@ -199,7 +202,9 @@
         """Record a gateway's report and return the fleet, or where to find it."""
         if request.verdicts is not None:
             self.suspects.merge(request.verdicts)
-        self.limits.merge(request.limits, asyncio.get_running_loop().time())
+        now_s = asyncio.get_running_loop().time()
+        self.limits.merge(request.limits, now_s)
+        self.brittle.merge(request.brittle, now_s)
         if not self.is_active() or self.read_at_s is None:
             # Suspects spread also while there is no leader or the list can't be read.
             return fleet_messages.FleetReply(
@@ -207,7 +212,8 @@
                 leader,
                 controls,
                 verdicts=self.suspects.suspect_reports_since(0),
-                limits=self.limits.reports(asyncio.get_running_loop().time()),
+                limits=self.limits.reports(now_s),
+                brittle=self.brittle.reports(now_s),
             )
         self.record_report(request)
         if request.known_version == self.version and request.wait_s > 0:
@@ -227,6 +233,7 @@
             self.retries_of_others(request.gateway),
             self.limits.reports(now_s),
             self.peers_of(request, now_s),
+            self.brittle.reports(now_s),
         )
 
     def peers_of(
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -77,3 +77,28 @@
     def test_response_that_has_no_body_needs_no_framing(self, status, method):
         response = self.response(status, method)
         assert headers.body_end(response) is relays.BodyEnd.LENGTH
+
+
+class TestServerNotice:
+    @pytest.mark.parametrize(
+        ("values", "expected"),
+        [
+            ([], None),
+            (["5"], 5.0),
+            (["0"], 0.0),
+            (["2.5"], 2.5),
+            (["many"], None),
+            (["-1"], None),
+            (["5", "6"], None),
+        ],
+    )
+    def test_brittleness_is_a_number_of_refusals_a_second(self, values, expected):
+        response = NoticeResponse([("Server-Brittle", each) for each in values])
+        assert headers.server_notice(response).max_refusals_per_s == expected
+
+
+class NoticeResponse:
+    """A response with nothing but headers."""
+
+    def __init__(self, pairs):
+        self.headers = multidict.CIMultiDict(pairs)
