Send nothing to a server that has asked for rest (BUDGET)

Callers saw: drafts lost and calls delayed, as servers that had asked for rest got each gateway's next requests first and refused them; the record shows 3 to 7 requests in a rest of 3 s, 2 allowed. Cause: the time was kept with the failure of one request (docs/incidents/2026-12-04-budget-rest.md). Ruled out: retries, resumes and moves alone.

--- a/src/quetzalpass/backends/base.py
+++ b/src/quetzalpass/backends/base.py
@@ -70,9 +70,12 @@
     max_refusals_per_s : float or None
         Set while the servers of the service are brittle: each falls over if it has to
         refuse more requests than this within a second.
+    rest_s : float
+        Time for which the server wants no requests of this gateway, in seconds.
     """
 
     max_refusals_per_s: float | None = None
+    rest_s: float = 0.0
 
 
 class AttemptFailure(msgspec.Struct, frozen=True):
--- a/src/quetzalpass/lifecycle/relay_events.py
+++ b/src/quetzalpass/lifecycle/relay_events.py
@@ -92,3 +92,18 @@
     server: ids.ServerId
     before: float | None
     now: float | None
+
+
+class RestEvent(event_log.Event, frozen=True, tag="rest"):
+    """Log event for a server that wants no requests of this gateway for some time.
+
+    Attributes
+    ----------
+    server : ServerId
+        The server.
+    rest_s : float
+        The time that it has asked for, in seconds.
+    """
+
+    server: ids.ServerId
+    rest_s: float
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -323,7 +323,7 @@
         self.crash_checks.on_response(server)
         self.reach_checks.on_answer(server.service)
         self.reservations.rate_gate.observe(server.id, head.rate_notice)
-        self.reservations.room_gate.observe(server, head.notice)
+        self.reservations.observe(server, head.notice)
         if head.is_closing and server.id in self.view.servers:
             known = self.view.servers[server.id]
             if not known.is_leaving:
@@ -372,7 +372,7 @@
     ) -> None:
         """Record a request that broke off, and check its server for a crash."""
         self.reservations.rate_gate.observe(server.id, failure.rate_notice)
-        self.reservations.room_gate.observe(server, failure.notice)
+        self.reservations.observe(server, failure.notice)
         if failure.kind is base.FailureKind.OVERLOADED:
             self.reservations.room_gate.on_refusal(server)
         self.reach_checks.on_failure(server, failure)
--- a/src/quetzalpass/lifecycle/relay_reservations.py
+++ b/src/quetzalpass/lifecycle/relay_reservations.py
@@ -7,7 +7,7 @@
 
 from returns import result
 
-from quetzalpass import ids
+from quetzalpass import event_log, ids
 from quetzalpass.allocation import (
     client,
     permits,
@@ -20,6 +20,7 @@
 from quetzalpass.lifecycle import (
     engine_questions,
     rate_gate,
+    relay_events,
     relay_requests,
     room_gate,
     server_health,
@@ -31,6 +32,7 @@
     prefill_rates,
     relay_placement,
     relay_waiting,
+    server_rests,
 )
 
 MS_PER_S = 1000
@@ -78,6 +80,8 @@
         Holds this gateway's sends to the limits that servers name.
     room_gate : room_gate.RoomGate
         Holds this gateway's sends to the room of brittle servers.
+    rests : server_rests.ServerRests
+        Servers that want no requests of this gateway for some time.
     """
 
     def __init__(
@@ -103,6 +107,7 @@
             count_gateways,
             lambda: f"{vm}/{rng.getrandbits(ADMISSION_BITS):x}",
         )
+        self.rests = server_rests.ServerRests()
         self.health = server_health.ServerHealth(view, data_centre)
         self.allocation_requests = engine_questions.EngineRequests(
             vm, view, self.health, rng, allocation, self.blocked_s
@@ -171,11 +176,26 @@
 
     def blocked_s(self, server_id: ids.ServerId, rank: int) -> float:
         """Return for how long a server takes no request of a rank, in seconds."""
+        known = self.view.servers.get(server_id)
+        now_s = asyncio.get_running_loop().time()
         return max(
             self.rate_gate.blocked_s(server_id, rank),
             self.room_gate.blocked_s(server_id),
+            0.0 if known is None else self.rests.left_s(known.server, now_s),
         )
 
+    def observe(
+        self, server: discovery.DiscoveredServer, notice: base.ServerNotice | None
+    ) -> None:
+        """Record what a response says about the state of its server."""
+        self.room_gate.observe(server, notice)
+        if notice is None or not notice.rest_s:
+            return
+        now_s = asyncio.get_running_loop().time()
+        self.rests.expire(now_s)
+        self.rests.record(server, notice.rest_s, now_s)
+        event_log.record(relay_events.RestEvent(server.id, notice.rest_s))
+
     def may_send_after(
         self, routed: relay_requests.RoutedRequest, failure: base.AttemptFailure
     ) -> bool:
@@ -418,15 +438,22 @@
     ) -> float:
         """Return 0 if a request may be sent to its server now, else the delay.
 
+        A server may have asked for rest while the request waited for it.
+
         The room that it gets is released with the reservation.
         """
         server = reservation.server
-        left_s = routed.deadline_s - asyncio.get_running_loop().time()
+        now_s = asyncio.get_running_loop().time()
+        rest_s = self.rests.left_s(server, now_s)
+        if rest_s:
+            return rest_s
+        left_s = routed.deadline_s - now_s
         room = await self.room_gate.acquire(server, routed.rank, left_s)
         if isinstance(room, result.Failure):
             return room.failure()
         reservation.admission = room.unwrap()
-        return await self.rate_gate.acquire(server.id, routed.rank)
+        delay_s = await self.rate_gate.acquire(server.id, routed.rank)
+        return delay_s or self.rests.left_s(server, asyncio.get_running_loop().time())
 
     def time_until_permit_s(self, routed: relay_requests.RoutedRequest) -> float:
         """Return when the limits of a service allow a request again, in seconds.
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -93,12 +93,37 @@
         ],
     )
     def test_brittleness_is_a_number_of_refusals_a_second(self, values, expected):
-        response = NoticeResponse([("Server-Brittle", each) for each in values])
+        response = NoticeResponse(200, [("Server-Brittle", each) for each in values])
         assert headers.server_notice(response).max_refusals_per_s == expected
 
+    @pytest.mark.parametrize(
+        ("status", "value", "expected"),
+        [
+            (503, "3", 3.0),
+            (503, "0.25", 0.25),
+            (429, "3", 3.0),
+            (503, "0", 0.0),
+            (503, "soon", 0.0),
+            (503, "-3", 0.0),
+            (503, "1e400", 0.0),
+            (503, "Fri, 31 Dec 2027 23:59:59 GMT", 0.0),
+            (200, "3", 0.0),
+            (500, "3", 0.0),
+        ],
+    )
+    def test_refusal_may_ask_for_rest(self, status, value, expected):
+        response = NoticeResponse(status, [("Retry-After", value)])
+        assert headers.server_notice(response).rest_s == expected
+
+    @pytest.mark.parametrize("value", ["inf", "nan", "1e400", "x" * 5_000])
+    def test_retry_time_that_is_no_number_is_none(self, value):
+        response = NoticeResponse(503, [("Retry-After", value)])
+        assert headers.retry_after_ms(response) is None
+
 
 class NoticeResponse:
     """A response with nothing but headers."""
 
-    def __init__(self, pairs):
+    def __init__(self, status, pairs):
+        self.status = status
         self.headers = multidict.CIMultiDict(pairs)
--- a/tests/lifecycle/test_rests.py
+++ b/tests/lifecycle/test_rests.py
@@ -8,6 +8,7 @@
 from fakes import relay_servers
 from lifecycle import gateway_harness
 from quetzalpass.backends import base
+from quetzalpass.routing import server_rests
 
 pytestmark = pytest.mark.looptime
 
@@ -28,7 +29,11 @@
         self.refused_s = {name: [] for name in names}
         self.rest_s = rest_ms / 1000
         self.refusal = base.AttemptFailure(
-            base.AttemptEnd.REFUSED, base.FailureKind.OVERLOADED, "full", rest_ms
+            base.AttemptEnd.REFUSED,
+            base.FailureKind.OVERLOADED,
+            "full",
+            rest_ms,
+            notice=base.ServerNotice(rest_s=rest_ms / 1000),
         )
         for name in names:
             self.record(harness.server(name), self.refused_s[name])
@@ -83,3 +88,85 @@
         assert response.status == 503
         assert asyncio.get_running_loop().time() - start_s < 0.5
         assert float(response.header("Retry-After")) > 0.0
+
+
+class TestServerRests:
+    def test_another_start_at_the_same_address_has_not_asked(self):
+        rests = server_rests.ServerRests()
+        first = relay_servers.discovered("l-1", "ledger", started_ms=1)
+        second = relay_servers.discovered("l-1", "ledger", started_ms=2)
+        rests.record(first, 3.0, 10.0)
+        assert rests.left_s(first, 11.0) == 2.0
+        assert rests.left_s(second, 11.0) == 0.0
+
+    def test_shorter_time_does_not_end_a_longer_one(self):
+        rests = server_rests.ServerRests()
+        server = relay_servers.discovered("l-1", "ledger")
+        rests.record(server, 3.0, 10.0)
+        rests.record(server, 1.0, 10.5)
+        assert rests.left_s(server, 11.0) == 2.0
+
+    def test_absurd_time_ends(self):
+        rests = server_rests.ServerRests()
+        server = relay_servers.discovered("l-1", "ledger")
+        rests.record(server, 1e9, 0.0)
+        assert rests.left_s(server, 0.0) == server_rests.MAX_REST_S
+        rests.expire(server_rests.MAX_REST_S + 1.0)
+        assert not rests.rests
+
+
+class TestFurtherSends:
+    async def test_retry_goes_to_a_server_that_does_not_rest(self):
+        harness = gateway_harness.GatewayHarness(SERVICES)
+        resting = RestingServers(harness, ["l-1"], 3_000)
+        for _ in range(20):
+            assert (await harness.serve("/reads/1")).status == 200
+        assert len(resting.refused_s["l-1"]) <= 1
+
+    async def test_request_that_waited_does_not_reach_a_server_that_rests_now(self):
+        harness = gateway_harness.GatewayHarness(SERVICES[:1])
+        resting = RestingServers(harness, ["l-1"], 3_000)
+        gate = harness.reservations.room_gate
+        acquire = gate.acquire
+
+        async def acquire_late(server, rank, left_s):
+            await asyncio.sleep(0.1)
+            return await acquire(server, rank, left_s)
+
+        gate.acquire = acquire_late
+        responses = [harness.start("/reads/1") for _ in range(2)]
+        await asyncio.sleep(0.05)
+        harness.reservations.rests.record(SERVICES[0], 3.0, 0.05)
+        await asyncio.wait([task for _, task in responses])
+        assert resting.refused_s["l-1"] == []
+
+    async def test_generation_does_not_resume_on_a_server_that_rests(self):
+        harness = gateway_harness.GatewayHarness(ENGINES, length=100)
+        response, task = harness.start("/drafts/1")
+        await asyncio.sleep(0.5)
+        (run,) = harness.fleet.runs.values()
+        (owner,) = run.owners
+        ((_, options),) = owner.sent
+        holder = options.backup_address.partition(":")[0]
+        now_s = asyncio.get_running_loop().time()
+        server = next(each for each in ENGINES if each.id == holder)
+        harness.reservations.rests.record(server, 5.0, now_s)
+        owner.is_dead = True
+        await task
+        assert harness.send_count(holder) == 0
+        assert response.is_aborted
+
+    async def test_generation_waits_for_a_short_rest_to_resume(self):
+        harness = gateway_harness.GatewayHarness(ENGINES, length=100)
+        response, task = harness.start("/drafts/1")
+        await asyncio.sleep(0.5)
+        (run,) = harness.fleet.runs.values()
+        (owner,) = run.owners
+        ((_, options),) = owner.sent
+        holder = options.backup_address.partition(":")[0]
+        now_s = asyncio.get_running_loop().time()
+        server = next(each for each in ENGINES if each.id == holder)
+        harness.reservations.rests.record(server, 0.8, now_s)
+        owner.is_dead = True
+        await task
+        assert response.data == gateway_harness.events(100)
