Send nothing new to a server that says that it leaves (DRAIN)

Ruled out: a list that overwrites the state, and single kinds of sends. Why it works: the word leads to the state that the list's draining leads to, by start of the server.

--- a/src/quetzalpass/backends/base.py
+++ b/src/quetzalpass/backends/base.py
@@ -72,10 +72,13 @@
         refuse more requests than this within a second.
     rest_s : float
         Time for which the server wants no requests of this gateway, in seconds.
+    is_leaving : bool
+        Whether the server will leave and wants no new work.
     """
 
     max_refusals_per_s: float | None = None
     rest_s: float = 0.0
+    is_leaving: bool = False
 
 
 class AttemptFailure(msgspec.Struct, frozen=True):
--- a/src/quetzalpass/daemon/gateway_role.py
+++ b/src/quetzalpass/daemon/gateway_role.py
@@ -198,6 +198,7 @@
             self.settings.data_centre,
             self.peer_state(),
             self.reservations.room_gate.reports(),
+            tuple(each.start_key for each in self.view.own_announcements.values()),
         )
 
     def allocating_node(self) -> ids.VmId | None:
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -323,12 +323,23 @@
         self.crash_checks.on_response(server)
         self.reach_checks.on_answer(server.service)
         self.reservations.rate_gate.observe(server.id, head.rate_notice)
-        self.reservations.observe(server, head.notice)
+        self.observe_notice(server, head.notice)
         if head.is_closing and server.id in self.view.servers:
             known = self.view.servers[server.id]
             if not known.is_leaving:
                 self.spawn(self.confirm_leaving(server))
 
+    def observe_notice(
+        self, server: discovery.DiscoveredServer, notice: base.ServerNotice | None
+    ) -> None:
+        """Record what a response says about the state of its server."""
+        self.reservations.observe(server, notice)
+        if notice is None or not notice.is_leaving:
+            return
+        known = self.view.servers.get(server.id)
+        if known is not None and known.server.start_key == server.start_key:
+            self.view.announce(server.id)
+
     async def is_complete(
         self,
         routed: relay_requests.RoutedRequest,
@@ -372,7 +383,7 @@
     ) -> None:
         """Record a request that broke off, and check its server for a crash."""
         self.reservations.rate_gate.observe(server.id, failure.rate_notice)
-        self.reservations.observe(server, failure.notice)
+        self.observe_notice(server, failure.notice)
         if failure.kind is base.FailureKind.OVERLOADED:
             self.reservations.room_gate.on_refusal(server)
         self.reach_checks.on_failure(server, failure)
--- a/src/quetzalpass/membership/fleet_messages.py
+++ b/src/quetzalpass/membership/fleet_messages.py
@@ -119,6 +119,8 @@
         Work of this gateway, by server.
     leaving : tuple of ServerId
         Servers that have announced to this gateway that they are leaving.
+    leaving_starts : tuple of str
+        The start of each of them; empty texts where it is unknown.
     verdicts : suspect_reports.SuspectReports or None
         Requests that this gateway suspects of crashing servers.
     placed : tuple of AllocationId
@@ -152,3 +154,4 @@
     data_centre: ids.DataCentreId = ids.DataCentreId("")
     peer: peer_gateways.PeerGateway | None = None
     brittle: tuple[brittle_services.BrittleReport, ...] = ()
+    leaving_starts: tuple[str, ...] = ()
--- a/src/quetzalpass/membership/fleet_registry.py
+++ b/src/quetzalpass/membership/fleet_registry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import itertools
 from collections.abc import Callable
 
 import logbook
@@ -11,6 +12,7 @@
 from quetzalpass.membership import (
     discovery,
     fleet_messages,
+    fleet_view,
     peer_gateways,
     quarantine,
     use_totals,
@@ -65,8 +67,8 @@
         Loop time of the last successful read while this node is active.
     reports : dict of VmId to GatewayReport
         Newest report of each gateway, the oldest first.
-    announcements : dict of ServerId to float
-        Loop time at which a gateway last reported that a server is leaving.
+    announcements : dict of ServerId to fleet_view.Announcement
+        Servers of which a gateway has reported that they are leaving.
     suspects : quarantine.Quarantine
         Merged suspects of all gateways.
     limits : rate_limits.RateLimits
@@ -103,7 +105,7 @@
         self.read_at_s: float | None = None
         self.changed = asyncio.Event()
         self.reports: dict[ids.VmId, GatewayReport] = {}
-        self.announcements: dict[ids.ServerId, float] = {}
+        self.announcements: dict[ids.ServerId, fleet_view.Announcement] = {}
         self.suspects = quarantine.Quarantine("board")
         self.limits = rate_limits.RateLimits()
         self.brittle = brittle_services.BrittleServices()
@@ -151,23 +153,35 @@
         self.publish()
         return True
 
-    def announce(self, server_ids: tuple[ids.ServerId, ...]) -> None:
-        """Record servers that have announced to a gateway that they are leaving."""
+    def announce(
+        self, server_ids: tuple[ids.ServerId, ...], start_keys: tuple[str, ...] = ()
+    ) -> None:
+        """Record servers that have announced that they are leaving.
+
+        Parameters
+        ----------
+        server_ids : tuple of ServerId
+            The servers.
+        start_keys : tuple of str
+            Their starts; none, or empty texts, where these are unknown.
+        """
         now_s = asyncio.get_running_loop().time()
-        for server_id in server_ids:
+        for server_id, start_key in itertools.zip_longest(
+            server_ids, start_keys[: len(server_ids)], fillvalue=""
+        ):
             if server_id not in self.announcements:
                 LOG.info(
                     "membership: Server {} has announced that it is leaving.", server_id
                 )
-            self.announcements[server_id] = now_s
+            self.announcements[server_id] = fleet_view.Announcement(start_key, now_s)
         if server_ids:
             self.publish()
 
     def publish(self) -> None:
         """Publish a new version if more than the remaining slow times has changed."""
         now_s = asyncio.get_running_loop().time()
-        for server_id, at_s in list(self.announcements.items()):
-            if now_s - at_s > ANNOUNCEMENT_LIFETIME_S:
+        for server_id, announcement in list(self.announcements.items()):
+            if now_s - announcement.at_s > ANNOUNCEMENT_LIFETIME_S:
                 del self.announcements[server_id]
         servers = tuple(self.apply_announcement(each) for each in self.listed)
         if without_timers(servers) == without_timers(self.servers):
@@ -189,7 +203,8 @@
         self, server: discovery.DiscoveredServer
     ) -> discovery.DiscoveredServer:
         """Return a server, marked as leaving if it has announced so itself."""
-        if server.id not in self.announcements:
+        announcement = self.announcements.get(server.id)
+        if announcement is None or announcement.start_key not in ("", server.start_key):
             return server
         return msgspec.structs.replace(server, state=discovery.ServerState.LEAVING)
 
@@ -256,7 +271,7 @@
         self.expire_reports(now_s)
         for observer in self.report_observers:
             observer(request)
-        self.announce(request.leaving)
+        self.announce(request.leaving, request.leaving_starts)
 
     async def wait_for_change(self, wait_s: float) -> None:
         """Wait for the next version, at most for the given time."""
--- a/src/quetzalpass/membership/fleet_view.py
+++ b/src/quetzalpass/membership/fleet_view.py
@@ -15,6 +15,8 @@
 MS_PER_S = 1000
 # An older report of the other gateways' load lacks servers that have started since.
 USES_LIFETIME_S = 1.0
+# Announcements of servers that are no longer listed are kept for this time.
+UNLISTED_LIFETIME_S = 300.0
 
 
 class KnownServer(msgspec.Struct):
@@ -40,6 +42,21 @@
         return self.leaving_since_s is not None
 
 
+class Announcement(msgspec.Struct, frozen=True):
+    """Word of one start of a server that it is leaving.
+
+    Attributes
+    ----------
+    start_key : str
+        The start; another one at the same address is a new server.
+    at_s : float
+        Loop time at which it reached this gateway.
+    """
+
+    start_key: str
+    at_s: float
+
+
 class FleetView:
     """The servers by id; notifies observers when one leaves.
 
@@ -55,8 +72,8 @@
         Number of gateways.
     read_at_s : float or None
         Loop time at which the list was read.
-    own_announcements : dict of ServerId to float
-        Loop time at which a server announced to this gateway that it is leaving.
+    own_announcements : dict of ServerId to Announcement
+        Servers that have announced to this gateway that they are leaving.
     leaving_observers : list of callable
         Called with the id of each server that starts leaving or is gone.
     change_observers : list of callable
@@ -69,7 +86,7 @@
         self.uses_at_s = 0.0
         self.gateways = 1
         self.read_at_s: float | None = None
-        self.own_announcements: dict[ids.ServerId, float] = {}
+        self.own_announcements: dict[ids.ServerId, Announcement] = {}
         self.leaving_observers: list[Callable[[ids.ServerId], None]] = []
         self.change_observers: list[Callable[[], None]] = []
 
@@ -84,12 +101,23 @@
         leaving = [each for each in listed.values() if self.update_server(each, now_s)]
         for server_id in gone:
             del self.servers[server_id]
-            self.own_announcements.pop(server_id, None)
+        self.expire_announcements(now_s)
         for server_id in [*gone, *(each.id for each in leaving)]:
             for observer in self.leaving_observers:
                 observer(server_id)
         self.notify_change()
 
+    def expire_announcements(self, now_s: float) -> None:
+        """Forget old announcements of servers that are no longer listed.
+
+        The list may lack a server for a short time.
+        """
+        self.own_announcements = {
+            server_id: each
+            for server_id, each in self.own_announcements.items()
+            if server_id in self.servers or now_s - each.at_s < UNLISTED_LIFETIME_S
+        }
+
     def update_server(self, server: discovery.DiscoveredServer, now_s: float) -> bool:
         """Apply one entry; return whether the server has just started leaving."""
         known = self.servers.get(server.id)
@@ -98,14 +126,18 @@
         known.server = server
         known.warm_at_s = now_s + server.slow_for_ms / MS_PER_S
         is_leaving = server.state is discovery.ServerState.LEAVING
-        if is_leaving and not known.is_leaving:
+        if (is_leaving or self.is_announced(server)) and not known.is_leaving:
             known.leaving_since_s = now_s
             return True
-        is_announced = server.id in self.own_announcements
-        if not is_leaving and not is_announced:
+        if not is_leaving and not self.is_announced(server):
             known.leaving_since_s = None
         return False
 
+    def is_announced(self, server: discovery.DiscoveredServer) -> bool:
+        """Return whether this start of a server has announced that it is leaving."""
+        announcement = self.own_announcements.get(server.id)
+        return announcement is not None and announcement.start_key == server.start_key
+
     def announce(self, server_id: ids.ServerId) -> None:
         """Record that a server has announced to this gateway that it is leaving."""
         known = self.servers.get(server_id)
@@ -113,7 +145,8 @@
             return
         now_s = asyncio.get_running_loop().time()
         known.leaving_since_s = now_s
-        self.own_announcements[server_id] = now_s
+        start_key = known.server.start_key
+        self.own_announcements[server_id] = Announcement(start_key, now_s)
         LOG.info("membership: Server {} announces that it is leaving.", server_id)
         for observer in self.leaving_observers:
             observer(server_id)
--- a/src/quetzalpass/membership/leaving_server_monitor.py
+++ b/src/quetzalpass/membership/leaving_server_monitor.py
@@ -67,7 +67,7 @@
         try:
             while not await self.is_leaving(adapter):
                 pass
-            self.registry.announce((server.id,))
+            self.registry.announce((server.id,), (server.start_key,))
         finally:
             await adapter.close()
 
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -96,6 +96,14 @@
         response = NoticeResponse(200, [("Server-Brittle", each) for each in values])
         assert headers.server_notice(response).max_refusals_per_s == expected
 
+    @pytest.mark.parametrize(
+        ("value", "expected"),
+        [("1", True), (" 1 ", True), ("0", False), ("yes", False), ("", False)],
+    )
+    def test_replica_says_that_it_leaves(self, value, expected):
+        response = NoticeResponse(200, [("server-leaving", value)])
+        assert headers.server_notice(response).is_leaving is expected
+
     @pytest.mark.parametrize(
         ("status", "value", "expected"),
         [
--- a/tests/fakes/relay_servers.py
+++ b/tests/fakes/relay_servers.py
@@ -81,6 +81,7 @@
             HEADERS,
             body_end=server.body_end,
             rate_notice=server.rate_notice,
+            notice=server.notice,
         )
 
     async def read_body(self):
@@ -128,6 +129,8 @@
         Bytes of that event that are sent.
     rate_notice : base.RateNotice or None
         Limit that it names in each response.
+    notice : base.ServerNotice
+        What each response says about it.
     """
 
     def __init__(self, fleet, name):
@@ -145,6 +148,7 @@
         self.refuses_copies = False
         self.body_end = relays.BodyEnd.CHUNKS
         self.rate_notice = base.RateNotice()
+        self.notice = base.ServerNotice()
         self.ends_at = None
         self.torn_bytes = 0
 
--- a/tests/lifecycle/test_relayed_streams.py
+++ b/tests/lifecycle/test_relayed_streams.py
@@ -5,6 +5,7 @@
 from declarations import relay_builders
 from fakes import relay_servers
 from lifecycle import gateway_harness
+from quetzalpass.backends import base
 from quetzalpass.lifecycle import (
     relay_gateway,
     response_statuses,
@@ -334,3 +335,45 @@
         response = await harness.serve("/drafts/1", size=size)
         assert response.is_complete
         assert response.data == gateway_harness.events(3)
+
+
+@pytest.mark.looptime
+class TestLeavingNotices:
+    async def test_engine_that_says_that_it_leaves_gets_no_new_generation(self):
+        harness = engine_harness()
+        response, task = await start_stream(harness)
+        leaving = current_server(harness)
+        leaving.notice = base.ServerNotice(is_leaving=True)
+        await task
+        await harness.serve("/drafts/1")
+        for _ in range(9):
+            await harness.serve("/drafts/1")
+        told = [each for each in harness.fleet.servers.values() if each.sent]
+        assert len(leaving.sent) <= 2
+        assert len(told) == 3
+
+    async def test_generation_moves_away_from_an_engine_that_says_so_at_its_start(
+        self, monkeypatch
+    ):
+        disable_backups(monkeypatch)
+        harness = engine_harness()
+        for name in ("e-a", "e-b", "e-c"):
+            harness.server(name).notice = base.ServerNotice()
+        response, task = await start_stream(harness, 1)
+        first = current_server(harness)
+        harness.gateway.observe_notice(
+            harness.view.servers[first.name].server, base.ServerNotice(is_leaving=True)
+        )
+        await task
+        assert response.data == gateway_harness.events(EVENT_COUNT)
+        assert len(first.sent) == 1
+        assert sum(len(each.sent) for each in harness.fleet.servers.values()) == 2
+
+    async def test_new_requests_are_refused_while_all_engines_leave(self):
+        harness = engine_harness()
+        for each in harness.servers:
+            harness.gateway.observe_notice(each, base.ServerNotice(is_leaving=True))
+        response = await harness.serve("/drafts/1")
+        assert response.status == 503
+        assert response.header("Retry-After") is not None
+        assert all(not each.sent for each in harness.fleet.servers.values())
--- a/tests/membership/test_fleet_registry.py
+++ b/tests/membership/test_fleet_registry.py
@@ -200,6 +200,23 @@
         view.replace_servers((relay_servers.discovered("e-a", started_ms=2),), 0.0)
         assert not view.servers["e-a"].is_leaving
 
+    async def test_server_that_is_unlisted_for_a_moment_is_still_leaving(self):
+        view = fleet_view.FleetView()
+        listed = (relay_servers.discovered("e-a", started_ms=1),)
+        view.replace_servers(listed, 0.0)
+        view.announce("e-a")
+        view.replace_servers((), 0.0)
+        view.replace_servers(listed, 0.0)
+        assert view.servers["e-a"].is_leaving
+
+    async def test_announcements_of_servers_that_are_gone_are_forgotten(self):
+        view = fleet_view.FleetView()
+        view.replace_servers((relay_servers.discovered("e-a"),), 0.0)
+        view.announce("e-a")
+        await asyncio.sleep(fleet_view.UNLISTED_LIFETIME_S + 1.0)
+        view.replace_servers((), 0.0)
+        assert not view.own_announcements
+
     async def test_observers_are_notified_of_a_server_that_is_gone(self):
         view = fleet_view.FleetView()
         notified = []
@@ -241,3 +258,24 @@
         assert not reply.is_watching
         (report,) = reply.verdicts.verdicts
         assert report.deaths == self.REPORT.deaths
+
+
+@pytest.mark.looptime
+class TestAnnouncedStarts:
+    async def test_restarted_server_takes_work_although_its_id_is_announced(self):
+        source, registry = make_registry()
+        source.servers = (relay_servers.discovered("e-a", started_ms=1),)
+        await registry.read_once()
+        registry.announce(("e-a",), ("e-a@1",))
+        assert registry.servers[0].state is LEAVING
+        source.servers = (relay_servers.discovered("e-a", started_ms=2),)
+        await registry.read_once()
+        registry.announce(("e-a",), ("e-a@1",))
+        assert registry.servers[0].state is discovery.ServerState.READY
+
+    async def test_announcement_without_a_start_holds_for_the_id(self):
+        source, registry = make_registry()
+        source.servers = (relay_servers.discovered("e-a", started_ms=1),)
+        await registry.read_once()
+        registry.announce(("e-a",))
+        assert registry.servers[0].state is LEAVING
