--- a/src/quetzalpass/lifecycle/handover_channel.py
+++ b/src/quetzalpass/lifecycle/handover_channel.py
@@ -1,36 +1,24 @@
 """Sends requests to other gateways, which serve them instead of this one.
 
-The receiver is asked first (``Expect: 100-continue``). The request leaves this process
-only after its consent, so an offer that gets none has certainly not run.
+The receiver must consent before it gets the request; see ``wire.offers``.
 """
 
 import abc
-import asyncio
-import socket
 import struct
-from collections.abc import AsyncIterator
 
 import aiohttp
-import msgspec
 from returns import result
 
 from quetzalpass import ids
 from quetzalpass.backends import base, engine_http, http_client, relays
 from quetzalpass.lifecycle import handover_messages
 from quetzalpass.results import codes, failures
-from quetzalpass.wire import messages, transport
+from quetzalpass.wire import messages, offers
 
 PATH = "/handover/v1"
-# Time for the connection and the consent.
-OFFER_TIMEOUT_S = 0.25
 HEAD_LENGTH = struct.Struct(">I")
 MAX_HEAD_BYTES = 1_048_576
 STATUS_OK = 200
-# A receiver whose machine is gone is noticed after about 3 s. TCP_USER_TIMEOUT limits
-# the probes too, whatever their count.
-KEEP_ALIVE_IDLE_S = 1
-KEEP_ALIVE_PROBES = 2
-USER_TIMEOUT_MS = 3_000
 
 SentResult = result.Result[relays.RelayResponse, base.AttemptFailure]
 
@@ -85,27 +73,8 @@
         self.response.close()
 
 
-class Offer:
-    """A request on its way to another gateway.
-
-    Attributes
-    ----------
-    accepted : asyncio.Event
-        Set when the other gateway has consented and the request is sent.
-    """
-
-    def __init__(self, message: handover_messages.HandoverRequest) -> None:
-        self.data = messages.encode(message)
-        self.accepted = asyncio.Event()
-
-    async def body(self) -> AsyncIterator[bytes]:
-        """Yield the message; the HTTP client begins after the consent."""
-        self.accepted.set()
-        yield self.data
-
-
 class HttpHandoverChannel(HandoverChannel):
-    """Sends requests over HTTP, each on a new connection.
+    """Sends requests over HTTP.
 
     Parameters
     ----------
@@ -114,72 +83,39 @@
     """
 
     def __init__(self, cluster_key: str) -> None:
-        self.cluster_key = cluster_key
-        self.session: aiohttp.ClientSession | None = None
-
-    def get_session(self) -> aiohttp.ClientSession:
-        """Return the HTTP session, opened on first use."""
-        if self.session is None:
-            connector = aiohttp.TCPConnector(
-                limit=0, force_close=True, socket_factory=open_socket
-            )
-            timeout = aiohttp.ClientTimeout(total=None, sock_connect=OFFER_TIMEOUT_S)
-            self.session = aiohttp.ClientSession(
-                connector=connector,
-                timeout=timeout,
-                auto_decompress=False,
-                headers={transport.CLUSTER_KEY_HEADER: self.cluster_key},
-            )
-        return self.session
+        self.client = offers.OfferClient(cluster_key)
 
     async def send(
         self, peer: ids.VmId, message: handover_messages.HandoverRequest
     ) -> SentResult:
         """Offer a request, send it and read the head; see the base class."""
-        offer = Offer(message)
-        posting = asyncio.create_task(self.post(peer, offer))
+        url = f"http://{peer}{PATH}"
+        sent = await self.client.send("POST", url, {}, messages.encode(message))
+        if isinstance(sent, result.Failure):
+            return result.Failure(offer_failure(peer, sent.failure()))
         try:
-            if not await self.is_accepted(posting, offer):
-                return result.Failure(not_accepted(peer))
-            response = await posting
-            return await read_response(peer, response)
+            return await read_response(peer, sent.unwrap())
         except (aiohttp.ClientError, OSError, ValueError, EOFError) as error:
-            failure = engine_http.attempt_failure_from(error)
-            if offer.accepted.is_set():
-                return result.Failure(failure)
-            end = base.AttemptEnd.NOT_SENT
-            return result.Failure(msgspec.structs.replace(failure, end=end))
-        finally:
-            await cancel(posting)
-
-    async def post(self, peer: ids.VmId, offer: Offer) -> aiohttp.ClientResponse:
-        """Send an offer, and the request after the consent."""
-        return await self.get_session().post(
-            f"http://{peer}{PATH}", data=offer.body(), expect100=True
-        )
-
-    async def is_accepted(self, posting: asyncio.Task, offer: Offer) -> bool:
-        """Wait for the consent or a final response; return whether there was one."""
-        accepting = asyncio.create_task(offer.accepted.wait())
-        done, _ = await asyncio.wait(
-            {posting, accepting},
-            timeout=OFFER_TIMEOUT_S,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        accepting.cancel()
-        return bool(done)
+            return result.Failure(engine_http.attempt_failure_from(error))
 
     async def close(self) -> None:
         """Close the session."""
-        if self.session is not None:
-            await self.session.close()
+        await self.client.close()
 
 
-async def cancel(posting: asyncio.Task) -> None:
-    """Cancel a request that nobody waits for; an ended one is left as it is."""
-    if not posting.done():
-        posting.cancel()
-        await asyncio.wait({posting})
+def offer_failure(peer: ids.VmId, error: offers.OfferError) -> base.AttemptFailure:
+    """Return the failure of an offer that got no response."""
+    if error.is_sent:
+        return base.AttemptFailure(
+            base.AttemptEnd.MAY_HAVE_RUN,
+            base.FailureKind.CLOSED,
+            f"{peer}: {error.message}",
+        )
+    return base.AttemptFailure(
+        base.AttemptEnd.NOT_SENT,
+        base.FailureKind.UNREACHABLE,
+        f"{peer}: {error.message}",
+    )
 
 
 async def read_response(peer: ids.VmId, response: aiohttp.ClientResponse) -> SentResult:
@@ -219,25 +155,3 @@
         base.FailureKind.REJECTED,
         f"{peer} refused: {failure.message}",
     )
-
-
-def not_accepted(peer: ids.VmId) -> base.AttemptFailure:
-    """Return the failure of an offer that got no answer."""
-    return base.AttemptFailure(
-        base.AttemptEnd.NOT_SENT,
-        base.FailureKind.UNREACHABLE,
-        f"{peer} did not accept within {OFFER_TIMEOUT_S} s",
-    )
-
-
-def open_socket(address_info: tuple) -> socket.socket:
-    """Open a socket that notices when the other machine is gone."""
-    family, kind, protocol, _, _ = address_info
-    opened = socket.socket(family, kind, protocol)
-    opened.setblocking(False)
-    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
-    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_IDLE_S)
-    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
-    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-    return opened
--- a/src/quetzalpass/lifecycle/reach_checks.py
+++ b/src/quetzalpass/lifecycle/reach_checks.py
@@ -5,9 +5,11 @@
 find out when the path is back.
 """
 
+import abc
 import asyncio
 import random
 from collections.abc import Callable, Sequence
+from typing import Any
 
 from quetzalpass import background, event_log, ids
 from quetzalpass.backends import base, relays
@@ -36,8 +38,28 @@
 )
 
 
-class ReachChecks:
-    """Keeps track of the services that one gateway reaches.
+class Prober(abc.ABC):
+    """The servers of one gateway, and how to probe them."""
+
+    @abc.abstractmethod
+    def services(self) -> set[ids.ServiceName]:
+        """Return all services that have servers."""
+
+    @abc.abstractmethod
+    def servers(self, service: ids.ServiceName) -> list[Any]:
+        """Return the servers of a service that take new work."""
+
+    @abc.abstractmethod
+    async def responds(self, server: Any, timeout_s: float) -> bool:
+        """Return whether a server answers on a new connection."""
+
+    def list_age_ms(self) -> int | None:
+        """Return the age of the list of servers, if they are read from a list."""
+        return None
+
+
+class FleetProber(Prober):
+    """Probes the servers of a list.
 
     Parameters
     ----------
@@ -45,6 +67,46 @@
         The backend servers.
     get_relay_server : callable
         Returns the client of a server.
+    """
+
+    def __init__(
+        self,
+        view: fleet_view.FleetView,
+        get_relay_server: Callable[[discovery.DiscoveredServer], relays.RelayServer],
+    ) -> None:
+        self.view = view
+        self.get_relay_server = get_relay_server
+
+    def services(self) -> set[ids.ServiceName]:
+        """Return the listed services; see the base class."""
+        return {each.server.service for each in self.view.servers.values()}
+
+    def servers(self, service: ids.ServiceName) -> list[discovery.DiscoveredServer]:
+        """Return the listed servers; see the base class."""
+        return [
+            each.server
+            for each in self.view.find_servers(service)
+            if not each.is_leaving
+        ]
+
+    async def responds(
+        self, server: discovery.DiscoveredServer, timeout_s: float
+    ) -> bool:
+        """Ask a server for anything; see the base class."""
+        return await self.get_relay_server(server).responds(timeout_s)
+
+    def list_age_ms(self) -> int | None:
+        """Return the age of the list; see the base class."""
+        return self.view.age_ms()
+
+
+class ReachChecks:
+    """Keeps track of the services that one gateway reaches.
+
+    Parameters
+    ----------
+    prober : Prober
+        Probes the servers.
     rng : random.Random
         Chooses the servers to probe.
 
@@ -60,12 +122,10 @@
 
     def __init__(
         self,
-        view: fleet_view.FleetView,
-        get_relay_server: Callable[[discovery.DiscoveredServer], relays.RelayServer],
+        prober: Prober,
         rng: random.Random,
     ) -> None:
-        self.view = view
-        self.get_relay_server = get_relay_server
+        self.prober = prober
         self.rng = rng
         self.reach = reach.Reach()
         self.running: dict[ids.ServiceName, asyncio.Task[None]] = {}
@@ -128,7 +188,7 @@
             return
         self.log_change(service, False, len(servers))
         self.tasks.spawn(self.recheck_until_back(service))
-        for other in {each.server.service for each in self.view.servers.values()}:
+        for other in self.prober.services():
             self.suspect(other)
 
     async def recheck_until_back(self, service: ids.ServiceName) -> None:
@@ -139,19 +199,13 @@
             if not servers or await self.any_answers(servers):
                 self.on_answer(service)
 
-    def servers_to_probe(
-        self, service: ids.ServiceName
-    ) -> list[discovery.DiscoveredServer]:
+    def servers_to_probe(self, service: ids.ServiceName) -> list[Any]:
         """Return some servers of a service, in random order."""
-        servers = [
-            each.server
-            for each in self.view.find_servers(service)
-            if not each.is_leaving
-        ]
+        servers = self.prober.servers(service)
         self.rng.shuffle(servers)
         return servers[:MAX_PROBES]
 
-    async def any_answers(self, servers: Sequence[discovery.DiscoveredServer]) -> bool:
+    async def any_answers(self, servers: Sequence[Any]) -> bool:
         """Probe the first servers, then all; return whether one answers."""
         pending = {self.start_probe(each) for each in servers[:FIRST_PROBES]}
         others = servers[FIRST_PROBES:]
@@ -173,16 +227,17 @@
             for each in pending:
                 each.cancel()
 
-    def start_probe(self, server: discovery.DiscoveredServer) -> asyncio.Task[bool]:
+    def start_probe(self, server: Any) -> asyncio.Task[bool]:
         """Ask one server, in the background."""
-        asked = self.get_relay_server(server).responds(PROBE_TIMEOUT_S)
-        return self.tasks.spawn(asked)
+        return self.tasks.spawn(self.prober.responds(server, PROBE_TIMEOUT_S))
 
     def log_change(
         self, service: ids.ServiceName, is_reached: bool, probed: int = 0
     ) -> None:
         """Log that a service has been lost or can be reached again."""
         event_log.record(
-            relay_events.ReachEvent(service, is_reached, probed, self.view.age_ms()),
+            relay_events.ReachEvent(
+                service, is_reached, probed, self.prober.list_age_ms()
+            ),
             event_log.Level.NOTICE,
         )
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -114,7 +114,9 @@
         for state in discovery.ServerState:
             gauge = self.metrics.servers.labels(state.value)
             gauge.set_function(functools.partial(view.count, state))
-        self.reach_checks = reach_checks.ReachChecks(view, self.get_relay_server, rng)
+        self.reach_checks = reach_checks.ReachChecks(
+            reach_checks.FleetProber(view, self.get_relay_server), rng
+        )
         self.metrics.lost_services.set_function(
             lambda: len(self.reach_checks.reach.lost_since_s)
         )
