--- a/src/quetzalpass/bench/local_cluster.py
+++ b/src/quetzalpass/bench/local_cluster.py
@@ -13,8 +13,9 @@
 from aiohttp import web
 
 from quetzalpass import ids
-from quetzalpass.bench import outcome_records
+from quetzalpass.bench import local_ports, outcome_records
 from quetzalpass.callers import app as callers_app
+from quetzalpass.callers import handing_over
 from quetzalpass.declarations import schema as declared
 from quetzalpass.lifecycle import gateway as gateways
 from quetzalpass.lifecycle import ledger_client
@@ -24,6 +25,7 @@
 from quetzalpass.settings import schema
 from quetzalpass.standin import engine_server, faults, service_server
 from quetzalpass.standin import settings as standin_settings
+from quetzalpass.wire import server
 
 HOST = "127.0.0.1"
 CLUSTER_KEY = b"cluster-key"
@@ -173,7 +175,13 @@
 
 
 class LocalGateway(Program):
-    """A gateway and its listener for callers."""
+    """A gateway and its listeners for callers and for other gateways.
+
+    Attributes
+    ----------
+    peers : Program
+        The listener for other gateways.
+    """
 
     def __init__(
         self, vm_id: ids.VmId, cluster: "LocalCluster", limits: schema.Limits
@@ -183,6 +191,8 @@
         self.cluster = cluster
         self.limits = limits
         self.starts = 0
+        self.peers = Program()
+        (self.peers.port,) = local_ports.free_ports(1)
 
     async def start(self) -> None:
         """Start the gateway, or restart it without its earlier state."""
@@ -211,12 +221,25 @@
         )
         self.gateway.ledger = self.cluster.open_ledger(self.gateway)
         self.activate()
-        await self.listen(callers_app.CallersInterface(self.gateway).application())
+        self.handover = handing_over.CallerHandover(
+            self.gateway, CLUSTER_KEY.decode(), rng
+        )
+        interface = callers_app.CallersInterface(self.gateway, self.handover)
+        await self.listen(interface.application())
+        peers_app = server.new_application()
+        interface.add_peer_routes(peers_app)
+        await self.peers.wait_until_closed()
+        await self.peers.listen(peers_app)
+
+    def kill(self) -> None:
+        """Stop both listeners at once."""
+        self.peers.kill()
+        super().kill()
 
     def peer_settings(self) -> tuple[schema.Peer, ...]:
         """Return the peer settings of the other gateways."""
         return tuple(
-            schema.Peer(each.id, DATA_CENTRE, "")
+            schema.Peer(each.id, DATA_CENTRE, each.peers.url)
             for each in self.cluster.gateways
             if each is not self
         )
@@ -230,8 +253,9 @@
 
     async def clean_up(self, runner: web.AppRunner) -> None:
         """Close the listener and connections to backend servers."""
-        gateway = self.gateway
+        gateway, handover = self.gateway, self.handover
         await super().clean_up(runner)
+        await handover.close()
         await gateway.close()
 
 
--- a/src/quetzalpass/callers/app.py
+++ b/src/quetzalpass/callers/app.py
@@ -8,7 +8,14 @@
 from aiohttp import web
 
 from quetzalpass import ids
-from quetzalpass.callers import completions, encoding, errors, headers, services
+from quetzalpass.callers import (
+    completions,
+    encoding,
+    errors,
+    handing_over,
+    headers,
+    services,
+)
 from quetzalpass.lifecycle import gateway as gateways
 from quetzalpass.membership import configuration
 from quetzalpass.results import codes, failures
@@ -33,10 +40,17 @@
     ----------
     gateway : gateways.Gateway
         State that all requests of this gateway share.
+    handover : handing_over.CallerHandover or None
+        Way to other gateways; ``None`` if there is none.
     """
 
-    def __init__(self, gateway: gateways.Gateway) -> None:
+    def __init__(
+        self,
+        gateway: gateways.Gateway,
+        handover: handing_over.CallerHandover | None = None,
+    ) -> None:
         self.gateway = gateway
+        self.handover = handover
 
     def application(self) -> web.Application:
         """Return the aiohttp application of the callers' listener."""
@@ -46,15 +60,32 @@
         router = app.router
         router.add_get("/healthz", self.handle_health)
         router.add_get("/readyz", self.handle_ready)
-        routes = (
+        router.add_get(
+            "/v1/models", self.handle_models, expect_handler=self.handle_expect
+        )
+        for method, path, handler in self.served_routes():
+            router.add_route(method, path, handler, expect_handler=self.handle_expect)
+        return app
+
+    def served_routes(self) -> tuple[tuple[str, str, handing_over.Handler], ...]:
+        """Return the method, path and handler of what backend servers serve."""
+        return (
             ("POST", "/v1/completions", self.handle_completion),
             ("POST", "/v1/chat/completions", self.handle_chat),
-            ("GET", "/v1/models", self.handle_models),
             ("*", "/services/{service}/{path:.*}", self.handle_service),
         )
-        for method, path, handler in routes:
-            router.add_route(method, path, handler, expect_handler=self.handle_expect)
-        return app
+
+    def add_peer_routes(self, app: web.Application) -> None:
+        """Add the routes for requests of other gateways to the peers' application."""
+        handover = self.handover
+        assert handover is not None, "there is no way to other gateways"
+        for method, path, handler in self.served_routes():
+            app.router.add_route(
+                method,
+                handing_over.PATH + path,
+                handover.guard(handler),
+                expect_handler=handover.handle_offer,
+            )
 
     @web.middleware
     async def convert_http_errors(
@@ -194,7 +225,11 @@
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
         """Run the handler of a request, unless this VM accepts no requests now."""
+        is_handed = request.path.startswith(handing_over.PATH)
         request_id = self.gateway.new_request_id()
+        if is_handed:
+            handed_id = request.headers.get(handing_over.REQUEST_ID_HEADER, request_id)
+            request_id = ids.RequestId(handed_id)
         failure = self.gateway.refusal()
         if failure is not None:
             return errors.error_response(failure, request_id)
@@ -207,7 +242,7 @@
             # an unknown sender must not make the gateway receive it.
             headers.read_organisation(request, config)
             body = await self.read_body(request)
-            response = await handler(request, request_id, body, config)
+            response = await self.respond(request, request_id, body, config, handler)
             self.count_result(request, response)
             return await self.send_response(request, response)
         except failures.FailureError as error:
@@ -223,6 +258,45 @@
         finally:
             self.gateway.requests -= 1
 
+    async def respond(
+        self,
+        request: web.Request,
+        request_id: ids.RequestId,
+        body: bytes,
+        config: configuration.Configuration,
+        handler: Handler,
+    ) -> web.StreamResponse:
+        """Return the response of the handler, or of another gateway.
+
+        Another gateway responds if no server can be reached from here and the request
+        has not run.
+        """
+        handover = self.handover
+        if handover is None:
+            return await handler(request, request_id, body, config)
+        lost = handover.reach_checks.reach.lost_since_s
+        if lost and handover.is_lost(handover.target_of(request, body)):
+            return await self.hand_over(request, request_id, body)
+        response = await handler(request, request_id, body, config)
+        failure = response.get(errors.FAILURE_KEY)
+        if failure is None:
+            return response
+        left_s = handing_over.MAX_CHECK_S
+        target = handover.target_of(request, body)
+        if not await handover.check_after(target, failure, left_s):
+            return response
+        return await self.hand_over(request, request_id, body)
+
+    async def hand_over(
+        self, request: web.Request, request_id: ids.RequestId, body: bytes
+    ) -> web.StreamResponse:
+        """Let another gateway respond; give back what another one has handed over."""
+        if request.path.startswith(handing_over.PATH):
+            return self.handover.refuse(
+                codes.Code.NO_SERVER_REACHED, "no server can be reached from here"
+            )
+        return await self.handover.forward(request, request_id, body)
+
     async def send_response(
         self, request: web.Request, response: web.StreamResponse
     ) -> web.StreamResponse:
--- a/src/quetzalpass/callers/errors.py
+++ b/src/quetzalpass/callers/errors.py
@@ -13,6 +13,8 @@
 # Key in the aiohttp request under which the result code of a stream is stored that
 # failed after its headers were sent.
 FAILURE_CODE_KEY = "quetzalpass.failed"
+# Key in the aiohttp response under which the failure that it reports is stored.
+FAILURE_KEY = "quetzalpass.failure"
 
 
 class ErrorDetail(msgspec.Struct, frozen=True):
@@ -62,9 +64,11 @@
     }
     if failure.retry_after_ms is not None:
         headers["Retry-After"] = str(-(-failure.retry_after_ms // MS_PER_S))
-    return web.Response(
+    response = web.Response(
         status=codes.spec_of(failure.code).http_status,
         body=msgspec.json.encode(error_body(failure)),
         headers=headers,
         content_type="application/json",
     )
+    response[FAILURE_KEY] = failure
+    return response
--- a/src/quetzalpass/daemon/process.py
+++ b/src/quetzalpass/daemon/process.py
@@ -10,7 +10,7 @@
 
 from quetzalpass import ids
 from quetzalpass.callers import app as callers_app
-from quetzalpass.callers import connections
+from quetzalpass.callers import connections, handing_over
 from quetzalpass.consensus import timing
 from quetzalpass.control import messages, proposers
 from quetzalpass.daemon import (
@@ -80,14 +80,18 @@
             self.clients[peer.id] = peer_client.PeerClient(peer.id, self.channel)
         await self.open_groups()
         self.gateway = self.build_gateway()
+        self.handover = handing_over.CallerHandover(
+            self.gateway, self.cluster_key, self.rng
+        )
+        self.callers = callers_app.CallersInterface(self.gateway, self.handover)
         self.reconciler = self.build_reconciler()
         self.propagation = propagation.Propagation(
             self.settings, self.holder, self.clients, self.rng
         )
-        await self.listen(
-            peers.PeersInterface(self).application(self.cluster_key),
-            self.settings.peers,
-        )
+        peers_app = peers.PeersInterface(self).application(self.cluster_key)
+        if schema.Role.GATEWAY in self.settings.roles:
+            self.callers.add_peer_routes(peers_app)
+        await self.listen(peers_app, self.settings.peers)
         await self.open_operators_listener()
         if schema.Role.GATEWAY in self.settings.roles:
             await self.listen_to_callers()
@@ -199,7 +203,7 @@
     async def listen_to_callers(self) -> None:
         """Open the callers' listener."""
         runner = connections.CallersRunner(
-            callers_app.CallersInterface(self.gateway).application(),
+            self.callers.application(),
             self.settings.limits,
             self.gateway.new_request_id,
             **self.runner_options(),
@@ -277,6 +281,7 @@
         self.fleet.stop()
         for listener in reversed(self.listeners):
             await listener.close(self.settings.limits.slow_caller_s)
+        await self.handover.close()
         await self.gateway.close()
         self.metrics_sender.close()
         if self.replica is not None:
--- a/src/quetzalpass/lifecycle/attempts.py
+++ b/src/quetzalpass/lifecycle/attempts.py
@@ -10,6 +10,8 @@
 BACKOFF_CAP_S = 1.0
 # Limits how long a retry avoids the server that failed, as it may be the only one.
 AVOID_SERVER_TIMEOUT_S = 1.0
+# A caller refused because this gateway reaches no server may try another one at once.
+RETRY_ELSEWHERE_MS = 100
 
 EXECUTION_RANK = {
     codes.Execution.NOT_RUN: 0,
--- a/src/quetzalpass/lifecycle/gateway.py
+++ b/src/quetzalpass/lifecycle/gateway.py
@@ -11,10 +11,13 @@
 from quetzalpass.backends import base, registry
 from quetzalpass.declarations import schema as declared
 from quetzalpass.lifecycle import (
+    attempts,
+    declared_reach,
     drains,
     generation_ids,
     ledger_client,
     limits,
+    reach_checks,
     retry_budget,
 )
 from quetzalpass.membership import configuration, quarantine
@@ -70,6 +73,8 @@
         Limits of organisations, shared with the data centre's other gateways.
     quarantine : quarantine.Quarantine
         Tracks requests during which backend servers crashed.
+    reach_checks : reach_checks.ReachChecks
+        The models and services that this gateway reaches.
     backends : dict of BackendKey to base.Backend
         Open adapters.
     requests : int
@@ -107,6 +112,16 @@
         self.rng = rng
         self.cluster_key = cluster_key
         self.backends: dict[BackendKey, base.Backend] = {}
+        # The client is looked up at each probe, as tests replace it.
+        self.reach_checks = reach_checks.ReachChecks(
+            declared_reach.DeclaredProber(
+                holder,
+                lambda server_id, config: self.get_backend(server_id, config),
+                self.is_leaving,
+            ),
+            rng,
+        )
+        self.reach_checks.loss_observers.append(self.on_service_lost)
         self.requests = 0
         self.tasks: set[asyncio.Task[None]] = set()
         self.draining = False
@@ -145,6 +160,28 @@
             self.backends[key] = backend
         return backend
 
+    def on_attempt_failure(
+        self, target: ids.ServiceName, failure: base.AttemptFailure
+    ) -> None:
+        """Check whether a model or service can be reached after a failed attempt.
+
+        A gateway without peers has no use for the answer.
+        """
+        has_peers = any(each.url for each in self.settings.peer_vms)
+        if has_peers and failure.kind in reach_checks.PATH_FAILURES:
+            self.reach_checks.suspect(target)
+
+    def on_service_lost(self, target: ids.ServiceName) -> None:
+        """Refuse the requests that wait for a server that can't be reached."""
+        failure = unreached_failure(target)
+        self.admission_queue.refuse_waiting(ids.ModelName(target), failure)
+
+    def find_unreached(self, target: ids.ServiceName) -> failures.Failure | None:
+        """Return why nothing can be sent to a model or service now, or ``None``."""
+        if not self.reach_checks.is_lost(target):
+            return None
+        return unreached_failure(target)
+
     async def on_server_lost(
         self,
         server_id: ids.ServerId,
@@ -275,6 +312,16 @@
         """Cancel all tasks and close the ledger and the backend connections."""
         for task in list(self.tasks):
             task.cancel()
+        self.reach_checks.close()
         self.ledger.close()
         for backend in self.backends.values():
             await backend.close()
+
+
+def unreached_failure(target: ids.ServiceName) -> failures.Failure:
+    """Return the failure of a request whose servers can't be reached from here."""
+    return failures.Failure(
+        codes.Code.NO_SERVER_REACHED,
+        f"no server of {target} can be reached from here",
+        retry_after_ms=attempts.RETRY_ELSEWHERE_MS,
+    )
--- a/src/quetzalpass/lifecycle/handovers.py
+++ b/src/quetzalpass/lifecycle/handovers.py
@@ -23,8 +23,6 @@
 
 # Peers to which one request is offered.
 MAX_PEERS = 3
-# Another gateway may reach the servers, so callers need not wait longer.
-RETRY_ELSEWHERE_MS = 100
 STATUS_OK = 200
 
 
@@ -191,7 +189,7 @@
                 codes.Code.NO_SERVER_REACHED,
                 f"no server of {self.routed.service.name} can be reached from here, "
                 f"and {len(self.tried)} other gateways did not take the request",
-                retry_after_ms=RETRY_ELSEWHERE_MS,
+                retry_after_ms=attempts.RETRY_ELSEWHERE_MS,
             ),
             self.execution(),
         )
--- a/src/quetzalpass/lifecycle/reach_checks.py
+++ b/src/quetzalpass/lifecycle/reach_checks.py
@@ -116,6 +116,8 @@
         What is known of each service.
     running : dict of ServiceName to asyncio.Task
         Checks in progress.
+    loss_observers : list of callable
+        Called with each service that is lost.
     tasks : background.BackgroundTasks
         Checks and probes in progress.
     """
@@ -130,6 +132,7 @@
         self.reach = reach.Reach()
         self.running: dict[ids.ServiceName, asyncio.Task[None]] = {}
         self.tasks = background.BackgroundTasks()
+        self.loss_observers: list[Callable[[ids.ServiceName], None]] = []
 
     def close(self) -> None:
         """Cancel all checks."""
@@ -187,6 +190,8 @@
         if not self.reach.record_no_answer(service, since_s, now_s):
             return
         self.log_change(service, False, len(servers))
+        for observer in self.loss_observers:
+            observer(service)
         self.tasks.spawn(self.recheck_until_back(service))
         for other in self.prober.services():
             self.suspect(other)
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -32,7 +32,7 @@
 LOG = logbook.Logger("lifecycle")
 
 RETRY_WHEN_READY_MS = 1_500
-RETRY_ELSEWHERE_MS = 100
+RETRY_ELSEWHERE_MS = attempts.RETRY_ELSEWHERE_MS
 MAX_START_WAIT_S = 1.5
 START_WAIT_SHARE = 0.4
 START_POLL_S = 0.02
--- a/src/quetzalpass/lifecycle/service_calls.py
+++ b/src/quetzalpass/lifecycle/service_calls.py
@@ -165,6 +165,7 @@
             return response
         failure = response.failure()
         outcome = attempts.reservation_outcome(failure)
+        gateway.on_attempt_failure(request.service.name, failure)
         if attempts.execution_of(failure) is codes.Execution.MAY_HAVE_RUN:
             await gateway.on_server_lost(
                 reservation.server_id, request.request_id, request.configuration, False
@@ -208,6 +209,9 @@
         acquired = await gateway.admission_queue.acquire(avoiding)
         if isinstance(acquired, result.Success):
             return acquired
+    unreached = gateway.find_unreached(request.service.name)
+    if unreached is not None:
+        return result.Failure(unreached)
     return await queueing.acquire_within_class(
         gateway.admission_queue, item, request.priority_class
     )
--- a/src/quetzalpass/lifecycle/starting.py
+++ b/src/quetzalpass/lifecycle/starting.py
@@ -258,6 +258,11 @@
             acquired = await self.gateway.admission_queue.acquire(item)
             if isinstance(acquired, result.Success):
                 return acquired
+        unreached = self.gateway.find_unreached(
+            ids.ServiceName(self.request.model.name)
+        )
+        if unreached is not None and not self.tokens:
+            return result.Failure(unreached)
         now_s = asyncio.get_running_loop().time()
         deadline_s = min(self.request.deadline_s, now_s + self.max_wait_s)
         return await queueing.acquire_within_class(
@@ -346,6 +351,8 @@
             self.server_id,
             failure.message,
         )
+        target = ids.ServiceName(self.request.model.name)
+        self.gateway.on_attempt_failure(target, failure)
         execution = attempts.execution_of(failure)
         self.execution = attempts.combined_execution(self.execution, execution)
         if execution is codes.Execution.MAY_HAVE_RUN:
--- a/src/quetzalpass/routing/admission.py
+++ b/src/quetzalpass/routing/admission.py
@@ -114,6 +114,10 @@
                 waiter.set_result(decision)
         self.schedule_poll()
 
+    def refuse_waiting(self, model: ids.ModelName, failure: failures.Failure) -> None:
+        """Refuse the requests that wait for a model or service and have not begun."""
+        self.deliver(self.dispatcher.refuse_queued(model, failure))
+
     def schedule_poll(self) -> None:
         """Schedule the next poll of the queues if any request waits."""
         if self.timer is None and self.dispatcher.queued:
--- a/src/quetzalpass/routing/dispatch.py
+++ b/src/quetzalpass/routing/dispatch.py
@@ -261,6 +261,22 @@
             model_queues.queue_position(queued.item)
         ).remove(queued)
 
+    def refuse_queued(
+        self, model: ids.ModelName, failure: failures.Failure
+    ) -> list[Decision]:
+        """Refuse the waiting requests for a model that have no output yet.
+
+        A generation that continues waits on, as it can't begin anew elsewhere.
+        """
+        refused = [
+            each
+            for each in self.queued.values()
+            if each.item.model == model and not each.item.generated_tokens
+        ]
+        for each in refused:
+            self.remove_queued(each)
+        return [Refusal(each.item, failure) for each in refused]
+
     def cancel(self, request_id: ids.RequestId) -> bool:
         """Remove a waiting request; return whether it was waiting."""
         queued = self.queued.get(request_id)
--- a/src/quetzalpass/wire/offers.py
+++ b/src/quetzalpass/wire/offers.py
@@ -111,6 +111,9 @@
                     OfferError(f"no consent within {OFFER_TIMEOUT_S} s", False)
                 )
             return result.Success(await posting)
+        except asyncio.CancelledError:
+            close_response(posting)
+            raise
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return result.Failure(OfferError(repr(error), offer.accepted.is_set()))
         finally:
@@ -147,6 +150,12 @@
     return bool(done)
 
 
+def close_response(posting: asyncio.Task) -> None:
+    """Close the response of a request whose sender has been cancelled."""
+    if posting.done() and not posting.cancelled() and posting.exception() is None:
+        posting.result().close()
+
+
 async def cancel(posting: asyncio.Task) -> None:
     """Cancel a request that nobody waits for; an ended one is left as it is."""
     if not posting.done():
