--- a/src/quetzalpass/lifecycle/relay_reservations.py
+++ b/src/quetzalpass/lifecycle/relay_reservations.py
@@ -51,7 +51,7 @@
 ReservationResult = result.Result[Reservation, failures.Failure]
 
 
-class ServerReservations:
+class ServerReservations(server_reservation.CapacityTracker):
     """Chooses servers, and tracks the use that this gateway makes of each.
 
     Parameters
@@ -455,6 +455,10 @@
         delay_s = await self.rate_gate.acquire(server.id, routed.rank)
         return delay_s or self.rests.left_s(server, asyncio.get_running_loop().time())
 
+    def release_room(self, admission: str) -> None:
+        """Release the room that a request holds on a brittle server."""
+        self.room_gate.release(admission)
+
     def time_until_permit_s(self, routed: relay_requests.RoutedRequest) -> float:
         """Return when the limits of a service allow a request again, in seconds.
 
--- a/src/quetzalpass/lifecycle/server_reservation.py
+++ b/src/quetzalpass/lifecycle/server_reservation.py
@@ -1,14 +1,39 @@
 """Capacity that one relayed request holds on a backend server."""
 
+import abc
 import asyncio
-from typing import TYPE_CHECKING
 
+from quetzalpass import ids
 from quetzalpass.lifecycle import relay_requests
 from quetzalpass.membership import discovery
 from quetzalpass.routing import prefill_rates, relay_placement
 
-if TYPE_CHECKING:
-    from quetzalpass.lifecycle import relay_reservations
+
+class CapacityTracker(abc.ABC):
+    """Tracks what the reservations of one gateway hold on each server."""
+
+    @abc.abstractmethod
+    def add_use(
+        self,
+        server_id: ids.ServerId,
+        requests: int = 0,
+        tokens: int = 0,
+        copy_tokens: int = 0,
+        prefill_tokens: int = 0,
+    ) -> None:
+        """Add to the use that this gateway makes of a server."""
+
+    @abc.abstractmethod
+    def record_prefill(self, measurement: prefill_rates.PrefillMeasurement) -> None:
+        """Record how long a prefill took."""
+
+    @abc.abstractmethod
+    def release_room(self, admission: str) -> None:
+        """Release the room that a request holds on a brittle server."""
+
+    @abc.abstractmethod
+    def process_queues(self) -> None:
+        """Reserve servers for the waiting requests for which there is capacity."""
 
 
 class Reservation:
@@ -34,7 +59,7 @@
 
     def __init__(
         self,
-        reservations: "relay_reservations.ServerReservations",
+        reservations: CapacityTracker,
         server: discovery.DiscoveredServer,
         need: relay_placement.GenerationNeed,
         prefill: prefill_rates.PendingPrefill | None = None,
@@ -97,7 +122,7 @@
             return
         self.is_held = False
         if self.admission is not None:
-            self.reservations.room_gate.release(self.admission)
+            self.reservations.release_room(self.admission)
         self.set_backup(None)
         self.end_prefill()
         self.reservations.add_use(self.server.id, requests=-1, tokens=-self.need.tokens)
--- a/tests/lifecycle/test_rests.py
+++ b/tests/lifecycle/test_rests.py
@@ -115,6 +115,23 @@
         assert not rests.rests
 
 
+async def lose_engine_while_backup_rests(rest_s):
+    """Lose the engine of a generation while the one with its backup rests."""
+    harness = gateway_harness.GatewayHarness(ENGINES, length=100)
+    response, task = harness.start("/drafts/1")
+    await asyncio.sleep(0.5)
+    (run,) = harness.fleet.runs.values()
+    (owner,) = run.owners
+    ((_, options),) = owner.sent
+    holder = options.backup_address.partition(":")[0]
+    now_s = asyncio.get_running_loop().time()
+    server = next(each for each in ENGINES if each.id == holder)
+    harness.reservations.rests.record(server, rest_s, now_s)
+    owner.is_dead = True
+    await task
+    return harness, holder, response
+
+
 class TestFurtherSends:
     async def test_retry_goes_to_a_server_that_does_not_rest(self):
         harness = gateway_harness.GatewayHarness(SERVICES)
@@ -141,32 +158,10 @@
         assert resting.refused_s["l-1"] == []
 
     async def test_generation_does_not_resume_on_a_server_that_rests(self):
-        harness = gateway_harness.GatewayHarness(ENGINES, length=100)
-        response, task = harness.start("/drafts/1")
-        await asyncio.sleep(0.5)
-        (run,) = harness.fleet.runs.values()
-        (owner,) = run.owners
-        ((_, options),) = owner.sent
-        holder = options.backup_address.partition(":")[0]
-        now_s = asyncio.get_running_loop().time()
-        server = next(each for each in ENGINES if each.id == holder)
-        harness.reservations.rests.record(server, 5.0, now_s)
-        owner.is_dead = True
-        await task
+        harness, holder, response = await lose_engine_while_backup_rests(5.0)
         assert harness.send_count(holder) == 0
         assert response.is_aborted
 
     async def test_generation_waits_for_a_short_rest_to_resume(self):
-        harness = gateway_harness.GatewayHarness(ENGINES, length=100)
-        response, task = harness.start("/drafts/1")
-        await asyncio.sleep(0.5)
-        (run,) = harness.fleet.runs.values()
-        (owner,) = run.owners
-        ((_, options),) = owner.sent
-        holder = options.backup_address.partition(":")[0]
-        now_s = asyncio.get_running_loop().time()
-        server = next(each for each in ENGINES if each.id == holder)
-        harness.reservations.rests.record(server, 0.8, now_s)
-        owner.is_dead = True
-        await task
+        _, _, response = await lose_engine_while_backup_rests(0.8)
         assert response.data == gateway_harness.events(100)
--- a/tests/soak/brittle.py
+++ b/tests/soak/brittle.py
@@ -8,7 +8,7 @@
 import asyncio
 import signal
 
-from soak import backends, soak
+from soak import backends, limits, soak
 
 # The platform's rule: the replicas of a service fall over no more often than 2 and a
 # tenth of their number while they are brittle.
@@ -27,15 +27,6 @@
 SERVICES = {"reads": "ledger", "once": "ledger", "drafts": "model"}
 
 
-class Outcome:
-    """A request as its caller saw it."""
-
-    def __init__(self, sent_s, elapsed_s, status):
-        self.sent_s = sent_s
-        self.elapsed_s = elapsed_s
-        self.status = status
-
-
 class BrittleSoak(soak.Soak):
     """One run; the seed chooses the kind of request, the limit and the fault.
 
@@ -73,7 +64,7 @@
         caller = soak.Caller(self, gateway=self.rng.choice(self.cluster.gateways))
         status = await self.send(self.kind, caller)
         caller.close()
-        self.outcomes.append(Outcome(sent_s, self.now_s() - sent_s, status))
+        self.outcomes.append(limits.Outcome(sent_s, self.now_s() - sent_s, status))
 
     async def run(self, seconds):
         await self.start()
