--- a/src/quetzalpass/daemon/gateway_role.py
+++ b/src/quetzalpass/daemon/gateway_role.py
@@ -133,8 +133,8 @@
         )
         self.links.reply_observers.append(self.on_reply)
         self.links.suspect_observers.append(self.gateway.suspects.merge)
-        self.links.limit_observers.append(self.reservations.rate_gate.merge)
-        self.links.brittle_observers.append(self.reservations.room_gate.merge)
+        self.links.limit_observers.append(self.reservations.gates.rate_gate.merge)
+        self.links.brittle_observers.append(self.reservations.gates.room_gate.merge)
 
     def start(self) -> None:
         """Start following the control nodes."""
@@ -194,10 +194,10 @@
             self.reported_allocations,
             prefills,
             self.budget.retry_counts(asyncio.get_running_loop().time()),
-            self.reservations.rate_gate.reports(),
+            self.reservations.gates.rate_gate.reports(),
             self.settings.data_centre,
             self.peer_state(),
-            self.reservations.room_gate.reports(),
+            self.reservations.gates.room_gate.reports(),
             tuple(each.start_key for each in self.view.own_announcements.values()),
         )
 
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -324,18 +324,20 @@
         """Record a response; if it closes the connection, check for leaving."""
         self.crash_checks.on_response(server)
         self.reach_checks.on_answer(server.service)
-        self.reservations.rate_gate.observe(server.id, head.rate_notice)
-        self.observe_notice(server, head.notice)
+        self.observe_notice(server, head.rate_notice, head.notice)
         if head.is_closing and server.id in self.view.servers:
             known = self.view.servers[server.id]
             if not known.is_leaving:
                 self.spawn(self.confirm_leaving(server))
 
     def observe_notice(
-        self, server: discovery.DiscoveredServer, notice: base.ServerNotice | None
+        self,
+        server: discovery.DiscoveredServer,
+        rate_notice: base.RateNotice | None,
+        notice: base.ServerNotice | None,
     ) -> None:
-        """Record what a response says about the state of its server."""
-        self.reservations.observe(server, notice)
+        """Record what a response says about its server."""
+        self.reservations.gates.observe(server, rate_notice, notice)
         if notice is None or not notice.is_leaving:
             return
         known = self.view.servers.get(server.id)
@@ -384,10 +386,9 @@
         failure: base.AttemptFailure,
     ) -> None:
         """Record a request that broke off, and check its server for a crash."""
-        self.reservations.rate_gate.observe(server.id, failure.rate_notice)
-        self.observe_notice(server, failure.notice)
+        self.observe_notice(server, failure.rate_notice, failure.notice)
         if failure.kind is base.FailureKind.OVERLOADED:
-            self.reservations.room_gate.on_refusal(server)
+            self.reservations.gates.room_gate.on_refusal(server)
         self.reach_checks.on_failure(server, failure)
         is_leaving = self.is_leaving(server.id)
         if not is_leaving and failure.end not in crash_checks.NOT_STARTED:
--- a/src/quetzalpass/lifecycle/relay_reservations.py
+++ b/src/quetzalpass/lifecycle/relay_reservations.py
@@ -7,7 +7,7 @@
 
 from returns import result
 
-from quetzalpass import event_log, ids
+from quetzalpass import ids
 from quetzalpass.allocation import (
     client,
     permits,
@@ -16,13 +16,10 @@
     server_capacities,
 )
 from quetzalpass.allocation import messages as allocation_messages
-from quetzalpass.backends import base
 from quetzalpass.lifecycle import (
     engine_questions,
-    rate_gate,
-    relay_events,
     relay_requests,
-    room_gate,
+    send_gates,
     server_health,
     server_reservation,
 )
@@ -32,7 +29,6 @@
     prefill_rates,
     relay_placement,
     relay_waiting,
-    server_rests,
 )
 
 MS_PER_S = 1000
@@ -41,7 +37,6 @@
 MAX_WAIT_FACTOR = 3.0
 # Longest wait of one allocation request, so that the loss of one is noticed soon.
 MAX_ALLOCATION_WAIT_S = 0.25
-ADMISSION_BITS = 64
 
 
 Reservation = server_reservation.Reservation
@@ -76,12 +71,8 @@
 
     Attributes
     ----------
-    rate_gate : rate_gate.RateGate
-        Holds this gateway's sends to the limits that servers name.
-    room_gate : room_gate.RoomGate
-        Holds this gateway's sends to the room of brittle servers.
-    rests : server_rests.ServerRests
-        Servers that want no requests of this gateway for some time.
+    gates : send_gates.SendGates
+        What servers ask of this gateway before it sends them a request.
     """
 
     def __init__(
@@ -100,17 +91,12 @@
         self.rng = rng
         self.uses: dict[ids.ServerId, fleet_messages.ServerUse] = {}
         self.rates = prefill_rates.PrefillRates()
-        self.rate_gate = rate_gate.RateGate(vm, permit_source, count_gateways, rng)
-        self.room_gate = room_gate.RoomGate(
-            vm,
-            room_source,
-            count_gateways,
-            lambda: f"{vm}/{rng.getrandbits(ADMISSION_BITS):x}",
+        self.gates = send_gates.SendGates(
+            view, vm, rng, permit_source, room_source, count_gateways
         )
-        self.rests = server_rests.ServerRests()
         self.health = server_health.ServerHealth(view, data_centre)
         self.allocation_requests = engine_questions.EngineRequests(
-            vm, view, self.health, rng, allocation, self.blocked_s
+            vm, view, self.health, rng, allocation, self.gates.blocked_s
         )
         self.queues: dict[ids.ServiceName, queueing.PlacementQueue[Reservation]] = {}
         view.change_observers.append(self.process_queues)
@@ -162,7 +148,7 @@
             for known in self.view.find_servers(routed.service.name)
             if not known.is_leaving
             and known.server.id not in excluded
-            and not self.blocked_s(known.server.id, routed.rank)
+            and not self.gates.blocked_s(known.server.id, routed.rank)
         ]
         healthy = [
             known
@@ -174,40 +160,6 @@
             self.server_capacity(known, routed, now_s) for known in healthy or usable
         ]
 
-    def blocked_s(self, server_id: ids.ServerId, rank: int) -> float:
-        """Return for how long a server takes no request of a rank, in seconds."""
-        known = self.view.servers.get(server_id)
-        now_s = asyncio.get_running_loop().time()
-        return max(
-            self.rate_gate.blocked_s(server_id, rank),
-            self.room_gate.blocked_s(server_id),
-            0.0 if known is None else self.rests.left_s(known.server, now_s),
-        )
-
-    def observe(
-        self, server: discovery.DiscoveredServer, notice: base.ServerNotice | None
-    ) -> None:
-        """Record what a response says about the state of its server."""
-        self.room_gate.observe(server, notice)
-        if notice is None or not notice.rest_s:
-            return
-        now_s = asyncio.get_running_loop().time()
-        self.rests.expire(now_s)
-        self.rests.record(server, notice.rest_s, now_s)
-        event_log.record(relay_events.RestEvent(server.id, notice.rest_s))
-
-    def may_send_after(
-        self, routed: relay_requests.RoutedRequest, failure: base.AttemptFailure
-    ) -> bool:
-        """Return whether a request may go to another server after a refusal.
-
-        Brittle servers fall over if they refuse too many, and if one had less room than
-        expected, so may the others.
-        """
-        if failure.kind is not base.FailureKind.OVERLOADED:
-            return True
-        return not self.room_gate.is_brittle(routed.service.name)
-
     def server_capacity(
         self,
         known: fleet_view.KnownServer,
@@ -289,7 +241,7 @@
         engine = routed.service.engine
         if reservation.is_granted or engine is None or not engine.backups:
             return
-        excluded = self.rate_gate.limited_servers() | {reservation.server.id}
+        excluded = self.gates.rate_gate.limited_servers() | {reservation.server.id}
         capacities = self.server_capacities(routed, excluded)
         chosen = relay_placement.choose_backup(
             reservation.need, capacities, reservation.server.data_centre, self.rng
@@ -431,48 +383,9 @@
             codes.Code.QUEUE_FULL, message, retry_after_ms=int(return_s * MS_PER_S)
         )
 
-    async def acquire_permit(
-        self,
-        routed: relay_requests.RoutedRequest,
-        reservation: Reservation,
-    ) -> float:
-        """Return 0 if a request may be sent to its server now, else the delay.
-
-        A server may have asked for rest while the request waited for it.
-
-        The room that it gets is released with the reservation.
-        """
-        server = reservation.server
-        now_s = asyncio.get_running_loop().time()
-        rest_s = self.rests.left_s(server, now_s)
-        if rest_s:
-            return rest_s
-        left_s = routed.deadline_s - now_s
-        room = await self.room_gate.acquire(server, routed.rank, left_s)
-        if isinstance(room, result.Failure):
-            return room.failure()
-        reservation.admission = room.unwrap()
-        delay_s = await self.rate_gate.acquire(server.id, routed.rank)
-        return delay_s or self.rests.left_s(server, asyncio.get_running_loop().time())
-
     def release_room(self, admission: str) -> None:
         """Release the room that a request holds on a brittle server."""
-        self.room_gate.release(admission)
-
-    def time_until_permit_s(self, routed: relay_requests.RoutedRequest) -> float:
-        """Return when the limits of a service allow a request again, in seconds.
-
-        Returns
-        -------
-        float
-            0 if one of its servers can be sent a request now, or if it has no servers.
-        """
-        blocked_s = [
-            self.blocked_s(known.server.id, routed.rank)
-            for known in self.view.find_servers(routed.service.name)
-            if not known.is_leaving
-        ]
-        return min(blocked_s, default=0.0)
+        self.gates.room_gate.release(admission)
 
     def rate_limited_failure(
         self, routed: relay_requests.RoutedRequest, delay_s: float
--- a/src/quetzalpass/lifecycle/relayed_calls.py
+++ b/src/quetzalpass/lifecycle/relayed_calls.py
@@ -86,7 +86,7 @@
             break
         try:
             await back_off(gateway, reservation, state)
-            if await gateway.reservations.acquire_permit(routed, reservation):
+            if await gateway.reservations.gates.acquire(routed, reservation):
                 state.denied.add(reservation.server.id)
                 continue
             refusal = gateway.refusal(routed, state.execution())
@@ -343,7 +343,7 @@
         return False
     if state.runs >= routed.route.attempts:
         return False
-    if state.failure is not None and not gateway.reservations.may_send_after(
+    if state.failure is not None and not gateway.reservations.gates.may_send_after(
         routed, state.failure
     ):
         return False
@@ -359,7 +359,7 @@
     state: CallState,
 ) -> failures.Failure:
     """Return the failure of a call to which no server has responded."""
-    delay_s = gateway.reservations.time_until_permit_s(routed)
+    delay_s = gateway.reservations.gates.service_blocked_s(routed)
     if state.runs == 0 and delay_s:
         return gateway.reservations.rate_limited_failure(routed, delay_s)
     if state.runs == 0:
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -243,7 +243,7 @@
         """
         server = reservation.server
         try:
-            delay_s = await self.gateway.reservations.acquire_permit(
+            delay_s = await self.gateway.reservations.gates.acquire(
                 self.routed, reservation
             )
         except BaseException:
--- a/src/quetzalpass/lifecycle/stream_starts.py
+++ b/src/quetzalpass/lifecycle/stream_starts.py
@@ -109,7 +109,7 @@
             If all servers of the service are at their limit.
         """
         reservations = self.gateway.reservations
-        delay_s = reservations.time_until_permit_s(self.routed)
+        delay_s = reservations.gates.service_blocked_s(self.routed)
         if delay_s:
             raise stream_failures.StreamFailedError(
                 reservations.rate_limited_failure(self.routed, delay_s)
@@ -155,7 +155,7 @@
             arrived_s = self.routed.request.arrived_s
             return now_s < arrived_s + reservations.max_wait_s(self.routed)
         self.refusals += 1
-        if not reservations.may_send_after(self.routed, failure):
+        if not reservations.gates.may_send_after(self.routed, failure):
             return False
         if self.refusals >= MAX_REFUSALS or now_s >= self.routed.deadline_s:
             return False
--- a/tests/lifecycle/test_rate_gate.py
+++ b/tests/lifecycle/test_rate_gate.py
@@ -126,7 +126,7 @@
         harness = make_harness(ENGINES)
         now_s = asyncio.get_running_loop().time()
         for each in ENGINES[1:]:
-            harness.reservations.rate_gate.limits.observe(each.id, 2.0, now_s)
+            harness.reservations.gates.rate_gate.limits.observe(each.id, 2.0, now_s)
         await harness.serve("/drafts/1")
         ((_, options),) = harness.server("e-a").sent
         assert options.backup_address is None
@@ -140,8 +140,8 @@
         broken = run.owners[0]
         now_s = asyncio.get_running_loop().time()
         for each in ENGINES:
-            harness.reservations.rate_gate.limits.observe(each.id, 2.0, now_s)
-        harness.reservations.rate_gate.own_permits.part_rng = None
+            harness.reservations.gates.rate_gate.limits.observe(each.id, 2.0, now_s)
+        harness.reservations.gates.rate_gate.own_permits.part_rng = None
         broken.is_dead = True
         await task
         assert response.data == gateway_harness.events(60)
--- a/tests/lifecycle/test_refused_suspects.py
+++ b/tests/lifecycle/test_refused_suspects.py
@@ -80,7 +80,7 @@
     @pytest.mark.parametrize(("path", "servers"), RELAYED)
     async def test_request_that_waits_for_a_permit_is_not_sent(self, path, servers):
         harness = make_harness(servers)
-        gate = harness.reservations.rate_gate
+        gate = harness.reservations.gates.rate_gate
         for each in servers:
             gate.limits.observe(each.id, 2.0, asyncio.get_running_loop().time())
 
--- a/tests/lifecycle/test_relayed_streams.py
+++ b/tests/lifecycle/test_relayed_streams.py
@@ -362,7 +362,9 @@
         response, task = await start_stream(harness, 1)
         first = current_server(harness)
         harness.gateway.observe_notice(
-            harness.view.servers[first.name].server, base.ServerNotice(is_leaving=True)
+            harness.view.servers[first.name].server,
+            None,
+            base.ServerNotice(is_leaving=True),
         )
         await task
         assert response.data == gateway_harness.events(EVENT_COUNT)
@@ -372,7 +374,8 @@
     async def test_new_requests_are_refused_while_all_engines_leave(self):
         harness = engine_harness()
         for each in harness.servers:
-            harness.gateway.observe_notice(each, base.ServerNotice(is_leaving=True))
+            leaving = base.ServerNotice(is_leaving=True)
+            harness.gateway.observe_notice(each, None, leaving)
         response = await harness.serve("/drafts/1")
         assert response.status == 503
         assert response.header("Retry-After") is not None
--- a/tests/lifecycle/test_rests.py
+++ b/tests/lifecycle/test_rests.py
@@ -126,7 +126,7 @@
     holder = options.backup_address.partition(":")[0]
     now_s = asyncio.get_running_loop().time()
     server = next(each for each in ENGINES if each.id == holder)
-    harness.reservations.rests.record(server, rest_s, now_s)
+    harness.reservations.gates.rests.record(server, rest_s, now_s)
     owner.is_dead = True
     await task
     return harness, holder, response
@@ -143,7 +143,7 @@
     async def test_request_that_waited_does_not_reach_a_server_that_rests_now(self):
         harness = gateway_harness.GatewayHarness(SERVICES[:1])
         resting = RestingServers(harness, ["l-1"], 3_000)
-        gate = harness.reservations.room_gate
+        gate = harness.reservations.gates.room_gate
         acquire = gate.acquire
 
         async def acquire_late(server, rank, left_s):
@@ -153,7 +153,7 @@
         gate.acquire = acquire_late
         responses = [harness.start("/reads/1") for _ in range(2)]
         await asyncio.sleep(0.05)
-        harness.reservations.rests.record(SERVICES[0], 3.0, 0.05)
+        harness.reservations.gates.rests.record(SERVICES[0], 3.0, 0.05)
         await asyncio.wait([task for _, task in responses])
         assert resting.refused_s["l-1"] == []
 
--- a/tests/lifecycle/test_shared_limits.py
+++ b/tests/lifecycle/test_shared_limits.py
@@ -90,7 +90,7 @@
             seed=self.rng.getrandbits(32),
             declaration=relay_builders.declaration(),
         )
-        gate = harness.reservations.rate_gate
+        gate = harness.reservations.gates.rate_gate
         gate.source = DeskSource(self)
         gate.count_gateways = lambda: GATEWAYS
         return harness
@@ -101,7 +101,7 @@
             now_s = asyncio.get_running_loop().time()
             limits = self.desk.registry.limits
             for harness in self.gateways:
-                gate = harness.reservations.rate_gate
+                gate = harness.reservations.gates.rate_gate
                 if not gate.source.is_cut:
                     limits.merge(gate.reports(), now_s)
                     gate.merge(limits.reports(now_s))
@@ -151,10 +151,10 @@
         group = LimitedGroup(path, servers, seed)
         await group.run(5.0)
         for harness in group.gateways[: GATEWAYS // 2]:
-            harness.reservations.rate_gate.source.is_cut = True
+            harness.reservations.gates.rate_gate.source.is_cut = True
         await group.run(8.0)
         for harness in group.gateways:
-            harness.reservations.rate_gate.source.is_cut = False
+            harness.reservations.gates.rate_gate.source.is_cut = False
         await group.run(6.0)
         group.check()
 
