--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -389,8 +389,9 @@
         self.observe_notice(server, failure.rate_notice, failure.notice)
         if failure.kind is base.FailureKind.OVERLOADED:
             self.reservations.gates.room_gate.on_refusal(server)
-        self.reach_checks.on_failure(server, failure)
         is_leaving = self.is_leaving(server.id)
+        if not is_leaving:
+            self.reach_checks.on_failure(server, failure)
         if not is_leaving and failure.end not in crash_checks.NOT_STARTED:
             self.reservations.health.record_failure(server.id, failure.message)
         self.crash_checks.start_check(routed, server, failure)
--- a/tests/lifecycle/test_cut_off_gateways.py
+++ b/tests/lifecycle/test_cut_off_gateways.py
@@ -415,3 +415,16 @@
         for _ in range(5):
             assert (await group.gateway(0).serve("/reads/1")).status == 200
         assert group.channel.offers == []
+
+    async def test_server_that_leaves_says_nothing_about_the_path(self):
+        group = Group()
+        gateway = group.gateway(0)
+        gateway.mark_leaving("l-1")
+        probes = []
+        checks = gateway.gateway.reach_checks
+        checks.suspect = probes.append
+        routed = gateway.gateway.route(gateway.request()).unwrap()
+        for name in ("l-1", "l-2"):
+            server = gateway.view.servers[name].server
+            gateway.gateway.on_broken_request(routed, server, CLOSED)
+        assert probes == ["ledger"]
--- a/tests/soak/cut_off.py
+++ b/tests/soak/cut_off.py
@@ -162,13 +162,14 @@
         cut, others = self.counted(True), self.counted(False)
         after = [e for e in self.outcomes if e.sent_s >= self.cut_until_s + 1.0]
         delays_s = sorted(e.elapsed_s for e in cut) or [0.0]
+        others_s = sorted(e.elapsed_s for e in others) or [0.0]
         return (
             f"{self.kind}, {len(self.cut_gateways)} of {len(self.cluster.gateways)} "
             f"cut, {self.how.value}, {self.faults}; served there "
             f"{sum(e.is_served for e in cut)} of {len(cut)}, others "
             f"{sum(e.is_served for e in others)} of {len(others)}, after "
-            f"{served_share(after):.2f}; p50 there "
-            f"{delays_s[len(delays_s) // 2]:.3f} s, most {delays_s[-1]:.3f} s"
+            f"{served_share(after):.2f}; p50 and p99 there {quantiles(delays_s)}, "
+            f"others {quantiles(others_s)}"
         )
 
 
@@ -176,6 +177,12 @@
     return sum(each.is_served for each in outcomes) / max(1, len(outcomes))
 
 
+def quantiles(delays_s):
+    """Return the median and the 0.99 quantile of sorted delays, for the summary."""
+    p50_s, p99_s = delays_s[len(delays_s) // 2], delays_s[len(delays_s) * 99 // 100]
+    return f"{p50_s:.3f} and {p99_s:.3f} s"
+
+
 async def run_seed(seed, seconds, folder, **options):
     """Run one seed, stop its processes and return the finished soak test."""
     return await soak.run_to_end(CutOffSoak(seed, folder, **options), seconds)
