--- a/src/quetzalpass/allocation/rooms.py
+++ b/src/quetzalpass/allocation/rooms.py
@@ -142,8 +142,8 @@
         self.active_since_s: float | None = None
 
     def is_deciding(self) -> bool:
-        """Return whether this node leads; forget what was known before."""
-        if not self.registry.is_active():
+        """Return whether this node leads and has the list; forget earlier rooms."""
+        if not self.registry.is_active() or self.registry.read_at_s is None:
             return False
         if self.registry.active_since_s != self.active_since_s:
             self.rooms.clear()
@@ -152,7 +152,7 @@
         return True
 
     def handle(self, request: RoomRequest) -> RoomReply:
-        """Admit a request if its server has room."""
+        """Admit a request if its server is listed and has room."""
         if not self.is_deciding():
             return RoomReply(False)
         server = self.find_server(request.server)
--- a/tests/lifecycle/test_room_gate.py
+++ b/tests/lifecycle/test_room_gate.py
@@ -38,6 +38,8 @@
         if self.is_cut:
             return leader_client.unavailable("cut off")
         reply = handle(message)
+        if not reply.is_deciding:
+            return leader_client.unavailable("no leader")
         await asyncio.sleep(self.delay_s)
         return result.Success(reply)
 
@@ -46,6 +48,7 @@
     def __init__(self, seed=0):
         registry = fleet_registry.FleetRegistry(None, lambda: True, 1)
         registry.servers = (SERVER,)
+        registry.read_at_s = 0.0
         self.desk = rooms.RoomDesk(registry)
         self.rng = random.Random(seed)
         self.gates = [self.new_gate(number) for number in range(GATEWAYS)]
@@ -147,3 +150,9 @@
         await asyncio.sleep(0.5)
         assert not group.desk.rooms[SERVER.id].admitted
         assert not gate.admitted
+
+    async def test_new_leader_without_the_list_lets_gateways_decide(self):
+        group = Group()
+        group.desk.registry.read_at_s = None
+        room = await group.gates[0].acquire(SERVER, 0, 1.0)
+        assert room.unwrap() is not None
