--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -104,6 +104,10 @@
         Set while it is brittle and says so in each answer.
     running : int
         Requests that it runs now.
+    rest_s : float or None
+        Time that it asks for in each refusal; it then refuses all requests.
+    says_leaving : bool
+        Whether it says in each answer that it leaves.
     """
 
     def __init__(self, record, name, service, link):
@@ -116,6 +120,8 @@
         self.brittleness = None
         self.running = 0
         self.refused_s = []
+        self.rest_s = None
+        self.says_leaving = False
         self.state = "ready"
         self.started_ms = time.time_ns() // NS_PER_MS
         self.writers = set()
@@ -186,7 +192,7 @@
         if request.header("X-Target-Instance") != self.name:
             writer.write(standin.response_bytes(request, 421, b""))
             return
-        if self.fault == "refuse":
+        if self.fault == "refuse" or self.rest_s is not None:
             self.refuse(request, writer)
             return
         if request.header("Kv-From"):
@@ -239,12 +245,16 @@
         lines = []
         if self.limit_per_s is not None:
             lines.append(f"Server-Limit: {self.limit_per_s}")
+        if self.says_leaving:
+            lines.append("Server-Leaving: 1")
         if self.brittleness is not None:
             lines.append(f"Server-Brittle: {self.brittleness.limit_per_s}")
         return lines
 
     def refuse(self, request, writer):
         lines = ["X-Not-Executed: 1", *self.limit_headers()]
+        if self.rest_s is not None:
+            lines.append(f"Retry-After: {self.rest_s}")
         writer.write(standin.response_bytes(request, 503, b"", lines))
 
     async def send_before_crash(self, request, writer):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,6 +1,6 @@
 import pytest
 
-from soak import brittle, crashing, crashing_parts, cut_off, limits, soak
+from soak import asking, brittle, crashing, crashing_parts, cut_off, limits, soak
 
 SECONDS = 5
 CRASHING_SECONDS = 12
@@ -8,6 +8,7 @@
 LIMITED_SECONDS = 10
 CUT_OFF_SECONDS = 8
 BRITTLE_SECONDS = 8
+ASKING_SECONDS = 8
 # No seed has failed yet. Add each one that does, with its cause.
 SEEDS = (1,)
 
@@ -42,3 +43,6 @@
     @pytest.mark.parametrize("seed", [1, 2, 3])
     async def test_brittle_replicas_are_not_felled(self, tmp_path, seed):
         await brittle.run_seed(seed, BRITTLE_SECONDS, tmp_path)
+
+    async def test_replicas_that_ask_for_rest_get_it(self, tmp_path):
+        await asking.run_seed(2, ASKING_SECONDS, tmp_path)
