--- a/src/quetzalpass/lifecycle/handover_channel.py
+++ b/src/quetzalpass/lifecycle/handover_channel.py
@@ -152,6 +152,6 @@
     is_not_run = failure.effective_execution() is codes.Execution.NOT_RUN
     return base.AttemptFailure(
         base.AttemptEnd.REFUSED if is_not_run else base.AttemptEnd.MAY_HAVE_RUN,
-        base.FailureKind.REJECTED,
-        f"{peer} refused: {failure.message}",
+        base.FailureKind.OVERLOADED if is_not_run else base.FailureKind.CLOSED,
+        f"{peer} gave it back: {failure.message}",
     )
--- a/src/quetzalpass/lifecycle/reach_checks.py
+++ b/src/quetzalpass/lifecycle/reach_checks.py
@@ -142,8 +142,12 @@
         """Return whether this gateway reaches no server of a service."""
         return self.reach.is_lost(service)
 
+    def on_response(self, service: ids.ServiceName) -> None:
+        """Record that a server of a service has responded to a request."""
+        self.reach.record_response(service, asyncio.get_running_loop().time())
+
     def on_answer(self, service: ids.ServiceName) -> None:
-        """Record that a server of a service has answered on a new connection."""
+        """Record that a server of a service has answered a probe."""
         now_s = asyncio.get_running_loop().time()
         if self.reach.record_answer(service, now_s):
             self.log_change(service, True)
@@ -157,7 +161,7 @@
         if failure.kind in PATH_FAILURES:
             self.suspect(server.service)
         else:
-            self.on_answer(server.service)
+            self.on_response(server.service)
 
     def suspect(self, service: ids.ServiceName) -> None:
         """Check whether a service can be reached, unless that is known."""
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -323,7 +323,7 @@
     ) -> None:
         """Record a response; if it closes the connection, check for leaving."""
         self.crash_checks.on_response(server)
-        self.reach_checks.on_answer(server.service)
+        self.reach_checks.on_response(server.service)
         self.observe_notice(server, head.rate_notice, head.notice)
         if head.is_closing and server.id in self.view.servers:
             known = self.view.servers[server.id]
--- a/src/quetzalpass/routing/reach.py
+++ b/src/quetzalpass/routing/reach.py
@@ -47,8 +47,16 @@
             return False
         return not self.has_answered_since(service, now_s - RECENT_ANSWER_S)
 
+    def record_response(self, service: ids.ServiceName, now_s: float) -> None:
+        """Record a response to a request.
+
+        It does not end a loss: while a service is lost no request is sent to it, so the
+        request was sent before.
+        """
+        self.answered_s[service] = now_s
+
     def record_answer(self, service: ids.ServiceName, now_s: float) -> bool:
-        """Record an answer on a new connection; return whether it ends a loss."""
+        """Record an answer to a probe; return whether it ends a loss."""
         self.answered_s[service] = now_s
         return self.lost_since_s.pop(service, None) is not None
 
--- a/tests/daemon/test_handover_receiver.py
+++ b/tests/daemon/test_handover_receiver.py
@@ -79,6 +79,16 @@
     return handover_messages.make_message(routed, ids.VmId("gw-a"), 0)
 
 
+def lose_service(receiver):
+    """Return a check that finds the service lost."""
+    lost = receiver.harness.gateway.reach_checks.reach.lost_since_s
+
+    async def wait_for_check(service, left_s):
+        lost[service] = 0.0
+
+    return wait_for_check
+
+
 class TestHandover:
     async def test_call_gets_the_response_of_the_server(self, sender, receiver):
         response = await sender.serve("/reads/1")
@@ -183,6 +193,15 @@
         sent = await channel.send(receiver.vm, message(receiver.harness))
         assert sent.failure().end is base.AttemptEnd.REFUSED
 
+    async def test_request_given_back_after_it_may_have_run_is_no_bad_request(
+        self, sender, receiver
+    ):
+        receiver.harness.server("l-1").scripted_responses = [relay_servers.LOST] * 9
+        receiver.harness.gateway.reach_checks.wait_for_check = lose_service(receiver)
+        sender.budget.try_withdraw = lambda service, now_s: False
+        response = await sender.serve("/reads/1")
+        assert response.status == 502
+
     async def test_peer_that_does_not_answer_has_not_got_the_request(self, channel):
         received = []
 
--- a/tests/lifecycle/test_cut_off_gateways.py
+++ b/tests/lifecycle/test_cut_off_gateways.py
@@ -428,3 +428,11 @@
             server = gateway.view.servers[name].server
             gateway.gateway.on_broken_request(routed, server, CLOSED)
         assert probes == ["ledger"]
+
+    async def test_late_response_to_an_earlier_request_does_not_end_a_loss(self):
+        group = Group()
+        group.cut((0,))
+        await group.serve_all("/reads/1", 3.0)
+        checks = group.gateway(0).gateway.reach_checks
+        checks.on_response("ledger")
+        assert checks.is_lost("ledger")
