--- a/tests/callers/test_cut_off_gateways.py
+++ b/tests/callers/test_cut_off_gateways.py
@@ -199,3 +199,25 @@
                     url, headers=caller.headers(), data=b"{}", expect100=expect100
                 ) as response:
                     assert response.status == 401
+
+
+class TestDeadlines:
+    async def test_peer_gets_only_the_time_that_is_left_of_the_callers(self, group):
+        """The first gateway spends some of it on servers that it can't reach."""
+        caller, cuts = group
+        cuts.cut(0, "hanging")
+        client = caller.cluster.gateways[0].handover.client
+        forwarded = []
+        send = client.send
+
+        async def record_and_send(method, url, headers, data):
+            forwarded.append(int(headers["Quetzalpass-Timeout-Ms"]))
+            return await send(method, url, headers, data)
+
+        client.send = record_and_send
+        response = await caller.call(
+            "tariff", 0, method="GET", Quetzalpass_Timeout_Ms="5000"
+        )
+        assert response.status == 200
+        # One connection has timed out before.
+        assert forwarded[0] <= 5_000 - LIMITS.connect_timeout_s * 1_000
