--- a/review/common/replica.py
+++ b/review/common/replica.py
@@ -1,7 +1,9 @@
 """Stand-in of one replica as a process: ``replica.py IP:PORT ID KIND EVENTS GAP_S LOG``.
 
-KIND is ``unframed`` (a stream without a length or chunks, which ends with its channel)
-or ``chunked``. SIGUSR1: it leaves from now on, and says so in all its answers. Each
+KIND is ``unframed`` (a stream without a length or chunks, which ends with its channel),
+``chunked``, or ``keeping`` (chunked; a request whose channel closes is not dropped). The
+last two copy a run's memory on ``kv-move`` and go on from a copy (``Kv-From``); pieces
+depend on their number only, so that a copy needs no content here. SIGUSR1: it leaves from now on, and says so in all its answers. Each
 request that it runs, and each end, is a line of LOG.
 """
 
@@ -26,6 +28,10 @@
         self.gap_s = gap_s
         self.log = open(log, "a", encoding="utf-8", buffering=1)
         self.is_leaving = False
+        # Newest piece of each running request, and the requests that were stopped.
+        self.made = {}
+        self.stopped = set()
+        self.handles = 0
 
     def note(self, **fields):
         self.log.write(json.dumps({"at": time.monotonic(), **fields}) + "\n")
@@ -67,6 +73,12 @@
             await self.send(writer, harness.http(
                 200, self.own_headers(), json.dumps(events).encode()))
             return False
+        if path == "/v1/kv-move" and self.kind != "unframed":
+            await self.send(writer, self.move(json.loads(body)))
+            return False
+        if path.startswith("/v1/kv-handle/"):
+            await self.send(writer, harness.http(200, self.own_headers()))
+            return False
         if path.startswith("/v1/"):
             await self.send(writer, harness.http(404, self.own_headers()))
             return False
@@ -75,26 +87,57 @@
             await self.send(writer, harness.http(
                 421, [f"X-Request-Id: {request_id}", "X-Not-Executed: 1"]))
             return False
-        self.note(event="run", id=request_id, path=path, method=method)
+        begin = int(headers.get("last-event-id", "0")) if "kv-from" in headers else 0
+        self.note(event="run", id=request_id, path=path, method=method,
+                  kv_from=headers.get("kv-from"), after=begin)
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream",
                  f"X-Request-Id: {request_id}", "X-Response-Signature: 3e1b.1",
                  *self.own_headers()]
-        is_chunked = self.kind == "chunked"
+        is_chunked = self.kind != "unframed"
         lines.append("Transfer-Encoding: chunked" if is_chunked else "Connection: close")
         await self.send(writer, "\r\n".join(lines).encode() + b"\r\n\r\n")
-        for number in range(1, self.events + 1):
+        for number in range(begin + 1, self.events + 1):
             event = b"id: %d\ndata: piece-%d\n\n" % (number, number)
             if is_chunked:
                 event = b"%x\r\n%s\r\n" % (len(event), event)
             # A whole event in one write: what follows it is the end of the channel.
-            await self.send(writer, event)
+            await self.send_piece(writer, event)
+            self.made[request_id] = number
             self.note(event="piece", id=request_id, number=number)
             await asyncio.sleep(self.gap_s)
+            if request_id in self.stopped:
+                # Stopped by a move: the stream is closed without its end.
+                self.note(event="stopped", id=request_id)
+                return True
         if is_chunked:
-            await self.send(writer, b"0\r\n\r\n")
+            await self.send_piece(writer, b"0\r\n\r\n")
         self.note(event="end", id=request_id)
         return not is_chunked
 
+    def move(self, order):
+        """Return the response to a move, which copies at once."""
+        request_id = order["id"]
+        if request_id not in self.made:
+            return harness.http(404, self.own_headers())
+        if order.get("last"):
+            self.stopped.add(request_id)
+        self.handles += 1
+        moved = {"handle": f"h{self.handles}", "made": self.made[request_id],
+                 "born": BORN_MS}
+        self.note(event="move", id=request_id, to=order["to"], last=order.get("last"),
+                  made=moved["made"])
+        return harness.http(200, self.own_headers(), json.dumps(moved).encode())
+
+    async def send_piece(self, writer, data):
+        """Send a piece; a replica that keeps requests goes on if the channel is closed."""
+        if self.kind == "keeping" and writer.is_closing():
+            return
+        try:
+            await self.send(writer, data)
+        except OSError:
+            if self.kind != "keeping":
+                raise
+
     async def send(self, writer, data):
         writer.write(data)
         await writer.drain()
