--- a/review/4/case.py
+++ b/review/4/case.py
@@ -16,7 +16,9 @@
 # Each gateway of the zone gets so many calls a second; a call takes its replica WORK_S.
 RATE_PER_S = 12.0
 WORK_S = 0.4
+# The consumers' time limit and the route's timeout_ms.
 TIME_LIMIT_MS = 1500
+TIMEOUT_MS = 800
 GRACE_S = 8.0
 EARLY_S = 3.0
 GAP_S = 1.3
@@ -25,7 +27,7 @@
 # Generations of some nine seconds run at all gateways, as on any day.
 STREAM_EVENTS = 232
 STREAM_GAP_S = 0.04
-STREAMS_PER_S = 1.5
+STREAMS_PER_S = 3.0
 CHECK_INTERVAL_S = 1.0
 MISSES = 2
 AFTER_S = 3.0
@@ -148,7 +150,7 @@
             continue
         runs = [r for r in replicas if each.request_id in r.runs]
         is_planned = term <= each.ended <= term + GRACE_S + 1.0 and each.sent >= term
-        is_in_time = each.ended - each.sent < TIME_LIMIT_MS / 1000 - 0.05
+        is_in_time = each.ended - each.sent < TIMEOUT_MS / 1000 - 0.05
         if each.reply.is_sent and runs and is_planned and is_in_time:
             # The excuse for a replica that works into the last sixth of the grace time
             # holds only for what was sent early.
@@ -165,7 +167,7 @@
     await platform_list.start()
     await deployment.start()
     await asyncio.sleep(1.0)
-    state = states.desired_state(7, calls_timeout_ms=TIME_LIMIT_MS)
+    state = states.desired_state(7, calls_timeout_ms=TIMEOUT_MS)
     if await operator.put(7, state) != 200:
         raise harness.CannotRunError("the desired state was not acknowledged")
     await asyncio.sleep(LEAD_S)
