--- a/review/harness.py
+++ b/review/harness.py
@@ -20,7 +20,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 METRICS_PORT = 9109
-FRONT, READY, CONTROL, INNER = 8740, 8749, 8748, 7200
+PORT_COUNT = 21
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 MAX_RUN_S = 116.0
 
@@ -47,6 +47,22 @@
         print(text, flush=True)
 
 
+def free_ports():
+    """Return the first of some consecutive ports on which nothing listens."""
+    for _ in range(100):
+        first = random.randrange(10_000, 30_000)
+        with contextlib.ExitStack() as probes, contextlib.suppress(OSError):
+            for port in range(first, first + PORT_COUNT):
+                probes.enter_context(socket.socket()).bind(("", port))
+            return first
+    raise CannotRunError("no free ports")
+
+
+# The same on all machines, as DEPLOY.md says; INNER is the first of sixteen.
+FRONT = free_ports()
+READY, CONTROL, LIST, REPLICA, INNER = range(FRONT + 1, FRONT + 6)
+
+
 def free_network():
     """Return the first three octets of a loopback network in which nothing listens."""
     for _ in range(100):
@@ -67,7 +83,7 @@
         self.record = record
         self.net = free_network()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
-        self.list_address = f"{self.net}.250:8742"
+        self.list_address = f"{self.net}.250:{LIST}"
         self.machines = machines
         self.bounds = {
             "seed_lag_s": 3,
--- a/review/replicas.py
+++ b/review/replicas.py
@@ -8,7 +8,9 @@
 import sys
 import time
 
-PORT = 8080
+import harness
+
+PORT = harness.REPLICA
 
 
 class ReplicaProcess:
--- a/review/service.py
+++ b/review/service.py
@@ -5,7 +5,7 @@
 
 import harness
 
-PORT = 8080
+PORT = harness.REPLICA
 
 
 class ServiceReplica:
