LOST: log which requests a stop interrupts, and what they were doing

A request that the stop of a gateway cancels was logged as left by its caller, so the logs could not tell hypothesis 1 (the drain takes what it can't finish) and 2 (it ends between two requests) from a caller that disconnects. The event 'interrupted' has the server, the request's age, the time to its deadline and its last decision; the end of the drain is logged with its duration. No logic changes.

--- a/src/quetzalpass/daemon/gateway_role.py
+++ b/src/quetzalpass/daemon/gateway_role.py
@@ -228,7 +228,12 @@
             if loop.time() >= earliest_s and not self.gateway.running:
                 break
             await asyncio.sleep(DRAIN_POLL_S)
-        LOG.info("daemon: Drained with {} running requests.", self.gateway.running)
+        self.gateway.is_stopping = True
+        LOG.info(
+            "daemon: Drained with {} running requests after {:.3f} s.",
+            self.gateway.running,
+            loop.time() - deadline_s + self.settings.drain_s,
+        )
 
     async def stop(self) -> None:
         """Close all connections."""
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -76,6 +76,8 @@
         The services that this gateway reaches.
     peer_choice : peer_choice.PeerChoice
         The gateways that serve requests instead of this one.
+    is_stopping : bool
+        Whether the connections are being closed, which interrupts what still runs.
     """
 
     def __init__(
@@ -132,6 +134,7 @@
         self.streams: dict[ids.RequestId, LeavingObserver] = {}
         self.tasks = background.BackgroundTasks()
         self.drains_until_s: float | None = None
+        self.is_stopping = False
         self.running = 0
         view.change_observers.append(self.close_unlisted)
         view.leaving_observers.append(self.notify_streams)
@@ -256,6 +259,8 @@
         """Log a decision on a request with its inputs, and count it."""
         route = self.metrics.bounded_label(routed.route.name)
         self.metrics.decisions.labels(decision, route).inc()
+        routed.progress.decision = decision
+        routed.progress.server = server
         crashes = self.suspects.crash_count_of(routed.fingerprint)
         event_log.record(
             relay_events.RelayEvent(
--- a/src/quetzalpass/lifecycle/relay_requests.py
+++ b/src/quetzalpass/lifecycle/relay_requests.py
@@ -115,6 +115,21 @@
         return self.target.partition("?")[0]
 
 
+class RequestProgress(msgspec.Struct):
+    """What has been done for a request so far.
+
+    Attributes
+    ----------
+    decision : str
+        Name of the latest decision.
+    server : ServerId or None
+        Server of that decision, if it names one.
+    """
+
+    decision: str = "routed"
+    server: ids.ServerId | None = None
+
+
 class RoutedRequest(msgspec.Struct, frozen=True):
     """A request with the declared values that apply to it, all of one revision.
 
@@ -136,6 +151,8 @@
         Digest that all copies of the request share.
     parts : tuple of PromptPartId
         Shared parts of its prompt, of this service.
+    progress : RequestProgress
+        What has been done for it so far, for the log.
     """
 
     request: RelayRequest
@@ -146,6 +163,7 @@
     deadline_s: float
     fingerprint: str
     parts: tuple[ids.PromptPartId, ...] = ()
+    progress: RequestProgress = msgspec.field(default_factory=RequestProgress)
 
     @property
     def rank(self) -> int:
--- a/src/quetzalpass/lifecycle/relaying.py
+++ b/src/quetzalpass/lifecycle/relaying.py
@@ -61,7 +61,7 @@
             codes.Execution.MAY_HAVE_RUN,
         )
     except asyncio.CancelledError:
-        gateway.record_decision(routed, "caller_gone")
+        record_cancelled(gateway, routed)
         raise
     elapsed_s = asyncio.get_running_loop().time() - routed.request.arrived_s
     route = gateway.metrics.bounded_label(routed.route.name)
@@ -124,6 +124,29 @@
     return None
 
 
+def record_cancelled(
+    gateway: relay_gateway.RelayGateway, routed: relay_requests.RoutedRequest
+) -> None:
+    """Log why a request ends without a response.
+
+    Both a caller that disconnects and a gateway that stops cancel it.
+    """
+    if not gateway.is_stopping:
+        gateway.record_decision(routed, "caller_gone", None, elapsed_text(routed))
+        return
+    progress = routed.progress
+    now_s = asyncio.get_running_loop().time()
+    gateway.record_decision(
+        routed,
+        "interrupted",
+        progress.server,
+        f"by the stop of this gateway, {elapsed_text(routed)}, "
+        f"{routed.deadline_s - now_s:.3f} s before its deadline, "
+        f"last decision: {progress.decision}",
+        event_log.Level.NOTICE,
+    )
+
+
 def elapsed_text(routed: relay_requests.RoutedRequest) -> str:
     """Return how long a request has taken so far, for the log."""
     now_s = asyncio.get_running_loop().time()
