--- a/src/quetzalpass/daemon/gateway_role.py
+++ b/src/quetzalpass/daemon/gateway_role.py
@@ -29,8 +29,6 @@
 
 LOG = logbook.Logger("daemon")
 
-# The load balancer removes a gateway after two failed health checks, a second apart.
-BALANCER_REMOVAL_S = 2.5
 DRAIN_POLL_S = 0.05
 STOP_TIMEOUT_S = 0.1
 
@@ -220,19 +218,17 @@
         Requests that still arrive are served, except those that can't end in time.
         """
         loop = asyncio.get_running_loop()
-        self.gateway.drains_until_s = loop.time() + self.settings.drain_s
+        schedule = self.gateway.begin_drain(self.settings.drain_s)
         LOG.info("daemon: Draining {} requests.", self.gateway.running)
-        earliest_s = loop.time() + BALANCER_REMOVAL_S
-        deadline_s = loop.time() + self.settings.drain_s
-        while loop.time() < deadline_s:
-            if loop.time() >= earliest_s and not self.gateway.running:
+        while loop.time() < schedule.ends_s:
+            if loop.time() >= schedule.removed_s and not self.gateway.running:
                 break
             await asyncio.sleep(DRAIN_POLL_S)
         self.gateway.is_stopping = True
         LOG.info(
             "daemon: Drained with {} running requests after {:.3f} s.",
             self.gateway.running,
-            loop.time() - deadline_s + self.settings.drain_s,
+            loop.time() - schedule.begun_s,
         )
 
     async def stop(self) -> None:
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -15,6 +15,7 @@
 from quetzalpass.lifecycle import (
     attempts,
     crash_checks,
+    drain_schedule,
     handover_channel,
     reach_checks,
     relay_events,
@@ -76,8 +77,14 @@
         The services that this gateway reaches.
     peer_choice : peer_choice.PeerChoice
         The gateways that serve requests instead of this one.
+    drain : drain_schedule.DrainSchedule or None
+        Schedule of the graceful shutdown; ``None`` before it.
     is_stopping : bool
-        Whether the connections are being closed, which interrupts what still runs.
+        Whether the drain is over, so that all requests are refused.
+    durations : drain_schedule.RouteDurations
+        How long the calls of each route took lately.
+    timeouts : set of asyncio.Timeout
+        Timeouts of the running requests, which the end of the drain brings forward.
     """
 
     def __init__(
@@ -133,8 +140,10 @@
         self.crash_checks.silence_observers.append(self.reach_checks.suspect)
         self.streams: dict[ids.RequestId, LeavingObserver] = {}
         self.tasks = background.BackgroundTasks()
-        self.drains_until_s: float | None = None
+        self.drain: drain_schedule.DrainSchedule | None = None
         self.is_stopping = False
+        self.durations = drain_schedule.RouteDurations()
+        self.timeouts: set[asyncio.Timeout] = set()
         self.running = 0
         view.change_observers.append(self.close_unlisted)
         view.leaving_observers.append(self.notify_streams)
@@ -142,14 +151,39 @@
     @property
     def is_draining(self) -> bool:
         """Return whether this gateway is draining before a stop."""
-        return self.drains_until_s is not None
+        return self.drain is not None
 
-    def outlasts_drain(self, request: relay_requests.RelayRequest) -> bool:
-        """Return whether a generation may run longer than the drain lasts."""
-        if self.drains_until_s is None or request.size is None:
-            return False
+    def begin_drain(self, duration_s: float) -> drain_schedule.DrainSchedule:
+        """Refuse requests from now on that can't end within a duration."""
         now_s = asyncio.get_running_loop().time()
-        return now_s + request.size.max_duration_s() > self.drains_until_s
+        self.drain = drain_schedule.DrainSchedule(now_s, now_s + duration_s)
+        return self.drain
+
+    def find_drain_refusal(
+        self, routed: relay_requests.RoutedRequest
+    ) -> failures.Failure | None:
+        """Return why a request that has not run must not run here, or ``None``."""
+        if self.drain is None:
+            return None
+        now_s = asyncio.get_running_loop().time()
+        if not self.is_stopping and self.drain.may_serve(
+            now_s,
+            routed.request.arrived_s,
+            routed.deadline_s,
+            self.expected_s(routed, now_s),
+        ):
+            return None
+        return failures.Failure(
+            codes.Code.DRAINING,
+            f"this gateway stops in {self.drain.ends_s - now_s:.3f} s",
+            retry_after_ms=RETRY_ELSEWHERE_MS,
+        )
+
+    def expected_s(self, routed: relay_requests.RoutedRequest, now_s: float) -> float:
+        """Return how long a request may be expected to run, in seconds."""
+        if routed.request.size is not None:
+            return routed.request.size.max_duration_s()
+        return self.durations.expected_s(routed.route.name, now_s)
 
     def notify_streams(self, server_id: ids.ServerId) -> None:
         """Notify all running generations that a server is leaving or has left."""
@@ -215,10 +249,6 @@
     ) -> result.Result[relay_requests.RoutedRequest, failures.Failure]:
         """Route a request by the declaration in force, or return why it is refused."""
         current = self.holder.current
-        if self.outlasts_drain(request):
-            return request_routing.refuse(
-                codes.Code.DRAINING, "this gateway is draining", RETRY_ELSEWHERE_MS
-            )
         if current is None:
             return request_routing.refuse(
                 codes.Code.NOT_READY,
@@ -240,13 +270,15 @@
         service = current.services[
             request_routing.choose_service(route, request.request_id)
         ]
+        routed = request_routing.routed_request(
+            request, route, service, organisation, current
+        )
+        refusal = self.find_drain_refusal(routed)
+        if refusal is not None:
+            return result.Failure(refusal)
         now_s = asyncio.get_running_loop().time()
         self.budget.record_request(service.name, now_s)
-        return result.Success(
-            request_routing.routed_request(
-                request, route, service, organisation, current
-            )
-        )
+        return result.Success(routed)
 
     def record_decision(
         self,
@@ -298,6 +330,8 @@
         refusal = self.suspects.refusal_of_request(
             routed.fingerprint, routed.parts, routed.request.request_id
         )
+        if refusal is None and execution is codes.Execution.NOT_RUN:
+            refusal = self.find_drain_refusal(routed)
         if refusal is None:
             return None
         return attempts.with_execution(refusal, execution)
--- a/src/quetzalpass/lifecycle/relaying.py
+++ b/src/quetzalpass/lifecycle/relaying.py
@@ -119,6 +119,9 @@
     called = await relayed_calls.run(gateway, routed)
     if isinstance(called, result.Failure):
         return called.failure()
+    now_s = asyncio.get_running_loop().time()
+    duration_s = now_s - routed.request.arrived_s
+    gateway.durations.observe(routed.route.name, duration_s, now_s)
     whole = called.unwrap()
     await response.send_whole(whole.head, whole.body)
     return None
