--- a/tests/adapter/test_planned_stops.py
+++ b/tests/adapter/test_planned_stops.py
@@ -48,6 +48,19 @@
     return reader, writer
 
 
+class TestLastRequests:
+    async def test_call_before_the_signal_is_told_that_its_connection_closes(
+        self, gateway, slow_server
+    ):
+        reader, writer = await send(gateway.port)
+        await asyncio.sleep(0.1)
+        gateway.role.gateway.begin_drain(5.0)
+        response = await standin.read_message(reader)
+        assert response.status == 200
+        assert response.header("Connection") == "close"
+        writer.close()
+
+
 class TestLogs:
     async def test_interrupted_request_is_not_logged_as_left_by_its_caller(
         self, gateway, slow_server, log_events
