LOST: the end of a drain answers what was read before it closes

Callers saw: connections that ended without an answer at the end of a gateway's drain. Cause: the drain ended at its deadline, or at the first moment without a running request, while the listener was still open and connections were established; what was read then was passed on and cancelled 0.2 s later, as was all that still ran. The class of fault: resources are released in the order in which they are listed, not from the outside in. Now the order is: refuse what can't end in time; close idle connections once the balancer has removed the gateway; at the end interrupt what runs, which gets 502 ('may have run') if its response has not begun and an abort that can't look complete if it has; stop listening; refuse what is still read for 0.1 s; flush what callers have not read yet, at most to the end of the drain; close. A connection without a request so far is no longer closed at once, as its first request is probably under way. HttpListener's flush moved to wire.server, for both interfaces.

--- a/src/quetzalpass/callers/connections.py
+++ b/src/quetzalpass/callers/connections.py
@@ -83,9 +83,14 @@
         limit_send_buffer(transport, self.limits.slow_caller_bytes)
         self._loop.call_later(self.timeouts().header_s, self.close_if_unused)
 
+    @property
+    def has_received_request(self) -> bool:
+        """Return whether a request header has arrived on this connection."""
+        return self._request_count > 0
+
     def close_if_unused(self) -> None:
         """Close the connection if its first request hasn't arrived yet."""
-        if self._request_count == 0 and self.transport is not None:
+        if not self.has_received_request and self.transport is not None:
             LOG.info("callers: Closed a connection that sent no complete header.")
             self.force_close()
 
--- a/src/quetzalpass/daemon/gateway_role.py
+++ b/src/quetzalpass/daemon/gateway_role.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import logbook
 import msgspec
@@ -12,6 +13,7 @@
 from quetzalpass.daemon import handover_receiver
 from quetzalpass.declarations import relays
 from quetzalpass.lifecycle import (
+    drain_schedule,
     handover_channel,
     relay_gateway,
     relay_reservations,
@@ -29,7 +31,9 @@
 
 LOG = logbook.Logger("daemon")
 
-DRAIN_POLL_S = 0.05
+DRAIN_POLL_S = 0.02
+# Interrupted requests still get a response within this time.
+RESPONSE_TIMEOUT_S = 0.1
 STOP_TIMEOUT_S = 0.1
 
 
@@ -72,6 +76,11 @@
         Key with which daemons authenticate to each other.
     rng : random.Random
         Source of all randomness.
+
+    Attributes
+    ----------
+    removal_observers : list of callable
+        Called during a drain, once the load balancer has removed this gateway.
     """
 
     def __init__(
@@ -119,6 +128,7 @@
         )
         self.receiver = handover_receiver.HandoverReceiver(self.gateway, cluster_key)
         self.runner: web.AppRunner | None = None
+        self.removal_observers: list[Callable[[], None]] = []
         self.links = control_links.ControlLinks(
             settings.vm,
             settings.seeds,
@@ -213,23 +223,41 @@
         )
 
     async def drain(self) -> None:
-        """Drain until the load balancer sends nothing more and all requests have ended.
+        """Serve on until the load balancer sends nothing more and all requests ended.
 
-        Requests that still arrive are served, except those that can't end in time.
+        Requests that still arrive are served, except those that can't end in time. At
+        the end of the drain, what still runs is interrupted, and new requests are
+        refused until the listener is closed.
         """
-        loop = asyncio.get_running_loop()
         schedule = self.gateway.begin_drain(self.settings.drain_s)
         LOG.info("daemon: Draining {} requests.", self.gateway.running)
-        while loop.time() < schedule.ends_s:
-            if loop.time() >= schedule.removed_s and not self.gateway.running:
-                break
-            await asyncio.sleep(DRAIN_POLL_S)
-        self.gateway.is_stopping = True
+        await asyncio.sleep(
+            min(drain_schedule.BALANCER_REMOVAL_S, self.settings.drain_s)
+        )
+        for observer in self.removal_observers:
+            observer()
+        await self.wait_until_idle(schedule.ends_s)
+        interrupted = self.gateway.end_drain()
+        loop = asyncio.get_running_loop()
         LOG.info(
-            "daemon: Drained with {} running requests after {:.3f} s.",
-            self.gateway.running,
+            "daemon: Drained after {:.3f} s, {} requests were interrupted.",
             loop.time() - schedule.begun_s,
+            interrupted,
         )
+        await self.wait_until_idle(loop.time() + RESPONSE_TIMEOUT_S)
+
+    def drain_left_s(self) -> float:
+        """Return the rest of the time for the drain; 0 if there is no drain."""
+        schedule = self.gateway.drain
+        if schedule is None:
+            return 0.0
+        return max(0.0, schedule.ends_s - asyncio.get_running_loop().time())
+
+    async def wait_until_idle(self, deadline_s: float) -> None:
+        """Wait until no request runs, or until a time of the event loop."""
+        loop = asyncio.get_running_loop()
+        while self.gateway.running and loop.time() < deadline_s:
+            await asyncio.sleep(DRAIN_POLL_S)
 
     async def stop(self) -> None:
         """Close all connections."""
--- a/src/quetzalpass/daemon/listeners.py
+++ b/src/quetzalpass/daemon/listeners.py
@@ -8,12 +8,12 @@
 from aiohttp import web
 
 from quetzalpass.settings import schema
+from quetzalpass.wire import server
 
 LOG = logbook.Logger("daemon")
 
 BACKLOG = 1024
 CERTIFICATE_CHECK_S = 5.0
-FLUSH_POLL_S = 0.02
 
 
 class CertificateReloader:
@@ -160,22 +160,5 @@
             self.site = None
         if self.reload_task is not None:
             self.reload_task.cancel()
-        await self.flush(flush_timeout_s)
+        await server.flush(self.runner, flush_timeout_s)
         await self.runner.cleanup()
-
-    async def flush(self, timeout_s: float) -> None:
-        """Wait until the kernel has accepted all written data, or the time is up."""
-        loop = asyncio.get_running_loop()
-        deadline_s = loop.time() + timeout_s
-        while self.unsent_bytes() and loop.time() < deadline_s:
-            await asyncio.sleep(FLUSH_POLL_S)
-
-    def unsent_bytes(self) -> int:
-        """Return the number of bytes in the write buffers of all connections."""
-        if self.runner.server is None:
-            return 0
-        return sum(
-            each.transport.get_write_buffer_size()
-            for each in self.runner.server.connections
-            if each.transport is not None
-        )
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -159,6 +159,22 @@
         self.drain = drain_schedule.DrainSchedule(now_s, now_s + duration_s)
         return self.drain
 
+    def end_drain(self) -> int:
+        """Refuse everything from now on, and interrupt what still runs.
+
+        An interrupted request gets a response, unless its response has begun.
+
+        Returns
+        -------
+        int
+            The number of requests that were interrupted.
+        """
+        self.is_stopping = True
+        now_s = asyncio.get_running_loop().time()
+        for timeout in self.timeouts:
+            timeout.reschedule(now_s)
+        return len(self.timeouts)
+
     def find_drain_refusal(
         self, routed: relay_requests.RoutedRequest
     ) -> failures.Failure | None:
--- a/src/quetzalpass/lifecycle/relaying.py
+++ b/src/quetzalpass/lifecycle/relaying.py
@@ -52,14 +52,7 @@
 ) -> None:
     """Serve a routed request within its deadline."""
     try:
-        async with asyncio.timeout_at(routed.deadline_s):
-            failure = await respond(gateway, routed, response)
-    except TimeoutError:
-        failure = failures.Failure(
-            codes.Code.DEADLINE_EXCEEDED,
-            "the deadline has passed",
-            codes.Execution.MAY_HAVE_RUN,
-        )
+        failure = await respond_in_time(gateway, routed, response)
     except asyncio.CancelledError:
         record_cancelled(gateway, routed)
         raise
@@ -79,6 +72,44 @@
     await send_failure(response, failure)
 
 
+async def respond_in_time(
+    gateway: relay_gateway.RelayGateway,
+    routed: relay_requests.RoutedRequest,
+    response: relay_requests.CallerResponse,
+) -> failures.Failure | None:
+    """Respond to the caller by the deadline, or return why that is not possible.
+
+    The end of a drain brings the deadline forward.
+    """
+    timeout = asyncio.timeout_at(routed.deadline_s)
+    try:
+        async with timeout:
+            gateway.timeouts.add(timeout)
+            return await respond(gateway, routed, response)
+    except TimeoutError:
+        return expired_failure(gateway, routed)
+    finally:
+        gateway.timeouts.discard(timeout)
+
+
+def expired_failure(
+    gateway: relay_gateway.RelayGateway, routed: relay_requests.RoutedRequest
+) -> failures.Failure:
+    """Return the failure of a request that had no response in time."""
+    if gateway.is_stopping and asyncio.get_running_loop().time() < routed.deadline_s:
+        record_interrupted(gateway, routed)
+        return failures.Failure(
+            codes.Code.DRAINING,
+            "this gateway stops, and the request may have run",
+            codes.Execution.MAY_HAVE_RUN,
+        )
+    return failures.Failure(
+        codes.Code.DEADLINE_EXCEEDED,
+        "the deadline has passed",
+        codes.Execution.MAY_HAVE_RUN,
+    )
+
+
 async def respond(
     gateway: relay_gateway.RelayGateway,
     routed: relay_requests.RoutedRequest,
@@ -134,9 +165,16 @@
 
     Both a caller that disconnects and a gateway that stops cancel it.
     """
-    if not gateway.is_stopping:
-        gateway.record_decision(routed, "caller_gone", None, elapsed_text(routed))
+    if gateway.is_stopping:
+        record_interrupted(gateway, routed)
         return
+    gateway.record_decision(routed, "caller_gone", None, elapsed_text(routed))
+
+
+def record_interrupted(
+    gateway: relay_gateway.RelayGateway, routed: relay_requests.RoutedRequest
+) -> None:
+    """Log that the stop of this gateway interrupts a request."""
     progress = routed.progress
     now_s = asyncio.get_running_loop().time()
     gateway.record_decision(
--- a/src/quetzalpass/wire/server.py
+++ b/src/quetzalpass/wire/server.py
@@ -1,5 +1,6 @@
 """Server side of the peer protocol, to be added to an aiohttp application."""
 
+import asyncio
 import hmac
 
 from aiohttp import web
@@ -8,6 +9,8 @@
 from quetzalpass.results import codes, failures
 from quetzalpass.wire import handlers, messages, transport
 
+FLUSH_POLL_S = 0.02
+
 
 async def listen(runner: web.BaseRunner, address: str) -> None:
     """Set up a runner and start listening at ``host:port``."""
@@ -16,6 +19,31 @@
     await web.TCPSite(runner, host, int(port)).start()
 
 
+async def stop_listening(runner: web.BaseRunner) -> None:
+    """Accept no further connections; the open ones stay."""
+    for site in list(runner.sites):
+        await site.stop()
+
+
+async def flush(runner: web.BaseRunner, timeout_s: float) -> None:
+    """Wait until the kernel has accepted all written data, or the time is up."""
+    loop = asyncio.get_running_loop()
+    deadline_s = loop.time() + timeout_s
+    while unsent_bytes(runner) and loop.time() < deadline_s:
+        await asyncio.sleep(FLUSH_POLL_S)
+
+
+def unsent_bytes(runner: web.BaseRunner) -> int:
+    """Return the number of bytes in the write buffers of all connections."""
+    if runner.server is None:
+        return 0
+    return sum(
+        each.transport.get_write_buffer_size()
+        for each in runner.server.connections
+        if each.transport is not None
+    )
+
+
 class PeerServer:
     """Serves the requests of peers.
 
