--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -33,7 +33,9 @@
 LOG = logbook.Logger("lifecycle")
 
 RETRY_WHEN_READY_MS = 1_500
-RETRY_ELSEWHERE_MS = attempts.RETRY_ELSEWHERE_MS
+# Any other gateway serves a request that is refused during a drain, so it may come at
+# once.
+RETRY_WHEN_DRAINING_MS = 10
 MAX_START_WAIT_S = 1.5
 START_WAIT_SHARE = 0.4
 START_POLL_S = 0.02
@@ -192,7 +194,7 @@
         return failures.Failure(
             codes.Code.DRAINING,
             f"this gateway stops in {self.drain.ends_s - now_s:.3f} s",
-            retry_after_ms=RETRY_ELSEWHERE_MS,
+            retry_after_ms=RETRY_WHEN_DRAINING_MS,
         )
 
     def expected_s(self, routed: relay_requests.RoutedRequest, now_s: float) -> float:
