LOST: a request whose body still arrives at the SIGTERM is answered

Callers saw: a request whose header had arrived at the SIGTERM, and its body only in part, never got an answer, although the gateway read the rest. Cause: busy connections were 'closed after their response' by aiohttp's close(), after which the protocol discards all data that arrives, also the rest of the body that its handler waits for. The handler waited until the end of the drain and was cancelled. A caller that sends header and body in two writes meets it with any SIGTERM between the two. The drain did not count requests that are being received either, and could end before them. The class of fault: a request exists for its caller from its first byte, but for the process only from its last. Now only idle connections are closed; busy ones close with the response, which says so during a drain. Evidence: a trial on (body of 20,000 bytes, the last 500 sent after the close of idle connections): no answer within 5 s, nothing sent to the server. Now 200 with Connection: close. test_request_whose_body_still_arrives_is_served and test_drain_waits_for_a_body_that_arrives_slowly (its deadline passes meanwhile: 504, with the code before the connection closed without a byte).

--- a/src/quetzalpass/callers/connections.py
+++ b/src/quetzalpass/callers/connections.py
@@ -94,17 +94,16 @@
             LOG.info("callers: Closed a connection that sent no complete header.")
             self.force_close()
 
-    def close_gracefully(self) -> None:
-        """Close the connection, at once if it is idle, else after its responses.
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is being received or served.
 
-        The base class's ``close`` ends the task of an idle connection but leaves the
-        connection open, so that a later request on it would never be read.
+        The base class's ``close`` leaves an idle connection open, so that a later
+        request on it would never be read, and discards the rest of a body that is
+        still arriving, so that its request would never be answered.
         """
         is_idle = self._waiter is not None and not self._messages
         if is_idle:
             self.force_close()
-        else:
-            self.close()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and store the body of the newest request."""
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -2,9 +2,10 @@
 
 import abc
 import asyncio
+import contextlib
 import functools
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterator
 from typing import Any
 
 import logbook
@@ -155,6 +156,15 @@
         """Return whether this gateway is draining before a stop."""
         return self.drain is not None
 
+    @contextlib.contextmanager
+    def running_request(self) -> Iterator[None]:
+        """Count a request for whose end a graceful shutdown waits."""
+        self.running += 1
+        try:
+            yield
+        finally:
+            self.running -= 1
+
     def begin_drain(self, duration_s: float) -> drain_schedule.DrainSchedule:
         """Refuse requests from now on that can't end within a duration."""
         now_s = asyncio.get_running_loop().time()
--- a/src/quetzalpass/lifecycle/relaying.py
+++ b/src/quetzalpass/lifecycle/relaying.py
@@ -32,8 +32,7 @@
     response: relay_requests.CallerResponse,
 ) -> None:
     """Serve one request, and send its caller a response in every case."""
-    gateway.running += 1
-    try:
+    with gateway.running_request():
         await gateway.wait_until_ready(request)
         routed = gateway.route(request)
         if isinstance(routed, result.Failure):
@@ -41,8 +40,6 @@
             await send_failure(response, routed.failure())
             return
         await serve_routed(gateway, routed.unwrap(), response)
-    finally:
-        gateway.running -= 1
 
 
 async def serve_routed(
--- a/tests/adapter/test_planned_stops.py
+++ b/tests/adapter/test_planned_stops.py
@@ -8,6 +8,7 @@
 
 from platform_standin import standin
 from quetzalpass import event_log
+from quetzalpass.lifecycle import drain_schedule
 
 WORK_S = 0.4
 
@@ -137,6 +138,40 @@
         assert response.header("Connection") == "close"
         writer.close()
 
+    async def test_request_whose_body_still_arrives_is_served(
+        self, gateway, slow_server
+    ):
+        reader, writer = await asyncio.open_connection(standin.HOST, gateway.port)
+        data = standin.request_bytes("/once/1", body=b"x" * 20_000)
+        writer.write(data[:-500])
+        await asyncio.sleep(0.05)
+        gateway.role.gateway.begin_drain(5.0)
+        gateway.caller_ingress.close_idle()
+        await asyncio.sleep(0.05)
+        writer.write(data[-500:])
+        response = await standin.read_message(reader)
+        assert response.status == 200
+        assert response.header("Connection") == "close"
+        writer.close()
+
+    async def test_drain_waits_for_a_body_that_arrives_slowly(
+        self, gateway, slow_server
+    ):
+        gateway.role.settings = msgspec.structs.replace(
+            gateway.role.settings, drain_s=6.0
+        )
+        reader, writer = await asyncio.open_connection(standin.HOST, gateway.port)
+        data = standin.request_bytes("/once/1", body=b"x" * 1_000)
+        writer.write(data[:-500])
+        await asyncio.sleep(0.05)
+        stopping = asyncio.create_task(shut_down(gateway))
+        await asyncio.sleep(drain_schedule.BALANCER_REMOVAL_S + 0.3)
+        writer.write(data[-500:])
+        # The route's timeout has passed since the header arrived.
+        assert (await standin.read_message(reader)).status == 504
+        await stopping
+        writer.close()
+
     async def test_connection_without_a_request_yet_stays_open(
         self, gateway, slow_server
     ):
