--- a/src/quetzalpass/daemon/gateway_role.py
+++ b/src/quetzalpass/daemon/gateway_role.py
@@ -167,13 +167,13 @@
         return peer_gateways.PeerGateway(
             self.settings.vm,
             self.settings.data_centre,
-            self.gateway.running,
+            self.gateway.requests.count,
             self.gateway.reach_checks.reach.lost_services(),
         )
 
     def is_ready(self) -> bool:
         """Return whether the load balancer may send new connections."""
-        return self.links.is_up_to_date() and not self.gateway.is_draining
+        return self.links.is_up_to_date() and not self.gateway.requests.is_draining
 
     def caller_limits(self) -> relays.CallerLimits:
         """Return the limits on the requests of callers."""
@@ -229,15 +229,15 @@
         the end of the drain, what still runs is interrupted, and new requests are
         refused until the listener is closed.
         """
-        schedule = self.gateway.begin_drain(self.settings.drain_s)
-        LOG.info("daemon: Draining {} requests.", self.gateway.running)
+        schedule = self.gateway.requests.begin_drain(self.settings.drain_s)
+        LOG.info("daemon: Draining {} requests.", self.gateway.requests.count)
         await asyncio.sleep(
             min(drain_schedule.BALANCER_REMOVAL_S, self.settings.drain_s)
         )
         for observer in self.removal_observers:
             observer()
         await self.wait_until_idle(schedule.ends_s)
-        interrupted = self.gateway.end_drain()
+        interrupted = self.gateway.requests.end_drain()
         loop = asyncio.get_running_loop()
         LOG.info(
             "daemon: Drained after {:.3f} s, {} requests were interrupted.",
@@ -248,7 +248,7 @@
 
     def drain_left_s(self) -> float:
         """Return the rest of the time for the drain; 0 if there is no drain."""
-        schedule = self.gateway.drain
+        schedule = self.gateway.requests.drain
         if schedule is None:
             return 0.0
         return max(0.0, schedule.ends_s - asyncio.get_running_loop().time())
@@ -256,7 +256,7 @@
     async def wait_until_idle(self, deadline_s: float) -> None:
         """Wait until no request runs, or until a time of the event loop."""
         loop = asyncio.get_running_loop()
-        while self.gateway.running and loop.time() < deadline_s:
+        while self.gateway.requests.count and loop.time() < deadline_s:
             await asyncio.sleep(DRAIN_POLL_S)
 
     async def stop(self) -> None:
--- a/src/quetzalpass/daemon/handover_receiver.py
+++ b/src/quetzalpass/daemon/handover_receiver.py
@@ -104,7 +104,7 @@
     def accepts(self) -> bool:
         """Return whether this gateway takes requests of others now."""
         return (
-            not self.gateway.is_draining
+            not self.gateway.requests.is_draining
             and self.gateway.holder.current is not None
             and self.count < MAX_HANDED_REQUESTS
         )
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -2,10 +2,9 @@
 
 import abc
 import asyncio
-import contextlib
 import functools
 import random
-from collections.abc import Callable, Coroutine, Iterator
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import logbook
@@ -16,13 +15,13 @@
 from quetzalpass.lifecycle import (
     attempts,
     crash_checks,
-    drain_schedule,
     handover_channel,
     reach_checks,
     relay_events,
     relay_requests,
     relay_reservations,
     request_routing,
+    running_requests,
     server_probes,
     shared_budget,
 )
@@ -34,9 +33,6 @@
 LOG = logbook.Logger("lifecycle")
 
 RETRY_WHEN_READY_MS = 1_500
-# Any other gateway serves a request that is refused during a drain, so it may come at
-# once.
-RETRY_WHEN_DRAINING_MS = 10
 MAX_START_WAIT_S = 1.5
 START_WAIT_SHARE = 0.4
 START_POLL_S = 0.02
@@ -80,14 +76,8 @@
         The services that this gateway reaches.
     peer_choice : peer_choice.PeerChoice
         The gateways that serve requests instead of this one.
-    drain : drain_schedule.DrainSchedule or None
-        Schedule of the graceful shutdown; ``None`` before it.
-    is_stopping : bool
-        Whether the drain is over, so that all requests are refused.
-    durations : drain_schedule.RouteDurations
-        How long the calls of each route took lately.
-    timeouts : set of asyncio.Timeout
-        Timeouts of the running requests, which the end of the drain brings forward.
+    requests : running_requests.RunningRequests
+        The requests that are served now, and their graceful shutdown.
     """
 
     def __init__(
@@ -114,8 +104,9 @@
             f"{vm}/{rng.getrandbits(START_ID_BITS):x}"
         )
         self.relay_servers: dict[ids.ServerId, relays.RelayServer] = {}
+        self.requests = running_requests.RunningRequests()
         self.metrics = exposition.ProcessMetrics()
-        self.metrics.running.set_function(lambda: self.running)
+        self.metrics.running.set_function(lambda: self.requests.count)
         self.metrics.suspects.set_function(lambda: len(self.suspects.records))
         self.metrics.refused_suspects.set_function(self.suspects.refused_count)
         self.metrics.refused_parts.set_function(
@@ -143,76 +134,9 @@
         self.crash_checks.silence_observers.append(self.reach_checks.suspect)
         self.streams: dict[ids.RequestId, LeavingObserver] = {}
         self.tasks = background.BackgroundTasks()
-        self.drain: drain_schedule.DrainSchedule | None = None
-        self.is_stopping = False
-        self.durations = drain_schedule.RouteDurations()
-        self.timeouts: set[asyncio.Timeout] = set()
-        self.running = 0
         view.change_observers.append(self.close_unlisted)
         view.leaving_observers.append(self.notify_streams)
 
-    @property
-    def is_draining(self) -> bool:
-        """Return whether this gateway is draining before a stop."""
-        return self.drain is not None
-
-    @contextlib.contextmanager
-    def running_request(self) -> Iterator[None]:
-        """Count a request for whose end a graceful shutdown waits."""
-        self.running += 1
-        try:
-            yield
-        finally:
-            self.running -= 1
-
-    def begin_drain(self, duration_s: float) -> drain_schedule.DrainSchedule:
-        """Refuse requests from now on that can't end within a duration."""
-        now_s = asyncio.get_running_loop().time()
-        self.drain = drain_schedule.DrainSchedule(now_s, now_s + duration_s)
-        return self.drain
-
-    def end_drain(self) -> int:
-        """Refuse everything from now on, and interrupt what still runs.
-
-        An interrupted request gets a response, unless its response has begun.
-
-        Returns
-        -------
-        int
-            The number of requests that were interrupted.
-        """
-        self.is_stopping = True
-        now_s = asyncio.get_running_loop().time()
-        for timeout in self.timeouts:
-            timeout.reschedule(now_s)
-        return len(self.timeouts)
-
-    def find_drain_refusal(
-        self, routed: relay_requests.RoutedRequest
-    ) -> failures.Failure | None:
-        """Return why a request that has not run must not run here, or ``None``."""
-        if self.drain is None:
-            return None
-        now_s = asyncio.get_running_loop().time()
-        if not self.is_stopping and self.drain.may_serve(
-            now_s,
-            routed.request.arrived_s,
-            routed.deadline_s,
-            self.expected_s(routed, now_s),
-        ):
-            return None
-        return failures.Failure(
-            codes.Code.DRAINING,
-            f"this gateway stops in {self.drain.ends_s - now_s:.3f} s",
-            retry_after_ms=RETRY_WHEN_DRAINING_MS,
-        )
-
-    def expected_s(self, routed: relay_requests.RoutedRequest, now_s: float) -> float:
-        """Return how long a request may be expected to run, in seconds."""
-        if routed.request.size is not None:
-            return routed.request.size.max_duration_s()
-        return self.durations.expected_s(routed.route.name, now_s)
-
     def notify_streams(self, server_id: ids.ServerId) -> None:
         """Notify all running generations that a server is leaving or has left."""
         for stream in list(self.streams.values()):
@@ -301,7 +225,7 @@
         routed = request_routing.routed_request(
             request, route, service, organisation, current
         )
-        refusal = self.find_drain_refusal(routed)
+        refusal = self.requests.find_refusal(routed)
         if refusal is not None:
             return result.Failure(refusal)
         now_s = asyncio.get_running_loop().time()
@@ -359,7 +283,7 @@
             routed.fingerprint, routed.parts, routed.request.request_id
         )
         if refusal is None and execution is codes.Execution.NOT_RUN:
-            refusal = self.find_drain_refusal(routed)
+            refusal = self.requests.find_refusal(routed)
         if refusal is None:
             return None
         return attempts.with_execution(refusal, execution)
--- a/src/quetzalpass/lifecycle/relaying.py
+++ b/src/quetzalpass/lifecycle/relaying.py
@@ -32,7 +32,7 @@
     response: relay_requests.CallerResponse,
 ) -> None:
     """Serve one request, and send its caller a response in every case."""
-    with gateway.running_request():
+    with gateway.requests.counted():
         await gateway.wait_until_ready(request)
         routed = gateway.route(request)
         if isinstance(routed, result.Failure):
@@ -78,22 +78,19 @@
 
     The end of a drain brings the deadline forward.
     """
-    timeout = asyncio.timeout_at(routed.deadline_s)
     try:
-        async with timeout:
-            gateway.timeouts.add(timeout)
+        async with gateway.requests.limited(routed.deadline_s):
             return await respond(gateway, routed, response)
     except TimeoutError:
         return expired_failure(gateway, routed)
-    finally:
-        gateway.timeouts.discard(timeout)
 
 
 def expired_failure(
     gateway: relay_gateway.RelayGateway, routed: relay_requests.RoutedRequest
 ) -> failures.Failure:
     """Return the failure of a request that had no response in time."""
-    if gateway.is_stopping and asyncio.get_running_loop().time() < routed.deadline_s:
+    now_s = asyncio.get_running_loop().time()
+    if gateway.requests.is_stopping and now_s < routed.deadline_s:
         record_interrupted(gateway, routed)
         return failures.Failure(
             codes.Code.DRAINING,
@@ -147,9 +144,7 @@
     called = await relayed_calls.run(gateway, routed)
     if isinstance(called, result.Failure):
         return called.failure()
-    now_s = asyncio.get_running_loop().time()
-    duration_s = now_s - routed.request.arrived_s
-    gateway.durations.observe(routed.route.name, duration_s, now_s)
+    gateway.requests.observe_duration(routed)
     whole = called.unwrap()
     await response.send_whole(whole.head, whole.body)
     return None
@@ -162,7 +157,7 @@
 
     Both a caller that disconnects and a gateway that stops cancel it.
     """
-    if gateway.is_stopping:
+    if gateway.requests.is_stopping:
         record_interrupted(gateway, routed)
         return
     gateway.record_decision(routed, "caller_gone", None, elapsed_text(routed))
--- /dev/null
+++ b/src/quetzalpass/lifecycle/running_requests.py
@@ -0,0 +1,122 @@
+"""The requests that a gateway serves now, and how they end when it shuts down."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Iterator
+
+from quetzalpass.lifecycle import drain_schedule, relay_requests
+from quetzalpass.results import codes, failures
+
+# Any other gateway serves a request that is refused during a drain, so it may come at
+# once.
+RETRY_WHEN_DRAINING_MS = 10
+
+
+class RunningRequests:
+    """The running requests of one gateway, for whose end a graceful shutdown waits.
+
+    Attributes
+    ----------
+    count : int
+        Number of running requests, those that are still being received among them.
+    drain : drain_schedule.DrainSchedule or None
+        Schedule of the graceful shutdown; ``None`` before it.
+    is_stopping : bool
+        Whether the drain is over, so that all requests are refused.
+    durations : drain_schedule.RouteDurations
+        How long the calls of each route took lately.
+    timeouts : set of asyncio.Timeout
+        Timeouts of the routed requests, which the end of the drain brings forward.
+    """
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.drain: drain_schedule.DrainSchedule | None = None
+        self.is_stopping = False
+        self.durations = drain_schedule.RouteDurations()
+        self.timeouts: set[asyncio.Timeout] = set()
+
+    @property
+    def is_draining(self) -> bool:
+        """Return whether this gateway is draining before a stop."""
+        return self.drain is not None
+
+    @contextlib.contextmanager
+    def counted(self) -> Iterator[None]:
+        """Count a request while it is being received or served."""
+        self.count += 1
+        try:
+            yield
+        finally:
+            self.count -= 1
+
+    @contextlib.asynccontextmanager
+    async def limited(self, deadline_s: float) -> AsyncIterator[None]:
+        """Limit the time of a routed request.
+
+        Raises
+        ------
+        TimeoutError
+            At the deadline, or at the end of a drain if that comes first.
+        """
+        timeout = asyncio.timeout_at(deadline_s)
+        try:
+            async with timeout:
+                self.timeouts.add(timeout)
+                yield
+        finally:
+            self.timeouts.discard(timeout)
+
+    def begin_drain(self, duration_s: float) -> drain_schedule.DrainSchedule:
+        """Refuse requests from now on that can't end within a duration."""
+        now_s = asyncio.get_running_loop().time()
+        self.drain = drain_schedule.DrainSchedule(now_s, now_s + duration_s)
+        return self.drain
+
+    def end_drain(self) -> int:
+        """Refuse everything from now on, and interrupt what still runs.
+
+        An interrupted request gets a response, unless its response has begun.
+
+        Returns
+        -------
+        int
+            The number of requests that were interrupted.
+        """
+        self.is_stopping = True
+        now_s = asyncio.get_running_loop().time()
+        for timeout in self.timeouts:
+            timeout.reschedule(now_s)
+        return len(self.timeouts)
+
+    def find_refusal(
+        self, routed: relay_requests.RoutedRequest
+    ) -> failures.Failure | None:
+        """Return why a request that has not run must not run here, or ``None``."""
+        if self.drain is None:
+            return None
+        now_s = asyncio.get_running_loop().time()
+        if not self.is_stopping and self.drain.may_serve(
+            now_s,
+            routed.request.arrived_s,
+            routed.deadline_s,
+            self.expected_s(routed, now_s),
+        ):
+            return None
+        return failures.Failure(
+            codes.Code.DRAINING,
+            f"this gateway stops in {self.drain.ends_s - now_s:.3f} s",
+            retry_after_ms=RETRY_WHEN_DRAINING_MS,
+        )
+
+    def expected_s(self, routed: relay_requests.RoutedRequest, now_s: float) -> float:
+        """Return how long a request may be expected to run, in seconds."""
+        if routed.request.size is not None:
+            return routed.request.size.max_duration_s()
+        return self.durations.expected_s(routed.route.name, now_s)
+
+    def observe_duration(self, routed: relay_requests.RoutedRequest) -> None:
+        """Record how long a call took that has its response now."""
+        now_s = asyncio.get_running_loop().time()
+        duration_s = now_s - routed.request.arrived_s
+        self.durations.observe(routed.route.name, duration_s, now_s)
--- a/tests/adapter/test_planned_stops.py
+++ b/tests/adapter/test_planned_stops.py
@@ -60,8 +60,8 @@
             writer.write(standin.request_bytes("/once/1"))
             assert (await standin.read_message(reader)).status == 200
         await asyncio.sleep(0.05)
-        gateway.role.gateway.begin_drain(0.0)
-        gateway.role.gateway.end_drain()
+        gateway.role.gateway.requests.begin_drain(0.0)
+        gateway.role.gateway.requests.end_drain()
         stopping = asyncio.create_task(gateway.caller_ingress.stop())
         await asyncio.sleep(0.02)
         writer.write(standin.request_bytes("/once/1", request_id="q-2"))
@@ -76,8 +76,8 @@
     async def test_call_that_still_runs_gets_a_response(self, gateway, slow_server):
         reader, writer = await send(gateway.port)
         await asyncio.sleep(0.1)
-        gateway.role.gateway.begin_drain(0.0)
-        gateway.role.gateway.end_drain()
+        gateway.role.gateway.requests.begin_drain(0.0)
+        gateway.role.gateway.requests.end_drain()
         response = await standin.read_message(reader)
         assert response.status == 502
         assert response.header("X-Response-Signature") is None
@@ -97,8 +97,8 @@
         reader, writer = await asyncio.open_connection(standin.HOST, gateway.port)
         writer.write(standin.request_bytes("/drafts/1", ["X-Token-Usage: 10,80"]))
         await reader.readuntil(b"id: 1")
-        gateway.role.gateway.begin_drain(0.0)
-        gateway.role.gateway.end_drain()
+        gateway.role.gateway.requests.begin_drain(0.0)
+        gateway.role.gateway.requests.end_drain()
         with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
             await reader.readuntil(b"0\r\n\r\n")
         writer.close()
@@ -132,7 +132,7 @@
     ):
         reader, writer = await send(gateway.port)
         await asyncio.sleep(0.1)
-        gateway.role.gateway.begin_drain(5.0)
+        gateway.role.gateway.requests.begin_drain(5.0)
         response = await standin.read_message(reader)
         assert response.status == 200
         assert response.header("Connection") == "close"
@@ -145,7 +145,7 @@
         data = standin.request_bytes("/once/1", body=b"x" * 20_000)
         writer.write(data[:-500])
         await asyncio.sleep(0.05)
-        gateway.role.gateway.begin_drain(5.0)
+        gateway.role.gateway.requests.begin_drain(5.0)
         gateway.caller_ingress.close_idle()
         await asyncio.sleep(0.05)
         writer.write(data[-500:])
@@ -177,7 +177,7 @@
     ):
         reader, writer = await asyncio.open_connection(standin.HOST, gateway.port)
         await asyncio.sleep(0.05)
-        gateway.role.gateway.begin_drain(5.0)
+        gateway.role.gateway.requests.begin_drain(5.0)
         gateway.caller_ingress.close_idle()
         await asyncio.sleep(0.05)
         writer.write(standin.request_bytes("/once/1"))
@@ -240,8 +240,8 @@
     ):
         _, writer = await send(gateway.port)
         await asyncio.sleep(0.1)
-        gateway.role.gateway.begin_drain(0.0)
-        gateway.role.gateway.end_drain()
+        gateway.role.gateway.requests.begin_drain(0.0)
+        gateway.role.gateway.requests.end_drain()
         await gateway.caller_ingress.stop()
         (event,) = [
             each for each in log_events() if each.get("decision") == "interrupted"
--- a/tests/daemon/test_handover_receiver.py
+++ b/tests/daemon/test_handover_receiver.py
@@ -167,7 +167,7 @@
                 assert response.status == 401
 
     async def test_draining_receiver_takes_nothing(self, receiver, channel):
-        receiver.harness.gateway.begin_drain(float("inf"))
+        receiver.harness.gateway.requests.begin_drain(float("inf"))
         sent = await channel.send(receiver.vm, message(receiver.harness))
         assert sent.failure().end is base.AttemptEnd.REFUSED
         assert receiver.harness.send_count("l-1") == 0
--- a/tests/lifecycle/test_cut_off_gateways.py
+++ b/tests/lifecycle/test_cut_off_gateways.py
@@ -221,7 +221,7 @@
                 peer_gateways.PeerGateway(
                     vm,
                     each.data_centre,
-                    each.gateway.running,
+                    each.gateway.requests.count,
                     each.gateway.reach_checks.reach.lost_services(),
                 )
                 for vm, each in self.gateways.items()
--- a/tests/lifecycle/test_drain_schedule.py
+++ b/tests/lifecycle/test_drain_schedule.py
@@ -66,7 +66,7 @@
     ):
         make = test_relayed_calls.non_idempotent_harness
         harness = test_relayed_calls.ledger_harness() if is_idempotent else make()
-        harness.gateway.begin_drain(DRAIN_S)
+        harness.gateway.requests.begin_drain(DRAIN_S)
         await asyncio.sleep(DRAIN_S - TIMEOUT_S)
         response = await harness.serve()
         assert response.status == response_statuses.STATUS_NOT_RUN
@@ -75,7 +75,7 @@
 
     async def test_call_that_ends_in_time_is_served(self):
         harness = test_relayed_calls.non_idempotent_harness()
-        harness.gateway.begin_drain(DRAIN_S)
+        harness.gateway.requests.begin_drain(DRAIN_S)
         await asyncio.sleep(DRAIN_S - TIMEOUT_S - 0.4)
         assert (await harness.serve()).status == 200
 
@@ -83,7 +83,7 @@
         harness = test_relayed_calls.ledger_harness(1, timeout_ms=30_000)
         harness.server("l-1").delay_s = 0.05
         assert (await harness.serve()).status == 200
-        harness.gateway.begin_drain(DRAIN_S)
+        harness.gateway.requests.begin_drain(DRAIN_S)
         assert (await harness.serve()).status == 200
         await asyncio.sleep(drain_schedule.BALANCER_REMOVAL_S + 0.1)
         response = await harness.serve()
@@ -91,8 +91,8 @@
 
     async def test_no_request_is_sent_once_the_drain_is_over(self):
         harness = test_relayed_calls.non_idempotent_harness()
-        harness.gateway.begin_drain(DRAIN_S)
-        harness.gateway.is_stopping = True
+        harness.gateway.requests.begin_drain(DRAIN_S)
+        harness.gateway.requests.is_stopping = True
         response = await harness.serve()
         assert response.status == response_statuses.STATUS_NOT_RUN
         assert test_relayed_calls.total_send_count(harness) == 0
@@ -104,7 +104,7 @@
         await asyncio.sleep(0.1)
         response, task = harness.start("/drafts/2", size=size)
         await asyncio.sleep(0.1)
-        harness.gateway.begin_drain(DRAIN_S)
+        harness.gateway.requests.begin_drain(DRAIN_S)
         await asyncio.gather(first_task, task)
         assert response.status == response_statuses.STATUS_NOT_RUN
         assert b"stops in" in response.data
@@ -112,7 +112,7 @@
 
     async def test_short_generation_that_comes_late_is_refused(self):
         harness = gateway_harness.GatewayHarness([relay_servers.discovered("e-a")])
-        harness.gateway.begin_drain(DRAIN_S)
+        harness.gateway.requests.begin_drain(DRAIN_S)
         await asyncio.sleep(drain_schedule.BALANCER_REMOVAL_S + 0.1)
         response = await harness.serve("/drafts/1", size=SHORT)
         assert response.status == response_statuses.STATUS_NOT_RUN
--- a/tests/lifecycle/test_relayed_streams.py
+++ b/tests/lifecycle/test_relayed_streams.py
@@ -312,14 +312,14 @@
 class TestDrains:
     async def test_generation_that_may_outlast_the_drain_is_refused(self):
         harness = engine_harness("ab")
-        harness.gateway.begin_drain(5.0)
+        harness.gateway.requests.begin_drain(5.0)
         response = await harness.serve("/drafts/1")
         assert response.status == response_statuses.STATUS_NOT_RUN
         assert harness.send_count("e-a") + harness.send_count("e-b") == 0
 
     async def test_hint_at_a_short_output_is_ignored(self):
         harness = engine_harness("ab")
-        harness.gateway.begin_drain(3.4)
+        harness.gateway.requests.begin_drain(3.4)
         size = gateway_harness.relay_requests.GenerationSize(3_000, 2_000, 80)
         response = await harness.serve("/drafts/1", size=size)
         assert response.status == response_statuses.STATUS_NOT_RUN
@@ -327,7 +327,7 @@
 
     async def test_short_generation_is_served(self):
         harness = engine_harness("ab", length=3)
-        harness.gateway.begin_drain(5.0)
+        harness.gateway.requests.begin_drain(5.0)
         size = gateway_harness.relay_requests.GenerationSize(2_200, 12)
         response = await harness.serve("/drafts/1", size=size)
         assert response.is_complete
