LOST: a draining daemon tells callers that their connections close

Callers saw: a daemon at SIGTERM refused requests on kept connections without 'Connection: close' and without Retry-After, and answered the requests that still ran in the same way; the callers kept these connections, and their next request crossed the end of the process. The class of fault: whether a response is the last of its connection isn't decided when it is sent (as at the platform's gateway). Now each listener can end its connections: from the drain on, every response of the callers' listener closes its connection and says so, and the refusal names a retry time.

--- a/src/quetzalpass/daemon/listeners.py
+++ b/src/quetzalpass/daemon/listeners.py
@@ -107,6 +107,8 @@
     ----------
     reloader : CertificateReloader or None
         Reloads the certificate if the listener serves TLS.
+    is_ending : bool
+        Whether each response is the last of its connection.
     """
 
     def __init__(self, runner: web.AppRunner, listener: schema.Listener) -> None:
@@ -116,6 +118,20 @@
         self.bound_port = listener.port
         self.reloader: CertificateReloader | None = None
         self.reload_task: asyncio.Task[None] | None = None
+        self.is_ending = False
+        runner.app.on_response_prepare.append(self.announce_end)
+
+    def end_connections(self) -> None:
+        """Close each connection after its next response, and say so in it."""
+        self.is_ending = True
+
+    async def announce_end(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Tell the client that its connection closes, if connections are to end."""
+        if self.is_ending:
+            response.force_close()
+            response.headers["Connection"] = "close"
 
     async def start(self) -> None:
         """Start listening.
--- a/src/quetzalpass/daemon/process.py
+++ b/src/quetzalpass/daemon/process.py
@@ -58,6 +58,8 @@
         Submits commands to each replicated group.
     listeners : list of listeners.HttpListener
         The open listeners.
+    callers_listener : listeners.HttpListener or None
+        That of the callers; ``None`` if this daemon is no gateway.
     """
 
     def __init__(self, settings: schema.Settings, rng: random.Random) -> None:
@@ -68,6 +70,7 @@
         self.groups: dict[ids.GroupId, proposers.Proposer] = {}
         self.clients: dict[ids.VmId, peer_client.PeerClient] = {}
         self.listeners: list[listeners.HttpListener] = []
+        self.callers_listener: listeners.HttpListener | None = None
         self.table = handlers.HandlerTable()
         self.channel = transport.HttpTransport(
             {each.id: each.url for each in settings.peer_vms}, self.cluster_key
@@ -208,7 +211,7 @@
             self.gateway.new_request_id,
             **self.runner_options(),
         )
-        await self.open_listener(runner, self.settings.callers)
+        self.callers_listener = await self.open_listener(runner, self.settings.callers)
 
     def runner_options(self) -> dict[str, Any]:
         """Return the options that all listeners share."""
@@ -222,11 +225,12 @@
 
     async def open_listener(
         self, runner: web.AppRunner, listener: schema.Listener
-    ) -> None:
-        """Open one listener and keep it until the daemon stops."""
+    ) -> listeners.HttpListener:
+        """Open one listener, keep it until the daemon stops, and return it."""
         opened = listeners.HttpListener(runner, listener)
         self.listeners.append(opened)
         await opened.start()
+        return opened
 
     def own_status(self) -> messages.VmStatus:
         """Return the status of this daemon."""
@@ -259,6 +263,8 @@
     async def drain(self) -> None:
         """Refuse new requests and wait until all running ones have ended."""
         LOG.info("daemon: Draining {} requests.", self.gateway.requests)
+        if self.callers_listener is not None:
+            self.callers_listener.end_connections()
         await self.gateway.drain()
 
     async def send_new_suspect_reports(self) -> None:
--- a/src/quetzalpass/lifecycle/gateway.py
+++ b/src/quetzalpass/lifecycle/gateway.py
@@ -261,7 +261,11 @@
     def refusal(self) -> failures.Failure | None:
         """Return why new requests are refused at present, or ``None``."""
         if self.draining:
-            return failures.Failure(codes.Code.DRAINING, "this VM is shutting down")
+            return failures.Failure(
+                codes.Code.DRAINING,
+                "this VM is shutting down",
+                retry_after_ms=attempts.RETRY_ELSEWHERE_MS,
+            )
         if self.holder.current is None:
             return failures.Failure(
                 codes.Code.NOT_READY,
