LOST: long polls of peers don't hold up the stop of a daemon

A daemon that had answered its callers still took up to five seconds (the wait of a long poll; a handler of any kind up to 60 s) until it stopped: its peers' listener was closed, but the long polls of its peers went on, and only then did a leading replica transfer its leadership. An operator's or a service manager's SIGKILL in that time finds a replica that leads and has stopped listening. The class of fault: an end that waits for requests which wait for something that doesn't happen any more. Now the daemon stops accepting, ends the waits for a newer revision, and answers them; the responses close their connections, so that peers turn elsewhere.

--- a/src/quetzalpass/daemon/listeners.py
+++ b/src/quetzalpass/daemon/listeners.py
@@ -161,6 +161,18 @@
         """Return the bound port, which differs from the settings if they have 0."""
         return self.bound_port
 
+    async def stop_accepting(self) -> None:
+        """Accept no further connections, and end the open ones.
+
+        A second call has no effect.
+        """
+        self.end_connections()
+        if self.site is not None:
+            await self.site.stop()
+            self.site = None
+        if self.reload_task is not None:
+            self.reload_task.cancel()
+
     async def close(self, flush_timeout_s: float) -> None:
         """Stop accepting connections, flush complete responses, and close.
 
@@ -171,10 +183,6 @@
         flush_timeout_s : float
             Maximum wait for callers to read their responses.
         """
-        if self.site is not None:
-            await self.site.stop()
-            self.site = None
-        if self.reload_task is not None:
-            self.reload_task.cancel()
+        await self.stop_accepting()
         await server.flush(self.runner, flush_timeout_s)
         await self.runner.cleanup()
--- a/src/quetzalpass/daemon/process.py
+++ b/src/quetzalpass/daemon/process.py
@@ -285,8 +285,12 @@
         self.propagation.stop()
         self.summary_sender.stop()
         self.fleet.stop()
-        for listener in reversed(self.listeners):
+        peers_listener, *outer_listeners = self.listeners
+        for listener in reversed(outer_listeners):
             await listener.close(self.settings.limits.slow_caller_s)
+        await peers_listener.stop_accepting()
+        self.holder.end_waits()
+        await peers_listener.close(self.settings.limits.slow_caller_s)
         await self.handover.close()
         await self.gateway.close()
         self.metrics_sender.close()
--- a/src/quetzalpass/membership/configuration.py
+++ b/src/quetzalpass/membership/configuration.py
@@ -140,6 +140,8 @@
         Called with each revision that comes into force.
     changed : asyncio.Event
         Set when the next revision comes into force, and then replaced.
+    is_waiting_over : bool
+        Whether nobody waits for a newer revision any more, as this VM stops.
     earlier : list of Configuration
         The last revisions before it, as bases for deltas.
     deltas : dict of Revision to bytes
@@ -153,6 +155,7 @@
         self.in_force_since_s = 0.0
         self.observers: list[Callable[[Configuration], None]] = []
         self.changed = asyncio.Event()
+        self.is_waiting_over = False
         self.earlier: list[Configuration] = []
         self.deltas: dict[ids.Revision, bytes] = {}
         self.compressed: dict[ids.Revision, bytes] = {}
@@ -264,12 +267,17 @@
         self.changed = asyncio.Event()
         changed.set()
 
+    def end_waits(self) -> None:
+        """Let all tasks go on that wait for a newer revision, now and from now on."""
+        self.is_waiting_over = True
+        self.wake_waiters()
+
     async def wait_newer(self, revision: ids.Revision, timeout_s: float) -> bool:
         """Wait until a newer revision is in force; return whether one is."""
         try:
             async with asyncio.timeout(timeout_s):
-                while self.revision() <= revision:
+                while self.revision() <= revision and not self.is_waiting_over:
                     await self.changed.wait()
         except TimeoutError:
             return False
-        return True
+        return self.revision() > revision
--- a/tests/daemon/test_process.py
+++ b/tests/daemon/test_process.py
@@ -19,6 +19,7 @@
 DECLARED = fleet_declaration.make_declaration(3, 0)
 RETENTION = schema.Retention()
 WAIT_S = 60.0
+MAX_STOP_S = 1.5
 
 
 @pytest.fixture
@@ -157,3 +158,14 @@
         assert daemon.gateway.refusal().code is codes.Code.DRAINING
         daemon.gateway.requests -= 1
         await asyncio.wait_for(draining, 5.0)
+
+    async def test_long_polls_of_peers_do_not_delay_a_stop(self, start_site):
+        site = await start_site()
+        revision = await site.apply(ids.Revision(0), DECLARED)
+        await site.wait_in_force(revision)
+        await asyncio.sleep(1.0)
+        loop = asyncio.get_running_loop()
+        for daemon in (site.daemons[-1], leader_of(site)):
+            begun_s = loop.time()
+            await stop_daemon(site, daemon)
+            assert loop.time() - begun_s < MAX_STOP_S
