LOST: a daemon's listeners answer what arrives while they close

Callers (and peers and operators) saw: a request on an open connection that reached a daemon at the moment in which its drain ended found the connection closed without an answer. Cause: a listener closed its connections in the turn of the loop in which it stopped listening, and flushed what was written before it waited for the handlers that still wrote. Now: stop accepting; for 0.1 s, and as long as a request runs (at most slow_caller_s), answer what is read, each response the last of its connection; flush; close. Evidence: test_request_that_arrives_while_the_listener_closes_gets_a_response failed before with no byte of a response, passes now.

--- a/src/quetzalpass/daemon/listeners.py
+++ b/src/quetzalpass/daemon/listeners.py
@@ -174,15 +174,16 @@
             self.reload_task.cancel()
 
     async def close(self, flush_timeout_s: float) -> None:
-        """Stop accepting connections, flush complete responses, and close.
+        """Stop accepting connections, respond to what was read, flush it, and close.
 
         A second call has no effect.
 
         Parameters
         ----------
         flush_timeout_s : float
-            Maximum wait for callers to read their responses.
+            Maximum wait for responses, and again for callers to read them.
         """
         await self.stop_accepting()
+        await server.finish_requests(self.runner, flush_timeout_s)
         await server.flush(self.runner, flush_timeout_s)
         await self.runner.cleanup()
--- a/src/quetzalpass/wire/server.py
+++ b/src/quetzalpass/wire/server.py
@@ -10,6 +10,8 @@
 from quetzalpass.wire import handlers, messages, transport
 
 FLUSH_POLL_S = 0.02
+# For requests that have reached this VM when its listener closes.
+LAST_REQUESTS_S = 0.1
 
 
 async def listen(runner: web.BaseRunner, address: str) -> None:
@@ -25,6 +27,35 @@
         await site.stop()
 
 
+async def finish_requests(runner: web.BaseRunner, timeout_s: float) -> None:
+    """Wait until each request that arrives in a moment from now has its response.
+
+    Parameters
+    ----------
+    runner : web.BaseRunner
+        Accepts no connections any more.
+    timeout_s : float
+        Maximum wait.
+    """
+    if runner.server is None:
+        return
+    loop = asyncio.get_running_loop()
+    deadline_s = loop.time() + timeout_s
+    await asyncio.sleep(LAST_REQUESTS_S)
+    while loop.time() < deadline_s and any(
+        is_busy(each) for each in runner.server.connections
+    ):
+        await asyncio.sleep(FLUSH_POLL_S)
+
+
+def is_busy(connection: web.RequestHandler) -> bool:
+    """Return whether a connection has a request whose response isn't complete."""
+    task = connection._task_handler
+    if task is None or task.done():
+        return False
+    return connection._waiter is None or bool(connection._messages)
+
+
 async def flush(runner: web.BaseRunner, timeout_s: float) -> None:
     """Wait until the kernel has accepted all written data, or the time is up."""
     loop = asyncio.get_running_loop()
--- a/tests/daemon/test_listeners.py
+++ b/tests/daemon/test_listeners.py
@@ -32,6 +32,11 @@
     return response
 
 
+async def handle_slowly(request):
+    await asyncio.sleep(0.5)
+    return web.Response(text="late")
+
+
 class TestCertificates:
     @pytest.fixture
     async def opened(self, tmp_path):
@@ -105,3 +110,21 @@
         assert len(await reader.read()) == 8_000_000
         await closing
         writer.close()
+
+    async def test_request_that_arrives_while_the_listener_closes_gets_a_response(self):
+        app = web.Application()
+        app.router.add_get("/", handle_slowly)
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        listener = listeners.HttpListener(runner, schema.Listener("127.0.0.1", 0))
+        await listener.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", listener.port())
+        await asyncio.sleep(0.05)
+        closing = asyncio.create_task(listener.close(30.0))
+        await asyncio.sleep(0.02)
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        response = await reader.read()
+        assert response.startswith(b"HTTP/1.1 200")
+        assert b"Connection: close" in response
+        assert response.endswith(b"late")
+        await closing
+        writer.close()
