LOST: a peer that drains after its consent gives the request back

Callers saw: 503 'draining' for a request that a gateway without a path to the servers had handed over, although other peers could serve it. Cause: a peer says in a header that it has not taken a request; it did so when it was offered the request, but not when it refused the request itself, as it had begun to drain (or had reached its limit) since its consent. The first gateway relayed that response as the answer. Evidence: test_request_goes_on_if_a_peer_drains_after_its_consent got 503 before and gets 200 now.

--- a/src/quetzalpass/callers/app.py
+++ b/src/quetzalpass/callers/app.py
@@ -232,6 +232,8 @@
             request_id = ids.RequestId(handed_id)
         failure = self.gateway.refusal()
         if failure is not None:
+            if is_handed:
+                return self.handover.refuse(failure.code, failure.message)
             return errors.error_response(failure, request_id)
         config = self.gateway.holder.current
         assert config is not None
--- a/tests/callers/test_cut_off_gateways.py
+++ b/tests/callers/test_cut_off_gateways.py
@@ -181,6 +181,28 @@
             assert (await caller.call("tariff", 0, method="GET")).status == 200
 
 
+class TestPlannedStops:
+    async def test_request_goes_on_if_a_peer_drains_after_its_consent(self, group):
+        caller, cuts = group
+        cuts.cut(0, "refused")
+        for _ in range(5):
+            await caller.call("tariff", 0, method="GET")
+        first, draining, _ = caller.cluster.gateways
+        first.handover.rng.shuffle = lambda peers: peers.sort(key=lambda e: e.id)
+        refusal = draining.gateway.refusal
+        consents = []
+
+        def drain_after_consent():
+            consents.append(refusal())
+            draining.gateway.draining = True
+            return consents[-1]
+
+        draining.gateway.refusal = drain_after_consent
+        response = await caller.call("tariff", 0, method="GET")
+        assert consents[0] is None
+        assert response.status == 200
+
+
 class TestTrust:
     async def test_callers_listener_has_no_way_for_peers(self, group):
         caller, _ = group
