LOST: a second SIGTERM answers the requests that it interrupts

Callers saw: after a second SIGTERM (or SIGINT), which stops a daemon at once, calls in progress were not interrupted, but held the process for up to a minute (the server library's limit); then they were cancelled and their connections closed without an answer. Cause: no part of the daemon ended the requests; the end was left to the close of the listener, which only knows connections. Now the stop interrupts first: requests that wait for a server, or whose body is still received, are refused ('not run'), running ones get 'outcome unknown', streams that have begun are cut so that they can't look complete; the listeners answer these before they close, and no longer wait a minute for handlers. Claims of calls that run once stay held, and the ledger makes their outcomes unknown, as before.

--- a/src/quetzalpass/callers/app.py
+++ b/src/quetzalpass/callers/app.py
@@ -243,8 +243,9 @@
             # The key is checked before the body is read: the body may be large, and
             # an unknown sender must not make the gateway receive it.
             headers.read_organisation(request, config)
-            body = await self.read_body(request)
-            response = await self.respond(request, request_id, body, config, handler)
+            response = await self.respond_unless_interrupted(
+                request, request_id, config, handler
+            )
             self.count_result(request, response)
             return await self.send_response(request, response)
         except failures.FailureError as error:
@@ -260,6 +261,41 @@
         finally:
             self.gateway.requests -= 1
 
+    async def respond_unless_interrupted(
+        self,
+        request: web.Request,
+        request_id: ids.RequestId,
+        config: configuration.Configuration,
+        handler: Handler,
+    ) -> web.StreamResponse:
+        """Return the response, or one that says that this VM stops at once.
+
+        Raises
+        ------
+        ConnectionError
+            If the response had begun. The caller can resume a stream elsewhere.
+        """
+        is_received = False
+        try:
+            async with self.gateway.interruptible() as interruption:
+                body = await self.read_body(request)
+                is_received = True
+                return await self.respond(request, request_id, body, config, handler)
+        except TimeoutError:
+            if not interruption.expired():
+                raise
+        LOG.warning("callers: The stop of this VM interrupts request {}.", request_id)
+        if request.writer.output_size > 0:
+            if request.transport is not None:
+                request.transport.abort()
+            raise ConnectionError("the response was already being sent")
+        failure = self.gateway.refusal()
+        if is_received or failure is None:
+            failure = failures.Failure(
+                codes.Code.OUTCOME_UNKNOWN, "this VM stops at once"
+            )
+        return errors.error_response(failure, request_id)
+
     async def respond(
         self,
         request: web.Request,
--- a/src/quetzalpass/daemon/process.py
+++ b/src/quetzalpass/daemon/process.py
@@ -41,6 +41,9 @@
 
 LOG = logbook.Logger("daemon")
 
+# For handlers that still run after the time for responses.
+STOP_TIMEOUT_S = 0.1
+
 
 class Daemon:
     """One daemon process.
@@ -219,6 +222,7 @@
         return {
             "handler_cancellation": True,
             "access_log": None,
+            "shutdown_timeout": STOP_TIMEOUT_S,
             "max_line_size": limits.line_bytes,
             "max_field_size": limits.header_bytes,
         }
@@ -279,12 +283,13 @@
             self.summary_sender.send_now()
 
     async def stop(self) -> None:
-        """Close all listeners and connections."""
+        """Interrupt what still runs, answer it, and close all connections."""
         if self.reconciler is not None:
             self.reconciler.stop()
         self.propagation.stop()
         self.summary_sender.stop()
         self.fleet.stop()
+        await self.gateway.interrupt()
         peers_listener, *outer_listeners = self.listeners
         for listener in reversed(outer_listeners):
             await listener.close(self.settings.limits.slow_caller_s)
--- a/src/quetzalpass/lifecycle/gateway.py
+++ b/src/quetzalpass/lifecycle/gateway.py
@@ -1,10 +1,12 @@
 """State that all requests of one gateway share."""
 
 import asyncio
+import contextlib
 import random
-from collections.abc import Coroutine
+from collections.abc import AsyncIterator, Coroutine
 from typing import TypeVar
 
+import logbook
 import msgspec
 
 from quetzalpass import ids
@@ -31,9 +33,13 @@
 # Other servers that are asked whether a data centre can be reached.
 MAX_NEIGHBOURS = 4
 DRAIN_POLL_INTERVAL_S = 0.05
+# Time for the responses to requests that waited.
+REFUSAL_S = 0.05
 
 ResultT = TypeVar("ResultT")
 
+LOG = logbook.Logger("lifecycle")
+
 
 class BackendKey(msgspec.Struct, frozen=True):
     """Identifies the adapter of a backend server; another address is another key."""
@@ -81,6 +87,8 @@
         Requests in progress.
     draining : bool
         Whether new requests are refused because the process is shutting down.
+    interruptions : set of asyncio.Timeout
+        Each ends a request in progress once its time is set.
     """
 
     def __init__(
@@ -125,6 +133,7 @@
         self.requests = 0
         self.tasks: set[asyncio.Task[None]] = set()
         self.draining = False
+        self.interruptions: set[asyncio.Timeout] = set()
 
     def new_id(self) -> str:
         """Return a new random id in hexadecimal."""
@@ -261,11 +270,7 @@
     def refusal(self) -> failures.Failure | None:
         """Return why new requests are refused at present, or ``None``."""
         if self.draining:
-            return failures.Failure(
-                codes.Code.DRAINING,
-                "this VM is shutting down",
-                retry_after_ms=attempts.RETRY_ELSEWHERE_MS,
-            )
+            return draining_failure()
         if self.holder.current is None:
             return failures.Failure(
                 codes.Code.NOT_READY,
@@ -312,6 +317,34 @@
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         await self.ledger.drain()
 
+    @contextlib.asynccontextmanager
+    async def interruptible(self) -> AsyncIterator[asyncio.Timeout]:
+        """Run a part of a request that ``interrupt`` ends with a ``TimeoutError``."""
+        async with asyncio.timeout(None) as interruption:
+            self.interruptions.add(interruption)
+            try:
+                yield interruption
+            finally:
+                self.interruptions.discard(interruption)
+
+    async def interrupt(self) -> None:
+        """Refuse all requests that wait, and end those that run.
+
+        Claims of non-idempotent requests stay held; the ledger makes their outcomes
+        unknown.
+        """
+        self.draining = True
+        if not self.interruptions:
+            return
+        LOG.warning("lifecycle: Interrupting {} requests.", len(self.interruptions))
+        if self.holder.current is not None:
+            for target in (*self.holder.current.models, *self.holder.current.services):
+                self.admission_queue.refuse_waiting(target, draining_failure())
+        await asyncio.sleep(REFUSAL_S)
+        now_s = asyncio.get_running_loop().time()
+        for interruption in self.interruptions:
+            interruption.reschedule(now_s)
+
     async def close(self) -> None:
         """Cancel all tasks and close the ledger and the backend connections."""
         for task in list(self.tasks):
@@ -322,6 +355,15 @@
             await backend.close()
 
 
+def draining_failure() -> failures.Failure:
+    """Return the failure of a request that this VM doesn't run, as it stops."""
+    return failures.Failure(
+        codes.Code.DRAINING,
+        "this VM is shutting down",
+        retry_after_ms=attempts.RETRY_ELSEWHERE_MS,
+    )
+
+
 def unreached_failure(target: ids.ServiceName) -> failures.Failure:
     """Return the failure of a request whose servers can't be reached from here."""
     return failures.Failure(
--- a/tests/daemon/test_planned_stops.py
+++ b/tests/daemon/test_planned_stops.py
@@ -21,6 +21,8 @@
 DATA_CENTRE = ids.DataCentreId("flx-a")
 SERVICE = ids.ServiceName("ledger-app")
 WORK_S = 0.6
+# Longer than any test waits for a daemon to stop.
+LONG_WORK_S = 30.0
 STOP_S = 5.0
 START_S = 15.0
 CONNECTIONS = 50
@@ -38,7 +40,7 @@
         app = web.Application()
         app.router.add_get("/health", self.handle_health)
         app.router.add_route("*", "/{work_s}", self.handle_call)
-        self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.0)
+        self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await self.runner.setup()
         await web.TCPSite(self.runner, HOST, 0).start()
         self.url = f"http://{HOST}:{self.runner.addresses[0][1]}"
@@ -174,6 +176,11 @@
     return request(f"/services/{SERVICE}/{work_s}")
 
 
+def once_call(work_s):
+    headers = "Idempotency-Key: k\r\nContent-Length: 0\r\n"
+    return request(f"/services/{SERVICE}/{work_s}", "POST", headers)
+
+
 async def read_response(reader):
     """Return one response; empty bytes if the connection ends without one."""
     try:
@@ -266,3 +273,22 @@
         assert await daemon.wait_stopped() == 0
         for _, writer in connections:
             writer.close()
+
+
+class TestSecondSignal:
+    @pytest.mark.parametrize("make_call", [call, once_call])
+    async def test_call_that_still_runs_gets_a_response(
+        self, daemon, service, make_call
+    ):
+        reader, writer = await daemon.connect()
+        writer.write(make_call(LONG_WORK_S))
+        await until_begun(service)
+        daemon.terminate()
+        await asyncio.sleep(0.2)
+        daemon.terminate()
+        response = await asyncio.wait_for(read_response(reader), STOP_S)
+        assert failure_of(response)["name"] == "outcome_unknown"
+        assert failure_of(response)["execution"] == "may_have_run"
+        assert header(response, "Connection") == "close"
+        assert await daemon.wait_stopped() == 0
+        writer.close()
