--- a/src/quetzalpass/daemon/listeners.py
+++ b/src/quetzalpass/daemon/listeners.py
@@ -107,6 +107,8 @@
     ----------
     reloader : CertificateReloader or None
         Reloads the certificate if the listener serves TLS.
+    is_ending : bool
+        Whether each response is the last of its connection.
     """
 
     def __init__(self, runner: web.AppRunner, listener: schema.Listener) -> None:
@@ -116,6 +118,20 @@
         self.bound_port = listener.port
         self.reloader: CertificateReloader | None = None
         self.reload_task: asyncio.Task[None] | None = None
+        self.is_ending = False
+        runner.app.on_response_prepare.append(self.announce_end)
+
+    def end_connections(self) -> None:
+        """Close each connection after its next response, and say so in it."""
+        self.is_ending = True
+
+    async def announce_end(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Tell the client that its connection closes, if connections are to end."""
+        if self.is_ending:
+            response.force_close()
+            response.headers["Connection"] = "close"
 
     async def start(self) -> None:
         """Start listening.
@@ -145,20 +161,29 @@
         """Return the bound port, which differs from the settings if they have 0."""
         return self.bound_port
 
-    async def close(self, flush_timeout_s: float) -> None:
-        """Stop accepting connections, flush complete responses, and close.
+    async def stop_accepting(self) -> None:
+        """Accept no further connections, and end the open ones.
 
         A second call has no effect.
-
-        Parameters
-        ----------
-        flush_timeout_s : float
-            Maximum wait for callers to read their responses.
         """
+        self.end_connections()
         if self.site is not None:
             await self.site.stop()
             self.site = None
         if self.reload_task is not None:
             self.reload_task.cancel()
+
+    async def close(self, flush_timeout_s: float) -> None:
+        """Stop accepting connections, respond to what was read, flush it, and close.
+
+        A second call has no effect.
+
+        Parameters
+        ----------
+        flush_timeout_s : float
+            Maximum wait for responses, and again for callers to read them.
+        """
+        await self.stop_accepting()
+        await server.finish_requests(self.runner, flush_timeout_s)
         await server.flush(self.runner, flush_timeout_s)
         await self.runner.cleanup()
