A response that nobody asked for is never read as the response to a later query

Seen: a replica that writes a response once more on the kept connection of a control node's queries is a query behind from then on: its report says 'ready' while it drains, so generations are moved late (no case of callers known). Cause: the HTTP client takes what has arrived on an idle connection as the response to the next request on it. It closes a connection with a surplus response only if that arrives before the connection is returned to the pool. The class of fault: a response is matched to a request by its place alone. Now a connection of replicas expects a head only from the request on; anything else closes it. Elsewhere: requests to replicas and servers have a connection each; the only other kept connections are those between our own processes and to the platform's list, whose ends write one response a request.

--- a/src/quetzalpass/backends/connections.py
+++ b/src/quetzalpass/backends/connections.py
@@ -11,8 +11,11 @@
 from typing import Any
 
 import aiohttp
+import logbook
 from aiohttp import client_proto, helpers, streams
 
+LOG = logbook.Logger("backends")
+
 # The parser limits each line, but not the number of interim responses before the head.
 MAX_HEAD_BYTES = 1024 * 1024
 FIRST_FINAL_STATUS = 200
@@ -27,6 +30,8 @@
         Parts of the body in the data that is being parsed.
     head_bytes : int
         Bytes received since the last complete response head.
+    is_head_due : bool
+        Whether a request has been or will be sent whose response has not begun.
     on_data : callable or None
         Called with bytes of the response body; they are buffered while it is ``None``.
     on_end : callable or None
@@ -40,6 +45,12 @@
         super().__init__(loop)
         self.body_parts: list[bytes] = []
         self.head_bytes = 0
+        self.is_head_due = False
+
+    def set_response_params(self, **options: Any) -> None:
+        """Expect the response to a request, which is sent after this call."""
+        self.is_head_due = True
+        super().set_response_params(**options)
 
     def data_received(self, data: bytes) -> None:
         """Parse received data and pass all its body parts to the listener at once.
@@ -48,6 +59,9 @@
         one event, which lets it catch up.
         """
         if self._payload is None or self._payload.is_eof():
+            if data and not self.is_head_due:
+                self.reject_surplus(f"{len(data)} bytes")
+                return
             self.head_bytes += len(data)
         super().data_received(data)
         if self.head_bytes > MAX_HEAD_BYTES:
@@ -64,10 +78,26 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Pass on a parsed response; interim responses belong to the head."""
         message, _ = data
+        if not self.is_head_due:
+            self.reject_surplus(f"a response with status {message.code}")
+            return
         if message.code >= FIRST_FINAL_STATUS:
             self.head_bytes = 0
+            self.is_head_due = False
         super().feed_data(data, size)
 
+    def reject_surplus(self, received: str) -> None:
+        """Close the connection, as something has arrived that belongs to no request.
+
+        It would be taken as the response to the next request on the connection.
+        """
+        self.force_close()
+        if self.transport is None:
+            return
+        server = self.transport.get_extra_info("peername")
+        LOG.warning("backends: {} from {} belongs to no request.", received, server)
+        self.transport.close()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a response body that is truncated by a connection reset.
 
