LOST: a machine that joins goes to the leader, whoever its seeds are

Cause (a message reaches only fixed addresses, and its receiver drops what only the leader can do): a replica with an empty disk made itself known by status requests to its seeds alone, and handle_status acts on them only at the leader. While no seed leads, nobody told the leader; the joiner didn't use the leader that the replies name, and followers didn't pass the request on. Lost voters went on to count until no majority was left.

Fix: a joining replica queries, beside its seeds, each VM that a reply names as leader or member (new optional field `members`), in the same round and each VM once a round, and each VM that sends consensus messages for its former disk: so it is found also when all seeds are wiped or gone. A follower forwards the request of a replica that is no member to the leader, once (new optional field `is_forwarded`), so that a machine of the version before is replaced too. The leader still asks the machine itself before any change. A group is formed only if all seeds are blank and nobody else that is known has a log.

Versions: both fields have defaults. A leader or a follower of the version before needs no change; a joiner of it joins through a follower of this one. Not helped: a joiner of the version before whose seeds are all of the version before and don't lead, until one of them is replaced.

--- a/src/quetzalpass/consensus/group.py
+++ b/src/quetzalpass/consensus/group.py
@@ -292,6 +292,7 @@
 
     async def handle_vote(self, request: messages.VoteRequest) -> messages.VoteReply:
         """Handle a candidate's request for a vote."""
+        self.joiner.learn_sender(request.vm, request.target)
         return await self.elections.handle_vote(request)
 
     async def handle_leadership_transfer(
@@ -304,12 +305,14 @@
         self, request: messages.AppendRequest
     ) -> messages.AppendReply:
         """Handle entries or a heartbeat of a leader."""
+        self.joiner.learn_sender(request.vm, request.target)
         return await self.follower.handle_append(request)
 
     async def handle_snapshot(
         self, request: messages.SnapshotRequest
     ) -> messages.SnapshotReply:
         """Handle a chunk of a leader's snapshot."""
+        self.joiner.learn_sender(request.vm, request.target)
         return await self.follower.handle_snapshot(request)
 
     async def handle_status(
--- a/src/quetzalpass/consensus/messages.py
+++ b/src/quetzalpass/consensus/messages.py
@@ -219,12 +219,15 @@
         Highest term that it has seen.
     leader : ids.VmId or None
         Leader that it follows, if any.
+    members : list of ids.VmId
+        Members of the group as far as it knows.
     """
 
     replica: ids.ReplicaId
     is_blank: bool
     term: ids.Term
     leader: ids.VmId | None
+    members: list[ids.VmId] = []
 
 
 class StatusRequest(messages.Request, frozen=True):
@@ -238,9 +241,12 @@
         Address of the replica that asks.
     replica : ids.ReplicaId
         The replica that asks.
+    is_forwarded : bool
+        Whether a follower has forwarded the request; it is then not forwarded again.
     """
 
     reply_type = StatusReply
     group: ids.GroupId
     vm: ids.VmId
     replica: ids.ReplicaId
+    is_forwarded: bool = False
--- a/tests/consensus/test_open_groups.py
+++ b/tests/consensus/test_open_groups.py
@@ -6,6 +6,7 @@
 from quetzalpass import ids
 
 SETTLE_S = 3.0
+JOIN_S = 8.0
 
 
 async def start_cluster(seed=0, count=3, voters=3):
@@ -121,3 +122,178 @@
         await asyncio.sleep(SETTLE_S)
         assert len(cluster.voters(await cluster.leader())) == 5
         await cluster.stop()
+
+
+async def start_cluster_led_by_no_seed(seed=0, former=()):
+    """Start six VMs, five of them voters and the first three seeds."""
+    cluster = clusters.Cluster(6, seed, open_voters=5)
+    cluster.former_vms = set(former)
+    cluster.seeds = cluster.vms[:3]
+    await cluster.start_all()
+    await cluster.until(
+        lambda: any(len(cluster.voters(vm)) == 5 for vm in cluster.leaders())
+    )
+    await move_leadership(cluster, cluster.vms[3:])
+    return cluster
+
+
+async def move_leadership(cluster, wanted):
+    """Transfer leadership to one of the given VMs, which must be a voter."""
+    leader = await cluster.leader()
+    while leader not in wanted:
+        peers = cluster.groups[leader].leadership.peers.values()
+        target = next(
+            each for each in peers if each.member.is_voter and each.member.vm in wanted
+        )
+        target.match_index += 1
+        await cluster.groups[leader].transfer_leadership()
+        leader = await cluster.leader()
+
+
+def is_member(cluster, vm):
+    replica_id = cluster.groups[vm].replica.replica_id
+    leaders = cluster.leaders()
+    return bool(leaders) and cluster.groups[leaders[0]].members().has_replica(
+        replica_id
+    )
+
+
+@pytest.mark.looptime
+class TestJoiningWhileNoSeedLeads:
+    @pytest.mark.parametrize("seed", range(5))
+    async def test_disks_lost_one_after_the_other_are_all_replaced(self, seed):
+        cluster = await start_cluster_led_by_no_seed(seed)
+        items = []
+        leader = await cluster.leader()
+        lost = [*cluster.seeds, *(vm for vm in cluster.vms[3:] if vm != leader)]
+        for number, vm in enumerate(lost[:4]):
+            await cluster.propose(b"%d" % number)
+            items.append(b"%d" % number)
+            await cluster.wipe(vm)
+            await cluster.until(
+                lambda vm=vm: is_member(cluster, vm) and cluster.items(vm) == items,
+                timeout_s=JOIN_S,
+            )
+            await asyncio.sleep(SETTLE_S)
+        await cluster.propose(b"last")
+        await cluster.stop()
+
+    async def test_a_new_vm_joins_although_all_its_seeds_follow(self):
+        cluster = await start_cluster_led_by_no_seed()
+        await cluster.propose(b"one")
+        new_vm = await start_new_vm(cluster, "vm-9")
+        await cluster.until(lambda: cluster.items(new_vm) == [b"one"], timeout_s=JOIN_S)
+        await cluster.stop()
+
+    async def test_a_new_vm_joins_by_one_follower_when_other_seeds_are_gone(self):
+        cluster = await start_cluster_led_by_no_seed()
+        await cluster.propose(b"one")
+        cluster.seeds = [ids.VmId("gone-1"), ids.VmId("gone-2"), cluster.vms[1]]
+        new_vm = await start_new_vm(cluster, "vm-9")
+        await cluster.until(lambda: cluster.items(new_vm) == [b"one"], timeout_s=JOIN_S)
+        await cluster.stop()
+
+    async def test_two_wiped_seeds_that_reach_no_other_seed_join_again(self):
+        cluster = await start_cluster_led_by_no_seed()
+        await cluster.propose(b"one")
+        cluster.seeds = [*cluster.vms[:2], ids.VmId("gone-1")]
+        wiped = cluster.vms[:2]
+        for vm in wiped:
+            await cluster.crash(vm)
+            cluster.disks[vm] = clusters.disks.FakeDisk()
+        for vm in wiped:
+            (await cluster.start(vm)).unwrap()
+        for vm in wiped:
+            await cluster.until(
+                lambda vm=vm: cluster.items(vm) == [b"one"], timeout_s=JOIN_S
+            )
+        await cluster.stop()
+
+    @pytest.mark.parametrize("seed", range(6))
+    async def test_joins_although_the_leader_changes_meanwhile(self, seed):
+        cluster = await start_cluster_led_by_no_seed(seed)
+        await cluster.propose(b"one")
+        leader = await cluster.leader()
+        wiped = cluster.seeds[seed % 3]
+        await cluster.wipe(wiped)
+        await asyncio.sleep(0.002 * seed)
+        await cluster.crash(leader)
+        await cluster.until(
+            lambda: is_member(cluster, wiped) and cluster.items(wiped) == [b"one"],
+            timeout_s=JOIN_S,
+        )
+        await cluster.stop()
+
+    async def test_joins_by_a_former_member_that_knows_no_leader(self):
+        cluster = await start_cluster_led_by_no_seed()
+        await cluster.propose(b"one")
+        stale = cluster.seeds[0]
+        cluster.network.isolate(stale)
+        # The followers among the members still name each other to the new VM.
+        cluster.seeds = [stale]
+        await asyncio.sleep(SETTLE_S)
+        assert cluster.groups[stale].leader() is None
+        cluster.network.heal()
+        leader = await cluster.leader()
+        cluster.network.cut_links = {(leader, stale), (stale, leader)}
+        new_vm = await start_new_vm(cluster, "vm-9")
+        await cluster.until(lambda: cluster.items(new_vm) == [b"one"], timeout_s=JOIN_S)
+        await cluster.stop()
+
+    async def test_followers_that_name_each_other_as_leader_cause_no_loop(self):
+        cluster = clusters.Cluster(2, open_voters=3)
+        for vm, other in (cluster.vms, reversed(cluster.vms)):
+            (await cluster.start(vm)).unwrap()
+            cluster.groups[vm].replica.leader = other
+        new_vm = await start_new_vm(cluster, "vm-9")
+        for vm in cluster.vms:
+            cluster.groups[vm].joiner.seeds = []
+        cluster.network.sent_counts.clear()
+        await asyncio.sleep(10.0)
+        rounds = 10.0 / cluster.groups[new_vm].replica.settings.timing.join_interval_s
+        # Two requests and at most one forwarded for each; the same for the two.
+        assert cluster.network.sent_counts["StatusRequest"] <= 12 * (rounds + 1)
+        assert cluster.groups[new_vm].members().members == []
+        await cluster.stop()
+
+    async def test_a_group_of_which_a_member_is_heard_is_not_formed_again(self):
+        cluster = await start_cluster()
+        fresh = clusters.Cluster(3, seed=7, open_voters=3)
+        fresh.network = cluster.network
+        fresh.vms = fresh.seeds = [ids.VmId(f"new-{number}") for number in range(3)]
+        fresh.disks = {vm: clusters.disks.FakeDisk() for vm in fresh.vms}
+        for vm in fresh.vms[:2]:
+            (await fresh.start(vm, is_first_start=True)).unwrap()
+        fresh.groups[fresh.vms[0]].joiner.learn_vm(cluster.vms[1])
+        (await fresh.start(fresh.vms[2], is_first_start=True)).unwrap()
+        await asyncio.sleep(SETTLE_S)
+        first = fresh.groups[fresh.vms[0]].members()
+        assert {each.vm for each in first.members} >= set(cluster.vms)
+        await fresh.stop()
+        await cluster.stop()
+
+
+@pytest.mark.looptime
+class TestJoiningAmongFormerVersions:
+    @pytest.mark.parametrize("former", ["leader", "followers", "joiner"])
+    @pytest.mark.parametrize("is_new", [False, True])
+    async def test_a_lost_disk_or_a_new_vm_joins(self, former, is_new):
+        cluster = await start_cluster_led_by_no_seed()
+        await cluster.propose(b"one")
+        leader = await cluster.leader()
+        joiner = ids.VmId("vm-9") if is_new else cluster.seeds[0]
+        followers = set(cluster.vms) - {leader, joiner}
+        former_vms = {"leader": {leader}, "followers": followers, "joiner": {joiner}}
+        cluster.former_vms = former_vms[former]
+        for vm in sorted(cluster.former_vms - {joiner}):
+            await cluster.restart(vm)
+        await move_leadership(cluster, [leader])
+        if is_new:
+            await start_new_vm(cluster, joiner)
+        else:
+            await cluster.wipe(joiner)
+        await cluster.until(
+            lambda: is_member(cluster, joiner) and cluster.items(joiner) == [b"one"],
+            timeout_s=JOIN_S,
+        )
+        await cluster.stop()
--- a/tests/fakes/clusters.py
+++ b/tests/fakes/clusters.py
@@ -6,7 +6,7 @@
 
 from returns import result
 
-from fakes import disks, transports
+from fakes import disks, former_joining, transports
 from quetzalpass import ids
 from quetzalpass.consensus import entries, group, machine, registry, replica
 
@@ -39,6 +39,8 @@
         self.disks = {vm: disks.FakeDisk() for vm in self.vms}
         self.groups = {}
         self.start_count = 0
+        # VMs that run the version before joiners followed the leader.
+        self.former_vms = set()
 
     def rules(self, vm, is_first_start):
         return replica.MembershipRules(
@@ -66,6 +68,9 @@
             snapshot_every=self.snapshot_every,
             rules=rules,
         )
+        if vm in self.former_vms:
+            former = former_joining.FormerJoiner(self.groups[vm].replica)
+            self.groups[vm].joiner = former
         registry.GroupRegistry(table).add(self.groups[vm])
         return await self.groups[vm].start()
 
--- a/tests/fakes/transports.py
+++ b/tests/fakes/transports.py
@@ -1,6 +1,7 @@
 """An in-memory network that drops, delays, duplicates and reorders messages."""
 
 import asyncio
+import collections
 import random
 
 from returns import result
@@ -18,6 +19,7 @@
         self.drop_rate = 0.0
         self.cut_links = set()
         self.tables = {}
+        self.sent_counts = collections.Counter()
         self.pending_tasks = set()
 
     def add_table(self, vm):
@@ -41,6 +43,7 @@
             await asyncio.Event().wait()
 
     async def deliver(self, source, target, message):
+        self.sent_counts[type(message).__name__] += 1
         await self.transmit(source, target)
         if target not in self.tables:
             return transport.unreachable(target, "it is down")
