--- a/src/quetzalpass/consensus/following.py
+++ b/src/quetzalpass/consensus/following.py
@@ -181,12 +181,15 @@
             if incoming.index <= replica.applied_index:
                 return True
             snapshot = logs.decode_snapshot(data)
-            installed = await replica.log.install(snapshot, data)
-            if isinstance(installed, result.Failure):
-                replica.fail(installed.failure())
+            saved = await replica.log.save_snapshot(snapshot.index, data)
+            if isinstance(saved, result.Failure):
+                replica.fail(saved.failure())
                 return False
+            replica.log.install(snapshot, data)
             if snapshot.index > replica.applied_index:
                 replica.restore(snapshot)
+            if not await replica.persist():
+                return False
             replica.reset_election_timer()
         LOG.info("consensus: Installed a snapshot up to index {}.", snapshot.index)
         return True
--- a/src/quetzalpass/consensus/log.py
+++ b/src/quetzalpass/consensus/log.py
@@ -237,19 +237,23 @@
         self.snapshot_index = snapshot.index
         self.snapshot_data = data
 
-    async def install(
-        self, snapshot: GroupSnapshot, data: bytes
+    async def save_snapshot(
+        self, index: ids.LogIndex, data: bytes
     ) -> result.Result[None, failures.Failure]:
-        """Store a leader's snapshot and drop the entries that it replaces."""
-        saved = await self.snapshots.save(snapshots.Snapshot(snapshot.index, data))
-        if isinstance(saved, result.Failure):
-            return saved
+        """Store an encoded snapshot durably, without using it yet."""
+        return await self.snapshots.save(snapshots.Snapshot(index, data))
+
+    def install(self, snapshot: GroupSnapshot, data: bytes) -> None:
+        """Use a leader's snapshot, which is durable, in place of what it covers.
+
+        The entries that conflict with it are gone at once, so the applied state must be
+        replaced before another task runs. The record of it is durable after ``commit``.
+        """
         matches = self.term_at(snapshot.index) == snapshot.term
         self.set_snapshot(snapshot, data)
         if not matches:
             reset = entries.encode_stored(entries.Reset(snapshot.index))
             self.segments.append(snapshot.index, reset)
-        return await self.commit()
 
     async def compact(
         self, snapshot: GroupSnapshot
@@ -260,7 +264,7 @@
         snapshot.
         """
         data = encode_snapshot(snapshot)
-        saved = await self.snapshots.save(snapshots.Snapshot(snapshot.index, data))
+        saved = await self.save_snapshot(snapshot.index, data)
         if isinstance(saved, result.Failure):
             return saved
         self.set_snapshot(snapshot, data)
--- a/tests/consensus/test_rules.py
+++ b/tests/consensus/test_rules.py
@@ -1,10 +1,11 @@
 import asyncio
 
 import crc32c
+import msgspec
 import pytest
 
 from fakes import clusters
-from quetzalpass.consensus import entries, log, messages, timing
+from quetzalpass.consensus import entries, following, log, messages, timing
 
 AFTER_ELECTION_TIMEOUT_S = timing.ELECTION_TIMEOUT_S + 0.1
 
@@ -223,6 +224,40 @@
         assert cluster.groups["vm-1"].replica.log.last_index == 5
         await cluster.stop()
 
+    async def test_entries_that_wait_to_be_applied_while_it_is_installed(
+        self, monkeypatch
+    ):
+        cluster = clusters.Cluster()
+        await cluster.start_all()
+        leader = await cluster.leader()
+        follower = next(vm for vm in cluster.vms if vm != leader)
+        behind = cluster.groups[follower]
+        for item in (b"a", b"b", b"c"):
+            await cluster.propose(item)
+        await cluster.until(lambda: cluster.items(follower) == [b"a", b"b", b"c"])
+        snapshot = cluster.groups[leader].applier.take_snapshot()
+        ahead = msgspec.structs.replace(snapshot, index=snapshot.index + 50)
+        encoded = log.encode_snapshot(ahead)
+        save = behind.replica.log.snapshots.save
+
+        async def save_and_commit(stored):
+            saved = await save(stored)
+            behind.replica.applied_index -= 2
+            behind.replica.commit_changed.notify()
+            return saved
+
+        monkeypatch.setattr(behind.replica.log.snapshots, "save", save_and_commit)
+        incoming = following.IncomingSnapshot(
+            behind.replica.replica_id,
+            ahead.index,
+            crc32c.crc32c(encoded),
+            bytearray(encoded),
+        )
+        assert await behind.follower.install(incoming)
+        assert behind.replica.failure is None
+        assert behind.replica.applied_index == ahead.index
+        await cluster.stop()
+
 
 @pytest.mark.looptime
 class TestCommit:
