--- a/src/quetzalpass/consensus/applying.py
+++ b/src/quetzalpass/consensus/applying.py
@@ -13,7 +13,9 @@
 from quetzalpass.results import codes, failures
 
 SNAPSHOT_EVERY_ENTRIES = 4096
+SNAPSHOT_EVERY_BYTES = 8 * 1024 * 1024
 APPLY_BATCH_ENTRIES = 64
+APPLY_BATCH_BYTES = 256 * 1024
 
 LOG = logbook.Logger("consensus")
 
@@ -43,7 +45,13 @@
     replica : replicas.Replica
         The replica.
     snapshot_every : int
-        Number of applied entries between two snapshots.
+        Number of applied entries after which a snapshot is taken, even if they have
+        fewer than ``SNAPSHOT_EVERY_BYTES``.
+
+    Attributes
+    ----------
+    unsaved_bytes : int
+        Size of the commands that were applied since the last snapshot was taken.
     """
 
     def __init__(
@@ -51,6 +59,7 @@
     ) -> None:
         self.replica = replica
         self.snapshot_every = snapshot_every
+        self.unsaved_bytes = 0
         self.waiters: dict[int, Waiter] = {}
         self.lock = asyncio.Lock()
 
@@ -66,14 +75,17 @@
             await asyncio.sleep(0)
 
     def apply_batch(self) -> None:
-        """Apply at most ``APPLY_BATCH_ENTRIES`` committed entries."""
+        """Apply committed entries, as far as the bounds of a batch permit."""
         replica = self.replica
         last = min(replica.commit_index, replica.applied_index + APPLY_BATCH_ENTRIES)
-        while replica.applied_index < last:
+        batch_bytes = 0
+        while replica.applied_index < last and batch_bytes < APPLY_BATCH_BYTES:
             entry = replica.log.entry_at(replica.applied_index + 1)
             outcome = self.apply(entry)
             replica.applied_index = entry.index
+            batch_bytes += len(entry.data)
             self.resolve(entry, outcome)
+        self.unsaved_bytes += batch_bytes
         replica.applied_changed.notify()
 
     def apply(self, entry: entries.Entry) -> bytes:
@@ -107,14 +119,26 @@
         waiter.future.set_result(result.Failure(failure))
 
     def compact_if_due(self) -> None:
-        """Take a snapshot if enough entries were applied since the last one.
+        """Take a snapshot if one is due.
 
         A separate task stores it, so that later proposals don't wait for the disk.
         """
-        replica = self.replica
-        new_entries = replica.applied_index - replica.log.snapshot_index
-        if new_entries >= self.snapshot_every and not self.lock.locked():
-            replica.spawn(self.compact(self.take_snapshot()))
+        if self.is_snapshot_due() and not self.lock.locked():
+            self.unsaved_bytes = 0
+            self.replica.spawn(self.compact(self.take_snapshot()))
+
+    def is_snapshot_due(self) -> bool:
+        """Return whether the entries since the last snapshot are too many or too large.
+
+        A state above ``SNAPSHOT_EVERY_BYTES`` is stored again only when the commands
+        since then have as many bytes, so that the disk writes at most twice their size.
+        """
+        own_log = self.replica.log
+        new_entries = self.replica.applied_index - own_log.snapshot_index
+        if new_entries >= self.snapshot_every:
+            return True
+        allowed_bytes = max(SNAPSHOT_EVERY_BYTES, len(own_log.snapshot_data))
+        return new_entries > 0 and self.unsaved_bytes >= allowed_bytes
 
     async def compact(self, snapshot: logs.GroupSnapshot) -> None:
         """Store a snapshot and drop the entries that it covers."""
--- a/src/quetzalpass/consensus/group.py
+++ b/src/quetzalpass/consensus/group.py
@@ -53,7 +53,8 @@
     timing : timings.Timing
         Timeouts and intervals, equal on all members.
     snapshot_every : int
-        Number of applied entries between two snapshots.
+        Number of applied entries after which a snapshot is taken, even if they are
+        small.
     rules : replicas.MembershipRules
         Rules for membership changes.
     """
--- a/src/quetzalpass/consensus/log.py
+++ b/src/quetzalpass/consensus/log.py
@@ -12,6 +12,7 @@
 
 SEGMENT_BYTES = 4 * 1024 * 1024
 TRAILING_ENTRIES = 256
+TRAILING_BYTES = 8 * 1024 * 1024
 
 LOG = logbook.Logger("consensus")
 
@@ -173,12 +174,11 @@
         loaded = await self.snapshots.open()
         if isinstance(loaded, result.Failure):
             return loaded
-        records = await self.segments.open()
-        if isinstance(records, result.Failure):
-            return records
+        replayed = await self.segments.open(self.replay)
+        if isinstance(replayed, result.Failure):
+            return replayed
         stored = loaded.unwrap()
         snapshot = decode_snapshot(stored.data) if stored else None
-        self.replay(records.unwrap())
         if snapshot is not None:
             self.complete_base(snapshot)
             matches = self.term_at(snapshot.index) == snapshot.term
@@ -193,23 +193,23 @@
                 f"holds them. Start with an empty folder."
             )
             return result.Failure(failures.Failure(codes.Code.STORAGE_DAMAGED, message))
+        self.trim()
         committed = await self.commit()
         if isinstance(committed, result.Failure):
             return committed
         return result.Success(snapshot)
 
-    def replay(self, records: list[frames.Record]) -> None:
-        """Rebuild the entries in memory from the records, in the order of writing."""
-        for record in records:
-            stored = entries.decode_stored(record.data)
-            if isinstance(stored, entries.HardState):
-                self.hard_state = stored
-            elif isinstance(stored, entries.Reset):
-                self.clear(stored.index, ids.Term(0))
-            else:
-                if not self.base_index < stored.index <= self.last_index + 1:
-                    self.clear(ids.LogIndex(stored.index - 1), ids.Term(0))
-                self.insert(stored)
+    def replay(self, record: frames.Record) -> None:
+        """Add a record of the disk to memory; all are replayed as they were written."""
+        stored = entries.decode_stored(record.data)
+        if isinstance(stored, entries.HardState):
+            self.hard_state = stored
+        elif isinstance(stored, entries.Reset):
+            self.clear(stored.index, ids.Term(0))
+        else:
+            if not self.base_index < stored.index <= self.last_index + 1:
+                self.clear(ids.LogIndex(stored.index - 1), ids.Term(0))
+            self.insert(stored)
 
     def complete_base(self, snapshot: GroupSnapshot) -> None:
         """Set the term at the base, whose own entry is no longer on the disk."""
@@ -254,30 +254,50 @@
         if not matches:
             reset = entries.encode_stored(entries.Reset(snapshot.index))
             self.segments.append(snapshot.index, reset)
+        self.trim()
 
     async def compact(
         self, snapshot: GroupSnapshot
     ) -> result.Result[None, failures.Failure]:
         """Store a snapshot of this replica and drop entries that it covers.
 
-        ``TRAILING_ENTRIES`` are kept, so that a peer that lags slightly needs no
-        snapshot.
+        Some are kept in memory, so that a peer that lags slightly needs no snapshot.
         """
         data = encode_snapshot(snapshot)
         saved = await self.save_snapshot(snapshot.index, data)
         if isinstance(saved, result.Failure):
             return saved
         self.set_snapshot(snapshot, data)
-        base = ids.LogIndex(snapshot.index - TRAILING_ENTRIES)
-        if base > self.base_index:
-            base_term = self.term_at(base)
-            assert base_term is not None, "the log holds the entries it compacts"
-            del self.entries[: base - self.base_index]
-            self.base_index = base
-            self.base_term = base_term
+        self.trim()
         self.segments.drop_through(snapshot.index)
         return result.Success(None)
 
+    def trim(self) -> None:
+        """Drop most entries that the snapshot covers from memory.
+
+        At most ``TRAILING_ENTRIES`` with at most ``TRAILING_BYTES`` are kept.
+        """
+        base = self.trailing_base()
+        if base <= self.base_index:
+            return
+        base_term = self.term_at(base)
+        assert base_term is not None, "the log holds the entries it compacts"
+        del self.entries[: base - self.base_index]
+        self.base_index = base
+        self.base_term = base_term
+
+    def trailing_base(self) -> ids.LogIndex:
+        """Return the index before the oldest entry to keep of those in the snapshot."""
+        first = max(self.base_index, self.snapshot_index - TRAILING_ENTRIES)
+        base = self.snapshot_index
+        kept_bytes = 0
+        while base > first:
+            kept_bytes += len(self.entry_at(base).data)
+            if kept_bytes > TRAILING_BYTES:
+                break
+            base = ids.LogIndex(base - 1)
+        return base
+
 
 def encode_snapshot(snapshot: GroupSnapshot) -> bytes:
     """Encode a snapshot for the disk and the peers."""
--- a/src/quetzalpass/consensus/peers.py
+++ b/src/quetzalpass/consensus/peers.py
@@ -127,13 +127,13 @@
         return True
 
     async def send_snapshot_chunk(self) -> bool:
-        """Send the next chunk of the newest snapshot."""
+        """Send the next chunk of what was the newest snapshot at the first chunk."""
         replica = self.replica
-        if self.snapshot_index == 0:
+        is_outdated = self.snapshot_index != replica.log.snapshot_index
+        if self.snapshot_offset == 0 and is_outdated:
             self.snapshot_index = replica.log.snapshot_index
             self.snapshot_data = replica.log.snapshot_data
             self.snapshot_checksum = crc32c.crc32c(self.snapshot_data)
-            self.snapshot_offset = 0
         start = self.snapshot_offset
         request = messages.SnapshotRequest(
             group=replica.settings.group,
@@ -154,6 +154,7 @@
         if reply.is_installed:
             self.next_index = self.snapshot_index + 1
             self.snapshot_index = 0
+            self.snapshot_offset = 0
             self.snapshot_data = b""
         return True
 
--- a/src/quetzalpass/storage/frames.py
+++ b/src/quetzalpass/storage/frames.py
@@ -1,6 +1,7 @@
 """Frames with checksums, in which segments and snapshots are written."""
 
 import struct
+from collections.abc import Iterator
 
 import crc32c
 import msgspec
@@ -32,15 +33,15 @@
 
     Attributes
     ----------
-    payloads : list of bytes
-        Payloads of the valid frames from the start.
+    payloads : list of slice
+        Where the payloads of the valid frames from the start are.
     valid_end : int
         Offset in bytes after the last of them.
     valid_frame_after : int or None
         Offset of a valid frame after the first invalid one, if there is any.
     """
 
-    payloads: list[bytes]
+    payloads: list[slice]
     valid_end: int
     valid_frame_after: int | None
 
@@ -62,8 +63,8 @@
     return crc32c.crc32c(covered)
 
 
-def decode_frame(content: bytes, offset: int) -> bytes | None:
-    """Return the payload of the frame at an offset, or None if it is invalid."""
+def find_payload(content: bytes, offset: int) -> slice | None:
+    """Return where the payload of the frame at an offset is; None if it is invalid."""
     if offset + HEADER.size > len(content):
         return None
     magic, length, payload_crc, header_crc = HEADER.unpack_from(content, offset)
@@ -72,19 +73,25 @@
     if header_crc != compute_header_checksum(length, payload_crc, offset):
         return None
     start = offset + HEADER.size
-    payload = content[start : start + length]
+    payload = memoryview(content)[start : start + length]
     if len(payload) != length or crc32c.crc32c(payload) != payload_crc:
         return None
-    return payload
+    return slice(start, start + length)
+
+
+def decode_frame(content: bytes, offset: int) -> bytes | None:
+    """Return the payload of the frame at an offset, or None if it is invalid."""
+    payload = find_payload(content, offset)
+    return None if payload is None else content[payload]
 
 
 def scan(content: bytes, start: int) -> ScanResult:
     """Read the frames of a file from an offset in bytes up to the first invalid one."""
     payloads = []
     offset = start
-    while (payload := decode_frame(content, offset)) is not None:
+    while (payload := find_payload(content, offset)) is not None:
         payloads.append(payload)
-        offset += HEADER.size + len(payload)
+        offset = payload.stop
     return ScanResult(payloads, offset, find_valid_frame(content, offset + 1))
 
 
@@ -92,7 +99,7 @@
     """Return the offset of the first valid frame at or after an offset in bytes."""
     offset = content.find(MAGIC, start)
     while offset >= 0:
-        if decode_frame(content, offset) is not None:
+        if find_payload(content, offset) is not None:
             return offset
         offset = content.find(MAGIC, offset + 1)
     return None
@@ -107,13 +114,11 @@
     return b"".join(parts)
 
 
-def decode_records(payload: bytes) -> list[Record]:
-    """Decode the batch of records in a payload."""
-    records = []
-    offset = 0
-    while offset < len(payload):
-        key, length = RECORD.unpack_from(payload, offset)
+def decode_records(content: bytes, payload: slice) -> Iterator[Record]:
+    """Decode the batch of records in a payload, one at a time."""
+    offset = payload.start
+    while offset < payload.stop:
+        key, length = RECORD.unpack_from(content, offset)
         offset += RECORD.size
-        records.append(Record(key, payload[offset : offset + length]))
+        yield Record(key, content[offset : offset + length])
         offset += length
-    return records
--- a/src/quetzalpass/storage/recovery.py
+++ b/src/quetzalpass/storage/recovery.py
@@ -2,6 +2,7 @@
 
 import re
 import struct
+from collections import abc
 
 import crc32c
 import msgspec
@@ -46,8 +47,8 @@
     ----------
     segments : list of Segment
         Segments in order.
-    records : list of frames.Record
-        All records in the order in which they were written.
+    record_count : int
+        Number of records.
     torn_bytes : int
         Bytes after the valid part of the last segment, left by a crash.
     torn_segments : list of str
@@ -57,7 +58,7 @@
     """
 
     segments: list[Segment] = []
-    records: list[frames.Record] = []
+    record_count: int = 0
     torn_bytes: int = 0
     torn_segments: list[str] = []
     synced_end: int = 0
@@ -106,13 +107,18 @@
     return SyncedMark(sequence, size)
 
 
-def read_segments(disk: disks.Disk) -> result.Result[RecoveredLog, failures.Failure]:
-    """Read a log without modifying it.
+def read_segments(
+    disk: disks.Disk, visit: abc.Callable[[frames.Record], None]
+) -> result.Result[RecoveredLog, failures.Failure]:
+    """Read a log without modifying it, one file in memory at a time.
 
     Parameters
     ----------
     disk : Disk
         Folder of the log.
+    visit : callable
+        Called with each record in the order in which they were written, also with
+        those before a damaged one.
 
     Returns
     -------
@@ -132,7 +138,7 @@
         if recovered.segments and sequence != recovered.segments[-1].sequence + 1:
             return damage_failure(name, 0, "the preceding segment is missing")
         is_last = position == len(names) - 1
-        problem = read_segment(disk, name, is_last, synced, recovered)
+        problem = read_segment(disk, name, is_last, synced, recovered, visit)
         if problem is not None:
             return result.Failure(problem)
     last = recovered.segments[-1] if recovered.segments else None
@@ -151,6 +157,7 @@
     is_last: bool,
     synced: SyncedMark,
     recovered: RecoveredLog,
+    visit: abc.Callable[[frames.Record], None],
 ) -> failures.Failure | None:
     """Add one segment to the recovered log; return the failure if it is damaged."""
     sequence = int(name.removeprefix(SEGMENT_PREFIX))
@@ -183,10 +190,10 @@
         return None
     segment = Segment(name, sequence, scanned.valid_end, 0)
     for payload in scanned.payloads:
-        records = frames.decode_records(payload)
-        recovered.records.extend(records)
-        keys = [record.key for record in records]
-        segment.max_key = max([segment.max_key, *keys])
+        for record in frames.decode_records(content, payload):
+            visit(record)
+            recovered.record_count += 1
+            segment.max_key = max(segment.max_key, record.key)
     recovered.segments.append(segment)
     return None
 
--- a/src/quetzalpass/storage/segments.py
+++ b/src/quetzalpass/storage/segments.py
@@ -11,6 +11,7 @@
 from quetzalpass.storage import frames, recovery
 
 SEGMENT_BYTES = 8 * 1024 * 1024
+MAX_BATCH_BYTES = 4 * 1024 * 1024
 
 LOG = logbook.Logger("storage")
 
@@ -48,18 +49,24 @@
         self.failure: failures.Failure | None = None
         self.flush_task: asyncio.Task | None = None
 
-    async def open(self) -> result.Result[list[frames.Record], failures.Failure]:
+    async def open(
+        self, visit: abc.Callable[[frames.Record], None]
+    ) -> result.Result[None, failures.Failure]:
         """Read the log and make it ready for appending.
 
+        Parameters
+        ----------
+        visit : callable
+            Called with each record in the order in which they were written.
+
         Returns
         -------
         returns.result.Result
-            All records in the order in which they were written; ``STORAGE_DAMAGED``
-            with file and offset if there is damage other than a torn end;
-            ``STORAGE_FAILED`` if the disk fails.
+            ``STORAGE_DAMAGED`` with file and offset if there is damage other than a
+            torn end; ``STORAGE_FAILED`` if the disk fails.
         """
         try:
-            outcome = recovery.read_segments(self.disk)
+            outcome = recovery.read_segments(self.disk, visit)
             if isinstance(outcome, result.Failure):
                 return outcome
             recovered = outcome.unwrap()
@@ -69,7 +76,7 @@
                 await self.start_segment()
         except OSError as error:
             return result.Failure(self.fail("open", error))
-        return result.Success(recovered.records)
+        return result.Success(None)
 
     async def repair(self, recovered: recovery.RecoveredLog) -> None:
         """Truncate a torn end and rewrite what may be unsynced of the last segment.
@@ -128,9 +135,8 @@
         return result.Success(None)
 
     async def flush(self) -> None:
-        """Write all queued records as one frame and sync it."""
-        records, self.pending = self.pending, []
-        count = self.appended_count
+        """Write the oldest queued records as one frame and sync it."""
+        records = self.take_batch()
         try:
             if self.segments[-1].size >= self.segment_bytes:
                 await self.start_segment()
@@ -138,7 +144,19 @@
         except OSError as error:
             self.fail("write", error)
             return
-        self.synced_count = count
+        self.synced_count += len(records)
+
+    def take_batch(self) -> list[frames.Record]:
+        """Take the oldest queued records: ``MAX_BATCH_BYTES`` at most, or just one."""
+        count = 0
+        batch_bytes = 0
+        for record in self.pending:
+            batch_bytes += len(record.data)
+            if count > 0 and batch_bytes > MAX_BATCH_BYTES:
+                break
+            count += 1
+        batch, self.pending = self.pending[:count], self.pending[count:]
+        return batch
 
     async def write_batch(self, records: list[frames.Record]) -> None:
         """Write one frame to the last segment and sync it."""
--- a/src/quetzalpass/storage/verify.py
+++ b/src/quetzalpass/storage/verify.py
@@ -91,7 +91,7 @@
     """Check the log in one folder."""
     disk = disks.FolderDisk(path)
     folder = str(path.relative_to(root))
-    found = recovery.read_segments(disk)
+    found = recovery.read_segments(disk, lambda record: None)
     newest = snapshots.read_newest(disk)
     for outcome in (found, newest):
         if isinstance(outcome, result.Failure):
@@ -101,7 +101,7 @@
     return LogReport(
         folder,
         len(recovered.segments),
-        len(recovered.records),
+        recovered.record_count,
         recovered.torn_bytes,
         snapshot.index if snapshot else None,
     )
--- a/tests/fakes/clusters.py
+++ b/tests/fakes/clusters.py
@@ -8,12 +8,13 @@
 
 from fakes import disks, former_joining, transports
 from quetzalpass import ids
-from quetzalpass.consensus import entries, group, machine, registry, replica
+from quetzalpass.consensus import entries, group, registry, replica
+from quetzalpass.consensus import machine as machines
 
 GROUP = ids.GroupId("test")
 
 
-class ListMachine(machine.StateMachine):
+class ListMachine(machines.StateMachine):
     def __init__(self):
         self.items = []
 
@@ -29,7 +30,15 @@
 
 
 class Cluster:
-    def __init__(self, count=3, seed=0, snapshot_every=4096, open_voters=0):
+    def __init__(
+        self,
+        count=3,
+        seed=0,
+        snapshot_every=4096,
+        open_voters=0,
+        machine=ListMachine,
+    ):
+        self.machine = machine
         self.seed = seed
         self.open_voters = open_voters
         self.snapshot_every = snapshot_every
@@ -63,7 +72,7 @@
             known,
             self.disks[vm],
             transports.FakeTransport(self.network, vm),
-            ListMachine(),
+            self.machine(),
             random.Random(f"{self.seed}-{self.start_count}"),
             snapshot_every=self.snapshot_every,
             rules=rules,
--- a/tests/storage/test_folders.py
+++ b/tests/storage/test_folders.py
@@ -50,7 +50,7 @@
         folder = disk.open_folder(path).unwrap()
         head = frames.Record(0, b"head")
         log = segments.SegmentLog(folder.folder("group"), lambda: head)
-        await log.open()
+        await log.open(lambda record: None)
         log.append(1, b"content")
         (await log.commit()).unwrap()
         await snapshots.SnapshotStore(folder.folder("group")).save(
--- a/tests/storage/test_segments.py
+++ b/tests/storage/test_segments.py
@@ -15,15 +15,20 @@
     return segments.SegmentLog(disk, lambda: HEAD, segment_bytes)
 
 
+def ignore(record):
+    """Visit a record whose content doesn't matter."""
+
+
 async def read_keys(disk):
-    outcome = await new_log(disk).open()
-    return [record.key for record in outcome.unwrap() if record.key]
+    records = []
+    (await new_log(disk).open(records.append)).unwrap()
+    return [record.key for record in records if record.key]
 
 
 async def new_filled_log(count=6):
     disk = disks.FakeDisk()
     log = new_log(disk)
-    await log.open()
+    await log.open(ignore)
     for key in range(1, count + 1):
         log.append(key, b"content %d" % key)
         (await log.commit()).unwrap()
@@ -34,7 +39,7 @@
     acknowledged = 0
     log = new_log(disk)
     try:
-        await log.open()
+        await log.open(ignore)
         for key in range(1, count + 1):
             log.append(key, b"content %d" % key)
             await log.commit()
@@ -74,7 +79,7 @@
         disk, log = await new_filled_log(3)
         disk.append(log.segments[-1].name, b"QZPF torn")
         reopened = new_log(disk)
-        await reopened.open()
+        await reopened.open(ignore)
         reopened.append(4, b"next")
         (await reopened.commit()).unwrap()
         assert await read_keys(disk) == [1, 2, 3, 4]
@@ -85,7 +90,7 @@
             for offset in range(segment.size):
                 damaged = copy.deepcopy(disk)
                 damaged.flip_bit(segment.name, offset)
-                failure = (await new_log(damaged).open()).failure()
+                failure = (await new_log(damaged).open(ignore)).failure()
                 assert failure.code is codes.Code.STORAGE_DAMAGED
                 assert segment.name in failure.message
                 assert "offset" in failure.message
@@ -94,7 +99,7 @@
         for position in (1, -1):
             disk, log = await new_filled_log(6)
             disk.remove(log.segments[position].name)
-            failure = (await new_log(disk).open()).failure()
+            failure = (await new_log(disk).open(ignore)).failure()
             assert failure.code is codes.Code.STORAGE_DAMAGED
 
     @pytest.mark.parametrize("fault", ["fails_sync", "is_full"])
@@ -116,7 +121,7 @@
             assert isinstance(await log.commit(), result.Failure)
             disk.faults.fails_sync = False
             restarted = new_log(disk)
-            (await restarted.open()).unwrap()
+            (await restarted.open(ignore)).unwrap()
             restarted.append(4, b"acknowledged")
             (await restarted.commit()).unwrap()
             survivor = disk.after_crash(random.Random(seed))
@@ -134,6 +139,6 @@
     def test_a_file_with_an_invalid_segment_name_is_reported(self):
         folder = disks.FakeDisk()
         folder.files["segment-zzz.log"] = disks.FakeFile(b"")
-        failure = recovery.read_segments(folder).failure()
+        failure = recovery.read_segments(folder, ignore).failure()
         assert failure.code is codes.Code.STORAGE_DAMAGED
         assert "segment-zzz.log" in failure.message
