LOST: a power loss during a compaction leaves no gap among the segments

Callers saw: after a power loss a control node refused to start ("the preceding segment is missing") and counted as lost for good; with all nodes cut off from power at once, a majority may go that way.

Cause (order of durable effects): drop_through removed several segments without a sync of the folder. Each removal may be kept or lost independently, so an older file could come back while a newer one stayed away, and the start takes such a gap for damage.

Fix: each removal is synced before the next one, the oldest first.

tests/fakes/disks.py, stricter: after a crash each name that was created, renamed or removed without a sync of its folder is kept or lost independently; before, either all such changes were kept or none. tests/storage/test_segments.py awaits drop_through.

--- a/src/quetzalpass/consensus/log.py
+++ b/src/quetzalpass/consensus/log.py
@@ -269,7 +269,7 @@
             return saved
         self.set_snapshot(snapshot, data)
         self.trim()
-        self.segments.drop_through(snapshot.index)
+        await self.segments.drop_through(snapshot.index)
         return result.Success(None)
 
     def trim(self) -> None:
--- a/src/quetzalpass/storage/segments.py
+++ b/src/quetzalpass/storage/segments.py
@@ -181,12 +181,17 @@
         self.segments.append(segment)
         recovery.write_synced_mark(self.disk, segment)
 
-    def drop_through(self, key: int) -> None:
-        """Remove the oldest segments whose keys are all at or below a key."""
+    async def drop_through(self, key: int) -> None:
+        """Remove the oldest segments whose keys are all at or below a key.
+
+        Each removal is durable before the next one. Otherwise a power loss might undo
+        only the older one, and a start would take the gap for damage.
+        """
         try:
             while len(self.segments) > 1 and self.segments[0].max_key <= key:
                 self.disk.remove(self.segments[0].name)
                 self.segments.pop(0)
+                await self.disk.sync_folder()
         except OSError as error:
             self.fail("remove", error)
 
--- a/tests/fakes/disks.py
+++ b/tests/fakes/disks.py
@@ -61,10 +61,11 @@
 
     def after_crash(self, rng, faults=None):
         recovered = FakeDisk(faults)
-        files = rng.choice([self.files, self.durable_files])
-        recovered.files = {
-            name: file.copy_after_crash(rng) for name, file in files.items()
-        }
+        for name in sorted({*self.files, *self.durable_files}):
+            # Without a sync of the folder each name is kept or lost independently.
+            file = rng.choice([self.files, self.durable_files]).get(name)
+            if file is not None:
+                recovered.files[name] = file.copy_after_crash(rng)
         recovered.durable_files = dict(recovered.files)
         for name, inner in self.folders.items():
             recovered.folders[name] = inner.after_crash(rng, recovered.faults)
--- a/tests/storage/test_segments.py
+++ b/tests/storage/test_segments.py
@@ -129,7 +129,7 @@
 
     async def test_drops_only_segments_up_to_the_key(self):
         disk, log = await new_filled_log(9)
-        log.drop_through(5)
+        await log.drop_through(5)
         keys = await read_keys(disk)
         assert keys[0] > 1
         assert set(range(6, 10)) <= set(keys)
