LOST: a control node without a leader removes no other from a gateway's list

A control node with an empty disk, or one that was replaced while it was cut off, knows itself or an old list alone, so the gateway went back to its seeds and stopped following the others.

Evidence: tests/membership/test_control_links.py, TestControlNodes; before: {'c-1'} instead of {'c-1', 'c-2', 'c-3', 'c-4'} (1 of 1); after: passes.

Fix: the list of a node that knows no leader is added to what the gateway has; the list of one that does replaces it, as before, so that control nodes that are gone are dropped once a leader is known again. No message changes.

--- a/src/quetzalpass/membership/control_links.py
+++ b/src/quetzalpass/membership/control_links.py
@@ -235,7 +235,11 @@
         for brittle_observer in self.brittle_observers:
             brittle_observer(reply.brittle)
         if reply.controls:
-            self.adopt_controls(set(reply.controls) | set(self.seeds))
+            controls = set(reply.controls) | set(self.seeds)
+            if reply.leader is None:
+                # It may be cut off or have lost its disk, and know none of the others.
+                controls |= self.controls
+            self.adopt_controls(controls)
         if not reply.is_watching:
             return False
         if self.active_control != reply.leader:
--- a/tests/membership/test_control_links.py
+++ b/tests/membership/test_control_links.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from fakes import transports
 from quetzalpass import ids
 from quetzalpass.membership import (
     configuration,
@@ -43,3 +44,22 @@
         links.apply_reply(fleet_messages.FleetReply(False, gateways=5))
         assert received == []
         assert links.view.gateways == 1
+
+
+@pytest.mark.looptime
+class TestControlNodes:
+    async def test_a_control_node_that_knows_no_leader_removes_no_other(self):
+        links = make_links()
+        links.channel = transports.FakeTransport(transports.FakeNetwork(), links.vm)
+        known = ("c-2", "c-3", "c-4")
+        links.apply_reply(
+            fleet_messages.FleetReply(False, leader="c-2", controls=known)
+        )
+        # The seed has lost its disk: it knows itself alone.
+        links.apply_reply(fleet_messages.FleetReply(False, controls=("c-1",)))
+        assert links.controls == {"c-1", *known}
+        links.apply_reply(
+            fleet_messages.FleetReply(False, leader="c-2", controls=("c-2", "c-3"))
+        )
+        assert links.controls == {"c-1", "c-2", "c-3"}
+        links.stop()
