LOST: a control node asks a leader that only a follower names

Two nodes that name each other are asked at the retry interval, for 5 s at most.

Fix: a control node makes a client for the leader that a reply names. Daemons with configured addresses don't, as before.

--- a/src/quetzalpass/daemon/control_role.py
+++ b/src/quetzalpass/daemon/control_role.py
@@ -145,7 +145,9 @@
         self.disk = replica_role.value_or_raise(disk.open_folder(folder))
         self.group = self.build_group()
         registry.GroupRegistry(self.table).add(self.group)
-        self.proposer = groups.GroupProposer(groups.DECLARATION_GROUP, {}, self.group)
+        self.proposer = groups.GroupProposer(
+            groups.DECLARATION_GROUP, {}, self.group, self.client_of
+        )
         self.table.add(inner_messages.ProposeRequest, self.handle_proposal)
         self.table.add(inner_messages.DeclarationRequest, self.handle_declaration)
         self.table.add(fleet_messages.FleetRequest, self.handle_fleet)
@@ -265,14 +267,16 @@
         """Record that a request to a brittle server has ended."""
         return result.Success(self.room_desk.handle_release(release))
 
+    def client_of(self, vm: ids.VmId) -> peer_client.PeerClient:
+        """Return a client of another control node."""
+        return peer_client.PeerClient(vm, self.channel)
+
     async def propose(
         self, command: declared_state.Command
     ) -> result.Result[bytes, failures.Failure]:
         """Commit a command, on this node or any other that leads."""
         others = (set(self.control_nodes()) | set(self.seeds)) - {self.settings.vm}
-        self.proposer.clients = {
-            vm: peer_client.PeerClient(vm, self.channel) for vm in others
-        }
+        self.proposer.clients = {vm: self.client_of(vm) for vm in others}
         number = self.rng.getrandbits(OPERATION_BITS)
         operation = ids.OperationId(f"{self.started_ns:x}-{number:x}")
         data = msgspec.msgpack.encode(command)
--- a/src/quetzalpass/daemon/groups.py
+++ b/src/quetzalpass/daemon/groups.py
@@ -1,6 +1,7 @@
 """Access of a daemon to the replicated groups, here or on other VMs."""
 
 import asyncio
+from collections.abc import Callable
 
 from returns import result
 
@@ -40,6 +41,9 @@
         Clients of the replicas on other VMs.
     local : consensus_group.Group or None
         The replica on this VM.
+    connect : callable or None
+        Returns the client of a leader that only a reply names; None where the addresses
+        of all replicas are configured.
 
     Attributes
     ----------
@@ -54,10 +58,12 @@
         group: ids.GroupId,
         clients: dict[ids.VmId, peer_client.PeerClient],
         local: consensus_group.Group | None,
+        connect: Callable[[ids.VmId], peer_client.PeerClient] | None = None,
     ) -> None:
         self.group = group
         self.clients = clients
         self.local = local
+        self.connect = connect
         self.leader: ids.VmId | None = None
         self.last_index = 0
 
@@ -89,11 +95,12 @@
             ):
                 return reply
             self.leader = reply.leader
-        target = self.leader if self.leader in self.clients else self.next_replica()
+        target = self.leader if self.is_leader_reachable() else self.next_replica()
         if target is None:
             failure = failures.Failure(codes.Code.NO_QUORUM, "no replica is known")
             return inner_messages.ProposeReply(failure=failure)
-        reply_result = await self.clients[target].propose(request, ATTEMPT_TIMEOUT_S)
+        client = self.clients.get(target) or self.connect(target)
+        reply_result = await client.propose(request, ATTEMPT_TIMEOUT_S)
         if isinstance(reply_result, result.Failure):
             self.leader = None
             return inner_messages.ProposeReply(failure=reply_result.failure())
@@ -101,6 +108,12 @@
         self.leader = target if reply.failure is None else reply.leader
         return reply
 
+    def is_leader_reachable(self) -> bool:
+        """Return whether a leader is known to which a client exists or can be made."""
+        if self.leader is None:
+            return False
+        return self.leader in self.clients or self.connect is not None
+
     def next_replica(self) -> ids.VmId | None:
         """Return the next replica in turn."""
         if not self.clients:
