Soaks share their task frame, and errors in spawned tasks fail the run

Six soaks had their own copies of now_s, spawn and the wait for spawned tasks. An error of a spawned request (a response that isn't the replica's) ended only its task and was never raised, so these soaks could not fail for MIXED. Soak.finish_tasks raises it now.

--- a/tests/soak/asking.py
+++ b/tests/soak/asking.py
@@ -51,10 +51,6 @@
         self.sent_s = {}
         self.outcomes = []
         self.restarted_s = {}
-        self.tasks = set()
-
-    def now_s(self):
-        return asyncio.get_running_loop().time()
 
     def asking_replicas(self):
         service = limits.SERVICES[self.kind]
@@ -63,9 +59,7 @@
 
     async def send_repeatedly(self, stop):
         while not stop.is_set():
-            task = asyncio.create_task(self.send_one())
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            self.spawn(self.send_one())
             await asyncio.sleep(1.0 / REQUESTS_PER_S)
 
     async def send_one(self):
@@ -93,8 +87,7 @@
         self.until_s = self.now_s()
         stop.set()
         await sending
-        while self.tasks:
-            await asyncio.wait(set(self.tasks))
+        await self.finish_tasks()
         self.check()
 
     async def cause_node_fault(self):
--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -79,6 +79,8 @@
         What replicas send before they crash.
     arrivals : list of Arrival
         Each time that a caller's request has reached a replica.
+    ended_s : dict of str to float
+        Loop time at which a replica last stopped working on each request.
     """
 
     def __init__(self):
@@ -86,6 +88,7 @@
         self.on_crashing_request = None
         self.before_crash = BeforeCrash.NOTHING
         self.arrivals = []
+        self.ended_s = {}
 
 
 class Replica:
@@ -108,6 +111,8 @@
         Time that it asks for in each refusal; it then refuses all requests.
     says_leaving : bool
         Whether it says in each answer that it leaves.
+    service_time_s, event_interval_s : float
+        Duration of a call, and of each event of a stream.
     """
 
     def __init__(self, record, name, service, link):
@@ -122,6 +127,8 @@
         self.refused_s = []
         self.rest_s = None
         self.says_leaving = False
+        self.service_time_s = SERVICE_TIME_S
+        self.event_interval_s = EVENT_INTERVAL_S
         self.state = "ready"
         self.started_ms = time.time_ns() // NS_PER_MS
         self.writers = set()
@@ -217,6 +224,7 @@
                 await self.respond_to_service_call(request, writer)
         finally:
             self.running -= 1
+            self.record.ended_s[request_id] = asyncio.get_running_loop().time()
 
     def has_room(self, now_s):
         """Return whether a brittle replica runs one more; it may fall over if not."""
@@ -279,7 +287,9 @@
 
     async def respond_to_service_call(self, request, writer):
         is_brittle = self.brittleness is not None
-        await asyncio.sleep(BRITTLE_SERVICE_TIME_S if is_brittle else SERVICE_TIME_S)
+        await asyncio.sleep(
+            BRITTLE_SERVICE_TIME_S if is_brittle else self.service_time_s
+        )
         data = standin.response_bytes(
             request, body=request.body * 3, extra=self.limit_headers()
         )
@@ -296,7 +306,7 @@
         for number in range(1, EVENTS_PER_STREAM + 1):
             writer.write(standin.chunk(event(number)))
             await writer.drain()
-            await asyncio.sleep(EVENT_INTERVAL_S)
+            await asyncio.sleep(self.event_interval_s)
             if self.fault == "cut" and number > EVENTS_PER_STREAM // 2:
                 raise ConnectionError
         writer.write(standin.chunk(b""))
--- a/tests/soak/brittle.py
+++ b/tests/soak/brittle.py
@@ -42,10 +42,6 @@
         self.limit_per_s = self.rng.choice((3, 5, 8))
         self.fault = self.rng.choice((None, None, "kill gateway", "pause control"))
         self.outcomes = []
-        self.tasks = set()
-
-    def now_s(self):
-        return asyncio.get_running_loop().time()
 
     def replicas(self):
         service = SERVICES[self.kind]
@@ -54,9 +50,7 @@
     async def send_repeatedly(self, stop):
         per_s = REQUESTS_PER_S if self.kind != "drafts" else REQUESTS_PER_S / 3
         while not stop.is_set():
-            task = asyncio.create_task(self.send_one())
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            self.spawn(self.send_one())
             await asyncio.sleep(1.0 / per_s)
 
     async def send_one(self):
@@ -84,8 +78,7 @@
         await asyncio.sleep(AFTER_S)
         stop.set()
         await sending
-        while self.tasks:
-            await asyncio.wait(set(self.tasks))
+        await self.finish_tasks()
         self.check()
         await self.check_invariants()
 
--- a/tests/soak/crashing.py
+++ b/tests/soak/crashing.py
@@ -55,7 +55,6 @@
         self.arrivals = []
         self.gateway_of = {}
         self.disturbed = []
-        self.tasks = set()
         # Its own generator leaves what the other draws of a seed give unchanged.
         crash_rng = random.Random(f"crash-{seed}")
         self.is_orderly = crash_rng.random() < 0.5
@@ -63,14 +62,6 @@
         self.fleet.record.before_crash = self.before_crash
         self.fleet.record.on_crashing_request = self.crash_replica
 
-    def now_s(self):
-        return asyncio.get_running_loop().time()
-
-    def spawn(self, work):
-        task = asyncio.create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
     def crash_replica(self, replica, request_id):
         self.arrivals.append((self.now_s(), request_id))
         if replica in self.crashed_replicas:
@@ -154,8 +145,7 @@
         finally:
             stop.set()
             await asyncio.gather(*work)
-            while self.tasks:
-                await asyncio.wait(set(self.tasks))
+            await self.finish_tasks()
         await self.check_invariants()
         self.check_late_sends()
 
--- a/tests/soak/crashing_parts.py
+++ b/tests/soak/crashing_parts.py
@@ -103,8 +103,7 @@
         await asyncio.sleep(seconds)
         stop.set()
         await asyncio.gather(sound, crashing_task)
-        while self.tasks:
-            await asyncio.wait(set(self.tasks))
+        await self.finish_tasks()
         self.check_late_sends()
         self.check_sound()
 
--- a/tests/soak/cut_off.py
+++ b/tests/soak/cut_off.py
@@ -69,10 +69,6 @@
         self.cuts = proxies.Cuts()
         self.outcomes = []
         self.disturbed = []
-        self.tasks = set()
-
-    def now_s(self):
-        return asyncio.get_running_loop().time()
 
     async def add_replica(self, service, number):
         await super().add_replica(service, number)
@@ -84,9 +80,7 @@
         while not stop.is_set():
             gateway = self.cluster.gateways[number % len(self.cluster.gateways)]
             number += 1
-            task = asyncio.create_task(self.send_one(gateway))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            self.spawn(self.send_one(gateway))
             await asyncio.sleep(1.0 / REQUESTS_PER_S)
 
     async def send_one(self, gateway):
@@ -112,8 +106,7 @@
         await asyncio.sleep(AFTER_S)
         stop.set()
         await sending
-        while self.tasks:
-            await asyncio.wait(set(self.tasks))
+        await self.finish_tasks()
         self.check_served()
         await self.check_invariants()
 
--- a/tests/soak/failover.py
+++ b/tests/soak/failover.py
@@ -13,7 +13,7 @@
 
 from soak import soak
 
-LEADER_PATTERN = re.compile(rb"became leader in term (\d+)")
+LEADER_PATTERN = re.compile(rb"Became leader in term (\d+)")
 RECOVERY_S = 2.0
 RETRY_S = 0.02
 MS_PER_S = 1000
--- a/tests/soak/limits.py
+++ b/tests/soak/limits.py
@@ -70,15 +70,6 @@
         self.gateway_of = {}
         self.outcomes = []
         self.excused = []
-        self.tasks = set()
-
-    def now_s(self):
-        return asyncio.get_running_loop().time()
-
-    def spawn(self, work):
-        task = asyncio.create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
 
     async def send_repeatedly(self, stop):
         while not stop.is_set():
@@ -121,8 +112,7 @@
         await asyncio.sleep(AFTER_S)
         stop.set()
         await sending
-        while self.tasks:
-            await asyncio.wait(set(self.tasks))
+        await self.finish_tasks()
         self.check_rates()
         self.check_goals()
 
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -13,15 +13,24 @@
 
 # The third octet of a proxy's address is that of its node plus this offset.
 PROXY_OFFSET = 10
+CHECKOUT = pathlib.Path(__file__).resolve().parents[2]
 
 
 class Node:
-    """One process and its settings file."""
+    """One process and its settings file.
+
+    Attributes
+    ----------
+    checkout : pathlib.Path
+        Checkout whose programs are run at the next start. The variable
+        ``SOAK_CHECKOUT`` names another one than that of the tests.
+    """
 
     def __init__(self, cluster, role, ip):
         self.cluster = cluster
         self.role = role
         self.ip = ip
+        self.checkout = pathlib.Path(os.environ.get("SOAK_CHECKOUT", CHECKOUT))
         self.folder = cluster.folder / f"{role}-{ip}"
         self.folder.mkdir()
         self.starts = 0
@@ -60,7 +69,7 @@
             "seeds": [f"{ip}:{ports.control}" for ip in self.cluster.control_ips],
             "bootstrap": bootstrap,
             "fault_tolerance": {"machines": 1},
-            "bounds": {"grace_s": 4.0},
+            "bounds": {"grace_s": self.cluster.grace_s},
             "cloud": {"addr": self.cluster.list_address},
             "data_dir": str(self.folder / "data"),
         }
@@ -76,6 +85,7 @@
             str(pathlib.Path(__file__).with_name("run_bound.py")),
             self.ip,
             self.role,
+            str(self.checkout),
             stdout=log,
             stderr=log,
             env={**os.environ, "QUETZALPASS_NODE_FILE": str(path)},
@@ -119,10 +129,17 @@
 
 
 class Cluster:
-    """Three control nodes and several gateways."""
+    """Three control nodes and several gateways.
+
+    Attributes
+    ----------
+    grace_s : float
+        Time between SIGTERM and SIGKILL, as the nodes' settings have it.
+    """
 
     def __init__(self, folder, net, ports, list_address, gateways=2):
         self.folder = folder
+        self.grace_s = 4.0
         self.ports = ports
         self.list_address = list_address
         self.control_ips = [f"127.{net}.1.{number}" for number in (1, 2, 3)]
--- a/tests/soak/run_bound.py
+++ b/tests/soak/run_bound.py
@@ -1,7 +1,7 @@
 """Runs a node whose connections come from its own address.
 
 On the loopback interface all processes would otherwise connect from the same address,
-and a proxy could not tell them apart. Usage: ``run_bound.py IP ROLE``.
+and a proxy could not tell them apart. Usage: ``run_bound.py IP ROLE CHECKOUT``.
 """
 
 import asyncio.selector_events
@@ -10,8 +10,6 @@
 import runpy
 import sys
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
-
 
 def bind_connections(ip):
     """Bind each socket of an event loop to an address before it connects."""
@@ -26,8 +24,9 @@
 
 
 if __name__ == "__main__":
-    bind_connections(sys.argv[1])
-    program = str(ROOT / "platform" / "run.py")
-    sys.argv = [program, sys.argv[2]]
-    sys.path[0] = str(ROOT / "platform")
+    ip, role, checkout = sys.argv[1:]
+    bind_connections(ip)
+    program = str(pathlib.Path(checkout) / "platform" / "run.py")
+    sys.argv = [program, role]
+    sys.path[0] = str(pathlib.Path(checkout) / "platform")
     runpy.run_path(program, run_name="__main__")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,9 +9,11 @@
 import json
 import pathlib
 import random
+import shutil
 import signal
 import sys
 import tempfile
+import types
 import uuid
 
 from platform_standin import standin
@@ -50,7 +52,17 @@
 
 
 class Caller:
-    """A client that keeps its connection or opens one for each request."""
+    """A client that keeps its connection or opens one for each request.
+
+    Attributes
+    ----------
+    sent_s : float or None
+        Loop time at which the last request was sent, ``None`` if it wasn't.
+    error : Exception or None
+        What kept the last response from arriving.
+    response : Message or None
+        The last response.
+    """
 
     def __init__(self, soak, keep_alive=False, gateway=None):
         self.soak = soak
@@ -58,18 +70,25 @@
         self.keep_alive = keep_alive
         self.reader = None
         self.writer = None
+        self.sent_s = None
+        self.error = None
+        self.response = None
 
     async def exchange(self, data):
         """Send a request; return its response, or None if no whole one arrived."""
+        self.sent_s = self.error = self.response = None
         try:
             async with asyncio.timeout(RESPONSE_TIMEOUT_S):
                 if self.writer is None:
                     await self.connect()
                 self.writer.write(data)
+                self.sent_s = asyncio.get_running_loop().time()
                 response = await standin.read_message(self.reader)
-        except (OSError, TimeoutError, EOFError, ValueError):
+        except (OSError, TimeoutError, EOFError, ValueError) as error:
+            self.error = error
             self.close()
             return None
+        self.response = response
         if not self.keep_alive or response.header("Connection") == "close":
             self.close()
         return response
@@ -96,8 +115,15 @@
         response.
     acked : int
         Highest version that was acknowledged to the operator.
+    server_counts : dict of str to int
+        Replicas of each service.
+    time_limit_ms : int
+        Time limit that callers name.
     """
 
+    server_counts = types.MappingProxyType({"model": 3, "ledger": 3})
+    time_limit_ms = 3000
+
     def __init__(self, seed, folder, gateways=2):
         self.rng = random.Random(seed)
         self.seed = seed
@@ -115,6 +141,29 @@
         self.faults = []
         self.next_wipe_s = 0.0
         self.published_count = 0
+        self.tasks = set()
+        self.task_errors = []
+
+    def now_s(self):
+        return asyncio.get_running_loop().time()
+
+    def spawn(self, work):
+        """Run a coroutine beside the others; ``finish_tasks`` raises its error."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.forget_task)
+
+    def forget_task(self, task):
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.task_errors.append(task.exception())
+
+    async def finish_tasks(self):
+        """Wait until all spawned tasks have ended."""
+        while self.tasks:
+            await asyncio.wait(set(self.tasks))
+        for error in self.task_errors:
+            raise error
 
     async def run(self, seconds):
         await self.start()
@@ -138,9 +187,10 @@
 
     async def start(self):
         await self.fleet.start()
-        for number in (1, 2, 3):
-            for service in ("model", "ledger"):
-                await self.add_replica(service, number)
+        for number in range(1, max(self.server_counts.values()) + 1):
+            for service, count in self.server_counts.items():
+                if number <= count:
+                    await self.add_replica(service, number)
         await self.cluster.start()
         await self.wait_until_serving(START_TIMEOUT_S)
 
@@ -260,7 +310,7 @@
             headers.append("X-Token-Usage: 100,160")
         data = standin.request_bytes(
             f"/{kind}/x", headers, body, request_id=request_id
-        ).replace(b"X-Deadline-Ms: 1500", b"X-Deadline-Ms: 3000")
+        ).replace(b"X-Deadline-Ms: 1500", b"X-Deadline-Ms: %d" % self.time_limit_ms)
         response = await (caller or Caller(self)).exchange(data)
         self.responses.append((kind, request_id, response and response.status))
         if response is not None:
@@ -304,14 +354,17 @@
         """Send the next version to a control node; return whether it was accepted."""
         self.published_count += 1
         version = 10 + self.published_count
-        response = await self.operator_call("PUT", standin.state(version=version))
+        response = await self.operator_call("PUT", self.desired_state(version))
         if response is not None and response.status == 200:
             self.acked = max(self.acked, version)
             return True
         return False
 
-    async def operator_call(self, method, body=b""):
-        node = self.rng.choice(self.cluster.controls)
+    def desired_state(self, version):
+        return standin.state(version=version)
+
+    async def operator_call(self, method, body=b"", node=None):
+        node = node or self.rng.choice(self.cluster.controls)
         head = f"{method} /v1/config HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}"
         try:
             async with asyncio.timeout(2.0):
@@ -406,7 +459,7 @@
 def run_seeds(name, run):
     """Run the seeds that the command line names, and print their summaries.
 
-    Of a failed seed the folder with its logs is printed.
+    The folder with the logs of a failed seed is kept, and printed.
 
     Parameters
     ----------
@@ -422,8 +475,10 @@
         try:
             done = asyncio.run(run(seed, seconds, folder))
         except (InvariantViolationError, TimeoutError) as error:
-            print(f"seed {seed} FAILED: {error!r}; logs in {folder}", flush=True)
+            what = f"{type(error).__name__}: {error}"
+            print(f"seed {seed} FAILED: {what}; logs in {folder}", flush=True)
             continue
+        shutil.rmtree(folder)
         print(f"seed {seed}: {done.summary()}", flush=True)
 
 
