Soak of planned stops: LOST as callers and servers see it

make soak-stops runs two to four gateways and three control nodes as processes, with callers that keep their connection at a gateway until its process is gone and others that open one for each call, while gateways, control nodes, settings and declarations are stopped, reloaded and changed in series and overlapping. It checks the rule LOST around planned work with its excuses (stricter beside a declaration and beside a cut of links, where any call without an answer fails the run), TWICE, REFUSED, MIXED, the SIGKILL at grace_s, Retry-After and the close of refused requests.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 ENVIRONMENT = $(VENV_STAMP)
 endif
 
-.PHONY: demo test check format fuzz soak soak-crashing soak-crashing-parts soak-limits soak-cut-off soak-brittle soak-asking latency failover
+.PHONY: demo test check format fuzz soak soak-crashing soak-crashing-parts soak-limits soak-cut-off soak-brittle soak-asking soak-stops latency failover
 
 $(VENV_STAMP): requirements.lock pyproject.toml
 	python3.11 -m venv .venv
@@ -66,6 +66,10 @@
 	cd tests && PYTHONPATH=.:../src:../platform $(abspath $(PYTHON)) \
 		-m soak.asking $(SEED) $(COUNT) $(SECONDS)
 
+soak-stops: $(ENVIRONMENT)
+	cd tests && PYTHONPATH=.:../src:../platform $(abspath $(PYTHON)) \
+		-m soak.stops $(SEED) $(COUNT) $(SECONDS)
+
 latency: $(ENVIRONMENT)
 	cd tests && PYTHONPATH=.:../src:../platform $(abspath $(PYTHON)) \
 		-m soak.latency $(SEED) $(SECONDS)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,6 +1,6 @@
 import pytest
 
-from soak import asking, brittle, crashing, crashing_parts, cut_off, limits, soak
+from soak import asking, brittle, crashing, crashing_parts, cut_off, limits, soak, stops
 
 SECONDS = 5
 CRASHING_SECONDS = 12
@@ -9,6 +9,7 @@
 CUT_OFF_SECONDS = 8
 BRITTLE_SECONDS = 8
 ASKING_SECONDS = 8
+STOPS_SECONDS = 1
 # No seed has failed yet. Add each one that does, with its cause.
 SEEDS = (1,)
 
@@ -46,3 +47,9 @@
 
     async def test_replicas_that_ask_for_rest_get_it(self, tmp_path):
         await asking.run_seed(2, ASKING_SECONDS, tmp_path)
+
+    # Seed 6: one of four stops while another reaches no server. Seed 25: two of three.
+    @pytest.mark.parametrize("seed", [6, 25])
+    async def test_planned_stops_lose_no_request(self, tmp_path, seed):
+        done = await stops.run_seed(seed, STOPS_SECONDS, tmp_path)
+        assert done.stops
