--- /dev/null
+++ b/tests/upgrades/upgrade_run.py
@@ -0,0 +1,201 @@
+"""Machines replaced one after the other by those of another build, as processes.
+
+Callers, declarations and requests that are handed over go on meanwhile.
+"""
+
+import asyncio
+import json
+import re
+import signal
+import types
+
+from platform_standin import standin
+from soak import failover, proxies, stops
+
+READY_TIMEOUT_S = 15.0
+CUT_S = 2.5
+# Requests are handed over from this long after the cut began.
+HANDED_OVER_AFTER_S = 1.0
+MIN_SHARE_HANDED_OVER = 0.5
+MAX_TIME_WITHOUT_SERVICE_S = 2.0
+READ_INTERVAL_S = 0.3
+# Some 300 kB, so that declarations fill logs and snapshots.
+MORE_ROUTES = 1200
+NEW_DISK = "has a new disk"
+# Messages or records that aren't understood, and exceptions in our code.
+LOGGED_FAULTS = re.compile(
+    "bad_json|an't be decoded|no handler|msgspec|File .*/(quetzalpass|fleet_adapter)/"
+)
+
+
+class UpgradeRun(stops.StopsSoak):
+    """One upgrade.
+
+    Attributes
+    ----------
+    before, after : pathlib.Path
+        Checkouts whose programs run before and after it.
+    judged : pathlib.Path
+        Checkout whose stops of gateways are judged. The version before loses requests
+        when it stops, which no other process can prevent.
+    acks : list
+        Loop time and version of each acknowledged declaration.
+    reverted : list of str
+        Reads that gave an older version than one that was acknowledged.
+    wiped : list of Node
+        Nodes that were replaced with an empty disk.
+    cut_shares : list of float
+        How much a gateway served while it was cut off from the servers.
+    """
+
+    grace_s = 4.0
+    calm_s = 1.0
+    after_s = 1.0
+    server_counts = types.MappingProxyType({"model": 2, "ledger": 2})
+
+    def __init__(self, seed, folder, before, after, judged):
+        super().__init__(seed, folder)
+        del self.cluster.gateways[2:]
+        self.before = before
+        self.after = after
+        self.judged = judged
+        self.service_time_s = 0.045
+        self.event_interval_s = 0.02
+        self.generations_per_s = 1
+        self.declares = True
+        self.cut_off = stops.CutOff.NONE
+        self.acks = []
+        self.cut_shares = []
+        self.reverted = []
+        self.wiped = []
+        for node in self.cluster.nodes:
+            node.checkout = before
+
+    def desired_state(self, version):
+        route = standin.STATE["routes"][0]
+        more = [
+            {**route, "name": f"r-{n}", "prefix": f"/more-{n}/"}
+            for n in range(MORE_ROUTES)
+        ]
+        return standin.state(version=version, routes=[*standin.STATE["routes"], *more])
+
+    async def publish(self):
+        accepted = await super().publish()
+        if accepted:
+            self.acks.append((self.now_s(), self.acked))
+        return accepted
+
+    def start_callers(self, stop):
+        super().start_callers(stop)
+        self.spawn(self.read_repeatedly(stop))
+
+    async def read_repeatedly(self, stop):
+        """Read the declaration at any control node; it must not be an older one."""
+        while not stop.is_set():
+            sent_s = self.now_s()
+            response = await self.operator_call("GET")
+            if response is not None and response.status == 200:
+                version = json.loads(response.body)["version"]
+                due_s = sent_s - stops.CONFIG_APPLY_S
+                newest = max((v for at_s, v in self.acks if at_s <= due_s), default=0)
+                if version < newest:
+                    self.reverted.append(f"read {version}, acknowledged {newest}")
+            await asyncio.sleep(READ_INTERVAL_S)
+
+    async def work(self, seconds):
+        """Replace all machines, some of them back and again."""
+        leader = failover.find_leader(self.cluster)
+        first, last = (each for each in self.cluster.controls if each is not leader)
+        one, two = self.cluster.gateways
+        await self.replace(first, self.after)
+        await self.replace(first, self.before)
+        await self.replace(first, self.after)
+        await self.replace(one, self.after)
+        await self.hand_over_from(one)
+        await self.hand_over_from(two)
+        await self.replace(leader, self.after)
+        await self.replace(last, self.after, keeps_disk=False)
+        await self.replace(two, self.after)
+        await self.replace(one, self.before)
+
+    async def replace(self, node, checkout, keeps_disk=True):
+        """Stop a machine and start it with another build, as the platform does."""
+        stopped = stops.Span(node, self.now_s(), float("inf"))
+        self.stops.append(stopped)
+        await node.stop(signal.SIGTERM, self.grace_s)
+        stopped.end_s = self.now_s()
+        if node.process.returncode == -signal.SIGKILL:
+            self.killed.append(node)
+        if not keeps_disk:
+            node.wipe_disk()
+            self.wiped.append(node)
+        node.checkout = checkout
+        self.faults.append(f"{node.folder.name} to {checkout.name}")
+        await node.start()
+        await self.wait_until_ready(node)
+
+    async def wait_until_ready(self, node):
+        try:
+            async with asyncio.timeout(READY_TIMEOUT_S):
+                while not await self.is_ready(node):
+                    await asyncio.sleep(0.1)
+        except TimeoutError:
+            raise self.violation(f"{node.folder.name} isn't ready", "") from None
+
+    async def is_ready(self, node):
+        if node.role == "gateway":
+            return await self.balancer.is_ready(node)
+        response = await self.operator_call("GET", node=node)
+        return response is not None and response.status == 200
+
+    async def hand_over_from(self, node):
+        """Cut a gateway off from the servers, so that its peer serves its callers."""
+        from_s = self.now_s() + HANDED_OVER_AFTER_S
+        cut = stops.Span(node, self.now_s(), float("inf"))
+        self.cuts_off.append(cut)
+        self.cuts.cut(node.ip, proxies.Cut.RESET)
+        await asyncio.sleep(CUT_S)
+        cut.end_s = self.now_s()
+        self.cuts.nodes.pop(node.ip)
+        sent = [e for e in self.attempts if e.gateway is node and e.sent_s > from_s]
+        served = sum(e.response is not None and e.response.status == 200 for e in sent)
+        self.cut_shares.append(served / max(1, len(sent)))
+
+    def faults_of(self, attempt):
+        if attempt.checkout != self.judged and self.stop_around(attempt) is not None:
+            return []
+        return super().faults_of(attempt)
+
+    def longest_without_service_s(self):
+        served_s = sorted(
+            each.ended_s
+            for each in self.attempts
+            if each.response is not None and each.response.status == 200
+        )
+        pairs = zip(served_s, served_s[1:], strict=False)
+        return max(later - earlier for earlier, later in pairs)
+
+    def logged_faults(self):
+        """Return lines of the logs that no upgrade may cause."""
+        return [
+            f"{log.parent.name}/{log.name}: {line[:300]}"
+            for node in self.cluster.nodes
+            for log in sorted(node.folder.glob("log-*"))
+            for line in log.read_text().splitlines()
+            if LOGGED_FAULTS.search(line) or self.says_disk_lost(line)
+        ]
+
+    def says_disk_lost(self, line):
+        """Return whether a node that kept its disk joined as if it had lost it."""
+        return NEW_DISK in line and not any(f"{e.ip}:" in line for e in self.wiped)
+
+    def check(self):
+        super().check()
+        found = self.reverted + self.logged_faults()
+        if self.longest_without_service_s() > MAX_TIME_WITHOUT_SERVICE_S:
+            found.append(f"not served for {self.longest_without_service_s():.1f} s")
+        if min(self.cut_shares) < MIN_SHARE_HANDED_OVER:
+            found.append(f"served {self.cut_shares} of the requests handed over")
+        if found:
+            lines = [self.summary(), *found[: stops.MAX_LINES]]
+            raise self.violation("\n  ".join(lines), "")
