--- a/src/quetzalpass/daemon/process.py
+++ b/src/quetzalpass/daemon/process.py
@@ -41,6 +41,9 @@
 
 LOG = logbook.Logger("daemon")
 
+# For handlers that still run after the time for responses.
+STOP_TIMEOUT_S = 0.1
+
 
 class Daemon:
     """One daemon process.
@@ -58,6 +61,8 @@
         Submits commands to each replicated group.
     listeners : list of listeners.HttpListener
         The open listeners.
+    callers_listener : listeners.HttpListener or None
+        That of the callers; ``None`` if this daemon is no gateway.
     """
 
     def __init__(self, settings: schema.Settings, rng: random.Random) -> None:
@@ -68,6 +73,7 @@
         self.groups: dict[ids.GroupId, proposers.Proposer] = {}
         self.clients: dict[ids.VmId, peer_client.PeerClient] = {}
         self.listeners: list[listeners.HttpListener] = []
+        self.callers_listener: listeners.HttpListener | None = None
         self.table = handlers.HandlerTable()
         self.channel = transport.HttpTransport(
             {each.id: each.url for each in settings.peer_vms}, self.cluster_key
@@ -208,7 +214,7 @@
             self.gateway.new_request_id,
             **self.runner_options(),
         )
-        await self.open_listener(runner, self.settings.callers)
+        self.callers_listener = await self.open_listener(runner, self.settings.callers)
 
     def runner_options(self) -> dict[str, Any]:
         """Return the options that all listeners share."""
@@ -216,17 +222,19 @@
         return {
             "handler_cancellation": True,
             "access_log": None,
+            "shutdown_timeout": STOP_TIMEOUT_S,
             "max_line_size": limits.line_bytes,
             "max_field_size": limits.header_bytes,
         }
 
     async def open_listener(
         self, runner: web.AppRunner, listener: schema.Listener
-    ) -> None:
-        """Open one listener and keep it until the daemon stops."""
+    ) -> listeners.HttpListener:
+        """Open one listener, keep it until the daemon stops, and return it."""
         opened = listeners.HttpListener(runner, listener)
         self.listeners.append(opened)
         await opened.start()
+        return opened
 
     def own_status(self) -> messages.VmStatus:
         """Return the status of this daemon."""
@@ -259,6 +267,8 @@
     async def drain(self) -> None:
         """Refuse new requests and wait until all running ones have ended."""
         LOG.info("daemon: Draining {} requests.", self.gateway.requests)
+        if self.callers_listener is not None:
+            self.callers_listener.end_connections()
         await self.gateway.drain()
 
     async def send_new_suspect_reports(self) -> None:
@@ -273,14 +283,19 @@
             self.summary_sender.send_now()
 
     async def stop(self) -> None:
-        """Close all listeners and connections."""
+        """Interrupt what still runs, answer it, and close all connections."""
         if self.reconciler is not None:
             self.reconciler.stop()
         self.propagation.stop()
         self.summary_sender.stop()
         self.fleet.stop()
-        for listener in reversed(self.listeners):
+        await self.gateway.interrupt()
+        peers_listener, *outer_listeners = self.listeners
+        for listener in reversed(outer_listeners):
             await listener.close(self.settings.limits.slow_caller_s)
+        await peers_listener.stop_accepting()
+        self.holder.end_waits()
+        await peers_listener.close(self.settings.limits.slow_caller_s)
         await self.handover.close()
         await self.gateway.close()
         self.metrics_sender.close()
