--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -489,7 +489,9 @@
 
     def summary(self):
         statuses = collections.Counter(
-            each.response.status for each in self.attempts if each.response is not None
+            f"{each.kind} {each.response.status}"
+            for each in self.attempts
+            if each.response is not None
         )
         counts = collections.Counter(self.verdict(e).value for e in self.attempts)
         took_s = [f"{each.end_s - each.start_s:.2f}" for each in self.stops]
