--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -81,7 +81,7 @@
             async with asyncio.timeout(RESPONSE_TIMEOUT_S):
                 if self.writer is None:
                     await self.connect()
-                self.writer.write(data)
+                await self.write(data)
                 self.sent_s = asyncio.get_running_loop().time()
                 response = await standin.read_message(self.reader)
         except (OSError, TimeoutError, EOFError, ValueError) as error:
@@ -99,6 +99,9 @@
             node.link.host, self.soak.ports.front
         )
 
+    async def write(self, data):
+        self.writer.write(data)
+
     def close(self):
         if self.writer is not None:
             self.writer.close()
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -39,6 +39,7 @@
 PAUSE_S = 0.08
 LONG_BODY_BYTES = 20_000
 LONG_BODY_SHARE = 0.1
+PART_INTERVAL_S = 0.2
 READY_INTERVAL_S = 1.0
 MAX_MISSES = 2
 SECOND_STOP_AFTER_S = 1.3
@@ -132,6 +133,15 @@
         port = self.soak.ports.front
         self.reader, self.writer = await asyncio.open_connection(self.node.ip, port)
 
+    async def write(self, data):
+        """Send a request; every second long one in two parts."""
+        if len(data) > LONG_BODY_BYTES and self.soak.rng.random() < 0.5:
+            half = len(data) // 2
+            self.writer.write(data[:half])
+            await asyncio.sleep(PART_INTERVAL_S)
+            data = data[half:]
+        self.writer.write(data)
+
 
 class Balancer:
     """Chooses a gateway for each connection by health checks.
