--- a/src/quetzalpass/callers/app.py
+++ b/src/quetzalpass/callers/app.py
@@ -277,7 +277,7 @@
         """
         is_received = False
         try:
-            async with self.gateway.interruptible() as interruption:
+            async with self.gateway.interruptions.interruptible() as interruption:
                 body = await self.read_body(request)
                 is_received = True
                 return await self.respond(request, request_id, body, config, handler)
--- a/src/quetzalpass/lifecycle/gateway.py
+++ b/src/quetzalpass/lifecycle/gateway.py
@@ -1,9 +1,8 @@
 """State that all requests of one gateway share."""
 
 import asyncio
-import contextlib
 import random
-from collections.abc import AsyncIterator, Coroutine
+from collections.abc import Coroutine
 from typing import TypeVar
 
 import logbook
@@ -17,6 +16,7 @@
     declared_reach,
     drains,
     generation_ids,
+    interruptions,
     ledger_client,
     limits,
     reach_checks,
@@ -87,8 +87,8 @@
         Requests in progress.
     draining : bool
         Whether new requests are refused because the process is shutting down.
-    interruptions : set of asyncio.Timeout
-        Each ends a request in progress once its time is set.
+    interruptions : interruptions.Interruptions
+        Ends requests in progress.
     """
 
     def __init__(
@@ -133,7 +133,7 @@
         self.requests = 0
         self.tasks: set[asyncio.Task[None]] = set()
         self.draining = False
-        self.interruptions: set[asyncio.Timeout] = set()
+        self.interruptions = interruptions.Interruptions()
 
     def new_id(self) -> str:
         """Return a new random id in hexadecimal."""
@@ -317,16 +317,6 @@
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         await self.ledger.drain()
 
-    @contextlib.asynccontextmanager
-    async def interruptible(self) -> AsyncIterator[asyncio.Timeout]:
-        """Run a part of a request that ``interrupt`` ends with a ``TimeoutError``."""
-        async with asyncio.timeout(None) as interruption:
-            self.interruptions.add(interruption)
-            try:
-                yield interruption
-            finally:
-                self.interruptions.discard(interruption)
-
     async def interrupt(self) -> None:
         """Refuse all requests that wait, and end those that run.
 
@@ -334,16 +324,15 @@
         unknown.
         """
         self.draining = True
-        if not self.interruptions:
+        running = self.interruptions.running
+        if not running:
             return
-        LOG.warning("lifecycle: Interrupting {} requests.", len(self.interruptions))
+        LOG.warning("lifecycle: Interrupting {} requests.", len(running))
         if self.holder.current is not None:
             for target in (*self.holder.current.models, *self.holder.current.services):
                 self.admission_queue.refuse_waiting(target, draining_failure())
         await asyncio.sleep(REFUSAL_S)
-        now_s = asyncio.get_running_loop().time()
-        for interruption in self.interruptions:
-            interruption.reschedule(now_s)
+        self.interruptions.interrupt()
 
     async def close(self) -> None:
         """Cancel all tasks and close the ledger and the backend connections."""
