BUDGET: a peer gets only the time that is left since a request arrived

Peers were handed the whole time limit of a caller, although the first gateway had spent part of it on servers that it can't reach, on the check of its path, or in its queue. Cause: the hand-over counted the time from its own begin, not from the arrival of the request. The class of fault: a limit on the whole is measured from the start of a part. Now the arrival is stored with the request. Not found: the platform's path computes the time left for each send and each peer from the arrival, before the body is read (relayed_calls.py, stream_starts.py, handover_messages.make_message); an offer's connection and consent, 0.25 s at most, aren't counted at the second gateway. Attempts at engines and services: from the request's deadline, for each attempt.

--- a/src/quetzalpass/callers/app.py
+++ b/src/quetzalpass/callers/app.py
@@ -225,6 +225,7 @@
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
         """Run the handler of a request, unless this VM accepts no requests now."""
+        headers.arrived_s(request)
         is_handed = request.path.startswith(handing_over.PATH)
         request_id = self.gateway.new_request_id()
         if is_handed:
--- a/src/quetzalpass/callers/handing_over.py
+++ b/src/quetzalpass/callers/handing_over.py
@@ -19,6 +19,7 @@
 
 from quetzalpass import event_log, ids
 from quetzalpass.callers import errors
+from quetzalpass.callers import headers as caller_headers
 from quetzalpass.lifecycle import attempts, relay_events
 from quetzalpass.lifecycle import gateway as gateways
 from quetzalpass.results import codes, failures
@@ -191,9 +192,8 @@
         ConnectionError
             If the response broke off after it had begun.
         """
-        started_s = asyncio.get_running_loop().time()
         for peer in self.peers():
-            headers = self.forwarded_headers(request, request_id, started_s)
+            headers = self.forwarded_headers(request, request_id)
             self.record(request_id, "hand_over", f"to {peer.id}")
             url = f"{peer.url}{PATH}{request.raw_path}"
             sent = await self.client.send(request.method, url, headers, body)
@@ -227,7 +227,7 @@
         return errors.error_response(failure, request_id)
 
     def forwarded_headers(
-        self, request: web.Request, request_id: ids.RequestId, started_s: float
+        self, request: web.Request, request_id: ids.RequestId
     ) -> dict[str, str]:
         """Return the headers for a peer, with the time that is left."""
         headers = {
@@ -238,7 +238,8 @@
         headers[REQUEST_ID_HEADER] = request_id
         timeout_ms = request.headers.get(TIMEOUT_HEADER, "")
         if timeout_ms.isascii() and timeout_ms.isdigit():
-            spent_s = asyncio.get_running_loop().time() - started_s
+            now_s = asyncio.get_running_loop().time()
+            spent_s = now_s - caller_headers.arrived_s(request)
             left_ms = int(timeout_ms) - int(spent_s * MS_PER_S)
             headers[TIMEOUT_HEADER] = str(max(1, left_ms))
         return headers
--- a/src/quetzalpass/callers/headers.py
+++ b/src/quetzalpass/callers/headers.py
@@ -34,6 +34,8 @@
 
 # Key in the aiohttp request under which the validated headers are stored, for metrics.
 CALLER_HEADERS_KEY = "quetzalpass.caller"
+# Key in the aiohttp request under which the loop time of its arrival is stored.
+ARRIVAL_KEY = "quetzalpass.arrived"
 
 
 class EventId(msgspec.Struct, frozen=True):
@@ -190,6 +192,11 @@
     return asyncio.get_running_loop().time() + int(value) / MS_PER_S
 
 
+def arrived_s(request: web.Request) -> float:
+    """Return the loop time at which a request arrived, that is of the first call."""
+    return request.setdefault(ARRIVAL_KEY, asyncio.get_running_loop().time())
+
+
 def read_non_idempotent(request: web.Request) -> bool:
     """Return whether the caller says that the request must not run twice."""
     value = request.headers.get("Quetzalpass-Non-Idempotent", "false").lower()
