BUDGET: a caller's time limit counts from the arrival of its request

A request whose body arrived slowly, or after 100 Continue, got its whole Quetzalpass-Timeout-Ms once more after the body: the response came up to body_timeout_s later than the caller waits, and engines and peers were handed more time than was left. Evidence: test_time_for_a_slow_body_counts (limit 1.5 s, the body after 1.0 s): the response came 2.5 s after the head before, now within 2 s; at a receiver of a hand-over the offer counts in the same way.

--- a/src/quetzalpass/callers/app.py
+++ b/src/quetzalpass/callers/app.py
@@ -116,6 +116,7 @@
 
     async def handle_expect(self, request: web.Request) -> web.Response | None:
         """Handle ``Expect: 100-continue``: ask for the body or reject the request."""
+        headers.arrived_s(request)
         request_id = self.gateway.new_request_id()
         failure = self.gateway.refusal()
         if request.headers["Expect"].lower() != "100-continue":
--- a/src/quetzalpass/callers/handing_over.py
+++ b/src/quetzalpass/callers/handing_over.py
@@ -126,6 +126,7 @@
 
     async def handle_offer(self, request: web.Request) -> web.Response | None:
         """Accept an offer, so that its request is sent, or refuse it."""
+        caller_headers.arrived_s(request)
         if not self.is_peer(request):
             return self.refuse(codes.Code.UNKNOWN_KEY, "the cluster key is wrong")
         failure = self.gateway.refusal()
--- a/src/quetzalpass/callers/headers.py
+++ b/src/quetzalpass/callers/headers.py
@@ -189,7 +189,7 @@
             codes.Code.BAD_HEADER,
             f"Quetzalpass-Timeout-Ms must be a number from 1 to {MAX_TIMEOUT_MS}",
         )
-    return asyncio.get_running_loop().time() + int(value) / MS_PER_S
+    return arrived_s(request) + int(value) / MS_PER_S
 
 
 def arrived_s(request: web.Request) -> float:
--- a/tests/callers/test_cut_off_gateways.py
+++ b/tests/callers/test_cut_off_gateways.py
@@ -243,3 +243,21 @@
         assert response.status == 200
         # One connection has timed out before.
         assert forwarded[0] <= 5_000 - LIMITS.connect_timeout_s * 1_000
+
+    async def test_time_for_a_slow_body_counts(self, group):
+        caller, _ = group
+        port = caller.cluster.gateways[0].port
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        started_s = asyncio.get_running_loop().time()
+        body = b'{"model": "claims-llm", "prompt": "a draft [tokens=9000]"}'
+        writer.write(
+            b"POST /v1/completions HTTP/1.1\r\nHost: h\r\n"
+            b"Authorization: Bearer org\r\nQuetzalpass-Timeout-Ms: 1500\r\n"
+            b"Content-Length: %d\r\n\r\n" % len(body)
+        )
+        await asyncio.sleep(1.0)
+        writer.write(body)
+        response = await reader.readuntil(b"\r\n\r\n")
+        assert b" 504 " in response
+        assert asyncio.get_running_loop().time() - started_s < 2.0
+        writer.close()
