LOST: a listener that closes accepts the connections that have reached it

Callers and operators saw: a new connection, established by the kernel, with a request on it, was reset at the moment in which a gateway, a daemon or a control node stopped listening. Cause: closing a listening socket resets the connections in its queue. The class of fault: an end that forgets what was taken over by a layer below. Now stop_listening of wire.server closes only after it has accepted the queue; the platform's ingress and the own interface's listeners use it, so that what these connections send is answered before the listener's connections close. Evidence: test_connection_that_is_not_accepted_yet_is_served: reset before, 200 now.

--- a/src/quetzalpass/daemon/listeners.py
+++ b/src/quetzalpass/daemon/listeners.py
@@ -114,7 +114,6 @@
     def __init__(self, runner: web.AppRunner, listener: schema.Listener) -> None:
         self.runner = runner
         self.listener = listener
-        self.site: web.TCPSite | None = None
         self.bound_port = listener.port
         self.reloader: CertificateReloader | None = None
         self.reload_task: asyncio.Task[None] | None = None
@@ -147,14 +146,14 @@
             self.reloader = CertificateReloader(self.listener.tls)
             context = self.reloader.context
             self.reload_task = asyncio.create_task(self.reloader.run())
-        self.site = web.TCPSite(
+        site = web.TCPSite(
             self.runner,
             self.listener.host,
             self.listener.port,
             ssl_context=context,
             backlog=BACKLOG,
         )
-        await self.site.start()
+        await site.start()
         self.bound_port = self.runner.addresses[0][1]
 
     def port(self) -> int:
@@ -167,9 +166,7 @@
         A second call has no effect.
         """
         self.end_connections()
-        if self.site is not None:
-            await self.site.stop()
-            self.site = None
+        await server.stop_listening(self.runner)
         if self.reload_task is not None:
             self.reload_task.cancel()
 
--- a/src/quetzalpass/wire/server.py
+++ b/src/quetzalpass/wire/server.py
@@ -1,14 +1,19 @@
 """Server side of the peer protocol, to be added to an aiohttp application."""
 
 import asyncio
+import contextlib
 import hmac
+import socket
 
+import logbook
 from aiohttp import web
 from returns import result
 
 from quetzalpass.results import codes, failures
 from quetzalpass.wire import handlers, messages, transport
 
+LOG = logbook.Logger("wire")
+
 FLUSH_POLL_S = 0.02
 # For requests that have reached this VM when its listener closes.
 LAST_REQUESTS_S = 0.1
@@ -22,9 +27,35 @@
 
 
 async def stop_listening(runner: web.BaseRunner) -> None:
-    """Accept no further connections; the open ones stay."""
+    """Accept the connections that have reached this VM, and no others from now on.
+
+    The open ones stay. Closing the socket alone would reset those that it has queued.
+    """
     for site in list(runner.sites):
+        # A duplicate keeps the queue when the site closes its own.
+        listening = [each.dup() for each in site._server.sockets]
         await site.stop()
+        accepted = [each for queue in listening for each in accept_queued(queue)]
+        loop = asyncio.get_running_loop()
+        opening = (
+            loop.connect_accepted_socket(runner.server, each, ssl=site._ssl_context)
+            for each in accepted
+        )
+        for outcome in await asyncio.gather(*opening, return_exceptions=True):
+            if isinstance(outcome, OSError):
+                LOG.info("wire: A new connection failed at the stop: {!r}.", outcome)
+
+
+def accept_queued(listening: socket.socket) -> list[socket.socket]:
+    """Accept all queued connections of a listening socket, and close it."""
+    accepted = []
+    with listening, contextlib.suppress(BlockingIOError):
+        listening.setblocking(False)
+        while True:
+            connection, _ = listening.accept()
+            connection.setblocking(False)
+            accepted.append(connection)
+    return accepted
 
 
 async def finish_requests(runner: web.BaseRunner, timeout_s: float) -> None:
--- a/tests/wire/test_http.py
+++ b/tests/wire/test_http.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import socket
 
 import aiohttp
 import pytest
@@ -133,3 +134,24 @@
         failure = (await client.call(PEER, EchoRequest(b""))).failure()
         assert failure.code is codes.Code.UNREACHABLE
         await client.close()
+
+
+class TestStopListening:
+    async def test_connection_that_is_not_accepted_yet_is_served(self):
+        async def handle(request):
+            return web.Response(text="served")
+
+        app = web.Application()
+        app.router.add_get("/", handle)
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await server.listen(runner, "127.0.0.1:0")
+        address = runner.addresses[0]
+        with socket.create_connection(address) as client:
+            client.sendall(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+            await server.stop_listening(runner)
+            client.setblocking(False)
+            loop = asyncio.get_running_loop()
+            assert b"200 OK" in await loop.sock_recv(client, 1_000)
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(address)
+        await runner.cleanup()
