LOST: a control node that stops answers the calls that it has read

The operator (and gateways with a long poll) saw: PUT and GET calls at a control node that got SIGTERM ended without an answer, on kept and on new connections. Cause: the replica, the channel to the other nodes and the disk were closed first, while the operator's listener was still open; calls that it read then waited for a group that had stopped, and were cancelled after 0.5 s. Requests of gateways that wait were cancelled after 1 s. The class of fault is that of the gateway: resources are released in the order in which they are listed, not from the outside in. Each step is logged. HttpListener serves the control node's listeners too.

--- a/src/quetzalpass/daemon/control_role.py
+++ b/src/quetzalpass/daemon/control_role.py
@@ -20,7 +20,7 @@
 from quetzalpass.consensus import registry, timing
 from quetzalpass.consensus import replica as replicas
 from quetzalpass.control import declared_state
-from quetzalpass.daemon import activation, groups, peers, replica_role
+from quetzalpass.daemon import activation, groups, listeners, peers, replica_role
 from quetzalpass.declarations import schema
 from quetzalpass.membership import (
     configuration,
@@ -42,7 +42,9 @@
 APPLY_POLL_S = 0.005
 OPERATION_BITS = 96
 VERSION_BITS = 40
-STOP_TIMEOUT_S = 1.0
+# Time for responses to other daemons at a stop, and for handlers that still run then.
+RESPONSE_TIMEOUT_S = 1.0
+STOP_TIMEOUT_S = 0.1
 # Requests wait for the next leader, also after all control nodes were killed at once.
 # Control nodes are few and close to each other, so that short timeouts suffice to
 # detect the loss of a leader. A vote needs several syncs, and disks may be slow.
@@ -131,7 +133,7 @@
             self.server_registry, connect
         )
         self.tasks: list[asyncio.Task] = []
-        self.runner: web.AppRunner | None = None
+        self.listener: listeners.HttpListener | None = None
 
     async def start(self) -> None:
         """Open the data folder and the listener, and start the group's replica.
@@ -186,26 +188,37 @@
         """Open the listener for other daemons."""
         app = server.new_application()
         server.PeerServer(self.table, self.cluster_key).add_routes(app)
-        self.runner = web.AppRunner(
+        runner = web.AppRunner(
             app,
             access_log=None,
             handler_cancellation=True,
             shutdown_timeout=STOP_TIMEOUT_S,
         )
-        await server.listen(self.runner, self.settings.vm)
+        self.listener = listeners.HttpListener(
+            runner, listeners.parse_address(self.settings.vm)
+        )
+        await self.listener.start()
 
     async def stop(self) -> None:
-        """Transfer leadership, stop the group's replica, and close everything."""
+        """Transfer leadership, answer what was read, and close everything.
+
+        The operator's listener must be closed already.
+        """
         for task in self.tasks:
             task.cancel()
         self.leaving_monitor.stop()
         await self.group.transfer_leadership()
+        LOG.info("daemon: The leader is {}.", self.group.leader())
+        if self.listener is not None:
+            await self.listener.stop_accepting()
+            self.holder.end_waits()
+            await self.listener.close(RESPONSE_TIMEOUT_S)
+            LOG.info("daemon: Closed the listener for other daemons.")
         await self.group.stop()
-        if self.runner is not None:
-            await self.runner.cleanup()
         await self.source.close()
         await self.channel.close()
         self.disk.close()
+        LOG.info("daemon: {} has stopped.", self.settings.vm)
 
     def is_active(self) -> bool:
         """Return whether this node is the one that reads the list of servers."""
--- a/src/quetzalpass/daemon/listeners.py
+++ b/src/quetzalpass/daemon/listeners.py
@@ -93,6 +93,12 @@
     return context
 
 
+def parse_address(address: str) -> schema.Listener:
+    """Return the settings of a listener without TLS at ``host:port``."""
+    host, _, port = address.rpartition(":")
+    return schema.Listener(host, int(port))
+
+
 class HttpListener:
     """Listens at one address for an application.
 
--- a/tests/daemon/test_control_role.py
+++ b/tests/daemon/test_control_role.py
@@ -14,11 +14,13 @@
 from quetzalpass.control import declared_state
 from quetzalpass.daemon import control_role, gateway_role
 from quetzalpass.lifecycle import relay_requests, shared_budget
-from quetzalpass.membership import discovery
+from quetzalpass.membership import discovery, inner_messages
 from quetzalpass.routing import relay_placement
+from quetzalpass.wire import transport
 
 KEY = "cluster"
 SLOW_SYNC_S = 0.2
+MAX_STOP_S = 2.0
 VERDICT = declared_state.PublishVerdict
 
 
@@ -307,3 +309,23 @@
         gateway = cluster.gateway()
         new_node = await cluster.start(cluster.vms[3])
         await cluster.until(lambda: new_node.settings.vm in gateway.links.controls)
+
+
+@pytest.mark.looptime
+class TestStop:
+    async def test_requests_of_gateways_that_wait_get_a_reply(self, cluster):
+        await cluster.start_all()
+        leader = cluster.leader()
+        vm = leader.settings.vm
+        await publish(leader, 1)
+        await cluster.until(lambda: leader.holder.revision() == 1)
+        channel = transport.HttpTransport(transport.DirectAddresses(), KEY)
+        waiting = inner_messages.DeclarationRequest(ids.Revision(1), 30.0)
+        reply = asyncio.create_task(channel.call(vm, waiting, 60.0))
+        await asyncio.sleep(0.5)
+        started_s = asyncio.get_running_loop().time()
+        await cluster.stop(vm)
+        assert (await reply).unwrap().revision == 0
+        assert asyncio.get_running_loop().time() - started_s < MAX_STOP_S
+        assert cluster.leader() is not None
+        await channel.close()
