--- a/src/quetzalpass/lifecycle/interruptions.py
+++ b/src/quetzalpass/lifecycle/interruptions.py
@@ -21,9 +21,18 @@
         self.deadline_s: float | None = None
 
     @contextlib.asynccontextmanager
-    async def interruptible(self) -> AsyncIterator[asyncio.Timeout]:
-        """Run a part of a request; an interruption raises ``TimeoutError`` in it."""
-        async with asyncio.timeout_at(self.deadline_s) as interruption:
+    async def interruptible(
+        self, deadline_s: float | None = None
+    ) -> AsyncIterator[asyncio.Timeout]:
+        """Run a part of a request; an interruption raises ``TimeoutError`` in it.
+
+        Parameters
+        ----------
+        deadline_s : float or None
+            Loop time at which it ends in any case; ``None`` if it has no limit.
+        """
+        limits = [each for each in (deadline_s, self.deadline_s) if each is not None]
+        async with asyncio.timeout_at(min(limits, default=None)) as interruption:
             self.running.add(interruption)
             try:
                 yield interruption
@@ -34,5 +43,6 @@
         """End the running requests, and those that still come, after a delay."""
         self.deadline_s = asyncio.get_running_loop().time() + delay_s
         for each in self.running:
-            if not each.expired():
+            deadline_s = each.when()
+            if deadline_s is None or deadline_s > self.deadline_s:
                 each.reschedule(self.deadline_s)
--- a/src/quetzalpass/lifecycle/relaying.py
+++ b/src/quetzalpass/lifecycle/relaying.py
@@ -79,7 +79,7 @@
     The end of a drain brings the deadline forward.
     """
     try:
-        async with gateway.requests.limited(routed.deadline_s):
+        async with gateway.requests.interruptions.interruptible(routed.deadline_s):
             return await respond(gateway, routed, response)
     except TimeoutError:
         return expired_failure(gateway, routed)
--- a/src/quetzalpass/lifecycle/running_requests.py
+++ b/src/quetzalpass/lifecycle/running_requests.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import Iterator
 
-from quetzalpass.lifecycle import drain_schedule, relay_requests
+from quetzalpass.lifecycle import drain_schedule, interruptions, relay_requests
 from quetzalpass.results import codes, failures
 
 # Any other gateway serves a request that is refused during a drain, so it may come at
@@ -25,8 +25,8 @@
         Whether the drain is over, so that all requests are refused.
     durations : drain_schedule.RouteDurations
         How long the calls of each route took lately.
-    timeouts : set of asyncio.Timeout
-        Timeouts of the routed requests, which the end of the drain brings forward.
+    interruptions : interruptions.Interruptions
+        Ends the routed requests at the end of the drain.
     """
 
     def __init__(self) -> None:
@@ -34,7 +34,7 @@
         self.drain: drain_schedule.DrainSchedule | None = None
         self.is_stopping = False
         self.durations = drain_schedule.RouteDurations()
-        self.timeouts: set[asyncio.Timeout] = set()
+        self.interruptions = interruptions.Interruptions()
 
     @property
     def is_draining(self) -> bool:
@@ -50,23 +50,6 @@
         finally:
             self.count -= 1
 
-    @contextlib.asynccontextmanager
-    async def limited(self, deadline_s: float) -> AsyncIterator[None]:
-        """Limit the time of a routed request.
-
-        Raises
-        ------
-        TimeoutError
-            At the deadline, or at the end of a drain if that comes first.
-        """
-        timeout = asyncio.timeout_at(deadline_s)
-        try:
-            async with timeout:
-                self.timeouts.add(timeout)
-                yield
-        finally:
-            self.timeouts.discard(timeout)
-
     def begin_drain(self, duration_s: float) -> drain_schedule.DrainSchedule:
         """Refuse requests from now on that can't end within a duration."""
         now_s = asyncio.get_running_loop().time()
@@ -84,10 +67,8 @@
             The number of requests that were interrupted.
         """
         self.is_stopping = True
-        now_s = asyncio.get_running_loop().time()
-        for timeout in self.timeouts:
-            timeout.reschedule(now_s)
-        return len(self.timeouts)
+        self.interruptions.interrupt()
+        return len(self.interruptions.running)
 
     def find_refusal(
         self, routed: relay_requests.RoutedRequest
