--- a/src/quetzalpass/callers/app.py
+++ b/src/quetzalpass/callers/app.py
@@ -116,6 +116,7 @@
 
     async def handle_expect(self, request: web.Request) -> web.Response | None:
         """Handle ``Expect: 100-continue``: ask for the body or reject the request."""
+        headers.arrived_s(request)
         request_id = self.gateway.new_request_id()
         failure = self.gateway.refusal()
         if request.headers["Expect"].lower() != "100-continue":
@@ -225,6 +226,7 @@
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
         """Run the handler of a request, unless this VM accepts no requests now."""
+        headers.arrived_s(request)
         is_handed = request.path.startswith(handing_over.PATH)
         request_id = self.gateway.new_request_id()
         if is_handed:
@@ -277,7 +279,7 @@
         """
         is_received = False
         try:
-            async with self.gateway.interruptible() as interruption:
+            async with self.gateway.interruptions.interruptible() as interruption:
                 body = await self.read_body(request)
                 is_received = True
                 return await self.respond(request, request_id, body, config, handler)
--- a/src/quetzalpass/callers/headers.py
+++ b/src/quetzalpass/callers/headers.py
@@ -34,6 +34,8 @@
 
 # Key in the aiohttp request under which the validated headers are stored, for metrics.
 CALLER_HEADERS_KEY = "quetzalpass.caller"
+# Key in the aiohttp request under which the loop time of its arrival is stored.
+ARRIVAL_KEY = "quetzalpass.arrived"
 
 
 class EventId(msgspec.Struct, frozen=True):
@@ -187,7 +189,12 @@
             codes.Code.BAD_HEADER,
             f"Quetzalpass-Timeout-Ms must be a number from 1 to {MAX_TIMEOUT_MS}",
         )
-    return asyncio.get_running_loop().time() + int(value) / MS_PER_S
+    return arrived_s(request) + int(value) / MS_PER_S
+
+
+def arrived_s(request: web.Request) -> float:
+    """Return the loop time at which a request arrived, that is of the first call."""
+    return request.setdefault(ARRIVAL_KEY, asyncio.get_running_loop().time())
 
 
 def read_non_idempotent(request: web.Request) -> bool:
--- a/src/quetzalpass/consensus/group.py
+++ b/src/quetzalpass/consensus/group.py
@@ -53,7 +53,8 @@
     timing : timings.Timing
         Timeouts and intervals, equal on all members.
     snapshot_every : int
-        Number of applied entries between two snapshots.
+        Number of applied entries after which a snapshot is taken, even if they are
+        small.
     rules : replicas.MembershipRules
         Rules for membership changes.
     """
@@ -292,6 +293,7 @@
 
     async def handle_vote(self, request: messages.VoteRequest) -> messages.VoteReply:
         """Handle a candidate's request for a vote."""
+        self.joiner.learn_sender(request.vm, request.target)
         return await self.elections.handle_vote(request)
 
     async def handle_leadership_transfer(
@@ -304,12 +306,14 @@
         self, request: messages.AppendRequest
     ) -> messages.AppendReply:
         """Handle entries or a heartbeat of a leader."""
+        self.joiner.learn_sender(request.vm, request.target)
         return await self.follower.handle_append(request)
 
     async def handle_snapshot(
         self, request: messages.SnapshotRequest
     ) -> messages.SnapshotReply:
         """Handle a chunk of a leader's snapshot."""
+        self.joiner.learn_sender(request.vm, request.target)
         return await self.follower.handle_snapshot(request)
 
     async def handle_status(
--- a/tests/fakes/clusters.py
+++ b/tests/fakes/clusters.py
@@ -6,14 +6,15 @@
 
 from returns import result
 
-from fakes import disks, transports
+from fakes import disks, former_joining, transports
 from quetzalpass import ids
-from quetzalpass.consensus import entries, group, machine, registry, replica
+from quetzalpass.consensus import entries, group, registry, replica
+from quetzalpass.consensus import machine as machines
 
 GROUP = ids.GroupId("test")
 
 
-class ListMachine(machine.StateMachine):
+class ListMachine(machines.StateMachine):
     def __init__(self):
         self.items = []
 
@@ -29,7 +30,15 @@
 
 
 class Cluster:
-    def __init__(self, count=3, seed=0, snapshot_every=4096, open_voters=0):
+    def __init__(
+        self,
+        count=3,
+        seed=0,
+        snapshot_every=4096,
+        open_voters=0,
+        machine=ListMachine,
+    ):
+        self.machine = machine
         self.seed = seed
         self.open_voters = open_voters
         self.snapshot_every = snapshot_every
@@ -39,6 +48,8 @@
         self.disks = {vm: disks.FakeDisk() for vm in self.vms}
         self.groups = {}
         self.start_count = 0
+        # VMs that run the version before joiners followed the leader.
+        self.former_vms = set()
 
     def rules(self, vm, is_first_start):
         return replica.MembershipRules(
@@ -61,11 +72,14 @@
             known,
             self.disks[vm],
             transports.FakeTransport(self.network, vm),
-            ListMachine(),
+            self.machine(),
             random.Random(f"{self.seed}-{self.start_count}"),
             snapshot_every=self.snapshot_every,
             rules=rules,
         )
+        if vm in self.former_vms:
+            former = former_joining.FormerJoiner(self.groups[vm].replica)
+            self.groups[vm].joiner = former
         registry.GroupRegistry(table).add(self.groups[vm])
         return await self.groups[vm].start()
 
