--- a/src/quetzalpass/backends/http_client.py
+++ b/src/quetzalpass/backends/http_client.py
@@ -14,6 +14,11 @@
 MAX_BODY_BYTES = 8 * 1024 * 1024
 
 
+# A process that ends closes its connections and its listening socket one after the
+# other, in any order. A connection that it did not accept any more is reset by then.
+PROCESS_EXIT_S = 0.01
+
+
 class BodyTooLargeError(ValueError):
     """Raised if a response body exceeds ``MAX_BODY_BYTES``."""
 
@@ -95,6 +100,31 @@
     return True
 
 
+async def still_runs(host: str, port: int, timeout_s: float) -> bool:
+    """Return whether a server runs that has just closed a connection.
+
+    A new connection opens and stays open. A server with too many connections resets it,
+    but opens another one a moment later, which one that ends does not.
+    """
+    try:
+        async with asyncio.timeout(timeout_s):
+            reader, writer = await asyncio.open_connection(host, port)
+    except (OSError, TimeoutError):
+        return False
+    closes_s = asyncio.get_running_loop().time() + PROCESS_EXIT_S
+    try:
+        async with asyncio.timeout_at(closes_s):
+            await reader.read(1)
+    except TimeoutError:
+        return True
+    except OSError:
+        pass
+    finally:
+        writer.close()
+    await asyncio.sleep(closes_s - asyncio.get_running_loop().time())
+    return await accepts_connection(host, port, timeout_s)
+
+
 async def responds_on_new_connection(
     url: str, limits: schema.Limits, timeout_s: float
 ) -> bool:
--- a/src/quetzalpass/backends/relays.py
+++ b/src/quetzalpass/backends/relays.py
@@ -220,6 +220,14 @@
         between may accept it although the path to the server is lost.
         """
 
+    async def still_runs(self, timeout_s: float) -> bool:
+        """Return whether the server runs, although it has just closed a connection.
+
+        A server that ends may accept connections for a moment after it has closed
+        others, which ``check_health`` need not notice.
+        """
+        return await self.check_health(timeout_s)
+
     @abc.abstractmethod
     async def drop_copy(self, copy_id: str, timeout_s: float) -> None:
         """Delete a copy that will not be used."""
--- a/src/quetzalpass/backends/service_http.py
+++ b/src/quetzalpass/backends/service_http.py
@@ -82,10 +82,7 @@
                 response_body = await http_client.read_body(response)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             return result.Failure(engine_http.attempt_failure_from(error))
-        if (
-            http_client.ends_with_connection(response)
-            and not await self.accepts_connection()
-        ):
+        if http_client.ends_with_connection(response) and not await self.still_runs():
             return result.Failure(
                 base.AttemptFailure(
                     base.AttemptEnd.MAY_HAVE_RUN,
@@ -99,10 +96,10 @@
             )
         )
 
-    async def accepts_connection(self) -> bool:
-        """Return whether the service still accepts connections."""
+    async def still_runs(self) -> bool:
+        """Return whether the service runs after it has closed a connection."""
         address = urllib.parse.urlsplit(self.url)
-        return await http_client.accepts_connection(
+        return await http_client.still_runs(
             address.hostname, address.port, self.limits.connect_timeout_s
         )
 
--- a/src/quetzalpass/lifecycle/crash_checks.py
+++ b/src/quetzalpass/lifecycle/crash_checks.py
@@ -7,7 +7,8 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import logbook
 import msgspec
@@ -44,24 +45,10 @@
 # The list shows by then whether a server that responds again was restarted.
 CONFIRMATION_S = 3.0
 MAX_LIST_AGE_S = 1.5
-# A response that ended with its connection is complete after these outcomes.
-COMPLETE_AFTER = frozenset(
-    {
-        crash_events.CrashCheckOutcome.RESPONDS,
-        crash_events.CrashCheckOutcome.LEAVING,
-        crash_events.CrashCheckOutcome.UNLISTED,
-    }
-)
 ENDED_WITH_CONNECTION = base.AttemptFailure(
     base.AttemptEnd.MAY_HAVE_RUN,
     base.FailureKind.CLOSED,
-    "the server is down after a response that ended with its connection",
-)
-UNEXPLAINED = frozenset(
-    {
-        crash_events.CrashCheckOutcome.RESPONDS,
-        crash_events.CrashCheckOutcome.CUT_OFF,
-    }
+    "the server does not run after a response that ended with its connection",
 )
 
 
@@ -206,8 +193,7 @@
         routed: relay_requests.RoutedRequest,
         server: discovery.DiscoveredServer,
         failure: base.AttemptFailure,
-        complete_after: frozenset[crash_events.CrashCheckOutcome] = frozenset(),
-    ) -> asyncio.Task[bool]:
+    ) -> asyncio.Task[crash_events.CrashCheckOutcome]:
         """Check in the background whether a server crashed under a request.
 
         Parameters
@@ -218,13 +204,9 @@
             The server.
         failure : base.AttemptFailure
             How the request ended there.
-        complete_after : frozenset of CrashCheckOutcome
-            Outcomes that show that the server completed it.
         """
-        check = PendingCheck(server.id, routed.request.request_id)
-        self.pending.add(check)
-        return self.tasks.spawn(
-            self.check_request(check, routed, server, failure, complete_after)
+        return self.spawn_check(
+            routed, server, self.find_outcome(routed, server, failure)
         )
 
     async def is_complete(
@@ -234,35 +216,38 @@
     ) -> bool:
         """Return whether a response that ended with its connection is complete.
 
-        A crash closes the connection too, so the server must still run, or must have
-        announced that it leaves. A crash is attributed to the server's requests.
+        A server that stops closes its connections too, so it must still run, also if it
+        leaves or is no longer listed. A crash is attributed to the server's requests.
         """
-        checking = self.start_check(
-            routed, server, ENDED_WITH_CONNECTION, COMPLETE_AFTER
+        checking = self.spawn_check(
+            routed, server, self.find_outcome_after_end(routed, server)
         )
-        return await asyncio.shield(checking)
+        outcome = await asyncio.shield(checking)
+        return outcome is crash_events.CrashCheckOutcome.RESPONDS
+
+    def spawn_check(
+        self,
+        routed: relay_requests.RoutedRequest,
+        server: discovery.DiscoveredServer,
+        finding: Coroutine[Any, Any, crash_events.CrashCheckOutcome],
+    ) -> asyncio.Task[crash_events.CrashCheckOutcome]:
+        """Check a request's server; the request stays registered on it meanwhile."""
+        check = PendingCheck(server.id, routed.request.request_id)
+        self.pending.add(check)
+        return self.tasks.spawn(self.check_request(check, routed, server, finding))
 
     async def check_request(
         self,
         check: PendingCheck,
         routed: relay_requests.RoutedRequest,
         server: discovery.DiscoveredServer,
-        failure: base.AttemptFailure,
-        complete_after: frozenset[crash_events.CrashCheckOutcome],
-    ) -> bool:
-        """Check the server of a request, then remove the request from it.
-
-        Returns
-        -------
-        bool
-            Whether the outcome shows that the server completed the request.
-        """
+        finding: Coroutine[Any, Any, crash_events.CrashCheckOutcome],
+    ) -> crash_events.CrashCheckOutcome:
+        """Check the server of a request, then remove the request from it."""
         try:
-            outcome = await self.find_outcome(routed, server, failure)
-            if outcome in complete_after:
-                return True
+            outcome = await finding
             self.apply_outcome(routed, server, outcome)
-            return False
+            return outcome
         finally:
             self.pending.discard(check)
             self.suspects.remove_request(check.server, check.request)
@@ -279,8 +264,37 @@
             outcome = await self.probes.probe(server)
         cause = f"{failure.end.value}, {failure.kind.value}"
         self.record_outcome(server, outcome, cause, routed)
+        if outcome is crash_events.CrashCheckOutcome.RESPONDS:
+            # The list may show later that it has crashed.
+            self.remember_lost(server, routed.request.request_id)
         return outcome
 
+    async def find_outcome_after_end(
+        self,
+        routed: relay_requests.RoutedRequest,
+        server: discovery.DiscoveredServer,
+    ) -> crash_events.CrashCheckOutcome:
+        """Find out whether a server that closed a connection runs; log the outcome."""
+        excuse = self.outcome_without_probe(server, ENDED_WITH_CONNECTION)
+        outcome = await self.probes.probe_after_end(server)
+        if outcome is not crash_events.CrashCheckOutcome.RESPONDS:
+            outcome = excuse or outcome
+        elif self.is_replaced(server):
+            outcome = crash_events.CrashCheckOutcome.RESTARTED
+        cause = "the response ended with its connection"
+        self.record_outcome(server, outcome, cause, routed)
+        return outcome
+
+    def is_replaced(self, server: discovery.DiscoveredServer) -> bool:
+        """Return whether the list shows a newer start in a server's place."""
+        if server.started_ms is None:
+            return False
+        known = self.view.servers.get(server.id)
+        if known is not None and known.server.start_key != server.start_key:
+            return True
+        newest_ms = self.lost.newest_starts().get(server.address, 0)
+        return newest_ms > server.started_ms
+
     def apply_outcome(
         self,
         routed: relay_requests.RoutedRequest,
@@ -291,15 +305,17 @@
         request_id = routed.request.request_id
         if outcome is crash_events.CrashCheckOutcome.CRASHED:
             self.record_crash(server, request_id)
-        elif outcome in UNEXPLAINED:
+        elif outcome is crash_events.CrashCheckOutcome.CUT_OFF:
             self.remember_lost(server, request_id)
-            if outcome is crash_events.CrashCheckOutcome.CUT_OFF:
-                self.suspects.losses.add(
-                    routed.fingerprint,
-                    server.start_key,
-                    server.data_centre,
-                    lost_requests.LOST_LIFETIME_S,
-                )
+            self.suspects.losses.add(
+                routed.fingerprint,
+                server.start_key,
+                server.data_centre,
+                lost_requests.LOST_LIFETIME_S,
+            )
+        elif outcome is crash_events.CrashCheckOutcome.RESTARTED:
+            self.remember_lost(server, request_id)
+            self.on_list_change()
         elif outcome is crash_events.CrashCheckOutcome.REPLACED:
             self.health.eject(server.id, "another server has its address")
             self.record_late_crash(server)
--- a/src/quetzalpass/lifecycle/server_probes.py
+++ b/src/quetzalpass/lifecycle/server_probes.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from quetzalpass import background, ids
 from quetzalpass.backends import relays
@@ -37,6 +38,8 @@
         Loop time at which the last byte from a server arrived.
     running : dict of ServerId to asyncio.Task
         Probes in progress; checks of one server share them.
+    running_after_end : dict of ServerId to asyncio.Task
+        The same for checks whether a response that ended is complete.
     crashed_starts : set of str
         Starts of servers for which this gateway has recorded a crash.
     """
@@ -57,6 +60,9 @@
         self.running: dict[
             ids.ServerId, asyncio.Task[crash_events.CrashCheckOutcome]
         ] = {}
+        self.running_after_end: dict[
+            ids.ServerId, asyncio.Task[crash_events.CrashCheckOutcome]
+        ] = {}
         self.crashed_starts: set[str] = set()
 
     async def probe(
@@ -65,15 +71,44 @@
         """Return whether a server has crashed; checks of one server share a probe."""
         task = self.running.get(server.id)
         if task is None:
-            task = self.running[server.id] = self.tasks.spawn(self.probe_alone(server))
-            task.add_done_callback(lambda _: self.running.pop(server.id, None))
+            relay_server = self.get_relay_server(server)
+            responds = relay_server.check_health(HEALTH_TIMEOUT_S)
+            task = self.start_probe(self.running, server, responds)
         return await asyncio.shield(task)
 
-    async def probe_alone(
+    async def probe_after_end(
         self, server: discovery.DiscoveredServer
     ) -> crash_events.CrashCheckOutcome:
-        """Try to connect to a server, and to its neighbours if that fails."""
-        if await self.get_relay_server(server).check_health(HEALTH_TIMEOUT_S):
+        """Return whether a server has crashed that has just closed a connection.
+
+        A probe that began before the close shows nothing about what came after it.
+        """
+        earlier = self.running_after_end.get(server.id)
+        if earlier is not None:
+            await asyncio.wait({earlier})
+        task = self.running_after_end.get(server.id)
+        if task is None:
+            relay_server = self.get_relay_server(server)
+            responds = relay_server.still_runs(HEALTH_TIMEOUT_S)
+            task = self.start_probe(self.running_after_end, server, responds)
+        return await asyncio.shield(task)
+
+    def start_probe(
+        self,
+        running: dict[ids.ServerId, asyncio.Task[crash_events.CrashCheckOutcome]],
+        server: discovery.DiscoveredServer,
+        responds: Coroutine[Any, Any, bool],
+    ) -> asyncio.Task[crash_events.CrashCheckOutcome]:
+        """Start a probe that other checks of the server can share."""
+        task = running[server.id] = self.tasks.spawn(self.probe_alone(server, responds))
+        task.add_done_callback(lambda _: running.pop(server.id, None))
+        return task
+
+    async def probe_alone(
+        self, server: discovery.DiscoveredServer, responds: Coroutine[Any, Any, bool]
+    ) -> crash_events.CrashCheckOutcome:
+        """Find out whether a server responds, or its neighbours do if it does not."""
+        if await responds:
             return crash_events.CrashCheckOutcome.RESPONDS
         if await self.is_cut_off(server):
             return crash_events.CrashCheckOutcome.CUT_OFF
--- a/tests/fakes/relay_servers.py
+++ b/tests/fakes/relay_servers.py
@@ -87,6 +87,7 @@
     async def read_body(self):
         if self.server.body_failure is not None:
             return result.Failure(self.server.body_failure)
+        self.server.on_body_end()
         return result.Success(self.body)
 
     async def next_chunk(self):
@@ -95,6 +96,7 @@
         if self.is_closed or self.server.is_dead:
             return result.Failure(LOST)
         if self.next_event > self.run.length or self.is_ended:
+            self.server.on_body_end()
             return result.Success(b"")
         try:
             async with asyncio.timeout(STEP_S):
@@ -106,6 +108,8 @@
         number = self.next_event
         if number == self.server.ends_at:
             self.is_ended = True
+            if not self.server.torn_bytes:
+                self.server.on_body_end()
             return result.Success(event(number)[: self.server.torn_bytes])
         self.next_event += 1
         self.run.event_count = max(self.run.event_count, number)
@@ -127,6 +131,8 @@
         Event at which the body of a stream ends early, though in an orderly way.
     torn_bytes : int
         Bytes of that event that are sent.
+    stops_at_end : bool
+        Whether it is down once it has ended a body in an orderly way.
     rate_notice : base.RateNotice or None
         Limit that it names in each response.
     notice : base.ServerNotice
@@ -151,6 +157,11 @@
         self.notice = base.ServerNotice()
         self.ends_at = None
         self.torn_bytes = 0
+        self.stops_at_end = False
+
+    def on_body_end(self):
+        if self.stops_at_end:
+            self.is_dead = True
 
     async def send(self, call, options):
         self.sent.append((call, options))
--- a/tests/lifecycle/test_incomplete_streams.py
+++ b/tests/lifecycle/test_incomplete_streams.py
@@ -7,7 +7,7 @@
 from fakes import relay_servers
 from lifecycle import gateway_harness
 from quetzalpass.backends import relays
-from quetzalpass.lifecycle import relay_reservations
+from quetzalpass.lifecycle import relay_reservations, relayed_streams
 
 EVENT_COUNT = 60
 TORN_BYTES = 9
@@ -153,6 +153,106 @@
         assert is_whole(await scenario.finish())
 
 
+class TestServersThatLeave:
+    """A server leaves as announced and stops: its kernel ends bodies between events."""
+
+    async def start(self, monkeypatch, has_backup, is_unlisted=False):
+        if not has_backup:
+            monkeypatch.setattr(
+                relay_reservations.ServerReservations, "assign_backup", assign_no_backup
+            )
+            monkeypatch.setattr(
+                relay_reservations.ServerReservations,
+                "reserve_move_target",
+                reserve_no_target,
+            )
+        monkeypatch.setattr(
+            relayed_streams.RelayedStream, "start_move", lambda stream: None
+        )
+        scenario = Scenario()
+        server = await scenario.start()
+        if is_unlisted:
+            harness = scenario.harness
+            harness.servers = [
+                each for each in harness.servers if each.id != server.name
+            ]
+            harness.publish_server_list()
+        else:
+            scenario.harness.mark_leaving(server.name)
+        return scenario, server
+
+    @pytest.mark.parametrize("is_unlisted", [False, True])
+    async def test_stream_of_a_server_that_stops_is_broken_off(
+        self, monkeypatch, is_unlisted
+    ):
+        scenario, server = await self.start(monkeypatch, False, is_unlisted)
+        end_early(server, at=20, torn_bytes=0)
+        server.stops_at_end = True
+        assert is_broken_off(await scenario.finish())
+        await asyncio.sleep(5.0)
+        assert scenario.harness.gateway.suspects.records == {}
+        assert scenario.harness.reservations.uses == {}
+
+    @pytest.mark.parametrize("is_unlisted", [False, True])
+    async def test_stream_of_a_server_that_stops_resumes_from_its_backup(
+        self, monkeypatch, is_unlisted
+    ):
+        scenario, server = await self.start(monkeypatch, True, is_unlisted)
+        end_early(server, at=20, torn_bytes=0)
+        server.stops_at_end = True
+        assert is_whole(await scenario.finish())
+
+    @pytest.mark.parametrize("is_unlisted", [False, True])
+    async def test_whole_stream_of_a_server_that_still_runs_is_complete(
+        self, monkeypatch, is_unlisted
+    ):
+        scenario, _ = await self.start(monkeypatch, False, is_unlisted)
+        assert is_whole(await scenario.finish())
+
+    async def test_resumed_stream_whose_server_stops_is_broken_off(self, monkeypatch):
+        scenario = Scenario("ab")
+        server = await scenario.start()
+        end_early(server, at=20)
+        (other,) = scenario.others(server)
+        while scenario.response.data.count(b"id:") < 25:
+            await asyncio.sleep(0.01)
+        end_early(other, at=30, torn_bytes=0)
+        other.stops_at_end = True
+        scenario.harness.mark_leaving(server.name)
+        scenario.harness.mark_leaving(other.name)
+        assert is_broken_off(await scenario.finish())
+
+
+class TestProbes:
+    async def test_probe_that_began_before_the_end_shows_nothing(self, monkeypatch):
+        scenario = Scenario("a")
+        server = await scenario.start()
+        is_up = True
+
+        async def check_health(timeout_s):
+            found = is_up and not server.is_dead
+            await asyncio.sleep(0.2)
+            return found
+
+        server.check_health = check_health
+        probes = scenario.harness.gateway.crash_checks.probes
+        end_early(server, at=server_events(scenario) + 3, torn_bytes=0)
+        server.stops_at_end = True
+        early = asyncio.create_task(
+            probes.probe(scenario.harness.view.servers[server.name].server)
+        )
+        assert is_broken_off(await scenario.finish())
+        await early
+
+
+def server_events(scenario):
+    return scenario.response.data.count(b"id:")
+
+
+async def reserve_no_target(reservations, routed, need, source):
+    return None
+
+
 class AnyEvent:
     """Equal to every event number."""
 
--- a/tests/lifecycle/test_relayed_calls.py
+++ b/tests/lifecycle/test_relayed_calls.py
@@ -1,5 +1,7 @@
 import asyncio
+import enum
 
+import msgspec
 import pytest
 
 from declarations import relay_builders
@@ -76,6 +78,85 @@
         assert cleared == []
 
 
+class Departure(enum.Enum):
+    """How a server stops that has been asked to stop."""
+
+    LEAVING = "leaving"
+    UNLISTED = "unlisted"
+
+    def announce(self, harness, name):
+        if self is Departure.LEAVING:
+            harness.mark_leaving(name)
+            return
+        harness.servers = [each for each in harness.servers if each.id != name]
+        harness.publish_server_list()
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("departure", Departure)
+class TestUnframedResponsesOfServersThatLeave:
+    async def serve(self, harness, departure, is_stopping):
+        for each in harness.servers:
+            server = harness.server(each.id)
+            server.body_end = backend_relays.BodyEnd.CLOSE
+            server.delay_s = 0.1
+        response, task = harness.start()
+        await asyncio.sleep(0.05)
+        (name,) = [each.id for each in harness.servers if harness.send_count(each.id)]
+        harness.server(name).stops_at_end = is_stopping
+        departure.announce(harness, name)
+        await task
+        await asyncio.sleep(5.0)
+        assert harness.gateway.suspects.records == {}
+        assert harness.gateway.suspects.in_flight == {}
+        return response
+
+    async def test_response_of_a_stopped_server_is_not_passed_on(self, departure):
+        harness = non_idempotent_harness()
+        response = await self.serve(harness, departure, is_stopping=True)
+        assert response.status == response_statuses.STATUS_BAD_GATEWAY
+        assert sum(len(each.sent) for each in harness.fleet.servers.values()) == 1
+
+    async def test_repeatable_call_is_sent_again(self, departure):
+        harness = ledger_harness()
+        response = await self.serve(harness, departure, is_stopping=True)
+        assert response.status == 200
+        sends = [len(each.sent) for each in harness.fleet.servers.values()]
+        assert sorted(sends)[-2:] == [1, 1]
+
+    async def test_repeatable_call_without_attempts_is_not_sent_again(self, departure):
+        harness = ledger_harness(attempts=1)
+        response = await self.serve(harness, departure, is_stopping=True)
+        assert response.status == response_statuses.STATUS_BAD_GATEWAY
+        assert sum(len(each.sent) for each in harness.fleet.servers.values()) == 1
+
+    async def test_response_of_a_server_that_still_runs_is_complete(self, departure):
+        harness = non_idempotent_harness()
+        response = await self.serve(harness, departure, is_stopping=False)
+        assert response.status == 200
+        assert response.data == b"whole"
+
+
+@pytest.mark.looptime
+class TestUnframedResponsesOfRestartedServers:
+    async def test_response_that_ended_before_a_restart_is_not_passed_on(self):
+        harness = non_idempotent_harness(1)
+        harness.servers = [
+            msgspec.structs.replace(harness.servers[0], started_ms=1_000)
+        ]
+        harness.publish_server_list()
+        harness.server("l-1").body_end = backend_relays.BodyEnd.CLOSE
+        harness.server("l-1").delay_s = 0.1
+        response, task = harness.start()
+        await asyncio.sleep(0.05)
+        harness.servers = [
+            msgspec.structs.replace(harness.servers[0], started_ms=9_000)
+        ]
+        harness.publish_server_list()
+        await task
+        assert response.status == response_statuses.STATUS_BAD_GATEWAY
+
+
 @pytest.mark.looptime
 class TestRouting:
     async def test_without_declaration_response_says_not_run(self):
