TWICE: a run is stopped before its generation resumes at another server

Callers got each event once; the work ran at two replicas.

Cause: the end of a run was left to the close of its connection, an effect that the other side may or may not draw from it. Class of fault: cancellation by side effect, without an order and without a response. The platform has the order (kv-move with `last`: stop, copy what is new, keep the memory), but copy_memory always sent "last": false.

Each response is defined: 200; 503 with a handle (resume at the first server, which kept the memory, within 2 s of its notice); 404; 409; none; lost; the source gone; the next server refuses the handle. A stop that is unanswered after 0.1 s counts as done once the stream has closed, so that the queue of other moves is no pause for the caller. An unframed stream that closes after a stop is not complete unless the response shows that it wasn't stopped. - Backups of leaving servers: the first run is the only one with all memory until the other one has begun, so it still overlaps; it is now ended by a close and, 0.05 s later, the order, 0.25 s after the send at the latest also if the head of the response has not arrived (it was unbounded). A resume cancels a move that is still under way.

Sought elsewhere: the own interface cancels by id at the old engine (move_as_requested, cancel_previous_run), not by a close.

Tests: the fakes got a stop, servers that keep runs, and count overlaps. No existing check was changed.

--- a/src/quetzalpass/backends/relays.py
+++ b/src/quetzalpass/backends/relays.py
@@ -157,10 +157,13 @@
         Id of the copy.
     event_count : int
         Events that the generation had produced when it was copied.
+    is_at_destination : bool
+        Whether the other server holds the copy; only the first one does otherwise.
     """
 
     copy_id: str
     event_count: int
+    is_at_destination: bool = True
 
 
 class RelayServer(base.Backend):
@@ -191,6 +194,26 @@
             Maximum duration in seconds.
         """
 
+    @abc.abstractmethod
+    async def stop_run(
+        self,
+        request_id: ids.RequestId,
+        destination: str,
+        timeout_s: float,
+    ) -> result.Result[MovedCopy, base.AttemptFailure]:
+        """Stop a running generation, and copy its memory to another server.
+
+        The stream of the generation closes without its end. What an earlier call of
+        ``copy_memory`` has copied is not copied again, and the memory stays on the
+        first server too until a server resumes from it.
+
+        Returns
+        -------
+        Result
+            The copy of the stopped generation. ``REFUSED`` and ``NOT_SENT`` show that
+            this call has not stopped it, ``UNKNOWN_GENERATION`` that it does not run.
+        """
+
     @abc.abstractmethod
     async def wait_for_leaving_hint(
         self, wait_s: float
--- a/src/quetzalpass/lifecycle/generation_moves.py
+++ b/src/quetzalpass/lifecycle/generation_moves.py
@@ -1,7 +1,9 @@
 """Moves a running generation from a server that is leaving to another one.
 
-The other server resumes from a copy of the generation's memory before the current one
-is released. Both servers run it for a short time; duplicate events are dropped.
+Without a backup, its memory is copied while it runs. The run is then stopped, which
+copies the little that is new, and resumes at the other server. A server with a backup
+resumes while the run goes on, and the run is stopped as soon as that one has begun, or
+after a short time; duplicate events are dropped.
 """
 
 import asyncio
@@ -11,7 +13,8 @@
 from returns import result
 
 from quetzalpass import event_log
-from quetzalpass.lifecycle import stream_segments
+from quetzalpass.backends import base
+from quetzalpass.lifecycle import run_stops, server_reservation, stream_segments
 from quetzalpass.membership import discovery
 
 if TYPE_CHECKING:
@@ -22,9 +25,12 @@
 BACKUP_DELAY_S = 0.5
 MOVE_RETRY_S = 0.15
 MAX_MOVE_ATTEMPTS = 6
-# Longest time for which two servers run the same generation.
+# Longest time from the request to a backup's server to the order to stop the first run.
 MAX_OVERLAP_S = 0.25
+# A server that is leaving gets no request later than this after it has said so.
+MAX_LEAVING_S = 2.0
 STATUS_OK = 200
+NOT_STARTED = frozenset({base.AttemptEnd.NOT_SENT, base.AttemptEnd.REFUSED})
 
 
 class MemoryCopy(msgspec.Struct, frozen=True):
@@ -74,11 +80,14 @@
         for _ in range(MAX_MOVE_ATTEMPTS):
             if self.is_refused():
                 break
-            copy = self.stream.find_backup_copy(segment) or await self.move_memory()
-            if copy is not None and await self.open_next_segment(copy):
-                return
             if self.stream.is_broken:
                 return
+            if (
+                await self.try_once()
+                or self.stream.is_broken
+                or not self.segment.may_move
+            ):
+                return
             await asyncio.sleep(MOVE_RETRY_S)
         detail = f"after at most {MAX_MOVE_ATTEMPTS} tries"
         if self.is_refused():
@@ -98,8 +107,16 @@
         first_s = self.stream.first_event_s or self.stream.now_s()
         await asyncio.sleep(max(0.0, first_s + BACKUP_DELAY_S - self.stream.now_s()))
 
-    async def open_next_segment(self, copy: MemoryCopy) -> bool:
-        """Resume from a copy while the current server still runs it.
+    async def try_once(self) -> bool:
+        """Try to move once; return whether the generation need not move any more."""
+        backup = self.stream.find_backup_copy(self.segment)
+        if backup is not None:
+            return await self.resume_from_backup(backup)
+        copy = await self.move_memory()
+        return copy is not None and await self.resume_from_move(copy)
+
+    async def resume_from_backup(self, copy: MemoryCopy) -> bool:
+        """Resume from a backup while the current server still runs the generation.
 
         Returns
         -------
@@ -107,31 +124,184 @@
             Whether the other server resumed.
         """
         stream = self.stream
-        # The verdict may have come while the memory was copied.
         if self.is_refused() or not stream.try_withdraw_resume():
             return False
-        reservation = stream.gateway.reservations.reserve_on(copy.server, stream.need)
-        opened = await stream.open_segment(reservation, copy)
+        started_s = stream.now_s()
+        opened = await self.open_backup(copy)
         if stream_segments.is_rate_limited(opened):
-            return False
-        stream.unused_copy = None
+            return await self.resume_at_source(opened.failure())
         if isinstance(opened, result.Failure):
-            if copy.copy_id == stream.request_id:
-                self.segment.reservation.set_backup(None)
-            return False
+            self.segment.reservation.set_backup(None)
+            return await self.resume_at_source(opened.failure())
         next_segment = opened.unwrap()
+        overlap_s = MAX_OVERLAP_S
+        if self.segment.stop is None:
+            overlap_s -= stream.now_s() - started_s
         try:
-            is_usable = await read_first_batch(next_segment)
+            is_usable = await read_first_batch(next_segment, overlap_s)
         except BaseException:
             stream.end_segment(next_segment)
             raise
         if not is_usable:
+            # The next server might send nothing either, after the run had been stopped.
+            self.segment.may_move = False
             stream.end_segment(next_segment)
-            return False
+            return await self.resume_at_source(None)
         stream.next_segment = next_segment
+        run_stops.end_run(stream, self.segment, copy.server)
+        return True
+
+    async def open_backup(
+        self, copy: MemoryCopy
+    ) -> result.Result[stream_segments.StreamSegment, base.AttemptFailure]:
+        """Send the request to the server of a backup; stop the run if that takes long.
+
+        The request may run there before the response shows it.
+        """
+        stream = self.stream
+        reservation = stream.gateway.reservations.reserve_on(copy.server, stream.need)
+        opening = asyncio.create_task(stream.open_segment(reservation, copy))
+        try:
+            await asyncio.wait({opening}, timeout=MAX_OVERLAP_S)
+            if not opening.done() and run_stops.can_stop(stream):
+                run_stops.RunStop(stream, self.segment, copy.server)
+            return await asyncio.shield(opening)
+        except asyncio.CancelledError:
+            opening.add_done_callback(self.end_opened)
+            opening.cancel()
+            raise
+
+    def end_opened(self, opening: asyncio.Task) -> None:
+        """End a segment that was opened although nobody waits for it any more."""
+        if opening.cancelled() or opening.exception() is not None:
+            return
+        opened = opening.result()
+        if isinstance(opened, result.Success):
+            self.stream.end_segment(opened.unwrap())
+
+    async def resume_from_move(self, copy: MemoryCopy) -> bool:
+        """Stop the run, and resume from the copy of its memory.
+
+        Nothing that is known to prevent the resumption may be left when the run stops.
+
+        Returns
+        -------
+        bool
+            Whether the generation has resumed, or has ended.
+        """
+        stream = self.stream
+        # The verdict may have come while the memory was copied.
+        if self.is_refused():
+            return False
+        reservation = stream.gateway.reservations.reserve_on(copy.server, stream.need)
+        if await stream.find_rate_limit(reservation) is not None:
+            return False
+        try:
+            if not stream.try_withdraw_resume():
+                return False
+            source = self.segment.reservation.server
+            self.log_decision("stop", source, f"resumes on {copy.server.id}")
+            stop = run_stops.RunStop(stream, self.segment, copy.server)
+            await stop.wait()
+            if not self.may_resume(stop):
+                # A run that may still stop is not copied again: it then resumes from
+                # the copy that there is.
+                self.segment.may_move = stop.state is run_stops.StopState.REFUSED
+                return stop.state is run_stops.StopState.NO_RUN
+            newest = self.newest_copy(stop, copy)
+            if newest is None:
+                return await self.resume_at_source(None)
+            return await self.open_copy(reservation, newest)
+        finally:
+            if stream.next_segment is None or (
+                stream.next_segment.reservation is not reservation
+            ):
+                reservation.release()
+
+    def may_resume(self, stop: run_stops.RunStop) -> bool:
+        """Return whether the run has ended without its end, so that it may resume."""
+        if stop.state is run_stops.StopState.STOPPED or self.stream.is_broken:
+            return True
+        return stop.may_have_stopped() and self.segment.broken.is_set()
+
+    def newest_copy(
+        self, stop: run_stops.RunStop, copy: MemoryCopy
+    ) -> MemoryCopy | None:
+        """Return the newest copy at another server, which is used from now on.
+
+        Without room for what is new, the first server is asked before an older copy.
+        """
+        if stop.copy is None:
+            return copy
+        self.stream.reported_events = max(
+            self.stream.reported_events, stop.copy.event_count
+        )
+        if not stop.copy.is_at_destination and self.may_use_source():
+            return None
+        self.stream.unused_copy = MemoryCopy(
+            copy.server, copy.holder, stop.copy.copy_id
+        )
+        return self.stream.unused_copy
+
+    async def open_copy(
+        self, reservation: server_reservation.Reservation, copy: MemoryCopy
+    ) -> bool:
+        """Resume from the copy of a stopped run, or at the first server."""
+        stream = self.stream
+        opened = await stream.open_segment(reservation, copy, is_admitted=True)
+        if isinstance(opened, result.Failure):
+            return await self.resume_at_source(opened.failure())
+        stream.unused_copy = None
+        return self.take_over(opened.unwrap())
+
+    def take_over(self, next_segment: stream_segments.StreamSegment) -> bool:
+        """Continue with a segment of a run that has stopped before."""
+        if next_segment.server_response.head.status != STATUS_OK:
+            self.stream.end_segment(next_segment)
+            return False
+        self.stream.next_segment = next_segment
         self.segment.server_response.close()
         return True
 
+    async def resume_at_source(self, failure: base.AttemptFailure | None) -> bool:
+        """Resume at the first server, if it has stopped the run and kept its memory.
+
+        Parameters
+        ----------
+        failure : base.AttemptFailure or None
+            Why another server has not resumed; ``None`` if none got the request.
+        """
+        stream = self.stream
+        stop = self.segment.stop
+        if stop is None:
+            return False
+        if failure is not None and failure.end not in NOT_STARTED:
+            return False
+        await asyncio.wait({stop.task})
+        if stop.copy is None or not self.may_use_source():
+            return False
+        if not stream.try_withdraw_resume():
+            return False
+        stream.unused_copy = None
+        source = self.segment.reservation.server
+        self.log_decision("move_back", source, "the other server has not resumed")
+        opened = await stream.open_segment(
+            stream.gateway.reservations.reserve_on(source, stream.need),
+            MemoryCopy(source, source, stop.copy.copy_id),
+        )
+        if isinstance(opened, result.Failure):
+            return False
+        opened.unwrap().may_move = False
+        return self.take_over(opened.unwrap())
+
+    def may_use_source(self) -> bool:
+        """Return whether the leaving server may still get a request."""
+        view = self.stream.gateway.view
+        known = view.servers.get(self.segment.reservation.server.id)
+        if known is None or known.leaving_since_s is None:
+            return False
+        return self.stream.now_s() < known.leaving_since_s + MAX_LEAVING_S
+
     async def move_memory(self) -> MemoryCopy | None:
         """Copy the memory to an engine with capacity, while the generation runs."""
         stream = self.stream
@@ -188,11 +358,20 @@
         )
 
 
-async def read_first_batch(segment: stream_segments.StreamSegment) -> bool:
+async def read_first_batch(
+    segment: stream_segments.StreamSegment, wait_s: float
+) -> bool:
     """Wait for a segment's first bytes, while the previous server still sends events.
 
     The wait is bounded, because a generation must not run on two servers for long.
 
+    Parameters
+    ----------
+    segment : stream_segments.StreamSegment
+        The segment.
+    wait_s : float
+        Longest wait in seconds.
+
     Returns
     -------
     bool
@@ -201,7 +380,7 @@
     if segment.server_response.head.status != STATUS_OK:
         return False
     try:
-        async with asyncio.timeout(MAX_OVERLAP_S):
+        async with asyncio.timeout(wait_s):
             received = await segment.next_batch(has_begun=True)
     except TimeoutError:
         return True
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -173,6 +173,8 @@
         self,
         reservation: server_reservation.Reservation,
         copy: generation_moves.MemoryCopy | None,
+        *,
+        is_admitted: bool = False,
     ) -> result.Result[stream_segments.StreamSegment, base.AttemptFailure]:
         """Send the request to a reserved server; release the reservation on failure.
 
@@ -182,6 +184,8 @@
             Reservation on the server that is to run it.
         copy : generation_moves.MemoryCopy or None
             Memory from which it resumes; ``None`` at its start.
+        is_admitted : bool
+            Whether the server's limit is known to allow it.
 
         Raises
         ------
@@ -189,9 +193,10 @@
             If servers have crashed under the request repeatedly.
         """
         server = reservation.server
-        denied = await self.find_rate_limit(reservation)
-        if denied is not None:
-            return result.Failure(denied)
+        if not is_admitted:
+            denied = await self.find_rate_limit(reservation)
+            if denied is not None:
+                return result.Failure(denied)
         try:
             self.raise_if_refused()
         except stream_failures.StreamFailedError:
@@ -321,13 +326,15 @@
             received = await segment.next_batch(has_begun=self.events > 0)
             received = received.bind(self.check_reported_events)
             if isinstance(received, result.Failure):
-                if self.next_segment is None:
+                segment.broken.set()
+                if self.next_segment is None and not segment.may_have_stopped():
                     self.on_broken(segment.reservation.server, received.failure())
                 return SegmentEnd.BROKEN
             batch = received.unwrap()
             await self.relay_events(segment, batch.events)
             if batch.is_last:
                 if not await self.is_complete(segment):
+                    segment.broken.set()
                     return SegmentEnd.BROKEN
                 await self.relay_rest(segment, batch.rest)
                 return SegmentEnd.COMPLETE
@@ -336,6 +343,10 @@
         """Return whether a stream that has ended is complete; log it if not."""
         server = segment.reservation.server
         head = segment.server_response.head
+        if head.body_end is relays.BodyEnd.CLOSE and segment.may_have_stopped():
+            await segment.stop.wait_for_response()
+            if segment.may_have_stopped():
+                return False
         if await self.gateway.is_complete(self.routed, server, head):
             return True
         self.log_broken(server, crash_checks.ENDED_WITH_CONNECTION)
@@ -453,6 +464,8 @@
 
     def start_move(self) -> None:
         """Start to move the generation to another server, in the background."""
+        if not self.segment.may_move:
+            return
         if self.move_task is None or self.move_task.done():
             self.pacer.delay_s = event_pacing.SMOOTHING_DELAY_S
             move = generation_moves.GenerationMove(self, self.segment)
--- a/src/quetzalpass/lifecycle/stream_resumes.py
+++ b/src/quetzalpass/lifecycle/stream_resumes.py
@@ -6,7 +6,12 @@
 from returns import result
 
 from quetzalpass.backends import base
-from quetzalpass.lifecycle import generation_moves, stream_failures, stream_segments
+from quetzalpass.lifecycle import (
+    generation_moves,
+    run_stops,
+    stream_failures,
+    stream_segments,
+)
 
 if TYPE_CHECKING:
     from quetzalpass.lifecycle import relayed_streams
@@ -45,6 +50,10 @@
             await asyncio.wait(
                 [stream.move_task], timeout=generation_moves.COPY_TIMEOUT_S
             )
+            if stream.next_segment is None and not stream.move_task.done():
+                # It must not resume beside what follows.
+                stream.move_task.cancel()
+                await asyncio.wait([stream.move_task])
         if stream.next_segment is None:
             stream.next_segment = await self.open_from_copy(broken)
         stream.segment, stream.next_segment = stream.next_segment, None
@@ -70,6 +79,8 @@
         stream.raise_if_refused()
         if not stream.try_withdraw_resume():
             raise stream_failures.server_lost("the retry budget is used up")
+        copy = await run_stops.stop_before_resume(stream, broken, copy)
+        stream.raise_if_refused()
         opened = await self.open_on_copy(copy)
         stream.unused_copy = None
         if isinstance(opened, result.Failure):
--- a/src/quetzalpass/lifecycle/stream_segments.py
+++ b/src/quetzalpass/lifecycle/stream_segments.py
@@ -1,6 +1,7 @@
 """Segments of a generation's stream, each of which one server produces."""
 
 import asyncio
+from typing import TYPE_CHECKING
 
 import msgspec
 from returns import result
@@ -12,6 +13,9 @@
 )
 from quetzalpass.membership import in_flight_requests
 
+if TYPE_CHECKING:
+    from quetzalpass.lifecycle import run_stops
+
 # A stream with a backup is treated as broken after a silence of this length. It is
 # longer than any pause that a loaded engine makes between two events.
 SILENCE_TIMEOUT_WITH_BACKUP_S = 1.2
@@ -56,6 +60,12 @@
         Whole events that have been received.
     read_ahead : EventBatch or None
         Events that were read before this became the current segment.
+    broken : asyncio.Event
+        Set once its stream has ended without being complete.
+    may_move : bool
+        Whether the generation may move away from its server before that breaks off.
+    stop : run_stops.RunStop or None
+        Last order to its server to stop the run, unless that is known to run on.
     """
 
     def __init__(
@@ -70,6 +80,13 @@
         self.splitter = event_splitter.EventSplitter()
         self.event_count = 0
         self.read_ahead: EventBatch | None = None
+        self.broken = asyncio.Event()
+        self.may_move = True
+        self.stop: run_stops.RunStop | None = None
+
+    def may_have_stopped(self) -> bool:
+        """Return whether its run may have been stopped, so that its end is missing."""
+        return self.stop is not None and self.stop.may_have_stopped()
 
     async def next_batch(
         self, has_begun: bool
--- a/tests/fakes/crashing_servers.py
+++ b/tests/fakes/crashing_servers.py
@@ -261,6 +261,9 @@
     async def copy_memory(self, request_id, destination, timeout_s):
         return result.Failure(relay_servers.REFUSED)
 
+    async def stop_run(self, request_id, destination, timeout_s):
+        return result.Failure(relay_servers.REFUSED)
+
     async def drop_copy(self, copy_id, timeout_s): ...
 
     async def wait_for_leaving_hint(self, wait_s):
--- a/tests/fakes/relay_servers.py
+++ b/tests/fakes/relay_servers.py
@@ -18,6 +18,11 @@
 
 REFUSED = failure(base.AttemptEnd.REFUSED, base.FailureKind.OVERLOADED, "full")
 LOST = failure(base.AttemptEnd.MAY_HAVE_RUN)
+NO_SUCH_RUN = failure(
+    base.AttemptEnd.REFUSED, base.FailureKind.UNKNOWN_GENERATION, "no such run"
+)
+BUSY = failure(base.AttemptEnd.REFUSED, base.FailureKind.REJECTED, "busy")
+SILENT = failure(base.AttemptEnd.MAY_HAVE_RUN, base.FailureKind.SILENT, "silent")
 NOT_SENT = failure(
     base.AttemptEnd.NOT_SENT, base.FailureKind.UNREACHABLE, "unreachable"
 )
@@ -47,6 +52,28 @@
         self.length = length
         self.event_count = 0
         self.owners = []
+        self.shared_since_s = None
+        self.longest_overlap_s = 0.0
+
+    def add_owner(self, server):
+        self.owners.append(server)
+        if len(self.owners) == 2:
+            self.shared_since_s = asyncio.get_running_loop().time()
+
+    def remove_owner(self, server):
+        if server not in self.owners:
+            return
+        self.longest_overlap_s = self.overlap_s()
+        self.owners.remove(server)
+        if len(self.owners) < 2:
+            self.shared_since_s = None
+
+    def overlap_s(self):
+        """Return the longest time for which two servers have run it."""
+        if self.shared_since_s is None:
+            return self.longest_overlap_s
+        shared_s = asyncio.get_running_loop().time() - self.shared_since_s
+        return max(self.longest_overlap_s, shared_s)
 
 
 class Fleet:
@@ -75,6 +102,7 @@
         self.body = body
         self.is_closed = False
         self.is_ended = False
+        self.is_stopped = False
         self.closed = asyncio.Event()
         self.head = relays.ResponseHead(
             status,
@@ -93,6 +121,8 @@
     async def next_chunk(self):
         if self.server.is_silent:
             await self.closed.wait()
+        if self.is_stopped:
+            return self.end_without_its_end()
         if self.is_closed or self.server.is_dead:
             return result.Failure(LOST)
         if self.next_event > self.run.length or self.is_ended:
@@ -103,6 +133,8 @@
                 await self.closed.wait()
         except TimeoutError:
             pass
+        if self.is_stopped:
+            return self.end_without_its_end()
         if self.is_closed or self.server.is_dead:
             return result.Failure(LOST)
         number = self.next_event
@@ -115,11 +147,22 @@
         self.run.event_count = max(self.run.event_count, number)
         return result.Success(event(number))
 
+    def end_without_its_end(self):
+        """Return what a gateway reads after a move has stopped the run."""
+        if self.head.body_end is relays.BodyEnd.CLOSE:
+            return result.Success(b"")
+        return result.Failure(LOST)
+
+    def stop(self):
+        self.is_stopped = True
+        self.closed.set()
+        self.run.remove_owner(self.server)
+
     def close(self):
         self.is_closed = True
         self.closed.set()
-        if self.run is not None and self.server in self.run.owners:
-            self.run.owners.remove(self.server)
+        if self.run is not None and not self.server.keeps_runs:
+            self.run.remove_owner(self.server)
 
 
 class FakeServer(relays.RelayServer):
@@ -133,6 +176,14 @@
         Bytes of that event that are sent.
     stops_at_end : bool
         Whether it is down once it has ended a body in an orderly way.
+    keeps_runs : bool
+        Whether it goes on with a run whose connection is closed.
+    stop_failure : base.AttemptFailure or None
+        Response to a stop, which it then does not obey.
+    loses_stop_response : bool
+        Whether it obeys a stop without a response.
+    has_no_room : bool
+        Whether a stop copies nothing; the memory then stays here.
     rate_notice : base.RateNotice or None
         Limit that it names in each response.
     notice : base.ServerNotice
@@ -158,6 +209,13 @@
         self.ends_at = None
         self.torn_bytes = 0
         self.stops_at_end = False
+        self.keeps_runs = False
+        self.responses = []
+        self.stops = []
+        self.stop_failure = None
+        self.loses_stop_response = False
+        self.has_no_room = False
+        self.stop_delay_s = 0.01
 
     def on_body_end(self):
         if self.stops_at_end:
@@ -189,8 +247,9 @@
             start = int(source.last_event_id or 0) + 1
         if options.backup_address is not None:
             self.fleet.copies.add((options.backup_address, call.request_id))
-        run.owners.append(self)
-        return result.Success(FakeResponse(self, run, start))
+        run.add_owner(self)
+        self.responses.append(FakeResponse(self, run, start))
+        return result.Success(self.responses[-1])
 
     async def copy_memory(self, request_id, destination, timeout_s):
         if self.refuses_copies or self.is_dead:
@@ -204,6 +263,29 @@
             relays.MovedCopy(copy_id, self.fleet.runs[request_id].event_count)
         )
 
+    async def stop_run(self, request_id, destination, timeout_s):
+        self.stops.append(destination)
+        if self.is_dead:
+            return result.Failure(NOT_SENT)
+        if self.stop_failure is not None:
+            if self.stop_failure.kind is base.FailureKind.SILENT:
+                await asyncio.sleep(timeout_s)
+            return result.Failure(self.stop_failure)
+        run = self.fleet.runs.get(request_id)
+        if run is None or self not in run.owners or run.event_count == run.length:
+            return result.Failure(NO_SUCH_RUN)
+        for each in self.responses:
+            if each.run is run:
+                each.stop()
+        await asyncio.sleep(self.stop_delay_s)
+        if self.is_dead or self.loses_stop_response:
+            return result.Failure(LOST)
+        copy_id = f"copy-{request_id}"
+        self.fleet.copies.add((f"{self.name}:80", copy_id))
+        return result.Success(
+            relays.MovedCopy(copy_id, run.event_count, not self.has_no_room)
+        )
+
     async def drop_copy(self, copy_id, timeout_s):
         self.fleet.copies.discard((f"{self.name}:80", copy_id))
 
--- a/tests/lifecycle/test_cut_off_gateways.py
+++ b/tests/lifecycle/test_cut_off_gateways.py
@@ -71,6 +71,9 @@
     async def copy_memory(self, request_id, destination, timeout_s):
         return await self.server.copy_memory(request_id, destination, timeout_s)
 
+    async def stop_run(self, request_id, destination, timeout_s):
+        return await self.server.stop_run(request_id, destination, timeout_s)
+
     async def drop_copy(self, copy_id, timeout_s):
         await self.server.drop_copy(copy_id, timeout_s)
 
