--- a/src/quetzalpass/backends/relays.py
+++ b/src/quetzalpass/backends/relays.py
@@ -157,10 +157,13 @@
         Id of the copy.
     event_count : int
         Events that the generation had produced when it was copied.
+    is_at_destination : bool
+        Whether the other server holds the copy; only the first one does otherwise.
     """
 
     copy_id: str
     event_count: int
+    is_at_destination: bool = True
 
 
 class RelayServer(base.Backend):
@@ -191,6 +194,26 @@
             Maximum duration in seconds.
         """
 
+    @abc.abstractmethod
+    async def stop_run(
+        self,
+        request_id: ids.RequestId,
+        destination: str,
+        timeout_s: float,
+    ) -> result.Result[MovedCopy, base.AttemptFailure]:
+        """Stop a running generation, and copy its memory to another server.
+
+        The stream of the generation closes without its end. What an earlier call of
+        ``copy_memory`` has copied is not copied again, and the memory stays on the
+        first server too until a server resumes from it.
+
+        Returns
+        -------
+        Result
+            The copy of the stopped generation. ``REFUSED`` and ``NOT_SENT`` show that
+            this call has not stopped it, ``UNKNOWN_GENERATION`` that it does not run.
+        """
+
     @abc.abstractmethod
     async def wait_for_leaving_hint(
         self, wait_s: float
@@ -220,6 +243,14 @@
         between may accept it although the path to the server is lost.
         """
 
+    async def still_runs(self, timeout_s: float) -> bool:
+        """Return whether the server runs, although it has just closed a connection.
+
+        A server that ends may accept connections for a moment after it has closed
+        others, which ``check_health`` need not notice.
+        """
+        return await self.check_health(timeout_s)
+
     @abc.abstractmethod
     async def drop_copy(self, copy_id: str, timeout_s: float) -> None:
         """Delete a copy that will not be used."""
