CONFIG: streams of services without an engine are served

Cause: the placement divides by the memory of a server, which is 0 for a plain service (ZeroDivisionError). The class of fault: 0 stands for 'has none' and is used as a figure. Now such a server has no memory that could fill; its slots alone limit its streams. Elsewhere: the control nodes' allocation uses the same functions.

--- a/src/quetzalpass/routing/relay_placement.py
+++ b/src/quetzalpass/routing/relay_placement.py
@@ -140,7 +140,12 @@
 
 
 def memory_fill(capacity: ServerCapacity, more_tokens: int) -> float:
-    """Return the share of an engine's memory in use with ``more_tokens`` added."""
+    """Return the share of an engine's memory in use with ``more_tokens`` added.
+
+    A plain service has no memory that could fill; its slots alone limit it.
+    """
+    if not capacity.memory_tokens:
+        return 0.0
     return (
         capacity.tokens + capacity.copy_tokens + more_tokens
     ) / capacity.memory_tokens
@@ -177,9 +182,11 @@
 
 
 def fits(capacity: ServerCapacity, need: GenerationNeed) -> bool:
-    """Return whether an engine has a free slot and the memory for a generation."""
+    """Return whether a server has a free slot and the memory for a generation."""
     if capacity.requests >= capacity.slots:
         return False
+    if not capacity.memory_tokens:
+        return True
     if capacity.requests == 0 and capacity.copy_tokens == 0:
         return True
     used_tokens = capacity.tokens + COPY_WEIGHT * capacity.copy_tokens + need.tokens
--- a/tests/routing/test_relay_placement.py
+++ b/tests/routing/test_relay_placement.py
@@ -157,3 +157,22 @@
         assert self.choose(
             [capacity("far", "flx-b", slots=2), capacity("near", slots=2)]
         ) == ("near")
+
+
+class TestStreamsOfPlainServices:
+    """Servers without a declared memory, which streaming routes may use too."""
+
+    def test_server_with_the_fewest_requests_is_chosen(self):
+        capacities = [
+            capacity("busy", requests=4, slots=6, memory_tokens=0),
+            capacity("idle", slots=6, memory_tokens=0),
+        ]
+        assert choose(capacities) == "idle"
+        assert relay_placement.describe(capacities[0], NEED)
+
+    def test_stream_waits_for_a_slot(self):
+        assert choose([capacity("full", requests=6, slots=6, memory_tokens=0)]) is None
+
+    def test_memory_of_the_requests_limits_nothing(self):
+        running = capacity("a", requests=1, tokens=9_000_000, memory_tokens=0)
+        assert choose([running]) == "a"
