MIXED, REFUSED: a head that another head continues is no response

Seen on a stand-in only: a replica that cuts its head inside a header's value and then writes a whole response: the two heads parse as one. 200 with two signatures went to the caller, and 200 with X-Not-Executed counted as a refusal of a request that ran. Cause: contradictory statements in one head were not noticed; the first of each was believed. Not told apart: a cut in the reason phrase, or one in the head of an error.

--- a/tests/adapter/test_cut_heads.py
+++ b/tests/adapter/test_cut_heads.py
@@ -169,6 +169,16 @@
         received = await cut_replica.receive_each(cuts(whole, last))
         assert ends(received) == [base.AttemptEnd.MAY_HAVE_RUN] * (last + 1)
 
+    @pytest.mark.parametrize("second", [WITH_LENGTH, REFUSAL])
+    async def test_head_that_another_one_continues_is_no_response(
+        self, cut_replica, second, is_reset
+    ):
+        cut_replica.is_reset = is_reset
+        first_size = WITH_LENGTH.index(b"X-")
+        heads = cuts(WITH_LENGTH, WITH_LENGTH.index(b"\r\n\r\n") + 2)[first_size:]
+        received = await cut_replica.receive_each([each + second for each in heads])
+        assert ends(received) == [base.AttemptEnd.MAY_HAVE_RUN] * len(heads)
+
 
 class CutHeads:
     """Replicas at one address, which all cut the heads of their responses."""
