MIXED: a replica's 101 is not relayed

Callers saw, on a stand-in only: a replica's '101 Switching Protocols' as the final response to a request that asked for no upgrade, on the caller's own connection. Cause: the HTTP library hands out 101 as a final status, and each status with the request's id was relayed.

--- a/tests/adapter/test_crossed_responses.py
+++ b/tests/adapter/test_crossed_responses.py
@@ -107,3 +107,14 @@
         assert refused.status == 503
         assert (response.status, len(runs)) == (200, 1)
         assert response.header("X-Request-Id") == "q-1"
+
+
+class TestUpgrades:
+    @pytest.mark.parametrize("path", ["/once/1", "/reads/1", "/drafts/1"])
+    async def test_switch_of_protocols_is_no_response(self, gateway, running, path):
+        fields = ["X-Request-Id: q-1", "X-Response-Signature: s"]
+        lines = ["HTTP/1.1 101 Switching", *fields, "Upgrade: x", "Connection: upgrade"]
+        running.response = "\r\n".join(lines).encode() + b"\r\n\r\nsurplus"
+        data = standin.request_bytes(path, GENERATION_HEADERS)
+        response = await standin.exchange(gateway.port, data)
+        assert response.status == 502
