--- a/tests/adapter/test_unchanged_requests.py
+++ b/tests/adapter/test_unchanged_requests.py
@@ -57,3 +57,26 @@
         response = await standin.exchange(gateway.port, data)
         assert response.status == 200
         assert ledger.requests[0].body == b"plain text"
+
+
+TARGETS = [
+    "/once/1?",
+    "/once/1??",
+    "/once/1?a=b?",
+    "/once/1?a=b&",
+    "/once/1?#",
+    "/once/1#part",
+    "/once/1?a=%3f%23#part",
+    "/once//1/./../x",
+    "/once/%2e%2E/%zz",
+    "/once/a:b@c;d=e,f",
+    "/once/[1]|{2}^`",
+]
+
+
+class TestTargets:
+    @pytest.mark.parametrize("target", TARGETS)
+    async def test_target_is_forwarded_unchanged(self, gateway, ledger, target):
+        response = await standin.exchange(gateway.port, standin.request_bytes(target))
+        assert response.status == 200
+        assert ledger.requests[0].first_line == f"POST {target} HTTP/1.1"
