LOST: a test of hand-overs whose first or second gateway drains

No fault found: a stream of 0.6 s that is handed over ends whole when either gateway drains, as both count the request until its response is sent.

--- a/tests/callers/test_cut_off_gateways.py
+++ b/tests/callers/test_cut_off_gateways.py
@@ -202,6 +202,26 @@
         assert consents[0] is None
         assert response.status == 200
 
+    @pytest.mark.parametrize("draining", [0, 1])
+    async def test_handed_request_ends_whole_if_either_gateway_drains(
+        self, group, draining
+    ):
+        caller, cuts = group
+        cuts.cut(0, "refused")
+        for _ in range(5):
+            await caller.call("tariff", 0, method="GET")
+        caller.cluster.gateways[2].kill()
+        prompt = "a draft [tokens=300]"
+        running = asyncio.create_task(caller.generate(prompt))
+        await asyncio.sleep(0.3)
+        assert not running.done()
+        gateway = caller.cluster.gateways[draining].gateway
+        assert gateway.requests == 1
+        await gateway.drain()
+        response = await running
+        assert response.is_complete(prompt)
+        assert response.done
+
 
 class TestTrust:
     async def test_callers_listener_has_no_way_for_peers(self, group):
