One guard for the cluster's key, and one way to answer 100 Continue

The check of the key stood in handover_receiver, handing_over and wire.server, the interim response also in callers.app.

--- a/src/quetzalpass/callers/app.py
+++ b/src/quetzalpass/callers/app.py
@@ -19,10 +19,10 @@
 from quetzalpass.lifecycle import gateway as gateways
 from quetzalpass.membership import configuration
 from quetzalpass.results import codes, failures
+from quetzalpass.wire import server
 
 LOG = logbook.Logger("callers")
 
-CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
 STATUS_NOT_ALLOWED = 405
@@ -132,8 +132,7 @@
             response = errors.error_response(failure, request_id)
             response.force_close()
             return response
-        assert request.transport is not None
-        request.transport.write(CONTINUE)
+        await server.send_continue(request)
         return None
 
     async def handle_health(self, request: web.Request) -> web.Response:
--- a/src/quetzalpass/callers/handing_over.py
+++ b/src/quetzalpass/callers/handing_over.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import hmac
 import random
 import ssl
 from collections.abc import Awaitable, Callable
@@ -38,7 +37,6 @@
 # Time that a failed request has for the check of its servers.
 MAX_CHECK_S = 1.0
 MS_PER_S = 1000
-CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Headers of a single connection, and those that the forwarding sets itself.
 NOT_FORWARDED = frozenset(
     {
@@ -100,7 +98,7 @@
         ssl_context: ssl.SSLContext | None = None,
     ) -> None:
         self.gateway = gateway
-        self.cluster_key = server.encode_key(cluster_key)
+        self.peer_guard = server.PeerGuard(cluster_key)
         self.rng = rng
         self.client = offers.OfferClient(cluster_key, ssl_context)
         self.reach_checks = gateway.reach_checks
@@ -109,16 +107,11 @@
         """Close all connections."""
         await self.client.close()
 
-    def is_peer(self, request: web.Request) -> bool:
-        """Return whether a request carries the cluster's key."""
-        key = request.headers.get(transport.CLUSTER_KEY_HEADER, "")
-        return hmac.compare_digest(server.encode_key(key), self.cluster_key)
-
     def guard(self, handler: Handler) -> Handler:
         """Return a handler that takes requests of other gateways only."""
 
         async def handle(request: web.Request) -> web.StreamResponse:
-            if not self.is_peer(request):
+            if not self.peer_guard.is_peer(request):
                 return self.refuse(codes.Code.UNKNOWN_KEY, "the cluster key is wrong")
             return await handler(request)
 
@@ -127,14 +120,12 @@
     async def handle_offer(self, request: web.Request) -> web.Response | None:
         """Accept an offer, so that its request is sent, or refuse it."""
         caller_headers.arrived_s(request)
-        if not self.is_peer(request):
+        if not self.peer_guard.is_peer(request):
             return self.refuse(codes.Code.UNKNOWN_KEY, "the cluster key is wrong")
         failure = self.gateway.refusal()
         if failure is not None:
             return self.refuse(failure.code, failure.message)
-        await request.writer.write(CONTINUE)
-        # The interim response is no part of the response proper.
-        request.writer.output_size = 0
+        await server.send_continue(request)
         return None
 
     def refuse(self, code: codes.Code, message: str) -> web.Response:
--- a/src/quetzalpass/daemon/handover_receiver.py
+++ b/src/quetzalpass/daemon/handover_receiver.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import hmac
 
 from aiohttp import web
 from returns import result
@@ -22,11 +21,10 @@
     relaying,
 )
 from quetzalpass.results import codes, failures
-from quetzalpass.wire import messages, server, transport
+from quetzalpass.wire import messages, server
 
 # Requests of other gateways that are served at the same time.
 MAX_HANDED_REQUESTS = 256
-CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 class PeerResponse(relay_requests.CallerResponse):
@@ -90,7 +88,7 @@
 
     def __init__(self, gateway: relay_gateway.RelayGateway, cluster_key: str) -> None:
         self.gateway = gateway
-        self.cluster_key = server.encode_key(cluster_key)
+        self.guard = server.PeerGuard(cluster_key)
         self.count = 0
 
     def application(self) -> web.Application:
@@ -109,25 +107,18 @@
             and self.count < MAX_HANDED_REQUESTS
         )
 
-    def is_peer(self, request: web.Request) -> bool:
-        """Return whether a request carries the cluster's key."""
-        key = request.headers.get(transport.CLUSTER_KEY_HEADER, "")
-        return hmac.compare_digest(server.encode_key(key), self.cluster_key)
-
     async def handle_offer(self, request: web.Request) -> web.Response | None:
         """Accept an offer, so that its request is sent, or refuse it."""
-        if not self.is_peer(request):
+        if not self.guard.is_peer(request):
             return refuse(codes.Code.UNKNOWN_KEY, "The cluster key is wrong.")
         if not self.accepts():
             return refuse(codes.Code.NOT_READY, "this gateway takes no requests now")
-        await request.writer.write(CONTINUE)
-        # The interim response is no part of the response proper.
-        request.writer.output_size = 0
+        await server.send_continue(request)
         return None
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Serve a request whose offer was accepted."""
-        if not self.is_peer(request):
+        if not self.guard.is_peer(request):
             return refuse(codes.Code.UNKNOWN_KEY, "The cluster key is wrong.")
         decoded = messages.decode(
             await request.read(), handover_messages.HandoverRequest
--- a/src/quetzalpass/wire/server.py
+++ b/src/quetzalpass/wire/server.py
@@ -14,6 +14,7 @@
 
 LOG = logbook.Logger("wire")
 
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 FLUSH_POLL_S = 0.02
 # For requests that have reached this VM when its listener closes.
 LAST_REQUESTS_S = 0.1
@@ -106,6 +107,31 @@
     )
 
 
+async def send_continue(request: web.Request) -> None:
+    """Ask for the body of a request that has ``Expect: 100-continue``."""
+    await request.writer.write(CONTINUE)
+    # The interim response is no part of the response proper.
+    request.writer.output_size = 0
+
+
+class PeerGuard:
+    """Recognises requests of other VMs of the system.
+
+    Parameters
+    ----------
+    cluster_key : str
+        Secret key that all VMs of the system share.
+    """
+
+    def __init__(self, cluster_key: str) -> None:
+        self.cluster_key = encode_key(cluster_key)
+
+    def is_peer(self, request: web.Request) -> bool:
+        """Return whether a request carries the cluster's key."""
+        key = request.headers.get(transport.CLUSTER_KEY_HEADER, "")
+        return hmac.compare_digest(encode_key(key), self.cluster_key)
+
+
 class PeerServer:
     """Serves the requests of peers.
 
@@ -119,7 +145,7 @@
 
     def __init__(self, table: handlers.HandlerTable, cluster_key: str) -> None:
         self.table = table
-        self.cluster_key = encode_key(cluster_key)
+        self.guard = PeerGuard(cluster_key)
 
     def add_routes(self, application: web.Application) -> None:
         """Add the peer protocol's route to an application.
@@ -134,8 +160,7 @@
 
     async def handle(self, request: web.Request) -> web.Response:
         """Handle one HTTP request of a peer."""
-        key = request.headers.get(transport.CLUSTER_KEY_HEADER, "")
-        if not hmac.compare_digest(encode_key(key), self.cluster_key):
+        if not self.guard.is_peer(request):
             message = "The cluster key is wrong; compare the key files of the VMs."
             return failure_response(failures.Failure(codes.Code.UNKNOWN_KEY, message))
         try:
