Tests of planned stops wait for the drain instead of a time

A signal that the process handles late, on a busy machine, let a call pass before the drain; and two signals that are pending at once are one. The time for a control node's stop is the platform's 8 s.

--- a/tests/adapter/test_control_stops.py
+++ b/tests/adapter/test_control_stops.py
@@ -13,8 +13,8 @@
 from soak import processes, soak
 
 START_S = 20.0
-# Between the signal and the platform's kill.
-GRACE_S = 4.0
+# The platform's time between the signal and its kill.
+GRACE_S = 8.0
 CALL_S = 10.0
 CALLERS = 6
 
--- a/tests/daemon/test_planned_stops.py
+++ b/tests/daemon/test_planned_stops.py
@@ -20,7 +20,7 @@
 KEY = "planned-stops"
 DATA_CENTRE = ids.DataCentreId("flx-a")
 SERVICE = ids.ServiceName("ledger-app")
-WORK_S = 0.6
+WORK_S = 2.0
 # Longer than any test waits for a daemon to stop.
 LONG_WORK_S = 30.0
 STOP_S = 5.0
@@ -149,6 +149,11 @@
     def terminate(self):
         self.process.send_signal(signal.SIGTERM)
 
+    async def until_draining(self):
+        async with asyncio.timeout(START_S):
+            while b" 200 " in await self.exchange(request("/readyz")):
+                await asyncio.sleep(0.02)
+
     async def wait_stopped(self):
         async with asyncio.timeout(STOP_S):
             return await self.process.wait()
@@ -238,7 +243,7 @@
         writer.write(call(WORK_S))
         await until_begun(service, 2)
         daemon.terminate()
-        await asyncio.sleep(0.1)
+        await daemon.until_draining()
         kept_writer.write(call(0))
         refused = await read_response(kept_reader)
         assert failure_of(refused)["name"] == "draining"
@@ -284,7 +289,7 @@
         writer.write(make_call(LONG_WORK_S))
         await until_begun(service)
         daemon.terminate()
-        await asyncio.sleep(0.2)
+        await daemon.until_draining()
         daemon.terminate()
         response = await asyncio.wait_for(read_response(reader), STOP_S)
         assert failure_of(response)["name"] == "outcome_unknown"
