DRAIN, ROUTE: a server that starts again under its id at another address is called there

Callers saw (review, read in the code; shown here on a stand-in): requests for a replica that is listed at a new address go to its old one, which another service may have taken over. Cause: the gateway keeps the client of a server, and the control node its watch for a hint that it leaves, by the server's id alone. The class of fault: the key of a cache lacks a part of what its value was made from. Now the key is id, address and start. A request that runs keeps the client that it began with; a client that is not listed any more is closed once nothing uses its server.

--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -110,7 +110,7 @@
         self.suspects = quarantine.Quarantine(
             f"{vm}/{rng.getrandbits(START_ID_BITS):x}"
         )
-        self.relay_servers: dict[ids.ServerId, relays.RelayServer] = {}
+        self.relay_servers: dict[discovery.ServerPlace, relays.RelayServer] = {}
         self.metrics = exposition.ProcessMetrics()
         self.metrics.running.set_function(lambda: self.running)
         self.metrics.suspects.set_function(lambda: len(self.suspects.records))
@@ -210,17 +210,18 @@
         self, server: discovery.DiscoveredServer
     ) -> relays.RelayServer:
         """Return the client of a server, created on first use."""
-        found = self.relay_servers.get(server.id)
+        found = self.relay_servers.get(server.place)
         if found is None:
-            found = self.relay_servers[server.id] = self.connect(server)
+            found = self.relay_servers[server.place] = self.connect(server)
         return found
 
     def close_unlisted(self) -> None:
         """Close the clients of unlisted servers that have no request left."""
-        for server_id in list(self.relay_servers):
-            if server_id in self.view.servers or server_id in self.reservations.uses:
+        listed = {each.server.place for each in self.view.servers.values()}
+        for place in list(self.relay_servers):
+            if place in listed or place.id in self.reservations.uses:
                 continue
-            self.spawn(self.relay_servers.pop(server_id).close())
+            self.spawn(self.relay_servers.pop(place).close())
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task:
         """Run a background task; a failure is logged."""
--- a/src/quetzalpass/membership/discovery.py
+++ b/src/quetzalpass/membership/discovery.py
@@ -20,6 +20,24 @@
     LEAVING = "leaving"
 
 
+class ServerPlace(msgspec.Struct, frozen=True):
+    """What a client of a server is made for.
+
+    Attributes
+    ----------
+    id : ServerId
+        Identifier of the server.
+    address : str
+        ``host:port``.
+    started_ms : int or None
+        Unix time of its start in milliseconds, if known.
+    """
+
+    id: ids.ServerId
+    address: str
+    started_ms: int | None
+
+
 class DiscoveredServer(msgspec.Struct, frozen=True):
     """One start of a backend server.
 
@@ -58,6 +76,11 @@
     started_ms: int | None = None
     is_engine: bool = False
 
+    @property
+    def place(self) -> ServerPlace:
+        """Return what tells this start at this address apart from any other one."""
+        return ServerPlace(self.id, self.address, self.started_ms)
+
     @property
     def start_key(self) -> str:
         """Return a key of this start of the server; empty if its time is unknown."""
--- a/src/quetzalpass/membership/leaving_server_monitor.py
+++ b/src/quetzalpass/membership/leaving_server_monitor.py
@@ -12,7 +12,6 @@
 import logbook
 from returns import result
 
-from quetzalpass import ids
 from quetzalpass.backends import relays
 from quetzalpass.membership import discovery, fleet_registry
 
@@ -41,7 +40,7 @@
     ) -> None:
         self.registry = registry
         self.connect = connect
-        self.tasks: dict[ids.ServerId, asyncio.Task[None]] = {}
+        self.tasks: dict[discovery.ServerPlace, asyncio.Task[None]] = {}
 
     async def run(self) -> None:
         """Keep one task for each engine in use while this node reads the list."""
@@ -49,16 +48,16 @@
             wanted = {}
             if self.registry.is_active():
                 wanted = {
-                    each.id: each
+                    each.place: each
                     for each in self.registry.servers
                     if is_monitored(each)
                 }
-            for server_id in list(self.tasks):
-                if server_id not in wanted:
-                    self.tasks.pop(server_id).cancel()
-            for server_id, server in wanted.items():
-                if server_id not in self.tasks:
-                    self.tasks[server_id] = asyncio.create_task(self.monitor(server))
+            for place in list(self.tasks):
+                if place not in wanted:
+                    self.tasks.pop(place).cancel()
+            for place, server in wanted.items():
+                if place not in self.tasks:
+                    self.tasks[place] = asyncio.create_task(self.monitor(server))
             await asyncio.sleep(SERVER_CHECK_INTERVAL_S)
 
     async def monitor(self, server: discovery.DiscoveredServer) -> None:
