LOST: a queued TLS connection without a handshake held up the stop for 60 s

Cause: stop_listening waits for the handshakes of the connections that the kernel had queued, with asyncio's default limit of 60 s. Class: a wait without a bound of its own in a stop.

--- a/src/quetzalpass/wire/server.py
+++ b/src/quetzalpass/wire/server.py
@@ -18,6 +18,8 @@
 FLUSH_POLL_S = 0.02
 # For requests that have reached this VM when its listener closes.
 LAST_REQUESTS_S = 0.1
+# For the TLS handshakes of connections that the listener accepts last.
+LAST_HANDSHAKE_S = 1.0
 
 
 async def listen(runner: web.BaseRunner, address: str) -> None:
@@ -38,8 +40,14 @@
         await site.stop()
         accepted = [each for queue in listening for each in accept_queued(queue)]
         loop = asyncio.get_running_loop()
+        context = site._ssl_context
         opening = (
-            loop.connect_accepted_socket(runner.server, each, ssl=site._ssl_context)
+            loop.connect_accepted_socket(
+                runner.server,
+                each,
+                ssl=context,
+                ssl_handshake_timeout=LAST_HANDSHAKE_S if context else None,
+            )
             for each in accepted
         )
         for outcome in await asyncio.gather(*opening, return_exceptions=True):
