LOST: requests that wait for the first declaration were cut at the end of the drain

wait_until_ready waits up to 1.5 s and was not among the interruptible parts, so the end of the drain (0.5 s before the process ends) cut the request without a byte. It now ends with the drain and the request gets 503 (not run). Before: IncompleteReadError, 0 bytes; after: passes.

--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/lifecycle/relay_gateway.py
@@ -182,15 +182,16 @@
         """Wait for the first declaration and the first server list, for a short time.
 
         Right after a start both arrive soon, so waiting serves the caller sooner than a
-        retry would.
+        retry would. The end of a drain ends the wait.
         """
         if self.holder.current is not None and self.view.read_at_s is not None:
             return
         max_wait_s = MAX_START_WAIT_S
         if request.time_left_s is not None:
             max_wait_s = min(max_wait_s, START_WAIT_SHARE * request.time_left_s)
+        ends_s = asyncio.get_running_loop().time() + max_wait_s
         try:
-            async with asyncio.timeout(max_wait_s):
+            async with self.requests.interruptions.interruptible(ends_s):
                 await self.holder.wait_newer(ids.Revision(0), max_wait_s)
                 while self.view.read_at_s is None:
                     await asyncio.sleep(START_POLL_S)
