A kept connection with half a header is not closed as idle

Seen by the reviewer: the close of idle connections during a drain also closed one on which the next request's header had begun to arrive. Its caller may retry, as the request was not read, but need not have to. test_kept_connection_with_half_a_header_is_not_closed_as_idle failed before.

--- a/src/quetzalpass/callers/connections.py
+++ b/src/quetzalpass/callers/connections.py
@@ -53,6 +53,8 @@
     ----------
     latest_payload : aiohttp.StreamReader or None
         Body of the newest request.
+    has_partial_header : bool
+        Whether the latest bytes are the beginning of a request's header.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         self.limits = limits
         self.new_request_id = new_request_id
         self.latest_payload: streams.StreamReader | None = None
+        self.has_partial_header = False
 
     def connection_made(self, transport: Any) -> None:
         """Set up the connection, or close it if there are too many."""
@@ -102,12 +105,17 @@
         still arriving, so that its request would never be answered.
         """
         is_idle = self._waiter is not None and not self._messages
-        if is_idle:
+        if is_idle and not self.has_partial_header:
             self.force_close()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and store the body of the newest request."""
+        payload = self.latest_payload
+        is_body = payload is not None and not payload.is_eof()
+        received_before = self._request_count
         super().data_received(data)
+        has_new_request = self._request_count > received_before
+        self.has_partial_header = not is_body and not has_new_request
         if self._messages:
             self.latest_payload = self._messages[-1][1]
 
