LOST, REFUSED: a request that was never sent is refused as not run at the end of a drain

Cause: what is known of a request's sends stayed inside its attempts. Its progress now says whether it may have left this gateway: set before each send and each hand-over, never taken back; without it the answer is 503 with Retry-After. test_generation_that_was_never_sent_is_refused_as_not_run failed before with 502.

--- a/src/quetzalpass/lifecycle/handovers.py
+++ b/src/quetzalpass/lifecycle/handovers.py
@@ -105,6 +105,7 @@
         self.gateway.record_decision(self.routed, "hand_over", None, detail)
         choice = self.gateway.peer_choice
         choice.begin(peer)
+        self.routed.progress.is_sent = True
         try:
             sent = await self.gateway.handover_channel.send(peer, message)
             if isinstance(sent, result.Success):
--- a/src/quetzalpass/lifecycle/relay_requests.py
+++ b/src/quetzalpass/lifecycle/relay_requests.py
@@ -124,10 +124,13 @@
         Name of the latest decision.
     server : ServerId or None
         Server of that decision, if it names one.
+    is_sent : bool
+        Whether it may have left this gateway for a server or another gateway.
     """
 
     decision: str = "routed"
     server: ids.ServerId | None = None
+    is_sent: bool = False
 
 
 class RoutedRequest(msgspec.Struct, frozen=True):
@@ -152,7 +155,7 @@
     parts : tuple of PromptPartId
         Shared parts of its prompt, of this service.
     progress : RequestProgress
-        What has been done for it so far, for the log.
+        What has been done for it so far.
     """
 
     request: RelayRequest
--- a/src/quetzalpass/lifecycle/relayed_calls.py
+++ b/src/quetzalpass/lifecycle/relayed_calls.py
@@ -201,6 +201,7 @@
     gateway.record_decision(
         routed, "send", server.id, f"send {state.sends}, {timeout_s:.3f} s"
     )
+    routed.progress.is_sent = True
     gateway.crash_checks.on_send(server)
     gateway.suspects.add_request(
         server.id, routed.request.request_id, routed.fingerprint, routed.parts
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/lifecycle/relayed_streams.py
@@ -211,6 +211,7 @@
         )
         self.log_send(reservation, copy)
         self.segment_count += 1
+        self.routed.progress.is_sent = True
         self.gateway.crash_checks.on_send(server)
         in_flight_request = self.gateway.suspects.add_request(
             server.id, self.request_id, self.routed.fingerprint, self.routed.parts
--- a/src/quetzalpass/lifecycle/relaying.py
+++ b/src/quetzalpass/lifecycle/relaying.py
@@ -17,6 +17,7 @@
     relayed_calls,
     relayed_streams,
     response_statuses,
+    running_requests,
     stream_failures,
 )
 from quetzalpass.results import codes, failures
@@ -92,11 +93,7 @@
     now_s = asyncio.get_running_loop().time()
     if gateway.requests.is_stopping and now_s < routed.deadline_s:
         record_interrupted(gateway, routed)
-        return failures.Failure(
-            codes.Code.DRAINING,
-            "this gateway stops, and the request may have run",
-            codes.Execution.MAY_HAVE_RUN,
-        )
+        return running_requests.interrupted_failure(routed)
     return failures.Failure(
         codes.Code.DEADLINE_EXCEEDED,
         "the deadline has passed",
--- a/src/quetzalpass/lifecycle/running_requests.py
+++ b/src/quetzalpass/lifecycle/running_requests.py
@@ -84,10 +84,8 @@
             self.expected_s(routed, now_s),
         ):
             return None
-        return failures.Failure(
-            codes.Code.DRAINING,
-            f"this gateway stops in {self.drain.ends_s - now_s:.3f} s",
-            retry_after_ms=RETRY_WHEN_DRAINING_MS,
+        return draining_failure(
+            f"this gateway stops in {self.drain.ends_s - now_s:.3f} s"
         )
 
     def expected_s(self, routed: relay_requests.RoutedRequest, now_s: float) -> float:
@@ -101,3 +99,23 @@
         now_s = asyncio.get_running_loop().time()
         duration_s = now_s - routed.request.arrived_s
         self.durations.observe(routed.route.name, duration_s, now_s)
+
+
+def draining_failure(
+    message: str, execution: codes.Execution = codes.Execution.NOT_RUN
+) -> failures.Failure:
+    """Return the failure of a request that a gateway does not serve, as it stops."""
+    retry_after_ms = None
+    if execution is codes.Execution.NOT_RUN:
+        retry_after_ms = RETRY_WHEN_DRAINING_MS
+    return failures.Failure(codes.Code.DRAINING, message, execution, retry_after_ms)
+
+
+def interrupted_failure(routed: relay_requests.RoutedRequest) -> failures.Failure:
+    """Return the failure of a request that the end of the drain interrupts."""
+    if routed.progress.is_sent or routed.request.earlier_runs:
+        return draining_failure(
+            "this gateway stops, and the request may have run",
+            codes.Execution.MAY_HAVE_RUN,
+        )
+    return draining_failure("this gateway stops")
