LOST: the listener for hand-overs ends like the others

Found by the reviewer in reading: at the stop of a gateway the connections in its queue were reset, and a request taken from a peer that was still being received was cut after its consent, so that the sender had to say 'may have run'. The stops of three listeners stood three times, each with its own steps; server.close has them now: stop listening, respond, flush, close. TestClose shows that a request in progress gets its response, which cleanup() alone cuts after 0.1 s; the case of a peer was not run by itself.

--- a/src/quetzalpass/daemon/gateway_role.py
+++ b/src/quetzalpass/daemon/gateway_role.py
@@ -32,7 +32,7 @@
 LOG = logbook.Logger("daemon")
 
 DRAIN_POLL_S = 0.02
-# Interrupted requests still get a response within this time.
+# For the responses to interrupted requests, and to those that are refused at the end.
 RESPONSE_TIMEOUT_S = 0.1
 STOP_TIMEOUT_S = 0.1
 
@@ -263,7 +263,7 @@
         """Close all connections."""
         self.links.stop()
         if self.runner is not None:
-            await self.runner.cleanup()
+            await server.close(self.runner, RESPONSE_TIMEOUT_S, RESPONSE_TIMEOUT_S)
         await self.gateway.close()
         await self.source.close()
         await self.channel.close()
--- a/src/quetzalpass/daemon/listeners.py
+++ b/src/quetzalpass/daemon/listeners.py
@@ -187,6 +187,4 @@
             Maximum wait for responses, and again for callers to read them.
         """
         await self.stop_accepting()
-        await server.finish_requests(self.runner, flush_timeout_s)
-        await server.flush(self.runner, flush_timeout_s)
-        await self.runner.cleanup()
+        await server.close(self.runner, flush_timeout_s, flush_timeout_s)
--- a/src/quetzalpass/wire/server.py
+++ b/src/quetzalpass/wire/server.py
@@ -96,6 +96,26 @@
     return connection._waiter is None or bool(connection._messages)
 
 
+async def close(
+    runner: web.BaseRunner, response_timeout_s: float, flush_timeout_s: float
+) -> None:
+    """Stop listening, respond to what was read, flush it, and close all connections.
+
+    Parameters
+    ----------
+    runner : web.BaseRunner
+        The listener's runner.
+    response_timeout_s : float
+        Maximum wait for responses.
+    flush_timeout_s : float
+        Maximum wait for callers to read them.
+    """
+    await stop_listening(runner)
+    await finish_requests(runner, response_timeout_s)
+    await flush(runner, flush_timeout_s)
+    await runner.cleanup()
+
+
 async def flush(runner: web.BaseRunner, timeout_s: float) -> None:
     """Wait until the kernel has accepted all written data, or the time is up."""
     loop = asyncio.get_running_loop()
--- a/tests/wire/test_http.py
+++ b/tests/wire/test_http.py
@@ -155,3 +155,21 @@
         with pytest.raises(ConnectionRefusedError):
             socket.create_connection(address)
         await runner.cleanup()
+
+
+class TestClose:
+    async def test_request_that_is_served_gets_its_response(self):
+        async def handle(request):
+            await asyncio.sleep(0.4)
+            return web.Response(text="served")
+
+        app = web.Application()
+        app.router.add_get("/", handle)
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await server.listen(runner, "127.0.0.1:0")
+        reader, writer = await asyncio.open_connection(*runner.addresses[0])
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+        await asyncio.sleep(0.05)
+        await server.close(runner, 1.0, 0.1)
+        assert b"served" in await reader.read()
+        writer.close()
