LOST: a stop without spare descriptors still answers and closes

Found in reading the change: an error of accept() or dup() on the queue of a closing listener (no descriptors left, a connection that its caller has reset) ended the whole sequence of the stop, so that nothing after it was answered or flushed. It is logged now, and the stop goes on. test_stop_goes_on_without_descriptors fails before with OSError.

--- a/src/quetzalpass/wire/server.py
+++ b/src/quetzalpass/wire/server.py
@@ -1,7 +1,6 @@
 """Server side of the peer protocol, to be added to an aiohttp application."""
 
 import asyncio
-import contextlib
 import hmac
 import socket
 
@@ -36,9 +35,14 @@
     """
     for site in list(runner.sites):
         # A duplicate keeps the queue when the site closes its own.
-        listening = [each.dup() for each in site._server.sockets]
+        listening = [duplicate(each) for each in site._server.sockets]
         await site.stop()
-        accepted = [each for queue in listening for each in accept_queued(queue)]
+        accepted = [
+            connection
+            for queue in listening
+            if queue is not None
+            for connection in accept_queued(queue)
+        ]
         loop = asyncio.get_running_loop()
         context = site._ssl_context
         opening = (
@@ -55,13 +59,32 @@
                 LOG.info("wire: A new connection failed at the stop: {!r}.", outcome)
 
 
+def duplicate(listening: socket.socket) -> socket.socket | None:
+    """Return a duplicate of a listening socket; ``None`` if there is none to be had."""
+    try:
+        return listening.dup()
+    except OSError as error:
+        LOG.warning("wire: Queued connections are lost at the stop: {!r}.", error)
+        return None
+
+
 def accept_queued(listening: socket.socket) -> list[socket.socket]:
     """Accept all queued connections of a listening socket, and close it."""
     accepted = []
-    with listening, contextlib.suppress(BlockingIOError):
+    with listening:
         listening.setblocking(False)
         while True:
-            connection, _ = listening.accept()
+            try:
+                connection, _ = listening.accept()
+            except BlockingIOError:
+                break
+            except ConnectionAbortedError:
+                continue
+            except OSError as error:
+                LOG.warning(
+                    "wire: Queued connections are lost at the stop: {!r}.", error
+                )
+                break
             connection.setblocking(False)
             accepted.append(connection)
     return accepted
--- a/tests/wire/test_http.py
+++ b/tests/wire/test_http.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import errno
 import socket
 
 import aiohttp
@@ -156,6 +157,20 @@
             socket.create_connection(address)
         await runner.cleanup()
 
+    async def test_stop_goes_on_without_descriptors(self, monkeypatch):
+        class Exhausted(socket.socket):
+            def accept(self):
+                raise OSError(errno.EMFILE, "too many open files")
+
+        app = web.Application()
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await server.listen(runner, "127.0.0.1:0")
+        (listening,) = next(iter(runner.sites))._server.sockets
+        exhausted = Exhausted(fileno=listening.dup().detach())
+        monkeypatch.setattr(server, "duplicate", lambda each: exhausted)
+        await server.close(runner, 0.1, 0.1)
+        assert exhausted.fileno() == -1
+
 
 class TestClose:
     async def test_request_that_is_served_gets_its_response(self):
