--- a/src/quetzalpass/lifecycle/drain_schedule.py
+++ b/src/quetzalpass/lifecycle/drain_schedule.py
@@ -46,9 +46,9 @@
     ) -> bool:
         """Return whether a request ends before the drain does.
 
-        Until the load balancer has removed this gateway, the expected duration decides
-        for a request whose deadline is later than the end. A later one would be the
-        exception that callers can avoid, so its deadline alone decides.
+        Until the load balancer has removed this gateway, callers can't avoid it, so that
+        the expected duration is enough. For later requests the deadline alone decides:
+        none of them can be interrupted.
 
         Parameters
         ----------
