Documents of other processes are decoded in one way, which fails in one way

Cause: some 25 places decoded foreign documents, each with its own list of exceptions. RecursionError (nesting) was caught in one of them, errors of numbers with thousands of digits in none, and a failing loop or handler wrote a line with a traceback each time.

decoding.py turns whatever a decoder raises into DecodingError; ranges.py has the allowed range of each kind of number and text; odd_values.py logs a value that is left out once and counts all of them (metric odd_values); background.py logs at most 6 failures a minute of a loop, and counts them (metric background_failures).

--- a/src/quetzalpass/backends/engine_http.py
+++ b/src/quetzalpass/backends/engine_http.py
@@ -6,7 +6,7 @@
 import msgspec
 from returns import result
 
-from quetzalpass import ids
+from quetzalpass import decoding, ids, ranges
 from quetzalpass.backends import (
     base,
     engine_messages,
@@ -197,8 +197,8 @@
 ) -> result.Result[base.LoadReport, base.AttemptFailure]:
     """Decode an engine's load report."""
     try:
-        load = msgspec.json.decode(data, type=engine_messages.EngineLoad)
-    except msgspec.MsgspecError as error:
+        load = decoding.decode_json(data, engine_messages.EngineLoad)
+    except decoding.DecodingError as error:
         return malformed_response(error)
     return result.Success(
         base.LoadReport(
@@ -220,8 +220,8 @@
 ) -> result.Result[base.EngineState, base.AttemptFailure]:
     """Decode an engine's state."""
     try:
-        reply = msgspec.json.decode(data, type=engine_messages.EngineStateReply)
-    except msgspec.MsgspecError as error:
+        reply = decoding.decode_json(data, engine_messages.EngineStateReply)
+    except decoding.DecodingError as error:
         return malformed_response(error)
     models = tuple(
         base.LoadedModel(
@@ -302,6 +302,5 @@
 def parse_retry_after_ms(response: aiohttp.ClientResponse) -> int | None:
     """Return the delay in a Retry-After header that gives seconds, not a date."""
     value = response.headers.get("Retry-After", "")
-    if not value.isascii() or not value.isdigit():
-        return None
-    return int(value) * MS_PER_S
+    seconds = ranges.parse_whole_number(value, int(ranges.MAX_DURATION_S))
+    return None if seconds is None else seconds * MS_PER_S
--- a/src/quetzalpass/backends/engine_stream.py
+++ b/src/quetzalpass/backends/engine_stream.py
@@ -7,7 +7,7 @@
 import msgspec
 from returns import result
 
-from quetzalpass import ids
+from quetzalpass import decoding, ids
 from quetzalpass.backends import base, connections, engine_messages, event_stream
 
 END_MARK = b"[DONE]"
@@ -192,7 +192,7 @@
                 return base.TokenBatch(first, texts, finish_reason, ended=True)
             try:
                 event = EVENT_DECODER.decode(data)
-            except ValueError as error:
+            except decoding.DECODER_ERRORS as error:
                 return stream_failure(
                     base.FailureKind.MALFORMED, f"malformed event: {error}"
                 )
--- a/src/quetzalpass/background.py
+++ b/src/quetzalpass/background.py
@@ -6,9 +6,47 @@
 
 import logbook
 
+from quetzalpass import log_limits
+
 LOG = logbook.Logger("background")
 
 RESTART_DELAY_S = 1.0
+LINES_PER_MINUTE = 6
+
+
+class FailureLog:
+    """Logs failures that may repeat with each request or restart, within a bound.
+
+    Attributes
+    ----------
+    total : int
+        Failures in this process, logged or not.
+    """
+
+    total = 0
+
+    def __init__(self) -> None:
+        self.limiter = log_limits.RateLimiter(LINES_PER_MINUTE)
+
+    def record(self, message: str, error: BaseException) -> None:
+        """Count a failure, and log it unless there were too many lately."""
+        FailureLog.total += 1
+        if not self.limiter.allows():
+            return
+        suppressed = self.limiter.take_suppressed()
+        if suppressed:
+            message = f"{message} ({suppressed} other failures were not logged)"
+        LOG.error("background: {}: {!r}.", message, error, exc_info=exc_info(error))
+
+
+def exc_info(error: BaseException) -> tuple:
+    """Return an exception in the form that a logger takes."""
+    return type(error), error, error.__traceback__
+
+
+def failure_count() -> int:
+    """Return how many background tasks have failed in this process."""
+    return FailureLog.total
 
 
 async def keep_running(name: str, work: Callable[[], Awaitable[None]]) -> None:
@@ -21,11 +59,12 @@
     work : callable
         Makes the coroutine for each run.
     """
+    failure_log = FailureLog()
     while True:
         try:
             await work()
-        except Exception:
-            LOG.exception("background: {} failed and will be restarted.", name)
+        except Exception as error:
+            failure_log.record(f"{name} failed and will be restarted", error)
         await asyncio.sleep(RESTART_DELAY_S)
 
 
@@ -40,6 +79,7 @@
 
     def __init__(self) -> None:
         self.tasks: set[asyncio.Task] = set()
+        self.failure_log = FailureLog()
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task:
         """Run a task in the background."""
@@ -52,7 +92,7 @@
         """Remove a finished task, and log its failure."""
         self.tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            LOG.error("background: A task failed: {!r}.", task.exception())
+            self.failure_log.record("A task failed", task.exception())
 
     def cancel(self) -> None:
         """Cancel all tasks."""
--- a/src/quetzalpass/callers/bodies.py
+++ b/src/quetzalpass/callers/bodies.py
@@ -1,15 +1,19 @@
 """Decoding and validation of the request bodies of completions."""
 
+from typing import Annotated
+
 import msgspec
 from returns import result
 
-from quetzalpass import ids
+from quetzalpass import decoding, ids, ranges
 from quetzalpass.backends import base
 from quetzalpass.membership import configuration
 from quetzalpass.results import codes, failures
 
 DEFAULT_MAX_TOKENS = 4_096
 ADAPTER_SEPARATOR = ":"
+# Values below 1 are refused with a message of their own.
+OutputTokens = Annotated[int, msgspec.Meta(ge=-ranges.MAX_TOKENS, le=ranges.MAX_TOKENS)]
 # These parameters are forwarded to the engine unchanged.
 SAMPLING_PARAMETERS = (
     "frequency_penalty",
@@ -42,8 +46,8 @@
     model: str
     prompt: str | None = None
     messages: tuple[ChatMessageBody, ...] = ()
-    max_tokens: int | None = None
-    max_completion_tokens: int | None = None
+    max_tokens: OutputTokens | None = None
+    max_completion_tokens: OutputTokens | None = None
     stream: bool = False
     stream_options: StreamOptions | None = None
     n: int = 1
@@ -76,10 +80,10 @@
     try:
         # The JSON decoder skips unknown fields without checking that they are UTF-8.
         data.decode()
-        body = msgspec.json.decode(data, type=CompletionBody)
-    except msgspec.ValidationError as error:
+        body = decoding.decode_json(data, CompletionBody)
+    except decoding.MismatchError as error:
         return reject(codes.Code.BAD_REQUEST, str(error))
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except (decoding.DecodingError, UnicodeDecodeError) as error:
         return reject(codes.Code.BAD_JSON, f"the body is not JSON: {error}")
     if chat and not body.messages:
         return reject(codes.Code.BAD_REQUEST, "'messages' is empty")
@@ -101,7 +105,7 @@
 
 def sampling_parameters(data: bytes) -> dict[str, msgspec.Raw]:
     """Return the sampling parameters of a valid body, still encoded."""
-    fields = msgspec.json.decode(data, type=dict[str, msgspec.Raw])
+    fields = decoding.decode_json(data, dict[str, msgspec.Raw])
     return {name: fields[name] for name in SAMPLING_PARAMETERS if name in fields}
 
 
--- a/src/quetzalpass/callers/handing_over.py
+++ b/src/quetzalpass/callers/handing_over.py
@@ -16,7 +16,7 @@
 from aiohttp import web
 from returns import result
 
-from quetzalpass import event_log, ids
+from quetzalpass import decoding, event_log, ids, ranges
 from quetzalpass.callers import errors
 from quetzalpass.callers import headers as caller_headers
 from quetzalpass.lifecycle import attempts, relay_events
@@ -143,8 +143,8 @@
         if service is not None:
             return ids.ServiceName(service)
         try:
-            model = msgspec.json.decode(body, type=ModelOfBody).model
-        except msgspec.MsgspecError:
+            model = decoding.decode_json(body, ModelOfBody).model
+        except decoding.DecodingError:
             return None
         return ids.ServiceName(model.partition(":")[0])
 
@@ -228,11 +228,13 @@
             if name.lower() not in NOT_FORWARDED
         }
         headers[REQUEST_ID_HEADER] = request_id
-        timeout_ms = request.headers.get(TIMEOUT_HEADER, "")
-        if timeout_ms.isascii() and timeout_ms.isdigit():
+        timeout_ms = ranges.parse_whole_number(
+            request.headers.get(TIMEOUT_HEADER, ""), ranges.MAX_DURATION_MS
+        )
+        if timeout_ms is not None:
             now_s = asyncio.get_running_loop().time()
             spent_s = now_s - caller_headers.arrived_s(request)
-            left_ms = int(timeout_ms) - int(spent_s * MS_PER_S)
+            left_ms = timeout_ms - int(spent_s * MS_PER_S)
             headers[TIMEOUT_HEADER] = str(max(1, left_ms))
         return headers
 
--- a/src/quetzalpass/daemon/handover_receiver.py
+++ b/src/quetzalpass/daemon/handover_receiver.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 from returns import result
 
-from quetzalpass import event_log
+from quetzalpass import decoding, event_log
 from quetzalpass.backends import relays
 from quetzalpass.lifecycle import (
     handover_channel,
@@ -126,6 +126,10 @@
         if isinstance(decoded, result.Failure):
             return failed(decoded.failure())
         message = decoded.unwrap()
+        try:
+            handover_messages.make_request(message)
+        except decoding.DecodingError as error:
+            return failed(failures.Failure(codes.Code.BAD_JSON, str(error)))
         refusal = self.find_refusal(message)
         if refusal is not None:
             self.record(message, "not_taken", refusal.message)
--- a/src/quetzalpass/daemon/operators.py
+++ b/src/quetzalpass/daemon/operators.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 from returns import result
 
-from quetzalpass import ids
+from quetzalpass import decoding, ids
 from quetzalpass.control import declared_state, messages
 from quetzalpass.daemon import groups, keys
 from quetzalpass.declarations import checks, schema
@@ -49,8 +49,8 @@
         """Replace the declaration, completely or not at all."""
         body = await request.read()
         try:
-            change = msgspec.json.decode(body, type=messages.ApplyRequest)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            change = decoding.decode_json(body, messages.ApplyRequest)
+        except decoding.DecodingError as error:
             return error_response(
                 failures.Failure(codes.Code.DECLARATION_INVALID, f"{error}")
             )
@@ -112,8 +112,8 @@
         """Add or remove one member of a consensus group that this replica leads."""
         body = await request.read()
         try:
-            change = msgspec.json.decode(body, type=messages.MembersRequest)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            change = decoding.decode_json(body, messages.MembersRequest)
+        except decoding.DecodingError as error:
             return error_response(failures.Failure(codes.Code.BAD_REQUEST, f"{error}"))
         if self.daemon.replica is None:
             return error_response(
--- a/src/quetzalpass/ids.py
+++ b/src/quetzalpass/ids.py
@@ -2,6 +2,8 @@
 
 from typing import NewType
 
+from quetzalpass import ranges
+
 VmId = NewType("VmId", str)
 DataCentreId = NewType("DataCentreId", str)
 RegionId = NewType("RegionId", str)
@@ -21,6 +23,6 @@
 ReplicaId = NewType("ReplicaId", str)
 GroupId = NewType("GroupId", str)
 PromptPartId = NewType("PromptPartId", str)
-Revision = NewType("Revision", int)
-Term = NewType("Term", int)
-LogIndex = NewType("LogIndex", int)
+Revision = NewType("Revision", ranges.Integer)
+Term = NewType("Term", ranges.Integer)
+LogIndex = NewType("LogIndex", ranges.Integer)
--- a/src/quetzalpass/lifecycle/event_order.py
+++ b/src/quetzalpass/lifecycle/event_order.py
@@ -1,5 +1,6 @@
 """Checks that the events of a stream arrive once and in order."""
 
+from quetzalpass import ranges
 from quetzalpass.backends import event_splitter
 from quetzalpass.lifecycle import stream_failures
 
@@ -27,11 +28,13 @@
         if event.id is None:
             return True
         if self.last_id is not None:
-            if not event.id.isdecimal() or not self.last_id.isdecimal():
+            number = ranges.parse_whole_number(event.id, ranges.MAX_INTEGER)
+            last = ranges.parse_whole_number(self.last_id, ranges.MAX_INTEGER)
+            if number is None or last is None:
                 raise stream_failures.stream_crossed(event.id, self.last_id)
-            if int(event.id) <= int(self.last_id):
+            if number <= last:
                 return False
-            if int(event.id) > int(self.last_id) + 1:
+            if number > last + 1:
                 raise stream_failures.stream_crossed(event.id, self.last_id)
         self.last_id = event.id
         return True
--- a/src/quetzalpass/lifecycle/handover_messages.py
+++ b/src/quetzalpass/lifecycle/handover_messages.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from quetzalpass import ids
+from quetzalpass import decoding, ids, ranges
 from quetzalpass.backends import relays
 from quetzalpass.lifecycle import relay_requests
 from quetzalpass.wire import messages
@@ -58,11 +58,11 @@
     headers: tuple[relays.Header, ...]
     body: bytes
     key: str | None
-    time_left_s: float | None
-    waited_s: float
+    time_left_s: ranges.SignedDuration | None
+    waited_s: ranges.SignedDuration
     size: relay_requests.GenerationSize | None
     shared_parts: tuple[str, ...]
-    earlier_runs: int = 0
+    earlier_runs: ranges.Count = 0
 
 
 def make_message(
@@ -94,7 +94,13 @@
 
 
 def make_request(message: HandoverRequest) -> relay_requests.RelayRequest:
-    """Return the caller's request, as if it had arrived here at the same time."""
+    """Return the caller's request, as if it had arrived here at the same time.
+
+    Raises
+    ------
+    decoding.DecodingError
+        If a text of the caller has a character that stands for no byte.
+    """
     now_s = asyncio.get_running_loop().time()
     return relay_requests.RelayRequest(
         ids.RequestId(original_text(message.request_id)),
@@ -145,10 +151,10 @@
 
     Raises
     ------
-    msgspec.MsgspecError
+    ValueError
         If it can't be decoded.
     """
-    head = msgspec.json.decode(data, type=HandoverHead)
+    head = decoding.decode_json(data, HandoverHead)
     headers = tuple(
         relays.Header(original_text(each.name), original_text(each.value))
         for each in head.headers
@@ -162,5 +168,14 @@
 
 
 def original_text(characters: str) -> str:
-    """Return the text that ``byte_characters`` was given."""
-    return characters.encode("latin-1").decode("utf-8", "surrogateescape")
+    """Return the text that ``byte_characters`` was given.
+
+    Raises
+    ------
+    decoding.DecodingError
+        If a character stands for no byte.
+    """
+    try:
+        return characters.encode("latin-1").decode("utf-8", "surrogateescape")
+    except UnicodeEncodeError as error:
+        raise decoding.DecodingError(str(error)) from error
--- a/src/quetzalpass/membership/platform_list.py
+++ b/src/quetzalpass/membership/platform_list.py
@@ -8,7 +8,7 @@
 import logbook
 import msgspec
 
-from quetzalpass import ids
+from quetzalpass import decoding, ids
 
 LOG = logbook.Logger("membership")
 
@@ -89,11 +89,11 @@
             async with asyncio.timeout(POLL_TIMEOUT_S):
                 async with session.get(self.url) as response:
                     data = await response.read()
-            rows = msgspec.json.decode(data, type=tuple[PlatformVm, ...])
+            rows = decoding.decode_json(data, tuple[PlatformVm, ...])
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             LOG.warning("membership: The platform's list can't be read: {!r}.", error)
             return
-        except msgspec.MsgspecError as error:
+        except decoding.DecodingError as error:
             LOG.warning("membership: The platform's list is malformed: {}.", error)
             return
         self.apply_rows(rows)
--- a/src/quetzalpass/metrics/exposition.py
+++ b/src/quetzalpass/metrics/exposition.py
@@ -4,7 +4,7 @@
 from aiohttp import web
 from prometheus_client import exposition
 
-from quetzalpass import event_log
+from quetzalpass import background, event_log, odd_values
 
 PATH = "/metrics"
 # Route names come from the declaration; those above this number share one label.
@@ -80,6 +80,14 @@
             "log_lines_left_out", "Log lines dropped because the queue was full"
         )
         self.dropped_log_lines.set_function(dropped_log_lines)
+        self.background_failures = self.gauge(
+            "background_failures", "Failures of background tasks"
+        )
+        self.background_failures.set_function(background.failure_count)
+        self.odd_values = self.gauge(
+            "odd_values", "Values of other processes that were left out as malformed"
+        )
+        self.odd_values.set_function(odd_values.total_count)
 
     def counter(self, name: str, text: str, *labels: str) -> prometheus_client.Counter:
         """Register a counter."""
--- a/src/quetzalpass/wire/messages.py
+++ b/src/quetzalpass/wire/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 from returns import result
 
+from quetzalpass import decoding
 from quetzalpass.results import codes, failures
 
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
@@ -49,7 +50,7 @@
         The message, or ``BAD_JSON`` with the name of the first invalid field.
     """
     try:
-        return result.Success(msgspec.json.decode(data, type=message_type))
-    except msgspec.MsgspecError as error:
+        return result.Success(decoding.decode_json(data, message_type))
+    except decoding.DecodingError as error:
         message = f"Invalid {message_type.__name__}: {error}."
         return result.Failure(failures.Failure(codes.Code.BAD_JSON, message))
