LOST: odd values of a peer are left out, and its odd address is unreachable

A control node of the version before passes on whatever entries it has read, and gateways whatever a server or caller has named. One poisoned value in a report would fail the whole message, and so cut that peer off.

membership/peer_values.py leaves out the servers, figures, limits and gateways that can't be right, one by one; waits and ages of all messages have ranges. An engine that was granted is checked like a listed one. A peer's address with a port or host that can't exist was a ValueError or OverflowError in the transport, which in a task of the replicated log stops the replica for good; it is now an unreachable peer. A handler that raises answers INTERNAL with a bounded log line. A gateway without any control node waits for seeds.

--- a/src/quetzalpass/allocation/messages.py
+++ b/src/quetzalpass/allocation/messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from quetzalpass import ids
+from quetzalpass import ids, ranges
 from quetzalpass.membership import discovery
 from quetzalpass.routing import relay_placement
 from quetzalpass.wire import messages
@@ -34,7 +34,7 @@
 
     server: discovery.DiscoveredServer
     backup: discovery.DiscoveredServer | None = None
-    prefill_tokens: int = 0
+    prefill_tokens: ranges.Integer = 0
     reason: str = ""
 
 
@@ -89,8 +89,8 @@
     purpose: Purpose
     data_centre: ids.DataCentreId
     need: relay_placement.GenerationNeed
-    rank: int
-    waited_s: float
-    wait_s: float
+    rank: ranges.Integer
+    waited_s: ranges.SignedDuration
+    wait_s: ranges.SignedDuration
     avoided: tuple[ids.ServerId, ...] = ()
     cut_off: tuple[ids.DataCentreId, ...] = ()
--- a/src/quetzalpass/allocation/permits.py
+++ b/src/quetzalpass/allocation/permits.py
@@ -6,9 +6,9 @@
 
 from returns import result
 
-from quetzalpass import ids
+from quetzalpass import ids, ranges
 from quetzalpass.allocation import leader_client
-from quetzalpass.membership import fleet_registry
+from quetzalpass.membership import fleet_registry, peer_values
 from quetzalpass.results import failures
 from quetzalpass.routing import rate_limits, rate_permits
 from quetzalpass.wire import messages, transport
@@ -26,7 +26,7 @@
     """
 
     is_deciding: bool
-    delay_s: float = 0.0
+    delay_s: ranges.Duration = 0.0
 
 
 class PermitRequest(messages.Request, frozen=True):
@@ -44,7 +44,7 @@
 
     reply_type = PermitReply
     gateway: ids.VmId
-    rank: int
+    rank: ranges.Integer
     limit: rate_limits.LimitReport
 
 
@@ -103,6 +103,8 @@
             # Another node may have given out what was saved before.
             self.permits.clear()
             self.active_since_s = self.registry.active_since_s
+        if not peer_values.is_sound_limit(request.limit):
+            return PermitReply(True)
         now_s = asyncio.get_running_loop().time()
         limits = self.registry.limits
         limits.merge((request.limit,), now_s)
--- a/src/quetzalpass/allocation/rooms.py
+++ b/src/quetzalpass/allocation/rooms.py
@@ -6,7 +6,7 @@
 
 from returns import result
 
-from quetzalpass import ids
+from quetzalpass import ids, ranges
 from quetzalpass.allocation import leader_client
 from quetzalpass.membership import discovery, fleet_registry
 from quetzalpass.results import failures
@@ -52,9 +52,9 @@
     gateway: ids.VmId
     admission: str
     server: ids.ServerId
-    rank: int
-    max_duration_s: float
-    brittle_for_s: float
+    rank: ranges.Integer
+    max_duration_s: ranges.Duration
+    brittle_for_s: ranges.Duration
 
 
 class RoomRelease(messages.Request, frozen=True):
@@ -75,8 +75,8 @@
     reply_type = RoomReply
     admission: str
     server: ids.ServerId
-    refusals: int
-    max_refusals_per_s: float
+    refusals: ranges.Count
+    max_refusals_per_s: ranges.Rate
 
 
 RoomResult = result.Result[RoomReply, failures.Failure]
--- a/src/quetzalpass/lifecycle/engine_questions.py
+++ b/src/quetzalpass/lifecycle/engine_questions.py
@@ -113,8 +113,12 @@
         if isinstance(reply, result.Failure):
             return reply
         grant = reply.unwrap().grant
-        if grant is not None:
-            self.unreported_allocations.append(request.allocation)
+        if grant is None:
+            return result.Success(None)
+        self.unreported_allocations.append(request.allocation)
+        problem = grant_problem(grant)
+        if problem is not None:
+            return leader_client.unavailable(f"the engine can't be used: {problem}")
         return result.Success(grant)
 
     def build_request(
@@ -186,3 +190,11 @@
             each for each in self.unreported_allocations if each not in reported
         ]
         del self.unreported_prefills[:prefills]
+
+
+def grant_problem(grant: messages.EngineGrant) -> str | None:
+    """Return why the engines of a grant can't be used; ``None`` if they can."""
+    problem = discovery.find_problem(grant.server)
+    if problem is None and grant.backup is not None:
+        problem = discovery.find_problem(grant.backup)
+    return problem
--- a/src/quetzalpass/membership/configuration.py
+++ b/src/quetzalpass/membership/configuration.py
@@ -100,7 +100,7 @@
         Only the key's hash is looked up. The time of the look-up may reveal something
         about a hash, but that doesn't help to find a key.
         """
-        digest = hashlib.sha256(key.encode()).hexdigest()
+        digest = hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
         return self.organisations_by_key.get(digest)
 
     def servers_beside(self, server_id: ids.ServerId) -> list[ids.ServerId]:
--- a/src/quetzalpass/membership/control_links.py
+++ b/src/quetzalpass/membership/control_links.py
@@ -15,6 +15,7 @@
     fleet_messages,
     fleet_view,
     peer_client,
+    peer_values,
     propagation,
     suspect_reports,
 )
@@ -112,6 +113,7 @@
         self.failed_control: ids.VmId | None = None
         self.last_reply_s = 0.0
         self.started_at_s = 0.0
+        self.peer_values = peer_values.PeerValues()
         self.reply_observers: list[Callable[[fleet_messages.FleetReply], None]] = []
         self.suspect_observers: list[
             Callable[[suspect_reports.SuspectReports], None]
@@ -193,6 +195,9 @@
     async def exchange(self) -> None:
         """Report the load to the active control node and receive the fleet from it."""
         while True:
+            if not self.controls:
+                await asyncio.sleep(RETRY_S)
+                continue
             target = self.active_control or self.next_control()
             is_first = self.active_control is None
             request = self.make_request(self.version, 0.0 if is_first else FLEET_WAIT_S)
@@ -227,6 +232,7 @@
 
     def apply_reply(self, reply: fleet_messages.FleetReply) -> bool:
         """Apply a reply; return whether it came from the active control node."""
+        reply = self.peer_values.check_reply(reply)
         if reply.verdicts is not None:
             for observer in self.suspect_observers:
                 observer(reply.verdicts)
--- a/src/quetzalpass/membership/discovery.py
+++ b/src/quetzalpass/membership/discovery.py
@@ -2,12 +2,13 @@
 
 import abc
 import enum
+import re
 
 import logbook
 import msgspec
 from returns import result
 
-from quetzalpass import ids
+from quetzalpass import ids, ranges
 from quetzalpass.results import failures
 
 LOG = logbook.Logger("membership")
@@ -87,6 +88,23 @@
         return "" if self.started_ms is None else f"{self.id}@{self.started_ms}"
 
 
+def find_problem(server: DiscoveredServer) -> str | None:
+    """Return why a server can't be used; ``None`` if it can.
+
+    Its entry is not necessarily of this process: a peer of an earlier version passes on
+    whatever it has read.
+    """
+    if not 1 <= server.slots <= ranges.MAX_SLOTS:
+        return f"the number of slots is not from 1 to {ranges.MAX_SLOTS}"
+    if not 0 <= server.slow_for_ms <= ranges.MAX_DURATION_MS:
+        return "the time of slow operation is out of range"
+    if not 0 <= (server.started_ms or 0) <= ranges.MAX_INTEGER:
+        return "the time of the start is out of range"
+    if not re.fullmatch(ranges.NAME_PATTERN, server.id):
+        return "the id has other characters than visible ASCII characters"
+    return ranges.address_problem(server.address)
+
+
 class ServerSource(abc.ABC):
     """Source of the list of backend servers."""
 
--- a/src/quetzalpass/membership/fleet_messages.py
+++ b/src/quetzalpass/membership/fleet_messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from quetzalpass import ids
+from quetzalpass import ids, ranges
 from quetzalpass.membership import discovery, peer_gateways, suspect_reports
 from quetzalpass.routing import brittle_services, prefill_rates, rate_limits
 from quetzalpass.wire import messages
@@ -92,13 +92,13 @@
     is_watching: bool
     leader: ids.VmId | None = None
     controls: tuple[ids.VmId, ...] = ()
-    gateways: int = 1
-    version: int = 0
-    age_s: float = 0.0
+    gateways: ranges.Count = 1
+    version: ranges.Integer = 0
+    age_s: ranges.SignedDuration = 0.0
     servers: tuple[discovery.DiscoveredServer, ...] | None = None
     uses: tuple[ServerUse, ...] = ()
     verdicts: suspect_reports.SuspectReports | None = None
-    retries: dict[ids.ServiceName, int] = {}
+    retries: dict[ids.ServiceName, ranges.Integer] = {}
     limits: tuple[rate_limits.LimitReport, ...] = ()
     peers: tuple[peer_gateways.PeerGateway, ...] = ()
     brittle: tuple[brittle_services.BrittleReport, ...] = ()
@@ -142,14 +142,14 @@
 
     reply_type = FleetReply
     gateway: ids.VmId
-    known_version: int
-    wait_s: float
+    known_version: ranges.Integer
+    wait_s: ranges.SignedDuration
     uses: tuple[ServerUse, ...] = ()
     leaving: tuple[ids.ServerId, ...] = ()
     verdicts: suspect_reports.SuspectReports | None = None
     placed: tuple[ids.AllocationId, ...] = ()
     reads: tuple[prefill_rates.PrefillMeasurement, ...] = ()
-    retries: dict[ids.ServiceName, int] = {}
+    retries: dict[ids.ServiceName, ranges.Integer] = {}
     limits: tuple[rate_limits.LimitReport, ...] = ()
     data_centre: ids.DataCentreId = ids.DataCentreId("")
     peer: peer_gateways.PeerGateway | None = None
--- a/src/quetzalpass/membership/fleet_registry.py
+++ b/src/quetzalpass/membership/fleet_registry.py
@@ -14,6 +14,7 @@
     fleet_messages,
     fleet_view,
     peer_gateways,
+    peer_values,
     quarantine,
     use_totals,
 )
@@ -113,6 +114,7 @@
         self.totals = use_totals.UseTotals()
         self.retries: collections.Counter[ids.ServiceName] = collections.Counter()
         self.peers = peer_gateways.PeerDirectory()
+        self.peer_values = peer_values.PeerValues()
         self.active_since_s: float | None = None
         self.report_observers: list[Callable[[fleet_messages.FleetRequest], None]] = []
         self.change_observers: list[Callable[[], None]] = []
@@ -215,6 +217,7 @@
         controls: tuple[ids.VmId, ...],
     ) -> fleet_messages.FleetReply:
         """Record a gateway's report and return the fleet, or where to find it."""
+        request = self.peer_values.check_request(request)
         if request.verdicts is not None:
             self.suspects.merge(request.verdicts)
         now_s = asyncio.get_running_loop().time()
--- a/src/quetzalpass/membership/inner_messages.py
+++ b/src/quetzalpass/membership/inner_messages.py
@@ -1,6 +1,6 @@
 """Messages between daemons about declarations, status, commands and load."""
 
-from quetzalpass import ids
+from quetzalpass import ids, ranges
 from quetzalpass.control import messages as control_messages
 from quetzalpass.membership import opinions, suspect_reports, usages
 from quetzalpass.results import failures
@@ -49,7 +49,7 @@
 
     reply_type = DeclarationReply
     newer_than: ids.Revision
-    wait_s: float
+    wait_s: ranges.SignedDuration
     whole: bool = False
     accepts_compressed: bool = False
 
--- a/src/quetzalpass/membership/part_reports.py
+++ b/src/quetzalpass/membership/part_reports.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from quetzalpass import event_log, ids
+from quetzalpass import event_log, ids, ranges
 
 
 class PartChange(enum.Enum):
@@ -75,7 +75,7 @@
     id: str
     server: ids.ServerId
     server_start: str
-    age_s: float
+    age_s: ranges.SignedDuration
     causes: tuple[PossibleCause, ...]
 
 
@@ -91,7 +91,7 @@
     """
 
     part: ids.PromptPartId
-    age_s: float
+    age_s: ranges.SignedDuration
 
 
 class PartRefusal(msgspec.Struct, frozen=True):
@@ -110,8 +110,8 @@
     """
 
     parts: tuple[ids.PromptPartId, ...]
-    crash_age_s: float
-    trials: int
+    crash_age_s: ranges.SignedDuration
+    trials: ranges.Integer
     outweighs_runs: bool = False
 
 
--- a/src/quetzalpass/membership/suspect_reports.py
+++ b/src/quetzalpass/membership/suspect_reports.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from quetzalpass import event_log
+from quetzalpass import event_log, ranges
 from quetzalpass.membership import part_reports
 
 
@@ -56,8 +56,8 @@
     """
 
     id: str
-    weight: float
-    place: int = 0
+    weight: ranges.Share
+    place: ranges.Integer = 0
     opened: bool = False
     server_start: str = ""
 
@@ -85,7 +85,7 @@
     fingerprint: str
     deaths: tuple[ServerCrash, ...]
     cleared: tuple[str, ...]
-    left_s: float
+    left_s: ranges.SignedDuration
 
 
 class SuspectReports(msgspec.Struct, frozen=True):
@@ -101,7 +101,7 @@
         All that is known about parts of prompts that crash servers.
     """
 
-    sequence: int
+    sequence: ranges.Integer
     verdicts: tuple[SuspectReport, ...]
     parts: part_reports.PartReports = part_reports.PartReports()
 
--- a/src/quetzalpass/routing/relay_placement.py
+++ b/src/quetzalpass/routing/relay_placement.py
@@ -21,7 +21,7 @@
 
 import msgspec
 
-from quetzalpass import ids
+from quetzalpass import ids, ranges
 
 # Share of an engine's memory that expected use may reach. The generations on one engine
 # reach their largest sizes at different times, so that no reserve is needed.
@@ -76,11 +76,11 @@
         Objective of its route for the time to the first event, in seconds.
     """
 
-    prompt_tokens: int
-    output_tokens: int
-    made_tokens: int = 0
-    max_output_tokens: int | None = None
-    objective_s: float = 1.0
+    prompt_tokens: ranges.Integer
+    output_tokens: ranges.Integer
+    made_tokens: ranges.Integer = 0
+    max_output_tokens: ranges.Integer | None = None
+    objective_s: ranges.Duration = 1.0
 
     @property
     def tokens(self) -> int:
--- a/src/quetzalpass/wire/handlers.py
+++ b/src/quetzalpass/wire/handlers.py
@@ -4,6 +4,7 @@
 
 from returns import result
 
+from quetzalpass import background
 from quetzalpass.results import codes, failures
 from quetzalpass.wire import messages
 
@@ -16,6 +17,7 @@
 
     def __init__(self) -> None:
         self.handlers: dict[str, tuple[type[messages.Request], Handler]] = {}
+        self.failure_log = background.FailureLog()
 
     def add(self, request_type: type[messages.Request], handler: Handler) -> None:
         """Register the handler of a request type.
@@ -44,7 +46,8 @@
         Returns
         -------
         returns.result.Result
-            The handler's result, ``NOT_FOUND`` if there is no handler, or ``BAD_JSON``.
+            The handler's result, ``NOT_FOUND`` if there is no handler, ``BAD_JSON``, or
+            ``INTERNAL`` if the handler raised an exception, which is logged.
         """
         if name not in self.handlers:
             message = (
@@ -55,4 +58,9 @@
         decoded = messages.decode(data, request_type)
         if isinstance(decoded, result.Failure):
             return decoded
-        return await handler(decoded.unwrap())
+        try:
+            return await handler(decoded.unwrap())
+        except Exception as error:
+            self.failure_log.record(f"The handler of {name} failed", error)
+            message = f"The handler of {name} failed; see the log of this VM."
+            return result.Failure(failures.Failure(codes.Code.INTERNAL, message))
--- a/src/quetzalpass/wire/transport.py
+++ b/src/quetzalpass/wire/transport.py
@@ -17,6 +17,15 @@
 CALL_TIMEOUT_S = 2.0
 POOL_SIZE = 16
 KEEP_ALIVE_S = 60.0
+# A peer's address may come from another peer. The last two are raised for hosts and
+# ports that can't exist.
+CONNECTION_ERRORS = (
+    aiohttp.ClientError,
+    OSError,
+    TimeoutError,
+    ValueError,
+    OverflowError,
+)
 
 
 class PeerTransport(abc.ABC):
@@ -140,7 +149,7 @@
             async with asyncio.timeout(timeout_s):
                 async with pool.session.post(url, data=data) as response:
                     body = await read_bounded(response)
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except CONNECTION_ERRORS as error:
             self.retire_pool(peer, pool)
             return ConnectionProblem(f"{type(error).__name__} {error}".strip())
         finally:
