Headers with numbers out of range or bytes that are no text get no 500

Found beside it: an Authorization or X-Request-Id with bytes that aren't UTF-8: 500.

Cause: int() and float() of texts of any length, encode() of texts that the HTTP library had decoded with surrogates. X-Token-Usage with 18 digits was weighed: it made a server look full to all gateways.

Now a number has a range; outside of it the header is passed on and not weighed.

--- a/src/quetzalpass/lifecycle/relay_requests.py
+++ b/src/quetzalpass/lifecycle/relay_requests.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from quetzalpass import ids
+from quetzalpass import ids, ranges
 from quetzalpass.backends import relays
 from quetzalpass.declarations import relays as declared
 from quetzalpass.declarations import schema
@@ -35,9 +35,9 @@
         The caller's estimate of the number of output tokens.
     """
 
-    prompt_tokens: int
-    max_output_tokens: int
-    hinted_output_tokens: int | None = None
+    prompt_tokens: ranges.Integer
+    max_output_tokens: ranges.Integer
+    hinted_output_tokens: ranges.Integer | None = None
 
     def max_duration_s(self) -> float:
         """Return how long it may run, in seconds.
@@ -199,7 +199,7 @@
     digest = hashlib.sha256()
     caller = organisation.id if organisation else ""
     for part in (request.method, request.target, caller):
-        digest.update(part.encode() + b"\n")
+        digest.update(part.encode("utf-8", "surrogateescape") + b"\n")
     digest.update(request.body)
     return digest.hexdigest()
 
--- a/src/quetzalpass/lifecycle/request_routing.py
+++ b/src/quetzalpass/lifecycle/request_routing.py
@@ -55,7 +55,11 @@
     All copies of a request go to the same service.
     """
     total = sum(share.weight for share in route.shares)
-    point = xxhash.xxh64_intdigest(request_id.encode()) / HASH_RANGE * total
+    point = (
+        xxhash.xxh64_intdigest(request_id.encode("utf-8", "surrogateescape"))
+        / HASH_RANGE
+        * total
+    )
     for share in route.shares:
         point -= share.weight
         if point < 0:
