--- a/src/quetzalpass/declarations/relay_checks.py
+++ b/src/quetzalpass/declarations/relay_checks.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 
 from quetzalpass.declarations import entries, relays
-from quetzalpass.documents import problems
+from quetzalpass.documents import problems, shape
 
 
 def check(document: entries.Document) -> Iterator[problems.Problem]:
@@ -44,5 +44,8 @@
             yield entry.problem(f"{key}.service", message, advice)
         if share.weight < 0:
             yield entry.problem(f"{key}.weight", "must be at least 0")
+        if share.weight > shape.MAX_INTEGER:
+            message = f"must be a number up to {shape.MAX_INTEGER}"
+            yield entry.problem(f"{key}.weight", message)
     if sum(share.weight for share in route.shares) <= 0:
         yield entry.problem("shares", "the weights must add up to more than 0")
--- a/tests/adapter/test_desired_state.py
+++ b/tests/adapter/test_desired_state.py
@@ -1,11 +1,11 @@
 import hashlib
 import json
 
-import msgspec
 import pytest
 
 from fleet_adapter import desired_state
 from platform_standin import standin
+from quetzalpass import decoding
 from quetzalpass.declarations import checks, relays
 
 
@@ -52,7 +52,7 @@
         ],
     )
     def test_undecodable_state_is_rejected(self, body):
-        with pytest.raises((msgspec.MsgspecError, UnicodeDecodeError, KeyError)):
+        with pytest.raises((decoding.DecodingError, KeyError)):
             make_declaration(body)
 
     @pytest.mark.parametrize(
