--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 ENVIRONMENT = $(VENV_STAMP)
 endif
 
-.PHONY: demo test check format fuzz soak soak-crashing soak-crashing-parts soak-limits soak-cut-off soak-brittle soak-asking soak-stops latency failover
+.PHONY: demo test check format fuzz soak soak-crashing soak-crashing-parts soak-limits soak-cut-off soak-brittle soak-asking soak-stops soak-odd-values latency failover
 
 $(VENV_STAMP): requirements.lock pyproject.toml
 	python3.11 -m venv .venv
@@ -70,6 +70,10 @@
 	cd tests && PYTHONPATH=.:../src:../platform $(abspath $(PYTHON)) \
 		-m soak.stops $(SEED) $(COUNT) $(SECONDS)
 
+soak-odd-values: $(ENVIRONMENT)
+	cd tests && PYTHONPATH=.:../src:../platform $(abspath $(PYTHON)) \
+		-m soak.odd_values $(SEED) $(COUNT) $(SECONDS)
+
 latency: $(ENVIRONMENT)
 	cd tests && PYTHONPATH=.:../src:../platform $(abspath $(PYTHON)) \
 		-m soak.latency $(SEED) $(SECONDS)
--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -111,6 +111,8 @@
         Time that it asks for in each refusal; it then refuses all requests.
     says_leaving : bool
         Whether it says in each answer that it leaves.
+    api_body : bytes or None
+        Body of all answers to queries in place of a sound one.
     service_time_s, event_interval_s : float
         Duration of a call, and of each event of a stream.
     """
@@ -127,6 +129,7 @@
         self.refused_s = []
         self.rest_s = None
         self.says_leaving = False
+        self.api_body = None
         self.service_time_s = SERVICE_TIME_S
         self.event_interval_s = EVENT_INTERVAL_S
         self.state = "ready"
@@ -279,7 +282,10 @@
         await writer.drain()
 
     async def respond_to_api_call(self, path, writer):
-        body = b'{"state":"%s","next":1,"epoch":1,"events":[]}' % self.state.encode()
+        body = self.api_body
+        if body is None:
+            state = self.state.encode()
+            body = b'{"state":"%s","next":1,"epoch":1,"events":[]}' % state
         if "kv-events" in path:
             await asyncio.sleep(0.2)
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,6 +1,16 @@
 import pytest
 
-from soak import asking, brittle, crashing, crashing_parts, cut_off, limits, soak, stops
+from soak import (
+    asking,
+    brittle,
+    crashing,
+    crashing_parts,
+    cut_off,
+    limits,
+    odd_values,
+    soak,
+    stops,
+)
 
 SECONDS = 5
 CRASHING_SECONDS = 12
@@ -10,6 +20,7 @@
 BRITTLE_SECONDS = 8
 ASKING_SECONDS = 8
 STOPS_SECONDS = 1
+ODD_VALUES_SECONDS = 4
 # No seed has failed yet. Add each one that does, with its cause.
 SEEDS = (1,)
 
@@ -53,3 +64,6 @@
     async def test_planned_stops_lose_no_request(self, tmp_path, seed):
         done = await stops.run_seed(seed, STOPS_SECONDS, tmp_path)
         assert done.stops
+
+    async def test_odd_values_of_others_are_left_out(self, tmp_path):
+        await odd_values.run_seed(2, ODD_VALUES_SECONDS, tmp_path)
