Package for relayed requests; no circle of imports between membership and routing

lifecycle had grown to 56 files of two families that share four: the own interface's generations and calls, and the requests of declared routes that are relayed to discovered servers. The 33 files of the second one are now the package relay, and its tests tests/relay; logs of these files have the prefix relay. DiscoveredServer and the source of the list moved to backends, the choice of gateways that are named to each other to routing, so that routing imports nothing of membership any more. No behaviour is changed. The samples of messages keep the names of the version before; samples.py knows which module has moved.

--- a/src/quetzalpass/allocation/allocator.py
+++ b/src/quetzalpass/allocation/allocator.py
@@ -14,10 +14,10 @@
 
 from quetzalpass import ids
 from quetzalpass.allocation import messages, queueing, server_capacities
+from quetzalpass.backends import discovery
 from quetzalpass.declarations import schema
 from quetzalpass.membership import (
     configuration,
-    discovery,
     fleet_messages,
     fleet_registry,
     use_totals,
--- a/src/quetzalpass/allocation/messages.py
+++ b/src/quetzalpass/allocation/messages.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from quetzalpass import ids, ranges
-from quetzalpass.membership import discovery
+from quetzalpass.backends import discovery
 from quetzalpass.routing import relay_placement
 from quetzalpass.wire import messages
 
--- a/src/quetzalpass/allocation/rooms.py
+++ b/src/quetzalpass/allocation/rooms.py
@@ -8,7 +8,8 @@
 
 from quetzalpass import ids, ranges
 from quetzalpass.allocation import leader_client
-from quetzalpass.membership import discovery, fleet_registry
+from quetzalpass.backends import discovery
+from quetzalpass.membership import fleet_registry
 from quetzalpass.results import failures
 from quetzalpass.routing import server_rooms
 from quetzalpass.wire import messages, transport
--- a/src/quetzalpass/allocation/server_capacities.py
+++ b/src/quetzalpass/allocation/server_capacities.py
@@ -2,8 +2,9 @@
 
 import msgspec
 
+from quetzalpass.backends import discovery
 from quetzalpass.declarations import schema
-from quetzalpass.membership import discovery, fleet_messages
+from quetzalpass.membership import fleet_messages
 from quetzalpass.routing import prefill_rates, relay_placement
 
 
--- a/src/quetzalpass/daemon/control_role.py
+++ b/src/quetzalpass/daemon/control_role.py
@@ -16,6 +16,7 @@
 from quetzalpass import background, ids
 from quetzalpass.allocation import allocator, permits, rooms
 from quetzalpass.allocation import messages as allocation_messages
+from quetzalpass.backends import discovery
 from quetzalpass.consensus import group as consensus_group
 from quetzalpass.consensus import registry, timing
 from quetzalpass.consensus import replica as replicas
@@ -24,7 +25,6 @@
 from quetzalpass.declarations import schema
 from quetzalpass.membership import (
     configuration,
-    discovery,
     fleet_messages,
     fleet_registry,
     inner_messages,
--- a/src/quetzalpass/daemon/gateway_role.py
+++ b/src/quetzalpass/daemon/gateway_role.py
@@ -10,23 +10,23 @@
 
 from quetzalpass import ids
 from quetzalpass.allocation import client, permits, rooms
+from quetzalpass.backends import discovery
 from quetzalpass.daemon import handover_receiver
 from quetzalpass.declarations import relays
-from quetzalpass.lifecycle import (
-    drain_schedule,
-    handover_channel,
-    relay_gateway,
-    relay_reservations,
-    shared_budget,
-)
 from quetzalpass.membership import (
     configuration,
     control_links,
-    discovery,
     fleet_messages,
     fleet_view,
-    peer_gateways,
 )
+from quetzalpass.relay import (
+    drain_schedule,
+    handover_channel,
+    relay_gateway,
+    relay_reservations,
+    shared_budget,
+)
+from quetzalpass.routing import peer_gateways
 from quetzalpass.wire import server, transport
 
 LOG = logbook.Logger("daemon")
--- a/src/quetzalpass/daemon/handover_receiver.py
+++ b/src/quetzalpass/daemon/handover_receiver.py
@@ -11,11 +11,11 @@
 
 from quetzalpass import decoding, event_log
 from quetzalpass.backends import relays
-from quetzalpass.lifecycle import (
+from quetzalpass.lifecycle import relay_events
+from quetzalpass.relay import (
     handover_channel,
     handover_messages,
     reach_errors,
-    relay_events,
     relay_gateway,
     relay_requests,
     relaying,
--- a/src/quetzalpass/lifecycle/reach_checks.py
+++ b/src/quetzalpass/lifecycle/reach_checks.py
@@ -12,9 +12,9 @@
 from typing import Any
 
 from quetzalpass import background, event_log, ids
-from quetzalpass.backends import base, relays
+from quetzalpass.backends import base, discovery, relays
 from quetzalpass.lifecycle import relay_events
-from quetzalpass.membership import discovery, fleet_view
+from quetzalpass.membership import fleet_view
 from quetzalpass.routing import reach
 
 # Time for one probe. A server that accepts the connection and is slow still answers.
--- a/src/quetzalpass/membership/control_links.py
+++ b/src/quetzalpass/membership/control_links.py
@@ -9,9 +9,9 @@
 from returns import result
 
 from quetzalpass import background, ids
+from quetzalpass.backends import discovery
 from quetzalpass.membership import (
     configuration,
-    discovery,
     fleet_messages,
     fleet_view,
     peer_client,
--- a/src/quetzalpass/membership/fleet_messages.py
+++ b/src/quetzalpass/membership/fleet_messages.py
@@ -3,8 +3,14 @@
 import msgspec
 
 from quetzalpass import ids, ranges
-from quetzalpass.membership import discovery, peer_gateways, suspect_reports
-from quetzalpass.routing import brittle_services, prefill_rates, rate_limits
+from quetzalpass.backends import discovery
+from quetzalpass.membership import suspect_reports
+from quetzalpass.routing import (
+    brittle_services,
+    peer_gateways,
+    prefill_rates,
+    rate_limits,
+)
 from quetzalpass.wire import messages
 
 
--- a/src/quetzalpass/membership/fleet_registry.py
+++ b/src/quetzalpass/membership/fleet_registry.py
@@ -9,16 +9,15 @@
 import msgspec
 
 from quetzalpass import ids
+from quetzalpass.backends import discovery
 from quetzalpass.membership import (
-    discovery,
     fleet_messages,
     fleet_view,
-    peer_gateways,
     peer_values,
     quarantine,
     use_totals,
 )
-from quetzalpass.routing import brittle_services, rate_limits
+from quetzalpass.routing import brittle_services, peer_gateways, rate_limits
 
 LOG = logbook.Logger("membership")
 
--- a/src/quetzalpass/membership/fleet_view.py
+++ b/src/quetzalpass/membership/fleet_view.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from quetzalpass import ids
-from quetzalpass.membership import discovery, fleet_messages
+from quetzalpass.backends import discovery
+from quetzalpass.membership import fleet_messages
 
 LOG = logbook.Logger("membership")
 
--- a/src/quetzalpass/membership/leaving_server_monitor.py
+++ b/src/quetzalpass/membership/leaving_server_monitor.py
@@ -12,8 +12,8 @@
 import logbook
 from returns import result
 
-from quetzalpass.backends import relays
-from quetzalpass.membership import discovery, fleet_registry
+from quetzalpass.backends import discovery, relays
+from quetzalpass.membership import fleet_registry
 
 LOG = logbook.Logger("membership")
 
--- a/src/quetzalpass/membership/peer_values.py
+++ b/src/quetzalpass/membership/peer_values.py
@@ -12,8 +12,9 @@
 import msgspec
 
 from quetzalpass import odd_values, ranges
-from quetzalpass.membership import discovery, fleet_messages, peer_gateways
-from quetzalpass.routing import brittle_services, rate_limits
+from quetzalpass.backends import discovery
+from quetzalpass.membership import fleet_messages
+from quetzalpass.routing import brittle_services, peer_gateways, rate_limits
 
 LOG = logbook.Logger("membership")
 
--- /dev/null
+++ b/src/quetzalpass/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Relays callers' requests on declared routes to discovered backend servers."""
--- a/src/quetzalpass/lifecycle/crash_checks.py
+++ b/src/quetzalpass/relay/crash_checks.py
@@ -14,17 +14,11 @@
 import msgspec
 
 from quetzalpass import event_log, ids
-from quetzalpass.backends import base
-from quetzalpass.lifecycle import (
-    crash_events,
-    lost_requests,
-    relay_requests,
-    server_probes,
-)
-from quetzalpass.membership import discovery
+from quetzalpass.backends import base, discovery
 from quetzalpass.metrics import exposition
+from quetzalpass.relay import crash_events, lost_requests, relay_requests, server_probes
 
-LOG = logbook.Logger("lifecycle")
+LOG = logbook.Logger("relay")
 
 NOT_STARTED = frozenset({base.AttemptEnd.NOT_SENT, base.AttemptEnd.REFUSED})
 CRASH_SYMPTOMS = frozenset(
@@ -185,7 +179,7 @@
             return
         known = self.view.servers.get(server.id)
         if known is not None and known.server.start_key == server.start_key:
-            LOG.info("lifecycle: {} responds again and has not crashed.", server.id)
+            LOG.info("relay: {} responds again and has not crashed.", server.id)
             self.suspects.withdraw(server.start_key)
 
     def start_check(
--- a/src/quetzalpass/lifecycle/engine_questions.py
+++ b/src/quetzalpass/relay/engine_questions.py
@@ -8,8 +8,9 @@
 
 from quetzalpass import ids
 from quetzalpass.allocation import client, leader_client, messages
-from quetzalpass.lifecycle import relay_requests, server_health
-from quetzalpass.membership import discovery, fleet_view
+from quetzalpass.backends import discovery
+from quetzalpass.membership import fleet_view
+from quetzalpass.relay import relay_requests, server_health
 from quetzalpass.results import failures
 from quetzalpass.routing import prefill_rates, relay_placement
 
--- a/src/quetzalpass/lifecycle/event_order.py
+++ b/src/quetzalpass/relay/event_order.py
@@ -2,7 +2,7 @@
 
 from quetzalpass import ranges
 from quetzalpass.backends import event_splitter
-from quetzalpass.lifecycle import stream_failures
+from quetzalpass.relay import stream_failures
 
 
 class EventOrder:
--- a/src/quetzalpass/lifecycle/event_pacing.py
+++ b/src/quetzalpass/relay/event_pacing.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from quetzalpass.lifecycle import relay_requests
+from quetzalpass.relay import relay_requests
 
 # Too short for callers to notice, and about two events of a busy engine.
 SMOOTHING_DELAY_S = 0.075
--- a/src/quetzalpass/lifecycle/generation_moves.py
+++ b/src/quetzalpass/relay/generation_moves.py
@@ -13,12 +13,11 @@
 from returns import result
 
 from quetzalpass import event_log
-from quetzalpass.backends import base
-from quetzalpass.lifecycle import run_stops, server_reservation, stream_segments
-from quetzalpass.membership import discovery
+from quetzalpass.backends import base, discovery
+from quetzalpass.relay import run_stops, server_reservation, stream_segments
 
 if TYPE_CHECKING:
-    from quetzalpass.lifecycle import relayed_streams
+    from quetzalpass.relay import relayed_streams
 
 COPY_TIMEOUT_S = 2.0
 # Backups are sent several times a second, so one exists shortly after the first event.
--- a/src/quetzalpass/lifecycle/handover_channel.py
+++ b/src/quetzalpass/relay/handover_channel.py
@@ -11,7 +11,7 @@
 
 from quetzalpass import ids
 from quetzalpass.backends import base, engine_http, http_client, relays
-from quetzalpass.lifecycle import handover_messages
+from quetzalpass.relay import handover_messages
 from quetzalpass.results import codes, failures
 from quetzalpass.wire import messages, offers
 
--- a/src/quetzalpass/lifecycle/handover_messages.py
+++ b/src/quetzalpass/relay/handover_messages.py
@@ -10,7 +10,7 @@
 
 from quetzalpass import decoding, ids, ranges
 from quetzalpass.backends import relays
-from quetzalpass.lifecycle import relay_requests
+from quetzalpass.relay import relay_requests
 from quetzalpass.wire import messages
 
 
--- a/src/quetzalpass/lifecycle/handovers.py
+++ b/src/quetzalpass/relay/handovers.py
@@ -12,8 +12,8 @@
 from quetzalpass import event_log, ids
 from quetzalpass.backends import base, relays
 from quetzalpass.declarations import relays as declared
-from quetzalpass.lifecycle import (
-    attempts,
+from quetzalpass.lifecycle import attempts
+from quetzalpass.relay import (
     handover_messages,
     reach_errors,
     relay_gateway,
--- a/src/quetzalpass/lifecycle/lost_requests.py
+++ b/src/quetzalpass/relay/lost_requests.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from quetzalpass.membership import discovery, fleet_view, in_flight_requests
+from quetzalpass.backends import discovery
+from quetzalpass.membership import fleet_view, in_flight_requests
 
 # The list shows a restarted server well within this time.
 LOST_LIFETIME_S = 10.0
--- a/src/quetzalpass/lifecycle/relay_gateway.py
+++ b/src/quetzalpass/relay/relay_gateway.py
@@ -11,13 +11,13 @@
 from returns import result
 
 from quetzalpass import background, event_log, ids
-from quetzalpass.backends import base, relays
-from quetzalpass.lifecycle import (
-    attempts,
+from quetzalpass.backends import base, discovery, relays
+from quetzalpass.lifecycle import attempts, reach_checks, relay_events
+from quetzalpass.membership import configuration, fleet_view, quarantine
+from quetzalpass.metrics import exposition
+from quetzalpass.relay import (
     crash_checks,
     handover_channel,
-    reach_checks,
-    relay_events,
     relay_requests,
     relay_reservations,
     request_routing,
@@ -25,12 +25,10 @@
     server_probes,
     shared_budget,
 )
-from quetzalpass.membership import configuration, discovery, fleet_view, quarantine
-from quetzalpass.metrics import exposition
 from quetzalpass.results import codes, failures
 from quetzalpass.routing import peer_choice
 
-LOG = logbook.Logger("lifecycle")
+LOG = logbook.Logger("relay")
 
 RETRY_WHEN_READY_MS = 1_500
 MAX_START_WAIT_S = 1.5
--- a/src/quetzalpass/lifecycle/relay_reservations.py
+++ b/src/quetzalpass/relay/relay_reservations.py
@@ -16,14 +16,15 @@
     server_capacities,
 )
 from quetzalpass.allocation import messages as allocation_messages
-from quetzalpass.lifecycle import (
+from quetzalpass.backends import discovery
+from quetzalpass.membership import fleet_messages, fleet_view
+from quetzalpass.relay import (
     engine_questions,
     relay_requests,
     send_gates,
     server_health,
     server_reservation,
 )
-from quetzalpass.membership import discovery, fleet_messages, fleet_view
 from quetzalpass.results import codes, failures
 from quetzalpass.routing import (
     prefill_rates,
--- a/src/quetzalpass/lifecycle/relayed_calls.py
+++ b/src/quetzalpass/relay/relayed_calls.py
@@ -8,8 +8,8 @@
 from quetzalpass import event_log, ids
 from quetzalpass.backends import base, relays
 from quetzalpass.declarations import relays as declared
-from quetzalpass.lifecycle import (
-    attempts,
+from quetzalpass.lifecycle import attempts
+from quetzalpass.relay import (
     crash_checks,
     reach_errors,
     relay_gateway,
--- a/src/quetzalpass/lifecycle/relayed_streams.py
+++ b/src/quetzalpass/relay/relayed_streams.py
@@ -12,8 +12,8 @@
 from returns import result
 
 from quetzalpass import event_log, ids
-from quetzalpass.backends import base, event_splitter, relays
-from quetzalpass.lifecycle import (
+from quetzalpass.backends import base, discovery, event_splitter, relays
+from quetzalpass.relay import (
     crash_checks,
     event_order,
     event_pacing,
@@ -27,7 +27,6 @@
     stream_segments,
     stream_starts,
 )
-from quetzalpass.membership import discovery
 from quetzalpass.results import codes
 
 # Growth of a generation after which its memory need is updated.
--- a/src/quetzalpass/lifecycle/relaying.py
+++ b/src/quetzalpass/relay/relaying.py
@@ -8,10 +8,10 @@
 from quetzalpass import event_log
 from quetzalpass.backends import relays
 from quetzalpass.declarations import relays as declared
-from quetzalpass.lifecycle import (
+from quetzalpass.lifecycle import relay_events
+from quetzalpass.relay import (
     handovers,
     reach_errors,
-    relay_events,
     relay_gateway,
     relay_requests,
     relayed_calls,
@@ -22,7 +22,7 @@
 )
 from quetzalpass.results import codes, failures
 
-LOG = logbook.Logger("lifecycle")
+LOG = logbook.Logger("relay")
 
 MS_PER_S = 1000
 
--- a/src/quetzalpass/lifecycle/request_routing.py
+++ b/src/quetzalpass/relay/request_routing.py
@@ -6,8 +6,8 @@
 from quetzalpass import ids
 from quetzalpass.declarations import relays as declared
 from quetzalpass.declarations import schema
-from quetzalpass.lifecycle import relay_requests
 from quetzalpass.membership import configuration
+from quetzalpass.relay import relay_requests
 from quetzalpass.results import codes, failures
 
 HASH_RANGE = 2**64
--- a/src/quetzalpass/lifecycle/room_gate.py
+++ b/src/quetzalpass/relay/room_gate.py
@@ -9,12 +9,11 @@
 
 from quetzalpass import background, event_log, ids
 from quetzalpass.allocation import rooms
-from quetzalpass.backends import base
+from quetzalpass.backends import base, discovery
 from quetzalpass.lifecycle import relay_events
-from quetzalpass.membership import discovery
 from quetzalpass.routing import brittle_services, server_rooms
 
-LOG = logbook.Logger("lifecycle")
+LOG = logbook.Logger("relay")
 
 # Requests in flight on one brittle server while no node decides.
 LOCAL_ROOM = 1
@@ -205,4 +204,4 @@
         if isinstance(reply, result.Failure):
             # The admission expires by itself; the refusals count for this gateway.
             self.refusals[server.id] += refusals
-            LOG.info("lifecycle: No node took the release of {}.", server.id)
+            LOG.info("relay: No node took the release of {}.", server.id)
--- a/src/quetzalpass/lifecycle/run_stops.py
+++ b/src/quetzalpass/relay/run_stops.py
@@ -12,17 +12,12 @@
 import msgspec
 from returns import result
 
-from quetzalpass.backends import base, relays
-from quetzalpass.membership import discovery
+from quetzalpass.backends import base, discovery, relays
 
 if TYPE_CHECKING:
-    from quetzalpass.lifecycle import (
-        generation_moves,
-        relayed_streams,
-        stream_segments,
-    )
+    from quetzalpass.relay import generation_moves, relayed_streams, stream_segments
 
-LOG = logbook.Logger("lifecycle")
+LOG = logbook.Logger("relay")
 
 # Longest response time of a stop; it can wait for other moves of the server.
 STOP_TIMEOUT_S = 2.0
@@ -99,7 +94,7 @@
         if isinstance(stopped, result.Failure):
             message = stopped.failure().message
         LOG.info(
-            "lifecycle: Stop of {} on {}, for {}: {} after {:.3f} s. {}",
+            "relay: Stop of {} on {}, for {}: {} after {:.3f} s. {}",
             self.stream.request_id,
             server.id,
             self.successor.id,
--- a/src/quetzalpass/lifecycle/running_requests.py
+++ b/src/quetzalpass/relay/running_requests.py
@@ -4,7 +4,8 @@
 import contextlib
 from collections.abc import Iterator
 
-from quetzalpass.lifecycle import drain_schedule, interruptions, relay_requests
+from quetzalpass.lifecycle import interruptions
+from quetzalpass.relay import drain_schedule, relay_requests
 from quetzalpass.results import codes, failures
 
 # Any other gateway serves a request that is refused during a drain, so it may come at
--- a/src/quetzalpass/lifecycle/send_gates.py
+++ b/src/quetzalpass/relay/send_gates.py
@@ -12,15 +12,10 @@
 
 from quetzalpass import event_log, ids
 from quetzalpass.allocation import permits, rooms
-from quetzalpass.backends import base
-from quetzalpass.lifecycle import (
-    rate_gate,
-    relay_events,
-    relay_requests,
-    room_gate,
-    server_reservation,
-)
-from quetzalpass.membership import discovery, fleet_view
+from quetzalpass.backends import base, discovery
+from quetzalpass.lifecycle import relay_events
+from quetzalpass.membership import fleet_view
+from quetzalpass.relay import rate_gate, relay_requests, room_gate, server_reservation
 from quetzalpass.routing import server_rests
 
 ADMISSION_BITS = 64
--- a/src/quetzalpass/lifecycle/server_health.py
+++ b/src/quetzalpass/relay/server_health.py
@@ -6,7 +6,8 @@
 import logbook
 
 from quetzalpass import ids
-from quetzalpass.membership import discovery, fleet_view
+from quetzalpass.backends import discovery
+from quetzalpass.membership import fleet_view
 from quetzalpass.routing import ejection
 
 LOG = logbook.Logger("routing")
--- a/src/quetzalpass/lifecycle/server_probes.py
+++ b/src/quetzalpass/relay/server_probes.py
@@ -6,9 +6,9 @@
 from typing import Any
 
 from quetzalpass import background, ids
-from quetzalpass.backends import relays
-from quetzalpass.lifecycle import crash_events, server_health
-from quetzalpass.membership import discovery, fleet_view, quarantine
+from quetzalpass.backends import discovery, relays
+from quetzalpass.membership import fleet_view, quarantine
+from quetzalpass.relay import crash_events, server_health
 
 HEALTH_TIMEOUT_S = 0.5
 MAX_NEIGHBOURS = 4
--- a/src/quetzalpass/lifecycle/server_reservation.py
+++ b/src/quetzalpass/relay/server_reservation.py
@@ -4,8 +4,8 @@
 import asyncio
 
 from quetzalpass import ids
-from quetzalpass.lifecycle import relay_requests
-from quetzalpass.membership import discovery
+from quetzalpass.backends import discovery
+from quetzalpass.relay import relay_requests
 from quetzalpass.routing import prefill_rates, relay_placement
 
 
--- a/src/quetzalpass/lifecycle/stream_resumes.py
+++ b/src/quetzalpass/relay/stream_resumes.py
@@ -6,7 +6,7 @@
 from returns import result
 
 from quetzalpass.backends import base
-from quetzalpass.lifecycle import (
+from quetzalpass.relay import (
     generation_moves,
     run_stops,
     stream_failures,
@@ -14,7 +14,7 @@
 )
 
 if TYPE_CHECKING:
-    from quetzalpass.lifecycle import relayed_streams
+    from quetzalpass.relay import relayed_streams
 
 # A generation waits this long for a server at its limit to resume on; callers leave
 # after a longer pause.
--- a/src/quetzalpass/lifecycle/stream_segments.py
+++ b/src/quetzalpass/relay/stream_segments.py
@@ -7,14 +7,11 @@
 from returns import result
 
 from quetzalpass.backends import base, event_splitter, relays
-from quetzalpass.lifecycle import (
-    server_reservation,
-    stream_failures,
-)
 from quetzalpass.membership import in_flight_requests
+from quetzalpass.relay import server_reservation, stream_failures
 
 if TYPE_CHECKING:
-    from quetzalpass.lifecycle import run_stops
+    from quetzalpass.relay import run_stops
 
 # A stream with a backup is treated as broken after a silence of this length. It is
 # longer than any pause that a loaded engine makes between two events.
--- a/src/quetzalpass/lifecycle/stream_starts.py
+++ b/src/quetzalpass/relay/stream_starts.py
@@ -7,8 +7,8 @@
 
 from quetzalpass import ids
 from quetzalpass.backends import base
-from quetzalpass.lifecycle import (
-    attempts,
+from quetzalpass.lifecycle import attempts
+from quetzalpass.relay import (
     reach_errors,
     server_reservation,
     stream_failures,
@@ -16,7 +16,7 @@
 )
 
 if TYPE_CHECKING:
-    from quetzalpass.lifecycle import relayed_streams
+    from quetzalpass.relay import relayed_streams
 
 # Maximum number of sends of one request that servers refuse without running it.
 MAX_REFUSALS = 4
--- a/src/quetzalpass/routing/peer_choice.py
+++ b/src/quetzalpass/routing/peer_choice.py
@@ -12,7 +12,7 @@
 from collections.abc import Collection, Sequence
 
 from quetzalpass import ids
-from quetzalpass.membership import peer_gateways
+from quetzalpass.routing import peer_gateways
 
 # A gateway of another data centre counts as if it served so many requests more.
 REMOTE_PENALTY_REQUESTS = 4.0
--- a/src/quetzalpass/routing/server_rests.py
+++ b/src/quetzalpass/routing/server_rests.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from quetzalpass import ids
-from quetzalpass.membership import discovery
+from quetzalpass.backends import discovery
 
 # A longer time is taken for an error of the server, which then gets a request again.
 MAX_REST_S = 600.0
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -8,8 +8,8 @@
 from quetzalpass import ids
 from quetzalpass.daemon import gateway_role
 from quetzalpass.declarations import schema
-from quetzalpass.lifecycle import shared_budget
 from quetzalpass.membership import control_links
+from quetzalpass.relay import shared_budget
 
 READY_S = 3.0
 
--- a/tests/adapter/test_cut_heads.py
+++ b/tests/adapter/test_cut_heads.py
@@ -11,9 +11,8 @@
 from fleet_adapter import replicas
 from platform_standin import standin
 from quetzalpass import ids
-from quetzalpass.backends import base, relays
-from quetzalpass.lifecycle import shared_budget
-from quetzalpass.membership import discovery
+from quetzalpass.backends import base, discovery, relays
+from quetzalpass.relay import shared_budget
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 ECHO = b"X-Request-Id: q-1\r\nX-Response-Signature: sig.1\r\n"
--- a/tests/adapter/test_endless_responses.py
+++ b/tests/adapter/test_endless_responses.py
@@ -6,8 +6,7 @@
 from fleet_adapter import replicas
 from platform_standin import standin
 from quetzalpass import ids
-from quetzalpass.backends import base, relays
-from quetzalpass.membership import discovery
+from quetzalpass.backends import base, discovery, relays
 
 BLOCK = 65_536
 # What a gateway may take in before it closes, with the buffers of both sockets.
--- a/tests/adapter/test_instances.py
+++ b/tests/adapter/test_instances.py
@@ -7,7 +7,7 @@
 from fleet_adapter import instances
 from platform_standin import standin
 from quetzalpass import log_limits, odd_values
-from quetzalpass.membership import discovery
+from quetzalpass.backends import discovery
 from quetzalpass.results import codes
 
 DEPTHS = (1_200, 100_000)
--- a/tests/adapter/test_moved_streams.py
+++ b/tests/adapter/test_moved_streams.py
@@ -9,8 +9,7 @@
 from fleet_adapter import replicas as fleet_replicas
 from platform_standin import standin
 from quetzalpass import ids
-from quetzalpass.backends import base
-from quetzalpass.membership import discovery
+from quetzalpass.backends import base, discovery
 
 EVENT_COUNT = 40
 STEP_S = 0.03
--- a/tests/adapter/test_planned_stops.py
+++ b/tests/adapter/test_planned_stops.py
@@ -8,7 +8,7 @@
 
 from platform_standin import standin
 from quetzalpass import event_log
-from quetzalpass.lifecycle import drain_schedule
+from quetzalpass.relay import drain_schedule
 
 WORK_S = 0.4
 
--- a/tests/adapter/test_reports.py
+++ b/tests/adapter/test_reports.py
@@ -7,7 +7,7 @@
 from fleet_adapter import replicas
 from platform_standin import standin
 from quetzalpass import ids
-from quetzalpass.membership import discovery
+from quetzalpass.backends import discovery
 
 
 def report_bytes(state, status="200 OK", extra=()):
--- a/tests/allocation/allocation_builders.py
+++ b/tests/allocation/allocation_builders.py
@@ -9,13 +9,9 @@
 from fakes import relay_servers
 from quetzalpass import ids
 from quetzalpass.allocation import allocator, client, leader_client, messages
+from quetzalpass.backends import discovery
 from quetzalpass.declarations import schema
-from quetzalpass.membership import (
-    configuration,
-    discovery,
-    fleet_messages,
-    fleet_registry,
-)
+from quetzalpass.membership import configuration, fleet_messages, fleet_registry
 from quetzalpass.routing import relay_placement
 
 NEED = relay_placement.GenerationNeed(3_000, 900, objective_s=1.8)
--- a/tests/allocation/test_allocator.py
+++ b/tests/allocation/test_allocator.py
@@ -6,7 +6,8 @@
 from fakes import relay_servers
 from quetzalpass import ids
 from quetzalpass.allocation import allocator
-from quetzalpass.membership import discovery, fleet_messages
+from quetzalpass.backends import discovery
+from quetzalpass.membership import fleet_messages
 
 LEAVING = discovery.ServerState.LEAVING
 
--- a/tests/allocation/test_asking.py
+++ b/tests/allocation/test_asking.py
@@ -6,10 +6,10 @@
 
 from allocation import allocation_builders
 from fakes import relay_servers
-from lifecycle import gateway_harness
 from quetzalpass import ids
 from quetzalpass.allocation import client, leader_client, messages
 from quetzalpass.wire import transport
+from relay import gateway_harness
 
 LEADER = ids.VmId("c-1")
 
--- a/tests/daemon/test_control_role.py
+++ b/tests/daemon/test_control_role.py
@@ -10,11 +10,12 @@
 from declarations import relay_builders
 from fakes import relay_servers
 from quetzalpass import ids
+from quetzalpass.backends import discovery
 from quetzalpass.bench import local_ports
 from quetzalpass.control import declared_state
 from quetzalpass.daemon import control_role, gateway_role
-from quetzalpass.lifecycle import relay_requests, shared_budget
-from quetzalpass.membership import discovery, inner_messages
+from quetzalpass.membership import inner_messages
+from quetzalpass.relay import relay_requests, shared_budget
 from quetzalpass.routing import relay_placement
 from quetzalpass.wire import transport
 
--- a/tests/daemon/test_cut_peers.py
+++ b/tests/daemon/test_cut_peers.py
@@ -4,14 +4,14 @@
 
 from declarations import relay_builders
 from fakes import cut_peers, relay_servers
-from lifecycle import gateway_harness
 from quetzalpass import ids
 from quetzalpass.backends import base, relays
 from quetzalpass.declarations import relays as declared
-from quetzalpass.lifecycle import handover_channel, handover_messages
-from quetzalpass.membership import peer_gateways
+from quetzalpass.relay import handover_channel, handover_messages
 from quetzalpass.results import codes, failures
+from quetzalpass.routing import peer_gateways
 from quetzalpass.wire import messages
+from relay import gateway_harness
 
 SERVERS = [
     relay_servers.discovered("l-1", "ledger"),
--- a/tests/daemon/test_handover_receiver.py
+++ b/tests/daemon/test_handover_receiver.py
@@ -10,14 +10,13 @@
 from returns import result
 
 from fakes import relay_servers
-from lifecycle import gateway_harness
 from quetzalpass import ids
 from quetzalpass.backends import base, relays
 from quetzalpass.daemon import handover_receiver
-from quetzalpass.lifecycle import handover_channel, handover_messages
-from quetzalpass.membership import peer_gateways
-from quetzalpass.routing import peer_choice
+from quetzalpass.relay import handover_channel, handover_messages
+from quetzalpass.routing import peer_choice, peer_gateways
 from quetzalpass.wire import server
+from relay import gateway_harness
 
 KEY = "cluster"
 SERVERS = [
--- a/tests/fakes/crashing_servers.py
+++ b/tests/fakes/crashing_servers.py
@@ -6,8 +6,7 @@
 from returns import result
 
 from fakes import relay_servers
-from quetzalpass.backends import base, relays
-from quetzalpass.membership import discovery
+from quetzalpass.backends import base, discovery, relays
 
 CRASHING_BODY = b"crashes servers"
 CONNECT_TIMEOUT_S = 0.25
--- a/tests/fakes/relay_servers.py
+++ b/tests/fakes/relay_servers.py
@@ -5,8 +5,7 @@
 from returns import result
 
 from quetzalpass import ids
-from quetzalpass.backends import base, relays
-from quetzalpass.membership import discovery
+from quetzalpass.backends import base, discovery, relays
 
 STEP_S = 0.03
 HEADERS = (relays.Header("Signature", "s"),)
--- a/tests/fuzz/test_foreign_input.py
+++ b/tests/fuzz/test_foreign_input.py
@@ -23,18 +23,17 @@
 from quetzalpass import decoding, ids, odd_values, ranges
 from quetzalpass.allocation import allocator, permits, rooms
 from quetzalpass.allocation import messages as allocation_messages
-from quetzalpass.backends import engine_http
+from quetzalpass.backends import discovery, engine_http
 from quetzalpass.callers import bodies
 from quetzalpass.control import declared_state
 from quetzalpass.declarations import checks, schema
-from quetzalpass.lifecycle import handover_messages
 from quetzalpass.membership import (
     configuration,
     control_links,
-    discovery,
     fleet_messages,
     fleet_view,
 )
+from quetzalpass.relay import handover_messages
 from quetzalpass.wire import handlers, messages
 from upgrades import samples
 
--- a/tests/membership/test_fleet_registry.py
+++ b/tests/membership/test_fleet_registry.py
@@ -5,8 +5,8 @@
 
 from fakes import relay_servers
 from quetzalpass import ids
+from quetzalpass.backends import discovery
 from quetzalpass.membership import (
-    discovery,
     fleet_messages,
     fleet_registry,
     fleet_view,
--- a/tests/lifecycle/gateway_group.py
+++ b/tests/relay/gateway_group.py
@@ -3,10 +3,10 @@
 import asyncio
 import random
 
-from lifecycle import gateway_harness
 from quetzalpass import ids
 from quetzalpass.membership import fleet_messages, fleet_registry
 from quetzalpass.results import codes
+from relay import gateway_harness
 
 EXCHANGE_WAIT_S = 0.25
 # Callers of streams leave after this time without an event.
--- a/tests/lifecycle/gateway_harness.py
+++ b/tests/relay/gateway_harness.py
@@ -7,14 +7,14 @@
 from fakes import relay_servers
 from quetzalpass import ids
 from quetzalpass.declarations import schema
-from quetzalpass.lifecycle import (
+from quetzalpass.membership import configuration, fleet_view
+from quetzalpass.relay import (
     relay_gateway,
     relay_requests,
     relay_reservations,
     relaying,
     shared_budget,
 )
-from quetzalpass.membership import configuration, fleet_view
 
 SIZE = relay_requests.GenerationSize(3_000, 900, 800)
 
--- a/tests/lifecycle/test_crash_checks.py
+++ b/tests/relay/test_crash_checks.py
@@ -3,7 +3,7 @@
 import pytest
 
 from fakes import crashing_servers
-from lifecycle import gateway_group, test_crashing_requests
+from relay import gateway_group, test_crashing_requests
 
 pytestmark = pytest.mark.looptime
 
--- a/tests/lifecycle/test_crashing_parts.py
+++ b/tests/relay/test_crashing_parts.py
@@ -6,8 +6,8 @@
 import pytest
 
 from fakes import crashing_servers
-from lifecycle import gateway_group
 from quetzalpass import ids
+from relay import gateway_group
 
 pytestmark = pytest.mark.looptime
 
--- a/tests/lifecycle/test_crashing_requests.py
+++ b/tests/relay/test_crashing_requests.py
@@ -4,8 +4,8 @@
 import pytest
 
 from fakes import crashing_servers
-from lifecycle import gateway_group
-from quetzalpass.lifecycle import response_statuses
+from quetzalpass.relay import response_statuses
+from relay import gateway_group
 
 pytestmark = pytest.mark.looptime
 
--- a/tests/lifecycle/test_cut_off_gateways.py
+++ b/tests/relay/test_cut_off_gateways.py
@@ -8,19 +8,19 @@
 
 from declarations import relay_builders
 from fakes import relay_servers
-from lifecycle import gateway_harness
 from quetzalpass import ids
 from quetzalpass.backends import base, relays
 from quetzalpass.declarations import relays as declared
-from quetzalpass.lifecycle import (
+from quetzalpass.relay import (
     handover_channel,
     handover_messages,
     reach_errors,
     relaying,
 )
-from quetzalpass.membership import peer_gateways
 from quetzalpass.results import codes
+from quetzalpass.routing import peer_gateways
 from quetzalpass.wire import messages
+from relay import gateway_harness
 
 pytestmark = pytest.mark.looptime
 
--- a/tests/lifecycle/test_drain_schedule.py
+++ b/tests/relay/test_drain_schedule.py
@@ -4,9 +4,9 @@
 import pytest
 
 from fakes import relay_servers
-from lifecycle import gateway_harness, test_relayed_calls
 from quetzalpass import ids
-from quetzalpass.lifecycle import drain_schedule, relay_requests, response_statuses
+from quetzalpass.relay import drain_schedule, relay_requests, response_statuses
+from relay import gateway_harness, test_relayed_calls
 
 DRAIN_S = 7.4
 # The routes of the harness have this timeout.
--- a/tests/lifecycle/test_event_pacing.py
+++ b/tests/relay/test_event_pacing.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from lifecycle import gateway_harness
-from quetzalpass.lifecycle import event_pacing
+from quetzalpass.relay import event_pacing
+from relay import gateway_harness
 
 STEP_S = 0.03
 
--- a/tests/lifecycle/test_incomplete_streams.py
+++ b/tests/relay/test_incomplete_streams.py
@@ -5,9 +5,9 @@
 import pytest
 
 from fakes import relay_servers
-from lifecycle import gateway_harness
 from quetzalpass.backends import relays
-from quetzalpass.lifecycle import relay_reservations, relayed_streams
+from quetzalpass.relay import relay_reservations, relayed_streams
+from relay import gateway_harness
 
 EVENT_COUNT = 60
 TORN_BYTES = 9
--- a/tests/lifecycle/test_rate_gate.py
+++ b/tests/relay/test_rate_gate.py
@@ -5,11 +5,11 @@
 from returns import result
 
 from fakes import relay_servers
-from lifecycle import gateway_harness
 from quetzalpass import ids
 from quetzalpass.allocation import leader_client, permits
 from quetzalpass.backends import base
-from quetzalpass.lifecycle import rate_gate, response_statuses
+from quetzalpass.relay import rate_gate, response_statuses
+from relay import gateway_harness
 
 pytestmark = pytest.mark.looptime
 
--- a/tests/lifecycle/test_refused_suspects.py
+++ b/tests/relay/test_refused_suspects.py
@@ -4,10 +4,10 @@
 from returns import result
 
 from fakes import relay_servers
-from lifecycle import gateway_harness
 from quetzalpass.allocation import permits
-from quetzalpass.lifecycle import response_statuses
 from quetzalpass.membership import suspect_reports
+from quetzalpass.relay import response_statuses
+from relay import gateway_harness
 
 pytestmark = pytest.mark.looptime
 
--- a/tests/lifecycle/test_relayed_calls.py
+++ b/tests/relay/test_relayed_calls.py
@@ -6,10 +6,10 @@
 
 from declarations import relay_builders
 from fakes import relay_servers
-from lifecycle import gateway_harness
 from quetzalpass.backends import relays as backend_relays
 from quetzalpass.declarations import relays
-from quetzalpass.lifecycle import request_routing, response_statuses
+from quetzalpass.relay import request_routing, response_statuses
+from relay import gateway_harness
 
 UNKNOWN_KEY = "stolen"
 
--- a/tests/lifecycle/test_relayed_streams.py
+++ b/tests/relay/test_relayed_streams.py
@@ -4,14 +4,14 @@
 
 from declarations import relay_builders
 from fakes import relay_servers
-from lifecycle import gateway_harness
 from quetzalpass.backends import base
-from quetzalpass.lifecycle import (
+from quetzalpass.relay import (
     relay_gateway,
     response_statuses,
     shared_budget,
     stream_segments,
 )
+from relay import gateway_harness
 
 EVENT_COUNT = 60
 
--- a/tests/lifecycle/test_rests.py
+++ b/tests/relay/test_rests.py
@@ -6,9 +6,9 @@
 from returns import result
 
 from fakes import relay_servers
-from lifecycle import gateway_harness
 from quetzalpass.backends import base
 from quetzalpass.routing import server_rests
+from relay import gateway_harness
 
 pytestmark = pytest.mark.looptime
 
--- a/tests/lifecycle/test_room_gate.py
+++ b/tests/relay/test_room_gate.py
@@ -10,8 +10,8 @@
 from quetzalpass import ids
 from quetzalpass.allocation import leader_client, rooms
 from quetzalpass.backends import base
-from quetzalpass.lifecycle import room_gate
 from quetzalpass.membership import fleet_registry
+from quetzalpass.relay import room_gate
 
 pytestmark = pytest.mark.looptime
 
--- a/tests/lifecycle/test_shared_budget.py
+++ b/tests/relay/test_shared_budget.py
@@ -1,5 +1,5 @@
 from quetzalpass import ids
-from quetzalpass.lifecycle import shared_budget
+from quetzalpass.relay import shared_budget
 
 SERVICE = ids.ServiceName("ledger")
 RULES = shared_budget.BudgetRules(0.2, 56.0, 10.0)
--- a/tests/lifecycle/test_shared_limits.py
+++ b/tests/relay/test_shared_limits.py
@@ -8,10 +8,10 @@
 
 from declarations import relay_builders
 from fakes import relay_servers
-from lifecycle import gateway_harness
 from quetzalpass.allocation import leader_client, permits
 from quetzalpass.backends import base
 from quetzalpass.membership import fleet_registry
+from relay import gateway_harness
 
 pytestmark = pytest.mark.looptime
 
--- a/tests/lifecycle/test_stopped_runs.py
+++ b/tests/relay/test_stopped_runs.py
@@ -5,9 +5,9 @@
 import pytest
 
 from fakes import relay_servers
-from lifecycle import gateway_harness, test_relayed_streams
 from quetzalpass.backends import relays
-from quetzalpass.lifecycle import stream_segments
+from quetzalpass.relay import stream_segments
+from relay import gateway_harness, test_relayed_streams
 
 EVENT_COUNT = 60
 # The rule allows two servers to work on a generation for 0.4 s.
--- a/tests/upgrades/samples.py
+++ b/tests/upgrades/samples.py
@@ -8,6 +8,7 @@
 """
 
 import importlib
+import importlib.util
 import json
 import pkgutil
 import sys
@@ -38,6 +39,8 @@
     "control.ledger_messages.BatchReply",
     "lifecycle.claimed_generations.RecordedGeneration",
 )
+# Modules that have moved since; samples keep the names of the version before.
+MOVED_MODULES = {"relay.handover_messages": "lifecycle.handover_messages"}
 SCALARS = {
     inspect.IntType: 3,
     inspect.FloatType: 0.5,
@@ -111,14 +114,18 @@
     while waiting:
         for each in waiting.pop().__subclasses__():
             waiting.append(each)
-            name = f"{each.__module__}.{each.__name__}"
-            found[name.removeprefix("quetzalpass.")] = each
+            module = each.__module__.removeprefix("quetzalpass.")
+            found[f"{MOVED_MODULES.get(module, module)}.{each.__name__}"] = each
     return found
 
 
 def listed_type(name):
-    module, _, attribute = name.rpartition(".")
-    return getattr(importlib.import_module(f"quetzalpass.{module}"), attribute)
+    """Return a type by its name, in whichever module this build has it."""
+    old_module, _, attribute = name.rpartition(".")
+    for module, old in MOVED_MODULES.items():
+        if old == old_module and importlib.util.find_spec(f"quetzalpass.{module}"):
+            old_module = module
+    return getattr(importlib.import_module(f"quetzalpass.{old_module}"), attribute)
 
 
 def codecs():
