--- a/tests/upgrades/samples.py
+++ b/tests/upgrades/samples.py
@@ -8,7 +8,6 @@
 """
 
 import importlib
-import importlib.util
 import json
 import pkgutil
 import sys
@@ -121,11 +120,15 @@
 
 def listed_type(name):
     """Return a type by its name, in whichever module this build has it."""
-    old_module, _, attribute = name.rpartition(".")
-    for module, old in MOVED_MODULES.items():
-        if old == old_module and importlib.util.find_spec(f"quetzalpass.{module}"):
-            old_module = module
-    return getattr(importlib.import_module(f"quetzalpass.{old_module}"), attribute)
+    module, _, attribute = name.rpartition(".")
+    new_modules = {old: new for new, old in MOVED_MODULES.items()}
+    try:
+        found = importlib.import_module(
+            f"quetzalpass.{new_modules.get(module, module)}"
+        )
+    except ModuleNotFoundError:
+        found = importlib.import_module(f"quetzalpass.{module}")
+    return getattr(found, attribute)
 
 
 def codecs():
