Loops that follow others live on after any error; the list of VMs is decoded row by row

Seven endless loops of the own interface (following peers, anti-entropy, summaries, probes, reconciling, certificates, the list of VMs) were plain tasks: an error that they don't expect ended them for good, without a log line. They are restarted now, with a bounded log and the metric background_failures, like those of the platform. One odd row made the whole list of VMs malformed, with a line at each poll; now it is left out (test_an_odd_row_leaves_the_others).

--- a/src/quetzalpass/background.py
+++ b/src/quetzalpass/background.py
@@ -68,6 +68,11 @@
         await asyncio.sleep(RESTART_DELAY_S)
 
 
+def start(name: str, work: Callable[[], Awaitable[None]]) -> asyncio.Task[None]:
+    """Start a task that runs a coroutine forever; see :func:`keep_running`."""
+    return asyncio.create_task(keep_running(name, work))
+
+
 class BackgroundTasks:
     """Tasks that nothing awaits; their failures are logged.
 
--- a/src/quetzalpass/daemon/control_role.py
+++ b/src/quetzalpass/daemon/control_role.py
@@ -163,8 +163,7 @@
             ("board", self.server_registry.run),
             ("watch", self.leaving_monitor.run),
         ):
-            running = background.keep_running(name, work)
-            self.tasks.append(asyncio.create_task(running))
+            self.tasks.append(background.start(name, work))
 
     def build_group(self) -> consensus_group.Group:
         """Return the replica of the group that holds the declaration."""
--- a/src/quetzalpass/daemon/listeners.py
+++ b/src/quetzalpass/daemon/listeners.py
@@ -7,6 +7,7 @@
 import logbook
 from aiohttp import web
 
+from quetzalpass import background
 from quetzalpass.settings import schema
 from quetzalpass.wire import server
 
@@ -151,7 +152,7 @@
         if self.listener.tls is not None:
             self.reloader = CertificateReloader(self.listener.tls)
             context = self.reloader.context
-            self.reload_task = asyncio.create_task(self.reloader.run())
+            self.reload_task = background.start("certificates", self.reloader.run)
         site = web.TCPSite(
             self.runner,
             self.listener.host,
--- a/src/quetzalpass/membership/control_links.py
+++ b/src/quetzalpass/membership/control_links.py
@@ -133,8 +133,7 @@
             ("exchange", self.exchange),
             ("list", self.read_list_directly),
         ):
-            running = background.keep_running(name, work)
-            self.tasks.append(asyncio.create_task(running))
+            self.tasks.append(background.start(name, work))
 
     def stop(self) -> None:
         """Stop all tasks."""
@@ -174,10 +173,8 @@
                 self.followers.pop(vm).cancel()
         for vm in self.controls:
             if vm not in self.followers:
-                following = background.keep_running(
-                    f"following {vm}", functools.partial(self.follow, vm)
-                )
-                self.followers[vm] = asyncio.create_task(following)
+                follow = functools.partial(self.follow, vm)
+                self.followers[vm] = background.start(f"following {vm}", follow)
 
     async def follow(self, vm: ids.VmId) -> None:
         """Long-poll one control node for revisions."""
--- a/src/quetzalpass/membership/leaving_server_monitor.py
+++ b/src/quetzalpass/membership/leaving_server_monitor.py
@@ -12,6 +12,7 @@
 import logbook
 from returns import result
 
+from quetzalpass import background
 from quetzalpass.backends import discovery, relays
 from quetzalpass.membership import fleet_registry
 
@@ -41,6 +42,7 @@
         self.registry = registry
         self.connect = connect
         self.tasks: dict[discovery.ServerPlace, asyncio.Task[None]] = {}
+        self.failure_log = background.FailureLog()
 
     async def run(self) -> None:
         """Keep one task for each engine in use while this node reads the list."""
@@ -57,9 +59,16 @@
                     self.tasks.pop(place).cancel()
             for place, server in wanted.items():
                 if place not in self.tasks:
-                    self.tasks[place] = asyncio.create_task(self.monitor(server))
+                    monitoring = asyncio.create_task(self.monitor(server))
+                    monitoring.add_done_callback(self.on_done)
+                    self.tasks[place] = monitoring
             await asyncio.sleep(SERVER_CHECK_INTERVAL_S)
 
+    def on_done(self, task: asyncio.Task[None]) -> None:
+        """Log the failure of a task."""
+        if not task.cancelled() and task.exception() is not None:
+            self.failure_log.record("Watching an engine failed", task.exception())
+
     async def monitor(self, server: discovery.DiscoveredServer) -> None:
         """Query one engine repeatedly until it is leaving, and announce that."""
         adapter = self.connect(server)
--- a/src/quetzalpass/membership/platform_list.py
+++ b/src/quetzalpass/membership/platform_list.py
@@ -8,7 +8,8 @@
 import logbook
 import msgspec
 
-from quetzalpass import decoding, ids
+from quetzalpass import background, decoding, ids, odd_values
+from quetzalpass.backends import http_client
 
 LOG = logbook.Logger("membership")
 
@@ -65,11 +66,13 @@
         self.url = url
         self.on_change = on_change
         self.leaving: dict[ids.VmId, PlatformVm] = {}
+        self.odd_values = odd_values.OddValues(LOG)
+        self.failure_log = background.FailureLog()
         self.task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
         """Start polling."""
-        self.task = asyncio.create_task(self.poll_periodically())
+        self.task = background.start("list of VMs", self.poll_periodically)
 
     def stop(self) -> None:
         """Stop polling."""
@@ -88,15 +91,22 @@
         try:
             async with asyncio.timeout(POLL_TIMEOUT_S):
                 async with session.get(self.url) as response:
-                    data = await response.read()
-            rows = decoding.decode_json(data, tuple[PlatformVm, ...])
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            LOG.warning("membership: The platform's list can't be read: {!r}.", error)
+                    data = await http_client.read_body(response)
+            rows = decoding.decode_json(data, tuple[msgspec.Raw, ...])
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+            self.failure_log.record("The platform's list can't be read", error)
             return
-        except decoding.DecodingError as error:
-            LOG.warning("membership: The platform's list is malformed: {}.", error)
-            return
-        self.apply_rows(rows)
+        self.apply_rows(self.decode_rows(rows))
+
+    def decode_rows(self, rows: tuple[msgspec.Raw, ...]) -> tuple[PlatformVm, ...]:
+        """Return the rows of a list that can be decoded."""
+        decoded = []
+        for row in rows:
+            try:
+                decoded.append(decoding.decode_json(row, PlatformVm))
+            except decoding.DecodingError as error:
+                self.odd_values.record("a row of the list of VMs", bytes(row), error)
+        return tuple(decoded)
 
     def apply_rows(self, rows: tuple[PlatformVm, ...]) -> None:
         """Apply a list that has been read."""
--- a/src/quetzalpass/membership/propagation.py
+++ b/src/quetzalpass/membership/propagation.py
@@ -8,12 +8,13 @@
 """
 
 import asyncio
+import functools
 import random
 
 import logbook
 from returns import result
 
-from quetzalpass import ids
+from quetzalpass import background, ids
 from quetzalpass.membership import configuration, peer_client
 from quetzalpass.settings import schema
 
@@ -77,9 +78,10 @@
     def start(self) -> None:
         """Start one task for each source and one for anti-entropy."""
         for vm in sources_for(self.settings):
-            self.tasks.append(asyncio.create_task(self.follow(self.clients[vm])))
+            follow = functools.partial(self.follow, self.clients[vm])
+            self.tasks.append(background.start(f"following {vm}", follow))
         if self.clients:
-            self.tasks.append(asyncio.create_task(self.run_anti_entropy()))
+            self.tasks.append(background.start("anti-entropy", self.run_anti_entropy))
 
     def stop(self) -> None:
         """Stop all tasks."""
--- a/src/quetzalpass/membership/server_monitor.py
+++ b/src/quetzalpass/membership/server_monitor.py
@@ -1,13 +1,14 @@
 """Probes the backend servers that this gateway observes."""
 
 import asyncio
+import functools
 import random
 from collections.abc import Callable
 
 import logbook
 from returns import result
 
-from quetzalpass import ids
+from quetzalpass import background, ids
 from quetzalpass.backends import base
 from quetzalpass.membership import opinions
 
@@ -120,7 +121,9 @@
         for server_id, probe in wanted.items():
             if server_id not in self.tasks:
                 self.probes[server_id] = probe
-                self.tasks[server_id] = asyncio.create_task(self.run_probe(probe))
+                self.tasks[server_id] = background.start(
+                    f"probes of {server_id}", functools.partial(self.run_probe, probe)
+                )
 
     async def run_probe(self, probe: ServerProbe) -> None:
         """Probe one server periodically, after a random first delay."""
--- a/src/quetzalpass/membership/summaries.py
+++ b/src/quetzalpass/membership/summaries.py
@@ -1,12 +1,13 @@
 """Sends this gateway's summaries to the other gateways."""
 
 import asyncio
+import functools
 from collections.abc import Callable
 
 import logbook
 from returns import result
 
-from quetzalpass import ids
+from quetzalpass import background, ids
 from quetzalpass.membership import inner_messages, peer_client
 from quetzalpass.settings import schema
 
@@ -62,9 +63,8 @@
         for client in self.clients.values():
             send_request = asyncio.Event()
             self.send_requests.append(send_request)
-            self.tasks.append(
-                asyncio.create_task(self.send_periodically(client, send_request))
-            )
+            send = functools.partial(self.send_periodically, client, send_request)
+            self.tasks.append(background.start(f"summaries for {client.vm}", send))
 
     def send_now(self) -> None:
         """Send the next summaries without waiting for the end of the interval."""
--- a/src/quetzalpass/reconcile/reconciler.py
+++ b/src/quetzalpass/reconcile/reconciler.py
@@ -12,7 +12,7 @@
 import logbook
 from returns import result
 
-from quetzalpass import ids
+from quetzalpass import background, ids
 from quetzalpass.backends import base
 from quetzalpass.declarations import schema
 from quetzalpass.membership import configuration
@@ -72,7 +72,7 @@
 
     def start(self) -> None:
         """Start reconciling at a fixed interval."""
-        self.task = asyncio.create_task(self.run())
+        self.task = background.start("reconciling", self.run)
 
     def stop(self) -> None:
         """Stop reconciling."""
--- a/src/quetzalpass/wire/handlers.py
+++ b/src/quetzalpass/wire/handlers.py
@@ -47,7 +47,7 @@
         -------
         returns.result.Result
             The handler's result, ``NOT_FOUND`` if there is no handler, ``BAD_JSON``, or
-            ``INTERNAL`` if the handler raised an exception, which is logged.
+            ``UNREACHABLE`` if the handler raised an exception, which is logged.
         """
         if name not in self.handlers:
             message = (
@@ -63,4 +63,5 @@
         except Exception as error:
             self.failure_log.record(f"The handler of {name} failed", error)
             message = f"The handler of {name} failed; see the log of this VM."
-            return result.Failure(failures.Failure(codes.Code.INTERNAL, message))
+            # As for a lost reply, nobody knows what the handler has done.
+            return result.Failure(failures.Failure(codes.Code.UNREACHABLE, message))
--- a/tests/membership/test_platform_list.py
+++ b/tests/membership/test_platform_list.py
@@ -1,3 +1,5 @@
+import msgspec
+
 import builders
 from quetzalpass import ids
 from quetzalpass.membership import platform_list, server_views
@@ -38,3 +40,16 @@
         listed.apply_rows((row,))
         assert len(notified) == 1
         assert set(listed.leaving) == {"vm-a"}
+
+    def test_an_odd_row_leaves_the_others(self):
+        listed = platform_list.PlatformList("http://127.0.0.1:1", lambda: None)
+        deep = b"[" * 900 + b"]" * 900
+        rows = (
+            b'{"id": "vm-a", "state": "leaving"}',
+            b'{"id": 5, "state": "leaving"}',
+            b'{"id": "vm-x", "state": "odd"}',
+            b'{"id": "vm-y", "state": "leaving", "deadline": %s}' % deep,
+            b'{"id": "vm-b", "state": "gone"}',
+        )
+        listed.apply_rows(listed.decode_rows(tuple(map(msgspec.Raw, rows))))
+        assert set(listed.leaving) == {"vm-a", "vm-b"}
