--- a/src/quetzalpass/decoding.py
+++ b/src/quetzalpass/decoding.py
@@ -5,6 +5,7 @@
 the functions of this module, which fail in one way only.
 """
 
+from collections.abc import Callable
 from typing import Any, TypeVar
 
 import msgspec
@@ -39,36 +40,22 @@
     DecodingError
         If the document is malformed or has another type.
     """
-    try:
-        return msgspec.json.decode(data, type=document_type)
-    except DECODER_ERRORS as error:
-        raise decoding_error(error) from error
+    return decode(msgspec.json.decode, data, document_type)
 
 
 def decode_yaml(data: bytes, document_type: type[Document]) -> Document:
-    """Decode a YAML document.
-
-    Raises
-    ------
-    DecodingError
-        If the document is malformed or has another type.
-    """
-    try:
-        return msgspec.yaml.decode(data, type=document_type)
-    except DECODER_ERRORS as error:
-        raise decoding_error(error) from error
+    """Decode a YAML document; see :func:`decode_json`."""
+    return decode(msgspec.yaml.decode, data, document_type)
 
 
-def decode_msgpack(data: bytes, document_type: type[Document]) -> Document:
-    """Decode a MessagePack document.
-
-    Raises
-    ------
-    DecodingError
-        If the document is malformed or has another type.
-    """
+def decode(
+    decoder: Callable[..., Document],
+    data: bytes | msgspec.Raw,
+    document_type: type[Document],
+) -> Document:
+    """Decode a document with one of msgspec's decoders; see :func:`decode_json`."""
     try:
-        return msgspec.msgpack.decode(data, type=document_type)
+        return decoder(data, type=document_type)
     except DECODER_ERRORS as error:
         raise decoding_error(error) from error
 
--- a/src/quetzalpass/odd_values.py
+++ b/src/quetzalpass/odd_values.py
@@ -44,6 +44,9 @@
         OddValues.total += 1
         if not self.seen.add(value) or not self.limiter.allows():
             return
+        suppressed = self.limiter.take_suppressed()
+        if suppressed:
+            what = f"{what} (and {suppressed} other values without a line)"
         if isinstance(value, bytes):
             value = value[: event_log.MAX_TEXT_LENGTH].decode("utf-8", "replace")
         self.logger.warning(
