A send without budget for a retry has the path to its servers checked meanwhile

The wait for a slow server also ended the retry of a service with one server at another gateway, and delayed the finding that a path is lost: the failed send at 45% of the time had started the check. Now only the budget decides, as the complaint was, and without it the check begins at the same moment as before (test_without_budget_the_path_to_the_servers_is_checked).

--- a/src/quetzalpass/relay/relayed_calls.py
+++ b/src/quetzalpass/relay/relayed_calls.py
@@ -233,8 +233,8 @@
 ) -> result.Result[WholeResponse, base.AttemptFailure]:
     """Send a call, and give a slow server up after a timeout.
 
-    A server is given up early only for a retry at another one. While there is none, or
-    the budget allows no retry, the response may still arrive by the deadline.
+    A server is given up early only for a retry. While the budget allows none, the
+    response may still arrive by the deadline.
     """
     loop = asyncio.get_running_loop()
     started_s = loop.time()
@@ -264,19 +264,16 @@
     state: CallState,
     limit: asyncio.Timeout,
 ) -> None:
-    """End a send that is still running if the call can be retried elsewhere."""
+    """End a send that is still running if the budget allows a retry."""
     now_s = asyncio.get_running_loop().time()
     if state.sends >= MAX_SENDS or now_s >= routed.deadline_s:
         return
-    other = gateway.reservations.reserve_service_server(
-        routed, frozenset(state.tried | state.denied)
-    )
-    if other is None:
-        return
-    other.release()
     state.is_retry_paid = gateway.budget.try_withdraw(routed.service.name, now_s)
     if state.is_retry_paid:
         limit.reschedule(now_s)
+    else:
+        # The server may be silent because the path to all of them is lost.
+        gateway.reach_checks.suspect(routed.service.name)
 
 
 async def exchange(
