--- a/tests/adapter/test_instances.py
+++ b/tests/adapter/test_instances.py
@@ -10,6 +10,7 @@
 from quetzalpass.backends import discovery
 from quetzalpass.results import codes
 
+# The decoder raises RecursionError for values that are nested so deeply.
 DEPTHS = (1_200, 100_000)
 DEEP = b"[" * 1_200 + b"]" * 1_200
 HUGE = b"9" * 400
