A log whose disk refuses a write writes it again until the disk has synced it

What callers saw: after a disk had refused writes for 0.3 s its control node answered 503 to every read and change until its process ended; one disk after the other, and nobody answered.

Cause: SegmentLog kept the first OSError for good, and the replica with it. The class: a failure held for good though its cause has passed.

Now the frame stays in memory and is written again at the same offset, then synced; a sync that failed is never repeated without writing the bytes again, a folder's sync never without a change in the folder. Nothing behind the frame is written before. A log commits nothing that the disk has not synced; what waits is answered when it has. Writes no longer run in the event loop, so a hanging disk doesn't stop the node. DiskHealth tells no room, failed write, failed sync and hanging apart, with since when.

--- a/src/quetzalpass/consensus/log.py
+++ b/src/quetzalpass/consensus/log.py
@@ -8,7 +8,7 @@
 from quetzalpass.consensus import entries, sessions
 from quetzalpass.results import codes, failures
 from quetzalpass.storage import disk as disks
-from quetzalpass.storage import frames, segments, snapshots
+from quetzalpass.storage import frames, reserve, segments, snapshots
 
 SEGMENT_BYTES = 4 * 1024 * 1024
 TRAILING_ENTRIES = 256
@@ -50,9 +50,11 @@
     ----------
     disk : disks.Disk
         Folder of this replica.
+    name : str
+        Name of the group in log lines and metrics.
     """
 
-    def __init__(self, disk: disks.Disk) -> None:
+    def __init__(self, disk: disks.Disk, name: str = "log") -> None:
         self.entries: list[entries.Entry] = []
         self.base_index = ids.LogIndex(0)
         self.base_term = ids.Term(0)
@@ -60,8 +62,10 @@
         self.snapshot_data = b""
         self.configurations: list[tuple[int, entries.Configuration]] = []
         self.hard_state = entries.HardState()
-        self.segments = segments.SegmentLog(disk, self.head_record, SEGMENT_BYTES)
-        self.snapshots = snapshots.SnapshotStore(disk)
+        self.segments = segments.SegmentLog(disk, self.head_record, SEGMENT_BYTES, name)
+        self.health = self.segments.health
+        self.snapshots = snapshots.SnapshotStore(disk, self.health)
+        self.reserve = reserve.Reserve(disk, self.health)
 
     @property
     def last_index(self) -> ids.LogIndex:
--- a/src/quetzalpass/consensus/replica.py
+++ b/src/quetzalpass/consensus/replica.py
@@ -155,7 +155,7 @@
         self.transport = transport
         self.machine = state_machine
         self.rng = rng
-        self.log = logs.ReplicatedLog(disk)
+        self.log = logs.ReplicatedLog(disk, settings.group)
         self.sessions = sessions.Sessions()
         self.replica_id = entries.NO_REPLICA
         self.role = Role.STOPPED
--- a/src/quetzalpass/storage/disk.py
+++ b/src/quetzalpass/storage/disk.py
@@ -2,7 +2,6 @@
 
 import abc
 import asyncio
-import contextlib
 import fcntl
 import os
 import pathlib
@@ -12,14 +11,25 @@
 from quetzalpass.results import codes, failures
 
 LOCK_NAME = "lock"
+# Created and removed to change a folder, see ``sync_folder``.
+TOUCHED_NAME = "touched"
+
+
+class SyncError(OSError):
+    """A sync failed.
+
+    The pages that it covered may never reach the disk, even if a later sync succeeds,
+    unless they are written again.
+    """
 
 
 class Disk(abc.ABC):
     """The files of one folder.
 
     Content is durable once ``sync`` returns, a name once ``sync_folder`` returns.
-    All methods raise ``OSError`` if the disk fails. Methods that wait for the disk are
-    coroutines and don't block the event loop.
+    All methods raise ``OSError`` if the disk fails, ``SyncError`` if a sync does.
+    Methods that write are coroutines and don't block the event loop, as a disk may
+    hang for seconds.
     """
 
     @abc.abstractmethod
@@ -31,13 +41,17 @@
         """Return the whole content of a file."""
 
     @abc.abstractmethod
-    def append(self, name: str, data: bytes) -> None:
-        """Append data to a file, which is created if it is missing."""
+    def size(self, name: str) -> int:
+        """Return the size of a file in bytes."""
 
     @abc.abstractmethod
-    def overwrite(self, name: str, offset: int, data: bytes) -> None:
+    async def overwrite(self, name: str, offset: int, data: bytes) -> None:
         """Write data at an offset in bytes; the file is created if it is missing."""
 
+    @abc.abstractmethod
+    async def overwrite_and_sync(self, name: str, offset: int, data: bytes) -> None:
+        """Write data at an offset in bytes and sync the file."""
+
     @abc.abstractmethod
     def truncate(self, name: str, size: int) -> None:
         """Truncate a file to a size in bytes."""
@@ -60,7 +74,10 @@
 
     @abc.abstractmethod
     async def sync_folder(self) -> None:
-        """Sync the folder, so that created and renamed files are durable."""
+        """Make the names of created, renamed and removed files durable.
+
+        After a failure, the next call changes the folder before it syncs it.
+        """
 
     @abc.abstractmethod
     def folder(self, name: str) -> "Disk":
@@ -78,12 +95,21 @@
     ----------
     path : pathlib.Path
         The folder, which must exist.
+
+    Attributes
+    ----------
+    failed_folder_syncs : int
+        Syncs of the folder that have failed.
+    repeated_folder_syncs : int
+        How many of them a later sync has made up for.
     """
 
     def __init__(self, path: pathlib.Path) -> None:
         self.path = path
         self.descriptors: dict[str, int] = {}
         self.folders: dict[str, FolderDisk] = {}
+        self.failed_folder_syncs = 0
+        self.repeated_folder_syncs = 0
 
     def names(self) -> list[str]:
         """Return the names of the folder's files, sorted."""
@@ -93,17 +119,18 @@
         """Return the whole content of a file."""
         return (self.path / name).read_bytes()
 
-    def append(self, name: str, data: bytes) -> None:
-        """Append data to a file, which is created if it is missing."""
-        descriptor = self.get_descriptor(name)
-        os.lseek(descriptor, 0, os.SEEK_END)
-        write_all(descriptor, data)
+    def size(self, name: str) -> int:
+        """Return the size of a file in bytes."""
+        return (self.path / name).stat().st_size
 
-    def overwrite(self, name: str, offset: int, data: bytes) -> None:
+    async def overwrite(self, name: str, offset: int, data: bytes) -> None:
         """Write data at an offset in bytes; the file is created if it is missing."""
+        await asyncio.to_thread(write_all, self.get_descriptor(name), offset, data)
+
+    async def overwrite_and_sync(self, name: str, offset: int, data: bytes) -> None:
+        """Write data at an offset in bytes and sync the file."""
         descriptor = self.get_descriptor(name)
-        os.lseek(descriptor, offset, os.SEEK_SET)
-        write_all(descriptor, data)
+        await asyncio.to_thread(write_all_and_sync, descriptor, offset, data)
 
     def truncate(self, name: str, size: int) -> None:
         """Truncate a file to a size in bytes."""
@@ -127,11 +154,19 @@
 
     async def sync(self, name: str) -> None:
         """Make a file's content durable."""
-        await asyncio.to_thread(os.fdatasync, self.get_descriptor(name))
+        await asyncio.to_thread(sync_content, self.get_descriptor(name))
 
     async def sync_folder(self) -> None:
-        """Sync the folder, so that created and renamed files are durable."""
-        await asyncio.to_thread(sync_path, self.path)
+        """Make the names of created, renamed and removed files durable."""
+        failed = self.failed_folder_syncs
+        try:
+            if failed > self.repeated_folder_syncs:
+                await asyncio.to_thread(change_folder, self.path / TOUCHED_NAME)
+            await asyncio.to_thread(sync_path, self.path)
+        except OSError:
+            self.failed_folder_syncs += 1
+            raise
+        self.repeated_folder_syncs = max(self.repeated_folder_syncs, failed)
 
     def folder(self, name: str) -> Disk:
         """Return a subfolder, created if it is missing."""
@@ -195,26 +230,57 @@
     return result.Success(disk)
 
 
-def write_all(descriptor: int, data: bytes) -> None:
-    """Write all the data, repeating the system call after partial writes."""
+def write_all(descriptor: int, offset: int, data: bytes) -> None:
+    """Write all the data at an offset in bytes, also after partial writes."""
+    os.lseek(descriptor, offset, os.SEEK_SET)
     view = memoryview(data)
     while view:
         view = view[os.write(descriptor, view) :]
 
 
+def write_all_and_sync(descriptor: int, offset: int, data: bytes) -> None:
+    """Write all the data at an offset in bytes and make it durable."""
+    write_all(descriptor, offset, data)
+    sync_content(descriptor)
+
+
+def sync_content(descriptor: int) -> None:
+    """Make a file's content durable."""
+    try:
+        os.fdatasync(descriptor)
+    except OSError as error:
+        raise SyncError(error.errno, error.strerror) from error
+
+
+def sync_all(descriptor: int) -> None:
+    """Make the content and the metadata of a file, or a folder, durable."""
+    try:
+        os.fsync(descriptor)
+    except OSError as error:
+        raise SyncError(error.errno, error.strerror) from error
+
+
 def write_and_sync(path: pathlib.Path, data: bytes) -> None:
     """Replace a file's content and sync it."""
     flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC
     descriptor = os.open(path, flags, 0o600)
-    with contextlib.closing(os.fdopen(descriptor, "wb", buffering=0)):
-        write_all(descriptor, data)
-        os.fsync(descriptor)
+    try:
+        write_all(descriptor, 0, data)
+        sync_all(descriptor)
+    finally:
+        os.close(descriptor)
 
 
 def sync_path(path: pathlib.Path) -> None:
     """Sync a folder."""
     descriptor = os.open(path, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
     try:
-        os.fsync(descriptor)
+        sync_all(descriptor)
     finally:
         os.close(descriptor)
+
+
+def change_folder(path: pathlib.Path) -> None:
+    """Create and remove a file, so that a later sync of its folder writes it again."""
+    os.close(os.open(path, os.O_WRONLY | os.O_CREAT | os.O_CLOEXEC, 0o600))
+    path.unlink()
--- a/src/quetzalpass/storage/recovery.py
+++ b/src/quetzalpass/storage/recovery.py
@@ -84,7 +84,7 @@
     return f"{SEGMENT_PREFIX}{sequence:012d}"
 
 
-def write_synced_mark(disk: disks.Disk, segment: Segment) -> None:
+async def write_synced_mark(disk: disks.Disk, segment: Segment) -> None:
     """Write how far a segment is synced; the mark itself needs no sync.
 
     It distinguishes damage in the last frame from a torn write. If the mark is lost or
@@ -93,7 +93,7 @@
     body = SYNCED.pack(segment.sequence, segment.size, 0)
     checksum = crc32c.crc32c(body)
     content = SYNCED.pack(segment.sequence, segment.size, checksum)
-    disk.overwrite(SYNCED_NAME, 0, content)
+    await disk.overwrite(SYNCED_NAME, 0, content)
 
 
 def read_synced_mark(disk: disks.Disk) -> SyncedMark:
