--- a/src/quetzalpass/cli/waiting.py
+++ b/src/quetzalpass/cli/waiting.py
@@ -91,7 +91,7 @@
 
 def group_lines(groups: tuple[messages.GroupStatus, ...]) -> list[str]:
     """Format consensus groups as a table."""
-    rows = [("GROUP", "LEADER", "TERM", "APPLIED", "MEMBERS")]
+    rows = [("GROUP", "LEADER", "TERM", "APPLIED", "MEMBERS", "DISK")]
     rows += [group_row(group) for group in groups]
     return [output.printable(line) for line in output.table(rows)]
 
@@ -120,4 +120,7 @@
     """Return the table row of a consensus group."""
     members = ",".join(group.members)
     leader = group.leader or "none"
-    return (group.group, leader, str(group.term), str(group.applied), members)
+    disk = group.disk
+    if group.disk_trouble_s > 0:
+        disk += f" for {group.disk_trouble_s:.1f}s"
+    return (group.group, leader, str(group.term), str(group.applied), members, disk)
--- a/src/quetzalpass/consensus/group.py
+++ b/src/quetzalpass/consensus/group.py
@@ -22,6 +22,7 @@
 from quetzalpass.consensus import timing as timings
 from quetzalpass.results import codes, failures
 from quetzalpass.storage import disk as disks
+from quetzalpass.storage import health
 from quetzalpass.wire import transport as transports
 
 MAX_COMMAND_BYTES = 4 * 1024 * 1024
@@ -138,6 +139,11 @@
         leadership = self.replica.leadership
         return leadership if isinstance(leadership, leading.Leadership) else None
 
+    @property
+    def health(self) -> health.DiskHealth:
+        """Return the health of this replica's disk, the same object for good."""
+        return self.replica.health
+
     def leader(self) -> ids.VmId | None:
         """Return the VM of the leader that this replica knows, if any."""
         return self.replica.leader
--- a/src/quetzalpass/consensus/log.py
+++ b/src/quetzalpass/consensus/log.py
@@ -8,7 +8,7 @@
 from quetzalpass.consensus import entries, sessions
 from quetzalpass.results import codes, failures
 from quetzalpass.storage import disk as disks
-from quetzalpass.storage import frames, reserve, segments, snapshots
+from quetzalpass.storage import frames, health, reserve, segments, snapshots
 
 SEGMENT_BYTES = 4 * 1024 * 1024
 TRAILING_ENTRIES = 256
@@ -50,11 +50,13 @@
     ----------
     disk : disks.Disk
         Folder of this replica.
-    name : str
-        Name of the group in log lines and metrics.
+    disk_health : health.DiskHealth or None
+        Where to record what is wrong with the disk.
     """
 
-    def __init__(self, disk: disks.Disk, name: str = "log") -> None:
+    def __init__(
+        self, disk: disks.Disk, disk_health: health.DiskHealth | None = None
+    ) -> None:
         self.entries: list[entries.Entry] = []
         self.base_index = ids.LogIndex(0)
         self.base_term = ids.Term(0)
@@ -62,7 +64,9 @@
         self.snapshot_data = b""
         self.configurations: list[tuple[int, entries.Configuration]] = []
         self.hard_state = entries.HardState()
-        self.segments = segments.SegmentLog(disk, self.head_record, SEGMENT_BYTES, name)
+        self.segments = segments.SegmentLog(
+            disk, self.head_record, SEGMENT_BYTES, disk_health
+        )
         self.health = self.segments.health
         self.snapshots = snapshots.SnapshotStore(disk, self.health)
         self.reserve = reserve.Reserve(disk, self.health)
--- a/src/quetzalpass/consensus/replica.py
+++ b/src/quetzalpass/consensus/replica.py
@@ -16,6 +16,7 @@
 from quetzalpass.consensus import timing as timings
 from quetzalpass.results import codes, failures
 from quetzalpass.storage import disk as disks
+from quetzalpass.storage import health
 from quetzalpass.wire import transport as transports
 
 GONE_AFTER_S = 3.0
@@ -155,7 +156,8 @@
         self.transport = transport
         self.machine = state_machine
         self.rng = rng
-        self.log = logs.ReplicatedLog(disk, settings.group)
+        self.health = health.DiskHealth(settings.group)
+        self.log = logs.ReplicatedLog(disk, self.health)
         self.sessions = sessions.Sessions()
         self.replica_id = entries.NO_REPLICA
         self.role = Role.STOPPED
--- a/src/quetzalpass/control/messages.py
+++ b/src/quetzalpass/control/messages.py
@@ -89,13 +89,23 @@
 
 
 class GroupStatus(msgspec.Struct, frozen=True):
-    """Status of a consensus group as one of its replicas reports it."""
+    """Status of a consensus group as one of its replicas reports it.
+
+    Attributes
+    ----------
+    disk : str
+        Condition of this replica's disk, ``ok`` or what is wrong with it.
+    disk_trouble_s : float
+        Time in seconds for which that has lasted.
+    """
 
     group: ids.GroupId
     leader: ids.VmId | None
     term: ids.Term
     applied: ids.LogIndex
     members: tuple[ids.VmId, ...]
+    disk: str = "ok"
+    disk_trouble_s: float = 0.0
 
 
 class StatusReply(msgspec.Struct, frozen=True):
--- a/src/quetzalpass/daemon/control_role.py
+++ b/src/quetzalpass/daemon/control_role.py
@@ -147,6 +147,7 @@
         self.disk = replica_role.value_or_raise(disk.open_folder(folder))
         self.group = self.build_group()
         registry.GroupRegistry(self.table).add(self.group)
+        self.metrics.watch_disk(self.group.health)
         self.proposer = groups.GroupProposer(
             groups.DECLARATION_GROUP, {}, self.group, self.client_of
         )
--- a/src/quetzalpass/daemon/replica_role.py
+++ b/src/quetzalpass/daemon/replica_role.py
@@ -117,6 +117,8 @@
                 group.term,
                 group.applied_index,
                 tuple(each.vm for each in group.members().members),
+                group.health.condition.value,
+                round(group.health.failing_for_s(), 1),
             )
             for group in self.registry.groups.values()
         )
--- a/src/quetzalpass/metrics/exposition.py
+++ b/src/quetzalpass/metrics/exposition.py
@@ -5,6 +5,7 @@
 from prometheus_client import exposition
 
 from quetzalpass import background, event_log, odd_values
+from quetzalpass.storage import health
 
 PATH = "/metrics"
 # Route names come from the declaration; those above this number share one label.
@@ -88,6 +89,36 @@
             "odd_values", "Values of other processes that were left out as malformed"
         )
         self.odd_values.set_function(odd_values.total_count)
+        self.disk_condition = self.gauge(
+            "disk_condition",
+            "1 for the present condition of a group's disk",
+            "group",
+            "condition",
+        )
+        self.disk_trouble_s = self.gauge(
+            "disk_trouble_seconds", "Time since a group's disk is in trouble", "group"
+        )
+        self.disk_failures = self.gauge(
+            "disk_failures", "Operations that a disk failed", "group", "condition"
+        )
+        self.disk_recoveries = self.gauge(
+            "disk_recoveries", "Operations that succeeded again", "group"
+        )
+
+    def watch_disk(self, disk_health: health.DiskHealth) -> None:
+        """Expose the condition of a group's disk."""
+        name = disk_health.name
+        for condition in health.Condition:
+            self.disk_condition.labels(name, condition.value).set_function(
+                lambda each=condition: float(disk_health.condition is each)
+            )
+            self.disk_failures.labels(name, condition.value).set_function(
+                lambda each=condition: float(disk_health.failure_counts[each])
+            )
+        self.disk_trouble_s.labels(name).set_function(disk_health.failing_for_s)
+        self.disk_recoveries.labels(name).set_function(
+            lambda: float(disk_health.recovery_count)
+        )
 
     def counter(self, name: str, text: str, *labels: str) -> prometheus_client.Counter:
         """Register a counter."""
--- a/src/quetzalpass/storage/segments.py
+++ b/src/quetzalpass/storage/segments.py
@@ -37,13 +37,11 @@
         be dropped without losing it.
     segment_bytes : int
         Size from which a new segment is started.
-    name : str
-        Name of the log in log lines and metrics.
+    disk_health : health.DiskHealth or None
+        Where to record what is wrong with the disk.
 
     Attributes
     ----------
-    health : health.DiskHealth
-        What is wrong with the disk, if anything.
     make_room : callable or None
         Awaited between two attempts when the disk is full, to drop what can be dropped.
     """
@@ -53,12 +51,12 @@
         disk: disks.Disk,
         head: abc.Callable[[], frames.Record],
         segment_bytes: int = SEGMENT_BYTES,
-        name: str = "log",
+        disk_health: health.DiskHealth | None = None,
     ) -> None:
         self.disk = disk
         self.head = head
         self.segment_bytes = segment_bytes
-        self.health = health.DiskHealth(name)
+        self.health = disk_health or health.DiskHealth("log")
         self.make_room: abc.Callable[[], abc.Awaitable[None]] | None = None
         self.segments: list[recovery.Segment] = []
         self.pending: list[frames.Record] = []
--- a/tests/storage/test_refusals.py
+++ b/tests/storage/test_refusals.py
@@ -19,7 +19,7 @@
 
 
 def new_log(disk, segment_bytes=150):
-    return segments.SegmentLog(disk, lambda: HEAD, segment_bytes, "test")
+    return segments.SegmentLog(disk, lambda: HEAD, segment_bytes)
 
 
 async def read_keys(disk):
