--- a/src/quetzalpass/daemon/control_role.py
+++ b/src/quetzalpass/daemon/control_role.py
@@ -43,7 +43,7 @@
 OPERATION_BITS = 96
 VERSION_BITS = 40
 # Time for responses to other daemons at a stop, and for handlers that still run then.
-RESPONSE_TIMEOUT_S = 1.0
+PEER_RESPONSE_TIMEOUT_S = 1.0
 STOP_TIMEOUT_S = 0.1
 # Requests wait for the next leader, also after all control nodes were killed at once.
 # Control nodes are few and close to each other, so that short timeouts suffice to
@@ -214,7 +214,7 @@
         if self.listener is not None:
             await self.listener.stop_accepting()
             self.holder.end_waits()
-            await self.listener.close(RESPONSE_TIMEOUT_S)
+            await self.listener.close(PEER_RESPONSE_TIMEOUT_S)
             LOG.info("daemon: Closed the listener for other daemons.")
         await self.group.stop()
         await self.source.close()
--- a/src/quetzalpass/daemon/gateway_role.py
+++ b/src/quetzalpass/daemon/gateway_role.py
@@ -33,7 +33,7 @@
 
 DRAIN_POLL_S = 0.02
 # For the responses to interrupted requests, and to those that are refused at the end.
-RESPONSE_TIMEOUT_S = 0.1
+INTERRUPTED_RESPONSE_TIMEOUT_S = 0.1
 STOP_TIMEOUT_S = 0.1
 
 
@@ -244,7 +244,7 @@
             loop.time() - schedule.begun_s,
             interrupted,
         )
-        await self.wait_until_idle(loop.time() + RESPONSE_TIMEOUT_S)
+        await self.wait_until_idle(loop.time() + INTERRUPTED_RESPONSE_TIMEOUT_S)
 
     def drain_left_s(self) -> float:
         """Return the rest of the time for the drain; 0 if there is no drain."""
@@ -263,7 +263,11 @@
         """Close all connections."""
         self.links.stop()
         if self.runner is not None:
-            await server.close(self.runner, RESPONSE_TIMEOUT_S, RESPONSE_TIMEOUT_S)
+            await server.close(
+                self.runner,
+                INTERRUPTED_RESPONSE_TIMEOUT_S,
+                INTERRUPTED_RESPONSE_TIMEOUT_S,
+            )
         await self.gateway.close()
         await self.source.close()
         await self.channel.close()
