A background task goes on if something that it awaits was cancelled

What callers would see: a loop of a control node or of a gateway (exchange with the control nodes, following the declaration, the reader of the list, settings, certificates) ends without a log line, and what it kept up to date stays as it was until the process ends.

Cause: background.keep_running took each CancelledError for its own end. One that comes out of an awaited future, task or pool belongs to that, and passes.

Evidence: tests/test_background.py::TestKeepRunning:: test_the_task_goes_on_if_something_that_it_awaits_is_cancelled failed before with 'assert [0] == [0, 1]' (never run again), and passes now.

Why it works: Task.cancelling() counts the requests to cancel this very task; only with one of them the error is passed on, otherwise the work starts again after RESTART_DELAY_S like after any other failure.

--- a/src/quetzalpass/background.py
+++ b/src/quetzalpass/background.py
@@ -52,6 +52,9 @@
 async def keep_running(name: str, work: Callable[[], Awaitable[None]]) -> None:
     """Run a coroutine forever; log an exception and restart after a delay.
 
+    Only the cancellation of this task ends it. If something that the coroutine awaits
+    was cancelled, that is a failure like any other.
+
     Parameters
     ----------
     name : str
@@ -63,11 +66,19 @@
     while True:
         try:
             await work()
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
+            if is_cancelled():
+                raise
             failure_log.record(f"{name} failed and will be restarted", error)
         await asyncio.sleep(RESTART_DELAY_S)
 
 
+def is_cancelled() -> bool:
+    """Return whether somebody has asked for the end of the current task."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 def start(name: str, work: Callable[[], Awaitable[None]]) -> asyncio.Task[None]:
     """Start a task that runs a coroutine forever; see :func:`keep_running`."""
     return asyncio.create_task(keep_running(name, work))
--- a/tests/test_background.py
+++ b/tests/test_background.py
@@ -33,3 +33,22 @@
         task.cancel()
         with pytest.raises(asyncio.CancelledError):
             await task
+
+    async def test_the_task_goes_on_if_something_that_it_awaits_is_cancelled(self):
+        runs = []
+
+        async def work():
+            runs.append(len(runs))
+            if len(runs) == 1:
+                awaited = asyncio.get_running_loop().create_future()
+                awaited.cancel()
+                await awaited
+            await asyncio.sleep(100)
+
+        task = asyncio.create_task(background.keep_running("work", work))
+        await asyncio.sleep(5)
+        assert runs == [0, 1]
+        assert not task.done()
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
