A gateway finds a lost service again although one of its probes failed

What callers would see: one gateway answers 503 for a service (no server can be reached from here) until its process ends, while its servers run and all other gateways reach them.

Cause: a loss is ended only by ReachChecks.recheck_until_back. An error that a probe raises (no thread, no memory, an error of ours) ended that task, and while a service is lost no new check is started. An observer of the loss that raised kept the task from being started at all.

Evidence: tests/lifecycle/test_reach_checks.py. Before: '...although_a_probe_of_it_ has_failed' and '...although_an_observer_of_its_loss_failed' failed with 'assert not True' (lost 3 s after the servers answered again); the case without errors passed. Now all three pass.

Why it works: an error counts as a probe without answer, is logged within a bound, and the next probe follows after RECHECK_S; the task is started before anything that may fail.

--- a/src/quetzalpass/lifecycle/reach_checks.py
+++ b/src/quetzalpass/lifecycle/reach_checks.py
@@ -193,20 +193,28 @@
         now_s = asyncio.get_running_loop().time()
         if not self.reach.record_no_answer(service, since_s, now_s):
             return
+        self.tasks.spawn(self.recheck_until_back(service))
         self.log_change(service, False, len(servers))
         for observer in self.loss_observers:
             observer(service)
-        self.tasks.spawn(self.recheck_until_back(service))
         for other in self.prober.services():
             self.suspect(other)
 
     async def recheck_until_back(self, service: ids.ServiceName) -> None:
         """Probe some servers of a lost service at intervals until one answers."""
+        failure_log = background.FailureLog()
         while self.reach.is_lost(service):
             await asyncio.sleep(RECHECK_S)
-            servers = self.servers_to_probe(service)[:FIRST_PROBES]
-            if not servers or await self.any_answers(servers):
-                self.on_answer(service)
+            try:
+                await self.recheck(service)
+            except Exception as error:
+                failure_log.record(f"A probe of {service} failed", error)
+
+    async def recheck(self, service: ids.ServiceName) -> None:
+        """Probe some servers of a lost service once."""
+        servers = self.servers_to_probe(service)[:FIRST_PROBES]
+        if not servers or await self.any_answers(servers):
+            self.on_answer(service)
 
     def servers_to_probe(self, service: ids.ServiceName) -> list[Any]:
         """Return some servers of a service, in random order."""
