An engine is watched again after its client has failed

What callers would see: an engine that leaves is taken for ready until the platform's list shows it; requests that are sent meanwhile are cut or moved late.

Cause: LeavingServerMonitor kept the ended task under the engine's place, so the engine was not watched again until another start of it was listed.

Evidence: tests/membership/test_leaving_server_monitor.py::TestFailedQueries failed before with "assert [] == ['e-1@7']" (no announcement in 5 s after the errors ended), and passes now.

Why it works: the task goes on after RETRY_S, and logs its errors within a bound.

--- a/src/quetzalpass/membership/leaving_server_monitor.py
+++ b/src/quetzalpass/membership/leaving_server_monitor.py
@@ -59,17 +59,19 @@
                     self.tasks.pop(place).cancel()
             for place, server in wanted.items():
                 if place not in self.tasks:
-                    monitoring = asyncio.create_task(self.monitor(server))
-                    monitoring.add_done_callback(self.on_done)
-                    self.tasks[place] = monitoring
+                    self.tasks[place] = asyncio.create_task(self.monitor(server))
             await asyncio.sleep(SERVER_CHECK_INTERVAL_S)
 
-    def on_done(self, task: asyncio.Task[None]) -> None:
-        """Log the failure of a task."""
-        if not task.cancelled() and task.exception() is not None:
-            self.failure_log.record("Watching an engine failed", task.exception())
-
     async def monitor(self, server: discovery.DiscoveredServer) -> None:
+        """Watch one engine until it has announced that it is leaving."""
+        while True:
+            try:
+                return await self.watch(server)
+            except Exception as error:
+                self.failure_log.record(f"Watching {server.id} failed", error)
+            await asyncio.sleep(RETRY_S)
+
+    async def watch(self, server: discovery.DiscoveredServer) -> None:
         """Query one engine repeatedly until it is leaving, and announce that."""
         adapter = self.connect(server)
         try:
--- a/tests/membership/test_leaving_server_monitor.py
+++ b/tests/membership/test_leaving_server_monitor.py
@@ -2,6 +2,7 @@
 
 import msgspec
 import pytest
+from returns import result
 
 from fakes import relay_servers
 from quetzalpass.membership import leaving_server_monitor
@@ -55,3 +56,37 @@
         running.cancel()
         assert [each.place for each in engines] == [server.place, again.place]
         assert engines[0].is_closed
+
+
+class LeavingEngine(QuietEngine):
+    """Hints that it leaves; the client's queries fail while ``error`` is set."""
+
+    error = None
+
+    async def wait_for_leaving_hint(self, wait_s):
+        if self.error is not None:
+            raise self.error
+        return result.Success(True)
+
+    async def is_leaving(self):
+        return True
+
+
+@pytest.mark.looptime
+class TestFailedQueries:
+    async def test_an_engine_is_watched_again_after_its_client_has_failed(self):
+        server = relay_servers.discovered("e-1", started_ms=7)
+        registry = FakeRegistry(server)
+        engine = LeavingEngine(server.place)
+        engine.error = RuntimeError("can't start new thread")
+        monitor = leaving_server_monitor.LeavingServerMonitor(
+            registry, lambda listed: engine
+        )
+        running = asyncio.create_task(monitor.run())
+        await asyncio.sleep(5)
+        assert not registry.announced
+        engine.error = None
+        await asyncio.sleep(5)
+        monitor.stop()
+        running.cancel()
+        assert registry.announced == [server.start_key]
