A listener waits for its port and for descriptors before it gives up

What callers would see: a control node or gateway that starts while the process before it still holds a port, or while descriptors are used up, ends at once; each such end costs the platform's start delay.

Cause: server.listen and HttpListener.start tried to bind once.

Evidence: tests/wire/test_listening.py. Before, '...opens_once_its_port_is_free' failed with '[Errno 98] ... address already in use' for both kinds of listeners; all five pass now. The case of a listener that can't accept for want of descriptors (asyncio tries again after a second) passes before and after; it had no test.

Why it works: errors whose cause can pass are tried again every BIND_RETRY_S, for BIND_TIMEOUT_S at most, so that a stop and an operator with a wrong address don't wait longer; other errors are raised at once as before.

--- a/src/quetzalpass/daemon/listeners.py
+++ b/src/quetzalpass/daemon/listeners.py
@@ -145,7 +145,7 @@
         Raises
         ------
         OSError
-            If the address is in use or the certificate can't be loaded.
+            If the address stays in use or the certificate can't be loaded.
         """
         await self.runner.setup()
         context = None
@@ -153,14 +153,15 @@
             self.reloader = CertificateReloader(self.listener.tls)
             context = self.reloader.context
             self.reload_task = background.start("certificates", self.reloader.run)
-        site = web.TCPSite(
-            self.runner,
-            self.listener.host,
-            self.listener.port,
-            ssl_context=context,
-            backlog=BACKLOG,
+        await server.open_site(
+            lambda: web.TCPSite(
+                self.runner,
+                self.listener.host,
+                self.listener.port,
+                ssl_context=context,
+                backlog=BACKLOG,
+            )
         )
-        await site.start()
         self.bound_port = self.runner.addresses[0][1]
 
     def port(self) -> int:
--- a/src/quetzalpass/wire/server.py
+++ b/src/quetzalpass/wire/server.py
@@ -1,13 +1,16 @@
 """Server side of the peer protocol, to be added to an aiohttp application."""
 
 import asyncio
+import errno
 import hmac
 import socket
+from collections.abc import Callable
 
 import logbook
 from aiohttp import web
 from returns import result
 
+from quetzalpass import background
 from quetzalpass.results import codes, failures
 from quetzalpass.wire import handlers, messages, transport
 
@@ -19,13 +22,61 @@
 LAST_REQUESTS_S = 0.1
 # For the TLS handshakes of connections that the listener accepts last.
 LAST_HANDSHAKE_S = 1.0
-
-
-async def listen(runner: web.BaseRunner, address: str) -> None:
-    """Set up a runner and start listening at ``host:port``."""
+# The process before may still hold the port. It is short, as a stop waits for it too.
+BIND_TIMEOUT_S = 3.0
+BIND_RETRY_S = 0.1
+PASSING_ERRORS = frozenset(
+    {
+        errno.EADDRINUSE,
+        errno.EADDRNOTAVAIL,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+    }
+)
+
+
+async def listen(
+    runner: web.BaseRunner, address: str, timeout_s: float = BIND_TIMEOUT_S
+) -> None:
+    """Set up a runner and start listening at ``host:port``; see :func:`open_site`."""
     await runner.setup()
     host, _, port = address.rpartition(":")
-    await web.TCPSite(runner, host, int(port)).start()
+    await open_site(lambda: web.TCPSite(runner, host, int(port)), timeout_s)
+
+
+async def open_site(
+    make_site: Callable[[], web.TCPSite], timeout_s: float = BIND_TIMEOUT_S
+) -> None:
+    """Start listening, as soon as the address is free and there are descriptors.
+
+    Parameters
+    ----------
+    make_site : callable
+        Makes the site for each attempt.
+    timeout_s : float
+        Maximum wait for the address, in seconds.
+
+    Raises
+    ------
+    OSError
+        If the address can't be used, or not within the time.
+    """
+    loop = asyncio.get_running_loop()
+    deadline_s = loop.time() + timeout_s
+    failure_log = background.FailureLog()
+    while True:
+        site = make_site()
+        try:
+            return await site.start()
+        except OSError as error:
+            await site.stop()
+            is_late = loop.time() + BIND_RETRY_S >= deadline_s
+            if error.errno not in PASSING_ERRORS or is_late:
+                raise
+            failure_log.record(f"Can't listen at {site.name} yet", error)
+        await asyncio.sleep(BIND_RETRY_S)
 
 
 async def stop_listening(runner: web.BaseRunner) -> None:
--- /dev/null
+++ b/tests/wire/test_listening.py
@@ -0,0 +1,133 @@
+"""Listeners whose address is taken, or that run out of descriptors, for a time."""
+
+import asyncio
+import contextlib
+import math
+import os
+import resource
+import socket
+
+import pytest
+from aiohttp import web
+
+from quetzalpass.bench import local_ports
+from quetzalpass.daemon import listeners
+from quetzalpass.settings import schema
+from quetzalpass.wire import server
+
+# asyncio accepts nothing for a second after a listener has run out of descriptors.
+BACK_S = 3.0
+TAKEN_S = 0.5
+REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+
+
+async def handle(request):
+    return web.Response(text="fine")
+
+
+def new_runner():
+    app = web.Application()
+    app.router.add_get("/", handle)
+    return web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+
+
+async def fetch(port):
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(REQUEST)
+    try:
+        return await reader.read()
+    finally:
+        writer.close()
+
+
+def take(port):
+    taken = socket.socket()
+    taken.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    taken.bind(("127.0.0.1", port))
+    taken.listen()
+    return taken
+
+
+class TestTakenPorts:
+    async def test_a_listener_opens_once_its_port_is_free(self):
+        (port,) = local_ports.free_ports(1)
+        taken = take(port)
+        asyncio.get_running_loop().call_later(TAKEN_S, taken.close)
+        runner = new_runner()
+        await server.listen(runner, f"127.0.0.1:{port}")
+        assert b"fine" in await fetch(port)
+        assert len(runner.sites) == 1
+        await server.close(runner, 0.0, 0.0)
+
+    async def test_a_listener_of_a_daemon_opens_once_its_port_is_free(self):
+        (port,) = local_ports.free_ports(1)
+        taken = take(port)
+        asyncio.get_running_loop().call_later(TAKEN_S, taken.close)
+        opened = listeners.HttpListener(
+            new_runner(), schema.Listener("127.0.0.1", port)
+        )
+        await opened.start()
+        assert b"fine" in await fetch(port)
+        await opened.close(0.0)
+
+    async def test_a_port_that_stays_taken_is_reported_after_the_timeout(self):
+        (port,) = local_ports.free_ports(1)
+        runner = new_runner()
+        with take(port), pytest.raises(OSError, match="address already in use"):
+            await server.listen(runner, f"127.0.0.1:{port}", TAKEN_S)
+        assert not runner.sites
+        await runner.cleanup()
+
+    async def test_a_listener_without_a_timeout_can_be_closed_while_it_waits(self):
+        (port,) = local_ports.free_ports(1)
+        runner = new_runner()
+        with take(port):
+            waiting = asyncio.create_task(
+                server.listen(runner, f"127.0.0.1:{port}", math.inf)
+            )
+            await asyncio.sleep(TAKEN_S)
+            waiting.cancel()
+            await asyncio.wait({waiting})
+        assert not runner.sites
+        await runner.cleanup()
+
+
+@pytest.fixture
+def used_descriptors():
+    """Return a function that uses up all descriptors, and returns them."""
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    used = []
+
+    def use_up():
+        highest = max(int(each) for each in os.listdir("/proc/self/fd"))
+        resource.setrlimit(resource.RLIMIT_NOFILE, (highest + 1, limits[1]))
+        with contextlib.suppress(OSError):
+            while True:
+                used.append(os.dup(0))
+        return used
+
+    yield use_up
+    resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+    for each in used:
+        os.close(each)
+
+
+class TestDescriptors:
+    async def test_a_listener_accepts_again_once_there_are_descriptors(
+        self, used_descriptors
+    ):
+        opened = listeners.HttpListener(new_runner(), schema.Listener("127.0.0.1", 0))
+        await opened.start()
+        caller = socket.socket()
+        caller.setblocking(False)
+        used = used_descriptors()
+        caller.connect_ex(("127.0.0.1", opened.port()))
+        await asyncio.sleep(0.5)
+        assert not opened.runner.server.connections
+        while used:
+            os.close(used.pop())
+        async with asyncio.timeout(BACK_S):
+            assert b"fine" in await fetch(opened.port())
+        assert len(opened.runner.server.connections) >= 1
+        caller.close()
+        await opened.close(0.0)
