Followers confirm a leader while their disks refuse or hang

A follower replied to entries and heartbeats only once its disk had synced them, so two disks that refused writes cost the leader its lease and its majority.

A reply waits for half a heartbeat interval at most and names only what is synced (ReplicatedLog.durable_index; only what is committed while the term itself isn't synced). The leader sends an empty message at once where something is left to sync, whose reply waits again, so that a slow sync is acknowledged when it ends.

--- a/src/quetzalpass/consensus/following.py
+++ b/src/quetzalpass/consensus/following.py
@@ -1,5 +1,7 @@
 """The follower's side of replication: entries and snapshots from the leader."""
 
+import asyncio
+
 import crc32c
 import logbook
 import msgspec
@@ -10,6 +12,9 @@
 from quetzalpass.consensus import log as logs
 from quetzalpass.consensus import replica as replicas
 
+# Share of the heartbeat interval for which a reply waits for the disk.
+SYNC_WAIT_RATIO = 0.5
+
 LOG = logbook.Logger("consensus")
 
 
@@ -68,7 +73,12 @@
     async def handle_append(
         self, request: messages.AppendRequest
     ) -> messages.AppendReply:
-        """Append entries, or accept a heartbeat; reply once they are synced."""
+        """Append entries, or accept a heartbeat.
+
+        The reply waits for the disk only for a bounded time. After that it confirms the
+        leader and the entries that are synced, so that a disk that refuses or hangs
+        costs the leader neither its lease nor its majority.
+        """
         replica = self.replica
         if not self.accept_leader(request):
             return messages.AppendReply(
@@ -82,15 +92,48 @@
         if mismatch is not None:
             return self.reject(mismatch)
         self.append_missing(request)
-        if not await replica.persist() or replica.term != request.term:
+        match = ids.LogIndex(request.previous_index + len(request.entries))
+        is_running = await self.wait_until_synced(match)
+        if not is_running or replica.term != request.term:
             return self.reject(replica.log.last_index + 1)
         replica.reset_election_timer()
-        match = ids.LogIndex(request.previous_index + len(request.entries))
         replica.advance_commit(min(request.commit_index, match))
         return messages.AppendReply(
-            replica.term, replica.replica_id, True, match, ids.LogIndex(match + 1)
+            replica.term,
+            replica.replica_id,
+            True,
+            self.synced_match(match),
+            ids.LogIndex(match + 1),
         )
 
+    def synced_match(self, match: ids.LogIndex) -> ids.LogIndex:
+        """Return up to where the log matches the leader's for good, also in a restart.
+
+        Until the term is synced only committed entries count: after a restart the
+        replica might accept others in their place from the leader of an older term.
+        """
+        replica = self.replica
+        synced = min(match, replica.log.durable_index)
+        if replica.log.is_term_durable:
+            return synced
+        return min(synced, replica.commit_index)
+
+    async def wait_until_synced(self, match: ids.LogIndex) -> bool:
+        """Wait for the disk for a bounded time; return whether the replica runs.
+
+        A leader sends again at once while a reply leaves something to sync, so the
+        whole time is waited even if the disk is known to fail.
+        """
+        replica = self.replica
+        if self.synced_match(match) == match:
+            return replica.is_running
+        wait_s = replica.settings.timing.heartbeat_interval_s * SYNC_WAIT_RATIO
+        try:
+            async with asyncio.timeout(wait_s):
+                return await replica.persist()
+        except TimeoutError:
+            return replica.is_running
+
     def reject(self, next_index: int) -> messages.AppendReply:
         """Return the reply to entries that don't match this log."""
         replica = self.replica
--- a/src/quetzalpass/consensus/leading.py
+++ b/src/quetzalpass/consensus/leading.py
@@ -28,7 +28,6 @@
         self.began_at = replica.now()
         self.peers: dict[ids.ReplicaId, peers.Peer] = {}
         self.peer_tasks: dict[ids.ReplicaId, asyncio.Task] = {}
-        self.synced_index = replica.log.last_index
         self.first_index = ids.LogIndex(replica.log.last_index + 1)
         self.sequence = 0
         self.acknowledged = replicas.Signal()
@@ -41,6 +40,11 @@
         """Return whether the replica still leads in this term."""
         return self.replica.leadership is self
 
+    @property
+    def synced_index(self) -> ids.LogIndex:
+        """Return the last index up to which the leader's own entries are synced."""
+        return self.replica.log.durable_index
+
     @property
     def is_established(self) -> bool:
         """Return whether an entry of this term is committed.
@@ -112,13 +116,11 @@
     async def sync_own_entries(self) -> None:
         """Sync the leader's own entries; they count for a majority only then."""
         while self.is_current:
-            last = self.replica.log.last_index
-            if last == self.synced_index:
+            if self.synced_index == self.replica.log.last_index:
                 await self.appended.wait()
                 continue
             if not await self.replica.persist():
                 return
-            self.synced_index = last
             self.update_commit_index()
 
     def update_commit_index(self) -> None:
--- a/src/quetzalpass/consensus/log.py
+++ b/src/quetzalpass/consensus/log.py
@@ -1,5 +1,7 @@
 """The log of one replica: entries in memory, with records and snapshots on disk."""
 
+import collections
+
 import logbook
 import msgspec
 from returns import result
@@ -41,6 +43,21 @@
     machine: bytes
 
 
+class UnsyncedEntry(msgspec.Struct, frozen=True):
+    """An entry whose record may not be on the disk yet.
+
+    Attributes
+    ----------
+    record : int
+        Number of the record, counted from 1 as ``SegmentLog.appended_count`` does.
+    index : ids.LogIndex
+        Index of the entry.
+    """
+
+    record: int
+    index: ids.LogIndex
+
+
 class ReplicatedLog:
     """The log of one replica.
 
@@ -52,6 +69,14 @@
         Folder of this replica.
     disk_health : health.DiskHealth or None
         Where to record what is wrong with the disk.
+
+    Attributes
+    ----------
+    hard_state_record : int
+        Number of the record of the newest term and vote; 0 if it was read from the
+        disk.
+    unsynced : deque of UnsyncedEntry
+        Entries queued for the disk, in the order of their records and their indexes.
     """
 
     def __init__(
@@ -64,6 +89,8 @@
         self.snapshot_data = b""
         self.configurations: list[tuple[int, entries.Configuration]] = []
         self.hard_state = entries.HardState()
+        self.hard_state_record = 0
+        self.unsynced: collections.deque[UnsyncedEntry] = collections.deque()
         self.segments = segments.SegmentLog(
             disk, self.head_record, SEGMENT_BYTES, disk_health
         )
@@ -81,6 +108,26 @@
         """Return the term of the last entry."""
         return self.entries[-1].term if self.entries else self.base_term
 
+    @property
+    def durable_index(self) -> ids.LogIndex:
+        """Return the last index up to which a restart would find this very log.
+
+        That is the entry before the first unsynced one, as records are synced in the
+        order in which they were queued, or what the snapshot covers, which is durable
+        before it is used.
+        """
+        synced_count = self.segments.synced_count
+        while self.unsynced and self.unsynced[0].record <= synced_count:
+            self.unsynced.popleft()
+        if not self.unsynced:
+            return self.last_index
+        return ids.LogIndex(max(self.snapshot_index, self.unsynced[0].index - 1))
+
+    @property
+    def is_term_durable(self) -> bool:
+        """Return whether the newest term and vote are synced."""
+        return self.hard_state_record <= self.segments.synced_count
+
     @property
     def configuration(self) -> entries.Configuration:
         """Return the newest configuration, committed or not."""
@@ -145,6 +192,7 @@
         """Queue a new term and vote, which are durable once ``commit`` succeeds."""
         self.hard_state = entries.HardState(term, voted_for)
         self.segments.append(0, entries.encode_stored(self.hard_state))
+        self.hard_state_record = self.segments.appended_count
 
     def head_record(self) -> frames.Record:
         """Return the record with which each segment starts."""
@@ -154,6 +202,10 @@
         """Queue an entry; it replaces all entries from its index on."""
         self.insert(entry)
         self.segments.append(entry.index, entries.encode_stored(entry))
+        while self.unsynced and self.unsynced[-1].index >= entry.index:
+            self.unsynced.pop()
+        record = self.segments.appended_count
+        self.unsynced.append(UnsyncedEntry(record, entry.index))
 
     def insert(self, entry: entries.Entry) -> None:
         """Add an entry to memory, replacing all entries from its index on."""
@@ -232,6 +284,7 @@
     def clear(self, base_index: ids.LogIndex, base_term: ids.Term) -> None:
         """Drop all entries from memory."""
         self.entries = []
+        self.unsynced.clear()
         self.configurations = []
         self.base_index = base_index
         self.base_term = base_term
--- a/src/quetzalpass/consensus/messages.py
+++ b/src/quetzalpass/consensus/messages.py
@@ -94,11 +94,11 @@
     replica : ids.ReplicaId
         The replica that replies; empty if it rejected the message.
     is_matching : bool
-        Whether the entries matched the log and are synced.
+        Whether the entries matched the log, synced or not.
     match_index : ids.LogIndex
         Last index up to which the log is known to match the leader's and be synced.
     next_index : ids.LogIndex
-        Index that the leader should send next if the entries didn't match.
+        Index that the leader should send next.
     """
 
     term: ids.Term
--- a/src/quetzalpass/consensus/peers.py
+++ b/src/quetzalpass/consensus/peers.py
@@ -56,7 +56,7 @@
             is_progress = await self.send()
             if not self.leadership.is_current:
                 return
-            if is_progress and self.is_behind():
+            if is_progress and (self.is_behind() or self.has_unsynced_entries()):
                 continue
             await self.wait_for_work(can_wake=is_progress)
 
@@ -80,6 +80,13 @@
         """Return whether there are more entries to send."""
         return self.next_index <= self.replica.log.last_index
 
+    def has_unsynced_entries(self) -> bool:
+        """Return whether the peer holds entries that it has not confirmed as synced.
+
+        It confirms them in the reply to the next message, which waits for its disk.
+        """
+        return self.match_index < self.next_index - 1
+
     async def send(self) -> bool:
         """Send one message; return whether the peer replied as a follower."""
         sequence = self.leadership.sequence
@@ -120,7 +127,8 @@
             return False
         if reply.is_matching:
             self.match_index = max(self.match_index, reply.match_index)
-            self.next_index = self.match_index + 1
+            held_end = min(reply.next_index, replica.log.last_index + 1)
+            self.next_index = max(self.match_index + 1, held_end)
             self.leadership.update_commit_index()
         else:
             self.next_index = max(1, min(reply.next_index, previous))
--- /dev/null
+++ b/tests/consensus/test_groups_with_failing_disks.py
@@ -0,0 +1,220 @@
+"""What a group does while the disks of some replicas refuse writes or hang."""
+
+import asyncio
+
+import msgspec
+import pytest
+from returns import result
+
+from fakes import clusters
+from quetzalpass.consensus import entries, messages, peers
+
+FAULTS = ["is_full", "fails_sync", "is_hanging"]
+
+
+async def start_cluster(count=3, **options):
+    cluster = clusters.Cluster(count, **options)
+    await cluster.start_all()
+    await cluster.propose(b"before")
+    leader = await cluster.leader()
+    return cluster, leader, [vm for vm in cluster.vms if vm != leader]
+
+
+def set_fault(cluster, vms, fault, is_set=True):
+    for vm in vms:
+        setattr(cluster.disks[vm].faults, fault, is_set)
+
+
+def propose_later(cluster, vm, command):
+    group = cluster.groups[vm]
+    return asyncio.create_task(group.propose("client", command.decode(), command))
+
+
+def now():
+    return asyncio.get_running_loop().time()
+
+
+@pytest.mark.looptime
+class TestLeadership:
+    @pytest.mark.parametrize("fault", FAULTS)
+    async def test_followers_confirm_it_while_their_disks_fail(self, fault):
+        cluster, leader, others = await start_cluster()
+        group = cluster.groups[leader]
+        term = group.term
+        set_fault(cluster, others, fault)
+        proposal = propose_later(cluster, leader, b"meanwhile")
+        for _ in range(60):
+            await asyncio.sleep(0.05)
+            assert group.is_leader_with_lease()
+        (await group.read_barrier()).unwrap()
+        assert b"meanwhile" not in cluster.items(leader)
+        set_fault(cluster, others, fault, False)
+        (await proposal).unwrap()
+        assert group.term == term
+        await cluster.until_all_hold([b"before", b"meanwhile"])
+        await cluster.stop()
+
+    async def test_waiting_followers_cost_few_messages(self):
+        cluster, leader, others = await start_cluster()
+        set_fault(cluster, others, "is_full")
+        propose_later(cluster, leader, b"meanwhile")
+        cluster.network.sent_counts.clear()
+        await asyncio.sleep(3.0)
+        # Each reply waits for the disk for half a heartbeat interval, 0.125 s.
+        assert cluster.network.sent_counts["AppendRequest"] <= 2 * 3.0 / 0.125 + 2
+        await cluster.stop()
+
+    async def test_a_slow_sync_is_acknowledged_when_it_ends(self):
+        cluster, leader, others = await start_cluster()
+        for vm in others:
+            cluster.disks[vm].faults.sync_s = 0.4
+        begun = now()
+        (await propose_later(cluster, leader, b"meanwhile")).unwrap()
+        assert 0.4 <= now() - begun < 0.42
+        await cluster.stop()
+
+    async def test_a_refusal_delays_the_acknowledgement_by_its_length(self):
+        cluster, leader, _ = await start_cluster()
+        set_fault(cluster, cluster.vms, "is_full")
+        proposal = propose_later(cluster, leader, b"meanwhile")
+        begun = now()
+        await asyncio.sleep(0.3)
+        set_fault(cluster, cluster.vms, "is_full", False)
+        (await proposal).unwrap()
+        # The next attempt to write is made after 0.2 s at most.
+        assert now() - begun < 0.6
+        await cluster.stop()
+
+    async def test_a_former_leader_never_counts_what_is_not_synced(self):
+        for seed in range(8):
+            cluster, leader, others = await start_cluster(seed=seed)
+            set_fault(cluster, others, FAULTS[seed % 3])
+            proposal = propose_later(cluster, leader, b"lost")
+            await asyncio.sleep(2.0)
+            assert not proposal.done() or isinstance(proposal.result(), result.Failure)
+            assert cluster.groups[leader].replica.commit_index < (
+                cluster.groups[leader].replica.log.last_index
+            )
+            proposal.cancel()
+            for vm in cluster.vms:
+                await cluster.crash(vm)
+            for vm in others:
+                (await cluster.start(vm)).unwrap()
+            await cluster.propose(b"after", attempts=50)
+            assert cluster.items(await cluster.leader())[-1] == b"after"
+            await cluster.stop()
+
+
+def use_former_leaders(monkeypatch):
+    """Let leaders send again what a reply doesn't confirm, as the version before."""
+    call = peers.Peer.call
+
+    async def call_as_before(self, request):
+        reply = await call(self, request)
+        if not isinstance(reply, messages.AppendReply) or not reply.is_matching:
+            return reply
+        next_index = max(self.match_index, reply.match_index) + 1
+        return msgspec.structs.replace(reply, next_index=next_index)
+
+    monkeypatch.setattr(peers.Peer, "call", call_as_before)
+    monkeypatch.setattr(peers.Peer, "has_unsynced_entries", lambda self: False)
+
+
+def use_former_follower(monkeypatch, cluster, vm):
+    """Let a replica reply only once all is synced, as the version before."""
+    replica = cluster.groups[vm].replica
+    follower = cluster.groups[vm].follower
+
+    async def wait_as_before(match):
+        return await replica.persist()
+
+    monkeypatch.setattr(follower, "wait_until_synced", wait_as_before)
+
+
+@pytest.mark.looptime
+class TestVersionBefore:
+    async def test_its_leader_keeps_its_lease_with_new_followers(self, monkeypatch):
+        use_former_leaders(monkeypatch)
+        cluster, leader, others = await start_cluster()
+        set_fault(cluster, others, "is_full")
+        proposal = propose_later(cluster, leader, b"meanwhile")
+        cluster.network.sent_counts.clear()
+        for _ in range(60):
+            await asyncio.sleep(0.05)
+            assert cluster.groups[leader].is_leader_with_lease()
+        assert cluster.network.sent_counts["AppendRequest"] <= 2 * 3.0 / 0.125 + 2
+        set_fault(cluster, others, "is_full", False)
+        (await proposal).unwrap()
+        await cluster.until_all_hold([b"before", b"meanwhile"])
+        await cluster.stop()
+
+    async def test_its_follower_serves_a_new_leader(self, monkeypatch):
+        cluster, leader, others = await start_cluster()
+        use_former_follower(monkeypatch, cluster, others[0])
+        set_fault(cluster, others, "is_full")
+        proposal = propose_later(cluster, leader, b"meanwhile")
+        await asyncio.sleep(0.5)
+        assert cluster.groups[leader].is_leader_with_lease()
+        set_fault(cluster, others, "is_full", False)
+        (await proposal).unwrap()
+        await cluster.until_all_hold([b"before", b"meanwhile"])
+        await cluster.stop()
+
+
+def make_entry(index, term):
+    return entries.Entry(index, term, entries.EntryKind.COMMAND, "s", f"{index}-{term}")
+
+
+@pytest.mark.looptime
+class TestFollower:
+    """One replica of three, to which the test sends a leader's messages."""
+
+    async def start(self):
+        cluster = clusters.Cluster(3)
+        (await cluster.start("vm-1")).unwrap()
+        return cluster
+
+    async def send(self, cluster, term, previous, previous_term, added, commit=0):
+        group = cluster.groups["vm-1"]
+        request = messages.AppendRequest(
+            clusters.GROUP,
+            term,
+            "vm-2",
+            "two",
+            group.replica.replica_id,
+            previous,
+            previous_term,
+            commit,
+            added,
+        )
+        return await group.handle_append(request)
+
+    @pytest.mark.parametrize("fault", FAULTS)
+    async def test_confirms_only_what_is_synced(self, fault):
+        cluster = await self.start()
+        reply = await self.send(cluster, 3, 0, 0, [make_entry(1, 3)])
+        assert reply.match_index == 1
+        set_fault(cluster, ["vm-1"], fault)
+        begun = now()
+        reply = await self.send(cluster, 3, 1, 3, [make_entry(2, 3), make_entry(3, 3)])
+        assert now() - begun == pytest.approx(0.125, abs=0.001)
+        assert (reply.is_matching, reply.match_index, reply.next_index) == (True, 1, 4)
+        # Entries that replace others count only with their own sync.
+        reply = await self.send(cluster, 4, 0, 0, [make_entry(1, 4)])
+        assert (reply.is_matching, reply.match_index, reply.next_index) == (True, 0, 2)
+        set_fault(cluster, ["vm-1"], fault, False)
+        await asyncio.sleep(1.0)
+        reply = await self.send(cluster, 4, 1, 4, [])
+        assert reply.match_index == 1
+        await cluster.stop()
+
+    async def test_confirms_only_committed_entries_while_its_term_is_not_synced(self):
+        cluster = await self.start()
+        await self.send(cluster, 3, 0, 0, [make_entry(1, 3), make_entry(2, 3)], 1)
+        set_fault(cluster, ["vm-1"], "is_full")
+        reply = await self.send(cluster, 4, 2, 3, [])
+        assert (reply.is_matching, reply.match_index) == (True, 1)
+        # After a crash the replica knows nothing of the later term.
+        await cluster.restart("vm-1")
+        assert cluster.groups["vm-1"].term == 3
+        await cluster.stop()
