A replica whose disk fails doesn't stand and refuses votes at once

A candidate waited for the vote of a replica whose disk refused or hung, and such a replica stood itself: its term rose by one that it could not store.

--- a/src/quetzalpass/consensus/elections.py
+++ b/src/quetzalpass/consensus/elections.py
@@ -34,12 +34,20 @@
             wait_s = replica.election_due_at - replica.now()
             if wait_s > MIN_WAIT_S:
                 await asyncio.sleep(wait_s)
-            elif replica.role is replicas.Role.LEADER or not replica.is_voter:
+            elif replica.role is replicas.Role.LEADER or not self.may_stand():
                 replica.reset_election_timer()
             else:
                 replica.reset_election_timer()
                 await self.campaign()
 
+    def may_stand(self) -> bool:
+        """Return whether this replica may become leader.
+
+        Not while its disk fails: its own vote needs a sync, and as a leader it could
+        count only the others.
+        """
+        return self.replica.is_voter and not self.replica.health.is_failing
+
     async def campaign(self) -> None:
         """Hold a pre-vote and, if it succeeds, run an election."""
         replica = self.replica
@@ -51,7 +59,7 @@
         # Another replica may have won or made contact during the pre-vote.
         if replica.term != term or replica.election_due_at != due_at:
             return
-        if not replica.is_running or not replica.is_voter:
+        if not replica.is_running or not self.may_stand():
             return
         await self.run_election(ids.Term(term + 1), is_transfer=False)
 
@@ -145,6 +153,9 @@
         refusal = messages.VoteReply(replica.term, False)
         if request.target != replica.replica_id:
             return refusal
+        if replica.health.is_failing:
+            # A vote would have to be synced; the candidate need not wait for that.
+            return refusal
         if replica.is_from_former_replica(request.vm, request.replica):
             return refusal
         if request.term < replica.term:
@@ -169,7 +180,7 @@
         regain it in that term.
         """
         replica = self.replica
-        is_target = request.target == replica.replica_id and replica.is_voter
+        is_target = request.target == replica.replica_id and self.may_stand()
         is_follower = replica.role is replicas.Role.FOLLOWER
         if is_target and is_follower and request.term == replica.term:
             replica.reset_election_timer()
--- a/tests/consensus/test_groups_with_failing_disks.py
+++ b/tests/consensus/test_groups_with_failing_disks.py
@@ -8,6 +8,7 @@
 
 from fakes import clusters
 from quetzalpass.consensus import entries, messages, peers
+from quetzalpass.consensus import replica as replicas
 
 FAULTS = ["is_full", "fails_sync", "is_hanging"]
 
@@ -218,3 +219,69 @@
         await cluster.restart("vm-1")
         assert cluster.groups["vm-1"].term == 3
         await cluster.stop()
+
+
+@pytest.mark.looptime
+class TestElections:
+    async def start_with_failing_follower(self, fault="is_full", count=3):
+        """Start a group in which one follower has met the failure of its disk."""
+        cluster, leader, others = await start_cluster(count)
+        set_fault(cluster, others[:1], fault)
+        await cluster.propose(b"meanwhile")
+        await asyncio.sleep(1.5)
+        assert cluster.groups[others[0]].health.is_failing
+        return cluster, leader, others
+
+    @pytest.mark.parametrize("fault", FAULTS)
+    async def test_a_failing_replica_refuses_votes_at_once(self, fault):
+        cluster, leader, others = await self.start_with_failing_follower(fault)
+        failing, sound = others
+        await cluster.crash(leader)
+        await asyncio.sleep(2.0)
+        replica = cluster.groups[failing].replica
+        state = replica.log.hard_state
+        for is_pre_vote in (True, False):
+            begun = now()
+            request = messages.VoteRequest(
+                clusters.GROUP,
+                replica.term + 1,
+                sound,
+                cluster.groups[sound].replica.replica_id,
+                replica.replica_id,
+                replica.log.last_index + 1,
+                replica.log.last_term,
+                is_pre_vote,
+            )
+            assert not (await cluster.groups[failing].handle_vote(request)).is_granted
+            assert now() == begun
+        assert replica.log.hard_state == state
+        await cluster.stop()
+
+    @pytest.mark.parametrize("fault", FAULTS)
+    async def test_a_failing_replica_does_not_stand(self, fault):
+        cluster, leader, others = await self.start_with_failing_follower(fault)
+        failing = cluster.groups[others[0]]
+        term = failing.term
+        await cluster.crash(leader)
+        cluster.network.isolate(others[1])
+        cluster.network.sent_counts.clear()
+        await asyncio.sleep(5.0)
+        assert failing.term == term
+        assert failing.replica.role is replicas.Role.FOLLOWER
+        request = messages.HandOverRequest(
+            clusters.GROUP, term, failing.replica.replica_id
+        )
+        await failing.handle_leadership_transfer(request)
+        await asyncio.sleep(0.1)
+        assert failing.term == term
+        cluster.network.heal()
+        set_fault(cluster, others[:1], fault, False)
+        await cluster.propose(b"after", attempts=50)
+        await cluster.stop()
+
+    async def test_the_sound_replicas_elect_a_leader(self):
+        cluster, leader, others = await self.start_with_failing_follower(count=5)
+        await cluster.crash(leader)
+        await cluster.propose(b"after", attempts=50)
+        assert await cluster.leader() != others[0]
+        await cluster.stop()
