--- a/src/quetzalpass/consensus/applying.py
+++ b/src/quetzalpass/consensus/applying.py
@@ -16,6 +16,9 @@
 SNAPSHOT_EVERY_BYTES = 8 * 1024 * 1024
 APPLY_BATCH_ENTRIES = 64
 APPLY_BATCH_BYTES = 256 * 1024
+# Pauses between two attempts to store a snapshot on a disk that refuses it.
+MIN_SNAPSHOT_RETRY_S = 1.0
+MAX_SNAPSHOT_RETRY_S = 30.0
 
 LOG = logbook.Logger("consensus")
 
@@ -52,6 +55,8 @@
     ----------
     unsaved_bytes : int
         Size of the commands that were applied since the last snapshot was taken.
+    is_compacting : bool
+        Whether a task stores a snapshot, or waits to try it again.
     """
 
     def __init__(
@@ -60,6 +65,7 @@
         self.replica = replica
         self.snapshot_every = snapshot_every
         self.unsaved_bytes = 0
+        self.is_compacting = False
         self.waiters: dict[int, Waiter] = {}
         self.lock = asyncio.Lock()
 
@@ -123,9 +129,10 @@
 
         A separate task stores it, so that later proposals don't wait for the disk.
         """
-        if self.is_snapshot_due() and not self.lock.locked():
-            self.unsaved_bytes = 0
-            self.replica.spawn(self.compact(self.take_snapshot()))
+        is_busy = self.is_compacting or self.lock.locked()
+        if self.is_snapshot_due() and not is_busy:
+            self.is_compacting = True
+            self.replica.spawn(self.compact())
 
     def is_snapshot_due(self) -> bool:
         """Return whether the entries since the last snapshot are too many or too large.
@@ -140,17 +147,35 @@
         allowed_bytes = max(SNAPSHOT_EVERY_BYTES, len(own_log.snapshot_data))
         return new_entries > 0 and self.unsaved_bytes >= allowed_bytes
 
-    async def compact(self, snapshot: logs.GroupSnapshot) -> None:
-        """Store a snapshot and drop the entries that it covers."""
+    async def compact(self) -> None:
+        """Store a snapshot, trying again for as long as the disk refuses it."""
+        delay_s = MIN_SNAPSHOT_RETRY_S
+        try:
+            while self.replica.is_running and not await self.store_snapshot():
+                await asyncio.sleep(delay_s)
+                delay_s = min(2 * delay_s, MAX_SNAPSHOT_RETRY_S)
+        finally:
+            self.is_compacting = False
+
+    async def store_snapshot(self) -> bool:
+        """Store a snapshot of the applied state and drop the entries that it covers.
+
+        Returns
+        -------
+        bool
+            False if the disk refuses it; the older snapshot and the entries are kept.
+        """
         replica = self.replica
         async with self.lock:
-            if snapshot.index <= replica.log.snapshot_index:
-                return
+            if replica.applied_index <= replica.log.snapshot_index:
+                return True
+            snapshot = self.take_snapshot()
+            self.unsaved_bytes = 0
             saved = await replica.log.compact(snapshot)
         if isinstance(saved, result.Failure):
-            replica.fail(saved.failure())
-            return
+            return False
         LOG.info("consensus: Stored a snapshot up to index {}.", snapshot.index)
+        return True
 
     def take_snapshot(self) -> logs.GroupSnapshot:
         """Return a snapshot of the applied state."""
--- a/src/quetzalpass/consensus/following.py
+++ b/src/quetzalpass/consensus/following.py
@@ -1,5 +1,7 @@
 """The follower's side of replication: entries and snapshots from the leader."""
 
+import asyncio
+
 import crc32c
 import logbook
 import msgspec
@@ -10,6 +12,10 @@
 from quetzalpass.consensus import log as logs
 from quetzalpass.consensus import replica as replicas
 
+# Wait before the reply to a chunk of a snapshot that can't be stored now, as the leader
+# sends the next one at once. It is shorter than the timeout of its call.
+INSTALL_RETRY_DELAY_S = 0.3
+
 LOG = logbook.Logger("consensus")
 
 
@@ -142,8 +148,14 @@
             incoming.data += request.data
         if len(incoming.data) < request.total_bytes:
             return self.acknowledge_chunk(len(incoming.data), is_installed=False)
+        if crc32c.crc32c(incoming.data) != incoming.checksum:
+            LOG.warning("consensus: Rejected a snapshot with a wrong checksum.")
+            self.incoming = None
+            return self.acknowledge_chunk(0, is_installed=False)
         is_installed = await self.install(incoming)
-        return self.acknowledge_chunk(0, is_installed=is_installed)
+        if not is_installed:
+            await asyncio.sleep(INSTALL_RETRY_DELAY_S)
+        return self.acknowledge_chunk(len(incoming.data), is_installed=is_installed)
 
     def acknowledge_chunk(
         self, next_offset: int, *, is_installed: bool
@@ -170,26 +182,32 @@
         return incoming
 
     async def install(self, incoming: IncomingSnapshot) -> bool:
-        """Store a complete snapshot and replace the applied state by it."""
+        """Store a complete snapshot and replace the applied state by it.
+
+        Returns
+        -------
+        bool
+            False if the disk refuses it or is busy with another snapshot. What was
+            received is kept, so that the leader's next chunk, which is empty, makes
+            another attempt.
+        """
         replica = self.replica
-        data = bytes(incoming.data)
-        self.incoming = None
-        if crc32c.crc32c(data) != incoming.checksum:
-            LOG.warning("consensus: Rejected a snapshot with a wrong checksum.")
+        if self.applier.lock.locked():
             return False
         async with self.applier.lock:
-            if incoming.index <= replica.applied_index:
-                return True
-            snapshot = logs.decode_snapshot(data)
-            saved = await replica.log.save_snapshot(snapshot.index, data)
-            if isinstance(saved, result.Failure):
-                replica.fail(saved.failure())
-                return False
-            replica.log.install(snapshot, data)
-            if snapshot.index > replica.applied_index:
-                replica.restore(snapshot)
-            if not await replica.persist():
-                return False
-            replica.reset_election_timer()
-        LOG.info("consensus: Installed a snapshot up to index {}.", snapshot.index)
+            if incoming.index > replica.applied_index:
+                data = bytes(incoming.data)
+                snapshot = logs.decode_snapshot(data)
+                saved = await replica.log.save_snapshot(snapshot.index, data)
+                if isinstance(saved, result.Failure):
+                    return False
+                replica.log.install(snapshot, data)
+                if snapshot.index > replica.applied_index:
+                    replica.restore(snapshot)
+                LOG.info("consensus: Installed a snapshot up to {}.", snapshot.index)
+        if self.incoming is incoming:
+            self.incoming = None
+        if not await replica.persist():
+            return False
+        replica.reset_election_timer()
         return True
--- a/tests/fakes/disks.py
+++ b/tests/fakes/disks.py
@@ -23,6 +23,8 @@
         self.is_full = False
         # Bytes that all files may have together; a write takes what still fits.
         self.capacity_bytes = None
+        # Files whose names start so can't be written.
+        self.refused_prefixes = ()
         # While it hangs, writes and syncs don't return.
         self.is_hanging = False
 
@@ -106,7 +108,7 @@
 
     def write_part(self, name, offset, data):
         """Write what fits; fail if that is not everything."""
-        if self.faults.fails_write:
+        if self.faults.fails_write or name.startswith(self.faults.refused_prefixes):
             raise OSError(errno.EIO, "Input/output error")
         file = self.file(name)
         self.faults.on_operation()
