--- a/src/quetzalpass/consensus/applying.py
+++ b/src/quetzalpass/consensus/applying.py
@@ -11,6 +11,7 @@
 from quetzalpass.consensus import log as logs
 from quetzalpass.consensus import replica as replicas
 from quetzalpass.results import codes, failures
+from quetzalpass.storage import health
 
 SNAPSHOT_EVERY_ENTRIES = 4096
 SNAPSHOT_EVERY_BYTES = 8 * 1024 * 1024
@@ -19,6 +20,10 @@
 # Pauses between two attempts to store a snapshot on a disk that refuses it.
 MIN_SNAPSHOT_RETRY_S = 1.0
 MAX_SNAPSHOT_RETRY_S = 30.0
+# Pause between two attempts to keep room for a snapshot.
+RESERVE_RETRY_S = 2.0
+# Shortest time between two attempts to make room on a full disk.
+MAKE_ROOM_INTERVAL_S = 1.0
 
 LOG = logbook.Logger("consensus")
 
@@ -57,6 +62,10 @@
         Size of the commands that were applied since the last snapshot was taken.
     is_compacting : bool
         Whether a task stores a snapshot, or waits to try it again.
+    is_tidying : bool
+        Whether a task drops segments, or waits for room for the reserve.
+    may_make_room_at : float
+        Loop time from which the next attempt to make room is allowed, in seconds.
     """
 
     def __init__(
@@ -66,6 +75,8 @@
         self.snapshot_every = snapshot_every
         self.unsaved_bytes = 0
         self.is_compacting = False
+        self.is_tidying = False
+        self.may_make_room_at = 0.0
         self.waiters: dict[int, Waiter] = {}
         self.lock = asyncio.Lock()
 
@@ -139,12 +150,15 @@
 
         A state above ``SNAPSHOT_EVERY_BYTES`` is stored again only when the commands
         since then have as many bytes, so that the disk writes at most twice their size.
+        Without the reserve the log is kept short, as a full disk could drop nothing.
         """
         own_log = self.replica.log
         new_entries = self.replica.applied_index - own_log.snapshot_index
         if new_entries >= self.snapshot_every:
             return True
-        allowed_bytes = max(SNAPSHOT_EVERY_BYTES, len(own_log.snapshot_data))
+        lacks_reserve = health.Operation.RESERVE in own_log.health.troubles
+        every_bytes = logs.SEGMENT_BYTES if lacks_reserve else SNAPSHOT_EVERY_BYTES
+        allowed_bytes = max(every_bytes, len(own_log.snapshot_data))
         return new_entries > 0 and self.unsaved_bytes >= allowed_bytes
 
     async def compact(self) -> None:
@@ -156,10 +170,16 @@
                 delay_s = min(2 * delay_s, MAX_SNAPSHOT_RETRY_S)
         finally:
             self.is_compacting = False
+        self.start_tidying()
 
-    async def store_snapshot(self) -> bool:
+    async def store_snapshot(self, *, in_reserve: bool = False) -> bool:
         """Store a snapshot of the applied state and drop the entries that it covers.
 
+        Parameters
+        ----------
+        in_reserve : bool
+            Whether it may use up the reserve, as the disk is full.
+
         Returns
         -------
         bool
@@ -170,13 +190,60 @@
             if replica.applied_index <= replica.log.snapshot_index:
                 return True
             snapshot = self.take_snapshot()
-            self.unsaved_bytes = 0
-            saved = await replica.log.compact(snapshot)
+            unsaved_bytes, self.unsaved_bytes = self.unsaved_bytes, 0
+            saved = await replica.log.compact(snapshot, in_reserve=in_reserve)
         if isinstance(saved, result.Failure):
+            self.unsaved_bytes += unsaved_bytes
             return False
         LOG.info("consensus: Stored a snapshot up to index {}.", snapshot.index)
         return True
 
+    def start_tidying(self) -> None:
+        """Start the task that drops segments and keeps the reserve, if none runs."""
+        if not self.is_tidying:
+            self.is_tidying = True
+            self.replica.spawn(self.tidy())
+
+    async def tidy(self) -> None:
+        """Drop the segments that the snapshot covers; keep room for the next one."""
+        own_log = self.replica.log
+        try:
+            while self.replica.is_running:
+                async with self.lock:
+                    await own_log.segments.drop_through(own_log.snapshot_index)
+                    await own_log.reserve.keep(len(own_log.snapshot_data))
+                if health.Operation.RESERVE not in own_log.health.troubles:
+                    return
+                await asyncio.sleep(RESERVE_RETRY_S)
+        finally:
+            self.is_tidying = False
+
+    async def make_room(self) -> None:
+        """Store a snapshot in the reserved room, to drop segments of a full disk.
+
+        The reserve stays where that would drop none. A write waits for this call, so it
+        doesn't wait for another task that stores a snapshot.
+        """
+        replica = self.replica
+        covered = max(replica.applied_index, replica.log.snapshot_index)
+        is_due = replica.now() >= self.may_make_room_at
+        if self.lock.locked() or not is_due or not self.covers_a_segment(covered):
+            return
+        self.may_make_room_at = replica.now() + MAKE_ROOM_INTERVAL_S
+        await self.store_snapshot(in_reserve=True)
+        self.start_tidying()
+
+    def may_use_reserve(self, index: int) -> bool:
+        """Return whether a leader's snapshot needs the reserve and may use it."""
+        trouble = self.replica.health.troubles.get(health.Operation.SNAPSHOT)
+        is_full = trouble is not None and trouble.condition is health.Condition.NO_ROOM
+        return is_full and self.covers_a_segment(index)
+
+    def covers_a_segment(self, index: int) -> bool:
+        """Return whether a snapshot up to an index lets a segment be dropped."""
+        segments = self.replica.log.segments.segments
+        return len(segments) > 1 and segments[0].max_key <= index
+
     def take_snapshot(self) -> logs.GroupSnapshot:
         """Return a snapshot of the applied state."""
         replica = self.replica
--- a/src/quetzalpass/consensus/following.py
+++ b/src/quetzalpass/consensus/following.py
@@ -153,7 +153,9 @@
             self.incoming = None
             return self.acknowledge_chunk(0, is_installed=False)
         is_installed = await self.install(incoming)
-        if not is_installed:
+        if is_installed:
+            self.applier.start_tidying()
+        else:
             await asyncio.sleep(INSTALL_RETRY_DELAY_S)
         return self.acknowledge_chunk(len(incoming.data), is_installed=is_installed)
 
@@ -198,7 +200,11 @@
             if incoming.index > replica.applied_index:
                 data = bytes(incoming.data)
                 snapshot = logs.decode_snapshot(data)
-                saved = await replica.log.save_snapshot(snapshot.index, data)
+                saved = await replica.log.save_snapshot(
+                    snapshot.index,
+                    data,
+                    in_reserve=self.applier.may_use_reserve(snapshot.index),
+                )
                 if isinstance(saved, result.Failure):
                     return False
                 replica.log.install(snapshot, data)
--- a/src/quetzalpass/consensus/group.py
+++ b/src/quetzalpass/consensus/group.py
@@ -82,6 +82,7 @@
         self.group_id = group_id
         self.replica = replicas.Replica(settings, folder, transport, state_machine, rng)
         self.applier = applying.Applier(self.replica, snapshot_every)
+        self.replica.log.segments.make_room = self.applier.make_room
         self.follower = following.Follower(self.replica, self.applier)
         self.elections = elections.Elections(self.replica)
         self.joiner = joining.Joiner(self.replica)
@@ -99,6 +100,7 @@
             self.replica.fail(opened.failure())
             return opened
         self.replica.spawn(self.applier.run())
+        self.applier.start_tidying()
         self.replica.spawn(self.elections.run())
         self.replica.spawn(self.joiner.run())
         if self.replica.settings.rules.is_open:
--- a/src/quetzalpass/consensus/log.py
+++ b/src/quetzalpass/consensus/log.py
@@ -10,7 +10,8 @@
 from quetzalpass.storage import disk as disks
 from quetzalpass.storage import frames, health, reserve, segments, snapshots
 
-SEGMENT_BYTES = 4 * 1024 * 1024
+# Small, so that a compaction frees most of the disk.
+SEGMENT_BYTES = 1024 * 1024
 TRAILING_ENTRIES = 256
 TRAILING_BYTES = 8 * 1024 * 1024
 
@@ -246,10 +247,22 @@
         self.snapshot_data = data
 
     async def save_snapshot(
-        self, index: ids.LogIndex, data: bytes
+        self, index: ids.LogIndex, data: bytes, *, in_reserve: bool = False
     ) -> result.Result[None, failures.Failure]:
-        """Store an encoded snapshot durably, without using it yet."""
-        return await self.snapshots.save(snapshots.Snapshot(index, data))
+        """Store an encoded snapshot durably, without using it yet.
+
+        Parameters
+        ----------
+        index : ids.LogIndex
+            Last index that it covers.
+        data : bytes
+            The snapshot.
+        in_reserve : bool
+            Whether it may use up the reserve, as the disk is full.
+        """
+        snapshot = snapshots.Snapshot(index, data)
+        name = self.reserve.take(len(data)) if in_reserve else None
+        return await self.snapshots.save(snapshot, name)
 
     def install(self, snapshot: GroupSnapshot, data: bytes) -> None:
         """Use a leader's snapshot, which is durable, in place of what it covers.
@@ -265,14 +278,15 @@
         self.trim()
 
     async def compact(
-        self, snapshot: GroupSnapshot
+        self, snapshot: GroupSnapshot, *, in_reserve: bool = False
     ) -> result.Result[None, failures.Failure]:
         """Store a snapshot of this replica and drop entries that it covers.
 
         Some are kept in memory, so that a peer that lags slightly needs no snapshot.
+        On a full disk it may use up the reserve.
         """
         data = encode_snapshot(snapshot)
-        saved = await self.save_snapshot(snapshot.index, data)
+        saved = await self.save_snapshot(snapshot.index, data, in_reserve=in_reserve)
         if isinstance(saved, result.Failure):
             return saved
         self.set_snapshot(snapshot, data)
--- a/src/quetzalpass/storage/reserve.py
+++ b/src/quetzalpass/storage/reserve.py
@@ -3,14 +3,14 @@
 import os
 
 from quetzalpass.storage import disk as disks
-from quetzalpass.storage import health
+from quetzalpass.storage import frames, health
 
 RESERVE_NAME = "reserve"
 MIN_RESERVE_BYTES = 512 * 1024
 
 
 class Reserve:
-    """A file that is removed when the disk is full, before a snapshot is stored.
+    """A file that a snapshot is written over, or removed for it, when the disk is full.
 
     Parameters
     ----------
@@ -45,6 +45,20 @@
             return 0
         return self.disk.size(RESERVE_NAME)
 
+    def take(self, snapshot_bytes: int) -> str | None:
+        """Return the file to write a snapshot over; None if it must have its own.
+
+        A reserve that is too small is removed. Writing over it takes no more room, even
+        where the disk accepts none of the room that a removal gives back.
+        """
+        try:
+            if self.size() >= frames.HEADER.size + snapshot_bytes:
+                return RESERVE_NAME
+        except OSError:
+            return None
+        self.release()
+        return None
+
     def release(self) -> None:
         """Give the reserved room back to the disk."""
         try:
--- a/src/quetzalpass/storage/snapshots.py
+++ b/src/quetzalpass/storage/snapshots.py
@@ -62,9 +62,18 @@
         except OSError:
             return result.Failure(self.health.failure())
 
-    async def save(self, snapshot: Snapshot) -> result.Result[None, failures.Failure]:
+    async def save(
+        self, snapshot: Snapshot, in_place_of: str | None = None
+    ) -> result.Result[None, failures.Failure]:
         """Store a snapshot durably, then remove the older ones.
 
+        Parameters
+        ----------
+        snapshot : Snapshot
+            The snapshot.
+        in_place_of : str or None
+            A file to write it over, as a full disk may take nothing else.
+
         Returns
         -------
         returns.result.Result
@@ -75,8 +84,12 @@
         unfinished = name + UNFINISHED_SUFFIX
         try:
             with self.health.watch(health.Operation.SNAPSHOT):
-                await self.disk.write(unfinished, frames.encode_frame(snapshot.data, 0))
-                self.disk.rename(unfinished, name)
+                frame = frames.encode_frame(snapshot.data, 0)
+                if in_place_of is None:
+                    await self.disk.write(unfinished, frame)
+                else:
+                    await self.write_over(in_place_of, frame)
+                self.disk.rename(in_place_of or unfinished, name)
                 await self.disk.sync_folder()
         except OSError:
             self.clean_up(self.remove_unfinished)
@@ -84,6 +97,12 @@
         self.clean_up(lambda: self.remove_older_than(name))
         return result.Success(None)
 
+    async def write_over(self, name: str, frame: bytes) -> None:
+        """Replace the content of a file without needing room for it."""
+        await self.disk.overwrite(name, 0, frame)
+        self.disk.truncate(name, len(frame))
+        await self.disk.sync(name)
+
     def clean_up(self, remove: abc.Callable[[], None]) -> None:
         """Remove files that are no longer needed; what fails is left to the next."""
         try:
