--- a/tests/upgrades/builds.py
+++ b/tests/upgrades/builds.py
@@ -5,7 +5,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 # The version that runs in production when an upgrade begins.
-OLD_COMMIT = "1b585ee"
+OLD_COMMIT = "5cd4451"
 
 
 def extract_old(folder):
--- a/tests/upgrades/samples.py
+++ b/tests/upgrades/samples.py
@@ -2,7 +2,7 @@
 
 Runs with the sources of any build on the path: ``samples.py make`` writes samples as
 JSON lines to the standard output, and ``samples.py decode`` reads such lines and writes
-what the build has understood. ``golden.jsonl`` was made with the sources of 1b585ee::
+what the build has understood. ``golden.jsonl`` was made with the sources of 5cd4451::
 
     PYTHONPATH=OLD/src python samples.py make > golden.jsonl
 """
