Upgrade runs refuse the disks of control nodes in turn, old and new

Each control node's disk refuses writes for a second just before it is replaced, and those of the code in turn before and after the upgrade; these must take part again without a new start, and each must have met a refused write (files may not grow, EFBIG).

--- a/tests/upgrades/upgrade_run.py
+++ b/tests/upgrades/upgrade_run.py
@@ -6,6 +6,7 @@
 import asyncio
 import json
 import re
+import resource
 import types
 
 from platform_standin import standin
@@ -24,6 +25,11 @@
 # Some 300 kB, so that declarations fill logs and snapshots.
 MORE_ROUTES = 1200
 NEW_DISK = "has a new disk"
+# While a disk refuses, no file grows beyond this size: it is more than that of a
+# process's own log, less than that of the first declaration.
+REFUSED_FROM_BYTES = 128 * 1024
+REFUSED_S = 1.0
+REFUSED = "File too large"
 # Messages or records that aren't understood, and exceptions in our code.
 LOGGED_FAULTS = re.compile(
     "bad_json|an't be decoded|no handler|msgspec|File .*/(quetzalpass|fleet_adapter)/"
@@ -48,6 +54,8 @@
         Nodes that were replaced with an empty disk.
     handed_over : list of int
         Requests that a gateway served while it was cut off from the servers.
+    refused : list of pathlib.Path
+        Logs of the processes whose disk has refused writes.
     """
 
     grace_s = 4.0
@@ -70,6 +78,7 @@
         self.handed_over = []
         self.reverted = []
         self.wiped = []
+        self.refused = []
         self.stalls = []
         for node in self.cluster.nodes:
             node.checkout = before
@@ -128,6 +137,7 @@
         leader = failover.find_leader(self.cluster)
         first, last = (each for each in self.cluster.controls if each is not leader)
         one, two = self.cluster.gateways
+        await self.refuse_in_turn()
         await self.replace(first, self.after)
         await self.replace(one, self.after)
         await self.hand_over_from(one)
@@ -135,11 +145,17 @@
         await self.replace(leader, self.after)
         await self.replace(last, self.after, keeps_disk=False)
         await self.replace(two, self.after)
+        await self.refuse_in_turn()
         # By now its log has been compacted by the build that it leaves.
         await self.replace(leader, self.before)
 
     async def replace(self, node, checkout, keeps_disk=True):
-        """Stop a machine and start it with another build, as the platform does."""
+        """Stop a machine and start it with another build, as the platform does.
+
+        The disk of a control node has refused writes just before.
+        """
+        if node.role == "control":
+            await self.refuse_writes(node)
         await self.stop_process(node)
         if not keeps_disk:
             node.wipe_disk()
@@ -149,6 +165,27 @@
         await node.start()
         await self.wait_until_ready(node)
 
+    async def refuse_in_turn(self):
+        """Let one disk after the other refuse writes; the nodes take part again.
+
+        Not those of the version before: it goes on after a new start only.
+        """
+        for node in self.cluster.controls:
+            if node.checkout == self.judged:
+                await self.refuse_writes(node)
+                await self.wait_until_ready(node)
+
+    async def refuse_writes(self, node):
+        """Let the disk of a control node refuse writes for a time."""
+        self.faults.append(f"disk of {node.folder.name} refuses")
+        self.refused.append(node.folder / f"log-{node.starts}")
+        _, hard_limit = resource.prlimit(node.process.pid, resource.RLIMIT_FSIZE)
+        limits = REFUSED_FROM_BYTES, hard_limit
+        resource.prlimit(node.process.pid, resource.RLIMIT_FSIZE, limits)
+        await asyncio.sleep(REFUSED_S)
+        limits = hard_limit, hard_limit
+        resource.prlimit(node.process.pid, resource.RLIMIT_FSIZE, limits)
+
     async def wait_until_ready(self, node):
         try:
             async with asyncio.timeout(READY_TIMEOUT_S):
@@ -209,6 +246,11 @@
     def check(self):
         super().check()
         found = self.reverted + self.logged_faults()
+        found += [
+            f"{log.parent.name}/{log.name}: its disk refused nothing"
+            for log in self.refused
+            if REFUSED not in log.read_text()
+        ]
         if self.longest_without_service_s() > MAX_TIME_WITHOUT_SERVICE_S:
             found.append(f"not served for {self.longest_without_service_s():.1f} s")
         if min(self.handed_over) < MIN_HANDED_OVER:
