A revision comes into force in all parts although something failed meanwhile

Cause: Activation.activate_newest scheduled itself only once per accepted revision. ConfigurationHolder.put_in_force called its observers in a row: one that raised (no memory) kept the others and all waiters from learning of the revision, and as the revision counted as held it was never passed on again.

Why it works: both try again every 0.1 s until they succeed or a newer revision has taken the place; failures are logged within a bound.

--- a/src/quetzalpass/daemon/activation.py
+++ b/src/quetzalpass/daemon/activation.py
@@ -2,9 +2,12 @@
 
 import asyncio
 
+from quetzalpass import background
 from quetzalpass.control import declared_state
 from quetzalpass.membership import configuration
 
+RETRY_S = 0.1
+
 
 class Activation:
     """Puts the newest accepted revision in force soon after it was accepted.
@@ -28,6 +31,7 @@
         self.declared = declared
         self.holder = holder
         self.pending: asyncio.Handle | None = None
+        self.failure_log = background.FailureLog()
         declared.observers.append(self.on_accepted)
 
     def on_accepted(self, accepted: declared_state.AcceptedDeclaration) -> None:
@@ -37,7 +41,13 @@
             self.pending = loop.call_soon(self.activate_newest)
 
     def activate_newest(self) -> None:
-        """Put the newest accepted revision in force."""
+        """Put the newest accepted revision in force; try again if that fails."""
         self.pending = None
         newest = self.declared.current
-        self.holder.activate(newest.revision, newest.digest, newest.data)
+        try:
+            self.holder.activate(newest.revision, newest.digest, newest.data)
+        except Exception as error:
+            message = f"Revision {newest.revision} is not in force yet"
+            self.failure_log.record(message, error)
+            loop = asyncio.get_running_loop()
+            self.pending = loop.call_later(RETRY_S, self.activate_newest)
--- a/src/quetzalpass/membership/configuration.py
+++ b/src/quetzalpass/membership/configuration.py
@@ -3,17 +3,18 @@
 import asyncio
 import hashlib
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import logbook
 import msgspec
 
-from quetzalpass import ids
+from quetzalpass import background, ids
 from quetzalpass.declarations import delta, relays, schema
 
 LOG = logbook.Logger("membership")
 
 EARLIER_REVISIONS = 4
+OBSERVER_RETRY_S = 0.1
 
 
 class Configuration:
@@ -137,7 +138,7 @@
     in_force_since_s : float
         Loop time at which it came into force.
     observers : list of callable
-        Called with each revision that comes into force.
+        Called with each revision that comes into force, again after a failure.
     changed : asyncio.Event
         Set when the next revision comes into force, and then replaced.
     is_waiting_over : bool
@@ -154,6 +155,7 @@
         self.current: Configuration | None = None
         self.in_force_since_s = 0.0
         self.observers: list[Callable[[Configuration], None]] = []
+        self.failure_log = background.FailureLog()
         self.changed = asyncio.Event()
         self.is_waiting_over = False
         self.earlier: list[Configuration] = []
@@ -257,10 +259,29 @@
         self.current = configuration
         self.in_force_since_s = asyncio.get_running_loop().time()
         LOG.info("membership: Revision {} is in force.", revision)
-        for observer in self.observers:
-            observer(configuration)
+        self.notify(configuration, self.observers)
         self.wake_waiters()
 
+    def notify(
+        self,
+        configuration: Configuration,
+        observers: Sequence[Callable[[Configuration], None]],
+    ) -> None:
+        """Notify observers, again and again those that fail, of the newest revision."""
+        if self.current is not configuration:
+            return
+        failed = []
+        for observer in observers:
+            try:
+                observer(configuration)
+            except Exception as error:
+                message = f"An observer of revision {configuration.revision} failed"
+                self.failure_log.record(message, error)
+                failed.append(observer)
+        if failed:
+            loop = asyncio.get_running_loop()
+            loop.call_later(OBSERVER_RETRY_S, self.notify, configuration, failed)
+
     def wake_waiters(self) -> None:
         """Wake all tasks that wait for a newer revision."""
         changed = self.changed
