The event log is written again after a write has failed

What callers would see: nothing; operators see no line of a process after its log's disk was full once or its reader went away for a moment, and the process ends with an error at its next stop.

Cause: EventLog.flush passed on each OSError but BlockingIOError. That ended the writer, which nothing started again, lost the block of lines, and raised out of the last flush at the stop.

Evidence: tests/test_event_log.py::TestFailedWrites. Before, four cases failed (ENOSPC, EIO and EPIPE: nothing arrived after the descriptor took bytes again; the last flush raised '[Errno 28] full'); all pass now.

Why it works: the block stays and is written by the next flush; the queue's bound holds meanwhile, and what it dropped is reported as before.

--- a/src/quetzalpass/event_log.py
+++ b/src/quetzalpass/event_log.py
@@ -66,6 +66,8 @@
         Lines dropped since the last report.
     total_dropped : int
         Lines dropped since the start.
+    failed_writes : int
+        Writes that the descriptor has failed since the start.
     """
 
     current: ClassVar["EventLog | None"] = None
@@ -76,6 +78,7 @@
         self.unwritten = b""
         self.unreported_drops = 0
         self.total_dropped = 0
+        self.failed_writes = 0
         self.encoder = msgspec.json.Encoder()
 
     def record(self, event: Event, level: Level) -> None:
@@ -95,7 +98,7 @@
         return prefix + self.encoder.encode(event)[1:] + b"\n"
 
     def flush(self) -> None:
-        """Write as many lines as possible without blocking."""
+        """Write as many lines as possible without blocking; keep the others."""
         if self.unreported_drops and len(self.lines) < MAX_ROUTINE_LINES:
             dropped, self.unreported_drops = self.unreported_drops, 0
             self.lines.append(self.encode_line(DroppedLines(dropped), Level.NOTICE))
@@ -107,6 +110,10 @@
                 written = os.write(self.descriptor, chunk)
             except BlockingIOError:
                 written = 0
+            except OSError:
+                # Such as a full disk; the next flush writes the same bytes again.
+                self.failed_writes += 1
+                written = 0
             self.unwritten = chunk[written:]
             if self.unwritten:
                 return
