A batch of the ledger that fails refuses its claims instead of holding them for good

What callers would see: a once-only call hangs until its caller gives up; after that the gateway renews and settles no claim any more until its process ends, so its claims expire and outcomes are not recorded.

Cause: an error raised while a batch is proposed or its reply decoded ended LedgerGroup.flush, and nothing answered the commands of the batch. renew and settle wait for such an answer without end, and a task that waits is never started again.

Why it works: the error counts as an unknown outcome, exactly as a timeout does: the claim is refused with a retry time, kept as unconfirmed, and settled later; an outcome is proposed again with its token until it is committed.

--- a/src/quetzalpass/lifecycle/ledger_group.py
+++ b/src/quetzalpass/lifecycle/ledger_group.py
@@ -6,7 +6,7 @@
 import msgspec
 from returns import result
 
-from quetzalpass import ids
+from quetzalpass import background, ids
 from quetzalpass.control import ledger_messages as messages
 from quetzalpass.control import proposers
 from quetzalpass.results import codes, failures
@@ -78,6 +78,7 @@
         self.unsettled: dict[str, messages.Command] = {}
         self.unsettled_bytes = 0
         self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.failure_log = background.FailureLog()
 
     def ensure_running(self, name: str, make_coroutine) -> None:
         """Start a background task unless the one of that name is still running."""
@@ -121,12 +122,19 @@
                 committed = await self.proposer.propose(
                     self.owner, self.new_operation_id(), command
                 )
+            if isinstance(committed, result.Failure):
+                return committed
+            batch = decode_reply(committed.unwrap(), len(commands))
         except TimeoutError:
             failure = failures.Failure(codes.Code.NO_QUORUM, "no majority replied")
             return result.Failure(failure)
-        if isinstance(committed, result.Failure):
-            return committed
-        batch = msgspec.msgpack.decode(committed.unwrap(), type=messages.BatchReply)
+        except (Exception, asyncio.CancelledError) as error:
+            if background.is_cancelled():
+                raise
+            # Whether the batch was committed is unknown, as after a timeout.
+            self.failure_log.record("A batch of the ledger failed", error)
+            failure = failures.Failure(codes.Code.NO_QUORUM, "an internal error")
+            return result.Failure(failure)
         if batch.incarnation > self.incarnation:
             # The wall clock went back across a restart: continue from the incarnation
             # that the group knows.
@@ -241,6 +249,20 @@
             task.cancel()
 
 
+def decode_reply(data: bytes, commands: int) -> messages.BatchReply:
+    """Decode the reply to a batch.
+
+    Raises
+    ------
+    ValueError
+        If it is malformed or doesn't answer each command.
+    """
+    batch = msgspec.msgpack.decode(data, type=messages.BatchReply)
+    if len(batch.answers) != commands:
+        raise ValueError(f"{len(batch.answers)} answers to {commands} commands")
+    return batch
+
+
 def unavailable(message: str) -> ClaimResult:
     """Return the failure of a claim that was not committed; the request did not run."""
     return result.Failure(
