A leader whose disk fails transfers leadership to a voter that holds more

A leader whose disk refused or hung kept leading and queued entries without a bound, and so did its followers.

After 0.5 s it transfers leadership to the voter that has synced most, if that is more than its own and a majority without it has sound disks (AppendReply.disk_condition, empty by default); otherwise it leads on with its lease. A failed transfer ends in stepping down. At most 16 MiB or 65,536 records wait for a disk.

--- a/src/quetzalpass/consensus/following.py
+++ b/src/quetzalpass/consensus/following.py
@@ -91,8 +91,7 @@
         mismatch = self.find_mismatch(request)
         if mismatch is not None:
             return self.reject(mismatch)
-        self.append_missing(request)
-        match = ids.LogIndex(request.previous_index + len(request.entries))
+        match = self.append_missing(request)
         is_running = await self.wait_until_synced(match)
         if not is_running or replica.term != request.term:
             return self.reject(replica.log.last_index + 1)
@@ -104,8 +103,14 @@
             True,
             self.synced_match(match),
             ids.LogIndex(match + 1),
+            self.disk_condition(),
         )
 
+    def disk_condition(self) -> str:
+        """Return what is wrong with the disk if the log can't be written now."""
+        health = self.replica.health
+        return health.condition.value if health.is_failing else ""
+
     def synced_match(self, match: ids.LogIndex) -> ids.LogIndex:
         """Return up to where the log matches the leader's for good, also in a restart.
 
@@ -143,6 +148,7 @@
             False,
             ids.LogIndex(0),
             ids.LogIndex(next_index),
+            self.disk_condition(),
         )
 
     def find_mismatch(self, request: messages.AppendRequest) -> int | None:
@@ -161,15 +167,22 @@
         first = own_log.first_index_of_term_at(previous)
         return max(first, self.replica.commit_index + 1)
 
-    def append_missing(self, request: messages.AppendRequest) -> None:
-        """Append the entries that the log doesn't have yet."""
+    def append_missing(self, request: messages.AppendRequest) -> ids.LogIndex:
+        """Append the entries that the log doesn't have yet; return the last index held.
+
+        Those for which there is no room while the disk fails are left to the leader.
+        """
         own_log = self.replica.log
+        match = request.previous_index
         for entry in request.entries:
-            if entry.index <= self.replica.commit_index:
-                # A delayed or repeated message: what is committed here is the same.
-                continue
-            if own_log.term_at(entry.index) != entry.term:
+            # What is committed here is the same: the message is delayed or repeated.
+            is_committed = entry.index <= self.replica.commit_index
+            if not is_committed and own_log.term_at(entry.index) != entry.term:
+                if not own_log.may_queue:
+                    break
                 own_log.append(entry)
+            match = entry.index
+        return match
 
     async def handle_snapshot(
         self, request: messages.SnapshotRequest
--- a/src/quetzalpass/consensus/group.py
+++ b/src/quetzalpass/consensus/group.py
@@ -180,7 +180,8 @@
             The state machine's outcome; for a resend, the first one. ``NOT_LEADER``
             names the leader, and the command was not applied by this call.
             ``NO_QUORUM`` means that the outcome is unknown: resend the command with
-            the same operation id. ``STORAGE_FAILED`` if the disk here has failed.
+            the same operation id. ``STORAGE_FAILED`` if too few disks accept writes;
+            the command was not applied by this call.
         """
         failure = self.check_proposal(command)
         if failure is not None:
@@ -188,6 +189,9 @@
         first_outcome = self.replica.sessions.find(session, operation)
         if first_outcome is not None:
             return result.Success(first_outcome)
+        failure = self.leadership.voter_disks.rejection()
+        if failure is not None:
+            return result.Failure(failure)
         kind = entries.EntryKind.COMMAND
         entry = self.leadership.append(kind, session, operation, command)
         future = self.applier.add_waiter(entry)
--- a/src/quetzalpass/consensus/leading.py
+++ b/src/quetzalpass/consensus/leading.py
@@ -5,7 +5,7 @@
 import logbook
 
 from quetzalpass import ids
-from quetzalpass.consensus import entries, messages, peers
+from quetzalpass.consensus import entries, messages, peers, voter_disks
 from quetzalpass.consensus import replica as replicas
 
 TRANSFER_POLL_INTERVAL_S = 0.01
@@ -34,6 +34,7 @@
         self.appended = replicas.Signal()
         self.background_tasks: list[asyncio.Task] = []
         self.has_given_up_lease = False
+        self.voter_disks = voter_disks.VoterDisks(self)
 
     @property
     def is_current(self) -> bool:
@@ -64,6 +65,7 @@
         self.background_tasks = [
             replica.spawn(self.sync_own_entries()),
             replica.spawn(self.check_quorum()),
+            replica.spawn(self.voter_disks.run()),
         ]
 
     def stop(self) -> None:
@@ -188,13 +190,21 @@
                 LOG.warning("consensus: Lost the majority in term {}.", self.term)
                 self.replica.step_down(self.term)
 
-    async def transfer_leadership(self) -> None:
-        """Give up the lease for good and let the most up-to-date voter be elected."""
+    async def transfer_leadership(self, successor: peers.Peer | None = None) -> None:
+        """Give up the lease for good and let a voter be elected.
+
+        Without a successor that is the most up-to-date one, if possible one whose disk
+        isn't known to fail.
+        """
         self.has_given_up_lease = True
         voters = [peer for peer in self.peers.values() if peer.member.is_voter]
         if not voters:
             return
-        successor = max(voters, key=lambda peer: peer.match_index)
+        if successor is None:
+            successor = max(
+                voters,
+                key=lambda peer: (peer.disk_failing_since is None, peer.match_index),
+            )
         request = messages.HandOverRequest(
             self.replica.settings.group, self.term, successor.member.replica
         )
--- a/src/quetzalpass/consensus/log.py
+++ b/src/quetzalpass/consensus/log.py
@@ -15,6 +15,9 @@
 SEGMENT_BYTES = 4 * 1024 * 1024
 TRAILING_ENTRIES = 256
 TRAILING_BYTES = 8 * 1024 * 1024
+# Records that may wait for a disk that fails.
+MAX_UNSYNCED_BYTES = 16 * 1024 * 1024
+MAX_UNSYNCED_RECORDS = 65_536
 
 LOG = logbook.Logger("consensus")
 
@@ -123,6 +126,13 @@
             return self.last_index
         return ids.LogIndex(max(self.snapshot_index, self.unsynced[0].index - 1))
 
+    @property
+    def may_queue(self) -> bool:
+        """Return whether few enough records wait for the disk to queue another one."""
+        waiting = self.segments
+        is_short = len(waiting.pending) < MAX_UNSYNCED_RECORDS
+        return is_short and waiting.pending_bytes < MAX_UNSYNCED_BYTES
+
     @property
     def is_term_durable(self) -> bool:
         """Return whether the newest term and vote are synced."""
--- a/src/quetzalpass/consensus/messages.py
+++ b/src/quetzalpass/consensus/messages.py
@@ -99,6 +99,9 @@
         Last index up to which the log is known to match the leader's and be synced.
     next_index : ids.LogIndex
         Index that the leader should send next.
+    disk_condition : str
+        What is wrong with the disk of a replica whose log can't be written now, as a
+        value of ``health.Condition``. Empty if it can, or in an earlier version.
     """
 
     term: ids.Term
@@ -106,6 +109,7 @@
     is_matching: bool
     match_index: ids.LogIndex
     next_index: ids.LogIndex
+    disk_condition: str = ""
 
 
 class AppendRequest(messages.Request, frozen=True):
--- a/src/quetzalpass/consensus/peers.py
+++ b/src/quetzalpass/consensus/peers.py
@@ -26,6 +26,13 @@
         The leadership that it belongs to.
     member : entries.Member
         The other member.
+
+    Attributes
+    ----------
+    disk_condition : str
+        What its last reply said is wrong with its disk; empty if nothing.
+    disk_failing_since : float or None
+        Loop time since which its replies say that its disk fails.
     """
 
     def __init__(
@@ -38,6 +45,8 @@
         self.match_index = 0
         self.acknowledged_at = 0.0
         self.acknowledged_sequence = 0
+        self.disk_condition = ""
+        self.disk_failing_since: float | None = None
         self.has_work = asyncio.Event()
         self.snapshot_index = 0
         self.snapshot_offset = 0
@@ -125,6 +134,7 @@
         reply = await self.call(request)
         if not isinstance(reply, messages.AppendReply):
             return False
+        self.record_disk(reply.disk_condition)
         if reply.is_matching:
             self.match_index = max(self.match_index, reply.match_index)
             held_end = min(reply.next_index, replica.log.last_index + 1)
@@ -134,6 +144,14 @@
             self.next_index = max(1, min(reply.next_index, previous))
         return True
 
+    def record_disk(self, condition: str) -> None:
+        """Record what a reply says of the peer's disk."""
+        self.disk_condition = condition
+        if not condition:
+            self.disk_failing_since = None
+        elif self.disk_failing_since is None:
+            self.disk_failing_since = self.replica.now()
+
     async def send_snapshot_chunk(self) -> bool:
         """Send the next chunk of what was the newest snapshot at the first chunk."""
         replica = self.replica
--- a/src/quetzalpass/storage/segments.py
+++ b/src/quetzalpass/storage/segments.py
@@ -60,6 +60,7 @@
         self.make_room: abc.Callable[[], abc.Awaitable[None]] | None = None
         self.segments: list[recovery.Segment] = []
         self.pending: list[frames.Record] = []
+        self.pending_bytes = 0
         self.appended_count = 0
         self.synced_count = 0
         self.is_closed = False
@@ -139,6 +140,7 @@
             Content.
         """
         self.pending.append(frames.Record(key, data))
+        self.pending_bytes += len(data)
         self.appended_count += 1
 
     async def commit(self) -> result.Result[None, failures.Failure]:
@@ -178,6 +180,7 @@
                 delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
                 continue
             del self.pending[: len(records)]
+            self.pending_bytes -= sum(len(record.data) for record in records)
             self.synced_count += len(records)
             return
 
--- a/tests/consensus/test_groups_with_failing_disks.py
+++ b/tests/consensus/test_groups_with_failing_disks.py
@@ -7,7 +7,7 @@
 from returns import result
 
 from fakes import clusters
-from quetzalpass.consensus import entries, messages, peers
+from quetzalpass.consensus import entries, log, messages, peers, voter_disks
 from quetzalpass.consensus import replica as replicas
 
 FAULTS = ["is_full", "fails_sync", "is_hanging"]
@@ -285,3 +285,84 @@
         await cluster.propose(b"after", attempts=50)
         assert await cluster.leader() != others[0]
         await cluster.stop()
+
+
+@pytest.mark.looptime
+class TestFailingLeaders:
+    @pytest.mark.parametrize("fault", FAULTS)
+    async def test_leadership_is_transferred_to_a_voter_that_holds_more(self, fault):
+        cluster, leader, others = await start_cluster()
+        set_fault(cluster, [leader], fault)
+        await cluster.propose(b"meanwhile")
+        # A disk that hangs is known to do so after a second.
+        await asyncio.sleep(2.5)
+        assert await cluster.leader() in others
+        assert cluster.groups[leader].leadership is None
+        await cluster.propose(b"after")
+        set_fault(cluster, [leader], fault, False)
+        await cluster.until_all_hold([b"before", b"meanwhile", b"after"])
+        await cluster.stop()
+
+    async def test_a_short_refusal_costs_no_leadership(self):
+        cluster, leader, _ = await start_cluster()
+        term = cluster.groups[leader].term
+        set_fault(cluster, [leader], "is_full")
+        await cluster.propose(b"meanwhile")
+        await asyncio.sleep(0.3)
+        set_fault(cluster, [leader], "is_full", False)
+        await asyncio.sleep(3.0)
+        assert cluster.groups[leader].term == term
+        assert cluster.groups[leader].is_leader_with_lease()
+        await cluster.stop()
+
+    @pytest.mark.parametrize("sound_count", [0, 1])
+    async def test_leads_on_where_no_majority_could_elect_another(self, sound_count):
+        cluster, leader, others = await start_cluster()
+        group = cluster.groups[leader]
+        term = group.term
+        set_fault(cluster, [leader, *others[sound_count:]], "is_full")
+        proposal = propose_later(cluster, leader, b"meanwhile")
+        for _ in range(80):
+            await asyncio.sleep(0.05)
+            assert group.is_leader_with_lease()
+        (await group.read_barrier()).unwrap()
+        set_fault(cluster, cluster.vms, "is_full", False)
+        (await proposal).unwrap()
+        assert group.term == term
+        await cluster.stop()
+
+    async def test_a_transfer_that_fails_costs_the_group_no_lease_for_long(self):
+        cluster, leader, others = await start_cluster()
+        set_fault(cluster, [leader], "is_full")
+        await cluster.propose(b"meanwhile")
+        for vm in others:
+            elections = cluster.groups[vm].elections
+            elections.handle_leadership_transfer = self.ignore_transfer
+        await asyncio.sleep(5.0)
+        set_fault(cluster, [leader], "is_full", False)
+        await asyncio.sleep(3.0)
+        newest = await cluster.leader()
+        assert cluster.groups[newest].is_leader_with_lease()
+        await cluster.stop()
+
+    async def ignore_transfer(self, request):
+        return messages.HandOverReply()
+
+    @pytest.mark.parametrize("failing", ["leader", "follower"])
+    async def test_what_waits_for_a_disk_is_bounded(self, failing, monkeypatch):
+        monkeypatch.setattr(log, "MAX_UNSYNCED_BYTES", 4_000)
+        monkeypatch.setattr(voter_disks, "TRANSFER_AFTER_S", 1_000.0)
+        cluster, leader, others = await start_cluster()
+        vm = leader if failing == "leader" else others[0]
+        set_fault(cluster, [vm], "is_full")
+        items = [b"before"]
+        for number in range(100):
+            command = b"%d " % number + b"x" * 200
+            outcome = await propose_later(cluster, leader, command)
+            if isinstance(outcome, result.Success):
+                items.append(command)
+        assert cluster.groups[vm].replica.log.segments.pending_bytes < 5_000
+        assert (len(items) == 101) == (failing == "follower")
+        set_fault(cluster, [vm], "is_full", False)
+        await cluster.until_all_hold(items)
+        await cluster.stop()
