Proposals are rejected at once while no majority has a working disk

A change waited for 5 s and its outcome was then unknown, and a failed replica on a VM kept its proposer from the leader elsewhere.

A leader that has known for a second that no majority of voters has a disk that accepts writes rejects a proposal before it is appended: STORAGE_FAILED with retry_after_ms and the VMs with their conditions. GroupProposer returns that at once, as NO_QUORUM if an earlier attempt may still be applied; without a retry time it tries the other replicas. The operator's interface answers 503 with Retry-After from the failure. The text, status (503) and "send again" of STORAGE_FAILED are corrected.

--- a/src/quetzalpass/consensus/voter_disks.py
+++ b/src/quetzalpass/consensus/voter_disks.py
@@ -5,6 +5,7 @@
 
 import logbook
 
+from quetzalpass import ids
 from quetzalpass.consensus import entries, peers
 from quetzalpass.results import codes, failures
 
@@ -13,6 +14,8 @@
 
 # A leader whose disk refuses for longer transfers leadership to a better voter.
 TRANSFER_AFTER_S = 0.5
+# Proposals are rejected after this time without a majority of working disks.
+REJECT_AFTER_S = 1.0
 RETRY_AFTER_MS = 1_000
 
 LOG = logbook.Logger("consensus")
@@ -52,12 +55,35 @@
     def rejection(self) -> failures.Failure | None:
         """Return why nothing may be appended now, or None if it may."""
         if not self.replica.log.may_queue:
-            return rejection_of([self.own_description()])
-        return None
-
-    def own_description(self) -> str:
-        """Return this VM with what is wrong with its disk."""
-        return f"{self.replica.settings.vm} ({self.replica.health.condition.value})"
+            return rejection_of([self.describe(self.replica.settings.vm)])
+        failing = {
+            member.vm: self.failing_for_s(member)
+            for member in self.replica.log.configuration.voters
+        }
+        tolerated_count = len(failing) - self.replica.log.configuration.majority
+        durations = sorted(failing.values(), reverse=True)
+        if durations[tolerated_count] <= REJECT_AFTER_S:
+            return None
+        return rejection_of([self.describe(vm) for vm in failing if failing[vm] > 0])
+
+    def failing_for_s(self, member: entries.Member) -> float:
+        """Return for how long a voter's disk is known to fail; 0 if it isn't."""
+        if member.replica == self.replica.replica_id:
+            return self.replica.health.log_failing_for_s()
+        peer = self.leadership.peers.get(member.replica)
+        if peer is None or peer.disk_failing_since is None:
+            return 0.0
+        if not self.is_in_contact(peer):
+            return 0.0
+        return self.replica.now() - peer.disk_failing_since
+
+    def describe(self, vm: ids.VmId) -> str:
+        """Return a voter's VM with what is wrong with its disk."""
+        condition = self.replica.health.condition.value
+        for peer in self.leadership.peers.values():
+            if peer.member.vm == vm:
+                condition = peer.disk_condition
+        return f"{vm} ({condition})"
 
     def find_successor(self) -> peers.Peer | None:
         """Return the voter that holds most, if it is better than this leader.
@@ -96,7 +122,7 @@
 def rejection_of(descriptions: list[str]) -> failures.Failure:
     """Return the failure of a proposal that was not appended."""
     message = (
-        f"Not applied: too few disks accept writes, as those of "
+        f"This call changed nothing: too few disks accept writes, as those of "
         f"{', '.join(descriptions)} do not."
     )
     return failures.Failure(
--- a/src/quetzalpass/daemon/groups.py
+++ b/src/quetzalpass/daemon/groups.py
@@ -20,6 +20,8 @@
 RETRYABLE_CODES = frozenset(
     {codes.Code.NOT_LEADER, codes.Code.UNREACHABLE, codes.Code.NO_QUORUM}
 )
+# After these an earlier attempt may still be applied.
+UNKNOWN_CODES = frozenset({codes.Code.UNREACHABLE, codes.Code.NO_QUORUM})
 
 
 def ledger_group_ids() -> list[ids.GroupId]:
@@ -30,8 +32,8 @@
 class GroupProposer(proposers.Proposer):
     """Sends commands to the leader of a group, on this VM or another.
 
-    A command is sent again with the same operation id until it has an outcome or
-    ``PROPOSE_TIMEOUT_S`` has passed; the group applies it once.
+    A command is sent again with the same operation id until it has an outcome, the
+    leader rejects it, or ``PROPOSE_TIMEOUT_S`` has passed; the group applies it once.
 
     Parameters
     ----------
@@ -74,12 +76,16 @@
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + PROPOSE_TIMEOUT_S
         request = inner_messages.ProposeRequest(self.group, session, operation, command)
+        is_unknown = False
         while True:
             reply = await self.propose_once(request)
             if reply.failure is None:
                 return result.Success(reply.answer)
-            if reply.failure.code not in RETRYABLE_CODES:
+            if is_rejection(reply.failure) and is_unknown:
+                return result.Failure(unknown_outcome_failure(reply.failure))
+            if not may_try_again(reply.failure):
                 return result.Failure(reply.failure)
+            is_unknown = is_unknown or reply.failure.code in UNKNOWN_CODES
             if loop.time() + RETRY_INTERVAL_S >= deadline_s:
                 return result.Failure(no_quorum_failure(reply.failure))
             await asyncio.sleep(RETRY_INTERVAL_S)
@@ -90,11 +96,10 @@
         """Try one replica: the leader if it is known, else the next one in turn."""
         if self.local is not None:
             reply = await propose_locally(self.local, request)
-            if reply.failure is None or reply.failure.code is not (
-                codes.Code.NOT_LEADER
-            ):
+            if reply.failure is None or not concerns_one_replica(reply.failure):
                 return reply
-            self.leader = reply.leader
+            if reply.failure.code is codes.Code.NOT_LEADER:
+                self.leader = reply.leader
         target = self.leader if self.is_leader_reachable() else self.next_replica()
         if target is None:
             failure = failures.Failure(codes.Code.NO_QUORUM, "no replica is known")
@@ -123,6 +128,36 @@
         return names[self.last_index % len(names)]
 
 
+def is_rejection(failure: failures.Failure) -> bool:
+    """Return whether a leader rejected a command as too few disks accept writes.
+
+    Without a retry time, ``STORAGE_FAILED`` concerns the disk of one replica.
+    """
+    is_storage = failure.code is codes.Code.STORAGE_FAILED
+    return is_storage and failure.retry_after_ms is not None
+
+
+def concerns_one_replica(failure: failures.Failure) -> bool:
+    """Return whether another replica may accept what this one did not."""
+    if failure.code is codes.Code.STORAGE_FAILED:
+        return not is_rejection(failure)
+    return failure.code is codes.Code.NOT_LEADER
+
+
+def may_try_again(failure: failures.Failure) -> bool:
+    """Return whether another attempt is made before the caller gets the failure."""
+    return failure.code in RETRYABLE_CODES or concerns_one_replica(failure)
+
+
+def unknown_outcome_failure(last: failures.Failure) -> failures.Failure:
+    """Return the failure of a command of which an earlier attempt may be applied."""
+    return failures.Failure(
+        codes.Code.NO_QUORUM,
+        f"an earlier attempt may still be applied; the last one: {last.message}",
+        retry_after_ms=last.retry_after_ms,
+    )
+
+
 def no_quorum_failure(last: failures.Failure) -> failures.Failure:
     """Return the failure of a command whose outcome is unknown."""
     return failures.Failure(
--- a/src/quetzalpass/results/codes.py
+++ b/src/quetzalpass/results/codes.py
@@ -223,7 +223,7 @@
         503, None, True, "Wait until a majority of replicas can reach each other."
     ),
     Code.STORAGE_FAILED: CodeSpec(
-        500, None, False, "Replace the disk; the replica has stopped acknowledging."
+        503, None, True, "Send it again; make room on the disks that are named."
     ),
     Code.STORAGE_DAMAGED: CodeSpec(
         500, None, False, "Restore the named file or start with an empty folder."
--- a/tests/consensus/test_groups_with_failing_disks.py
+++ b/tests/consensus/test_groups_with_failing_disks.py
@@ -9,6 +9,7 @@
 from fakes import clusters
 from quetzalpass.consensus import entries, log, messages, peers, voter_disks
 from quetzalpass.consensus import replica as replicas
+from quetzalpass.results import codes
 
 FAULTS = ["is_full", "fails_sync", "is_hanging"]
 
@@ -366,3 +367,55 @@
         set_fault(cluster, [vm], "is_full", False)
         await cluster.until_all_hold(items)
         await cluster.stop()
+
+
+@pytest.mark.looptime
+class TestProposals:
+    @pytest.mark.parametrize("sound_count", [0, 1])
+    @pytest.mark.parametrize("leader_fails", [False, True])
+    async def test_are_rejected_while_no_majority_has_a_working_disk(
+        self, sound_count, leader_fails
+    ):
+        count = 3 if sound_count == 0 or leader_fails else 5
+        cluster, leader, others = await start_cluster(count)
+        failing = others[sound_count:]
+        if leader_fails or sound_count == 0:
+            failing = [leader, *failing]
+        set_fault(cluster, failing, "is_full")
+        waiting = propose_later(cluster, leader, b"meanwhile")
+        await asyncio.sleep(2.0)
+        begun = now()
+        failure = (await propose_later(cluster, leader, b"rejected")).failure()
+        assert now() == begun
+        assert failure.code is codes.Code.STORAGE_FAILED
+        assert failure.retry_after_ms == 1_000
+        named = {vm for vm in cluster.vms if f"{vm} (no_room)" in failure.message}
+        assert named == set(failing)
+        set_fault(cluster, failing, "is_full", False)
+        (await waiting).unwrap()
+        await cluster.until(
+            lambda: cluster.groups[leader].leadership.voter_disks.rejection() is None,
+            timeout_s=1.0,
+        )
+        await cluster.propose(b"after")
+        await cluster.until_all_hold([b"before", b"meanwhile", b"after"])
+        await cluster.stop()
+
+    async def test_are_accepted_while_a_majority_has_working_disks(self):
+        cluster, leader, others = await start_cluster()
+        set_fault(cluster, others[:1], "is_full")
+        for number in range(30):
+            (await propose_later(cluster, leader, b"%d" % number)).unwrap()
+            await asyncio.sleep(0.1)
+        await cluster.stop()
+
+    async def test_a_lost_voter_is_not_taken_for_a_failing_disk(self):
+        cluster, leader, others = await start_cluster()
+        set_fault(cluster, others, "is_full")
+        propose_later(cluster, leader, b"meanwhile")
+        await asyncio.sleep(0.9)
+        await cluster.crash(others[0])
+        await asyncio.sleep(0.65)
+        current = cluster.groups[leader].leadership
+        assert current is None or current.voter_disks.rejection() is None
+        await cluster.stop()
--- a/tests/daemon/test_groups.py
+++ b/tests/daemon/test_groups.py
@@ -50,3 +50,62 @@
         proposer = groups.GroupProposer(groups.DECLARATION_GROUP, {"c-1": seed}, None)
         outcome = await proposer.propose("session", ids.OperationId("1"), b"command")
         assert outcome.failure().code is codes.Code.NO_QUORUM
+
+
+class FailingClient:
+    """A control node that answers each proposal with the same failure."""
+
+    def __init__(self, failure):
+        self.failure = failure
+        self.call_count = 0
+
+    async def propose(self, request, timeout_s):
+        self.call_count += 1
+        return result.Success(inner_messages.ProposeReply(failure=self.failure))
+
+
+class FailedReplica:
+    """The replica on this VM, whose disk fails."""
+
+    async def propose(self, session, operation, command):
+        return result.Failure(failures.Failure(codes.Code.STORAGE_FAILED, "no room"))
+
+    def leader(self):
+        return None
+
+
+REJECTION = failures.Failure(
+    codes.Code.STORAGE_FAILED, "c-1 (no_room)", retry_after_ms=1_000
+)
+
+
+async def propose(clients, local=None):
+    proposer = groups.GroupProposer(groups.DECLARATION_GROUP, clients, local)
+    return await proposer.propose("session", ids.OperationId("1"), b"command")
+
+
+@pytest.mark.looptime
+class TestFailingDisks:
+    async def test_a_leaders_rejection_is_returned_at_once(self):
+        client = FailingClient(REJECTION)
+        assert (await propose({"c-1": client})).failure() == REJECTION
+        assert client.call_count == 1
+
+    async def test_a_rejection_after_an_unknown_outcome_claims_nothing(self):
+        unknown = failures.Failure(codes.Code.NO_QUORUM, "unknown")
+        clients = {"c-1": FailingClient(REJECTION), "c-2": FailingClient(unknown)}
+        failure = (await propose(clients)).failure()
+        assert failure.code is codes.Code.NO_QUORUM
+        assert "earlier attempt may still be applied" in failure.message
+        assert "c-1 (no_room)" in failure.message
+        assert failure.retry_after_ms == 1_000
+
+    async def test_a_failed_replica_here_does_not_stop_a_proposer(self):
+        outcome = await propose({"c-1": FakeClient()}, FailedReplica())
+        assert outcome.unwrap() == b"done"
+
+    async def test_a_failed_replica_elsewhere_does_not_stop_a_proposer(self):
+        failed = failures.Failure(codes.Code.STORAGE_FAILED, "no room")
+        for names in (("c-1", "c-2"), ("c-2", "c-1")):
+            clients = {names[0]: FailingClient(failed), names[1]: FakeClient()}
+            assert (await propose(clients)).unwrap() == b"done"
