--- a/src/quetzalpass/consensus/log.py
+++ b/src/quetzalpass/consensus/log.py
@@ -262,7 +262,9 @@
         """
         snapshot = snapshots.Snapshot(index, data)
         name = self.reserve.take(len(data)) if in_reserve else None
-        return await self.snapshots.save(snapshot, name)
+        if name is None:
+            return await self.snapshots.save(snapshot)
+        return await self.snapshots.save(snapshot, in_place_of=name)
 
     def install(self, snapshot: GroupSnapshot, data: bytes) -> None:
         """Use a leader's snapshot, which is durable, in place of what it covers.
