A replica whose disk refuses a start opens it again in the background

Cause: Group.start() failed the replica, and with it the process, when the disk could not be read or written for a moment. STORAGE_DAMAGED still fails the start. A log that is closed while a call waits for the disk no longer fails the replica: persist() is False. A replica id that is found before there is a log is stored again, as its folder's sync may have failed.

--- a/src/quetzalpass/consensus/applying.py
+++ b/src/quetzalpass/consensus/applying.py
@@ -258,6 +258,11 @@
             replica.machine.snapshot(),
         )
 
+    def forget(self) -> None:
+        """Drop all state in memory; the outcomes of waiting proposals are unknown."""
+        self.cancel_waiters()
+        self.unsaved_bytes = 0
+
     def cancel_waiters(self) -> None:
         """Cancel all waiting proposals; their outcomes are unknown."""
         for waiter in self.waiters.values():
--- a/src/quetzalpass/consensus/group.py
+++ b/src/quetzalpass/consensus/group.py
@@ -14,6 +14,7 @@
     following,
     joining,
     leading,
+    lifecycle,
     machine,
     messages,
     upkeep,
@@ -82,10 +83,12 @@
         self.group_id = group_id
         self.replica = replicas.Replica(settings, folder, transport, state_machine, rng)
         self.applier = applying.Applier(self.replica, snapshot_every)
-        self.replica.log.segments.make_room = self.applier.make_room
         self.follower = following.Follower(self.replica, self.applier)
         self.elections = elections.Elections(self.replica)
         self.joiner = joining.Joiner(self.replica)
+        self.lifecycle = lifecycle.Lifecycle(
+            self.replica, self.applier, self.follower, self.run_tasks
+        )
 
     async def start(self) -> result.Result[None, failures.Failure]:
         """Read the disk and start taking part in the group.
@@ -93,19 +96,19 @@
         Returns
         -------
         returns.result.Result
-            ``STORAGE_DAMAGED`` or ``STORAGE_FAILED`` where the disk can't be used.
+            ``STORAGE_DAMAGED`` if what the disk held can't be read any more. A disk
+            that refuses is opened later, and the replica takes part from then on.
         """
-        opened = await self.replica.open()
-        if isinstance(opened, result.Failure):
-            self.replica.fail(opened.failure())
-            return opened
+        return await self.lifecycle.start()
+
+    def run_tasks(self) -> None:
+        """Start the tasks of a replica that is open."""
         self.replica.spawn(self.applier.run())
         self.applier.start_tidying()
         self.replica.spawn(self.elections.run())
         self.replica.spawn(self.joiner.run())
         if self.replica.settings.rules.is_open:
             self.replica.spawn(upkeep.Maintenance(self.replica, self.joiner).run())
-        return result.Success(None)
 
     def set_seeds(self, vms: list[ids.VmId]) -> None:
         """Change the VMs that this replica queries while it is not a member."""
@@ -114,7 +117,7 @@
     async def stop(self) -> None:
         """Stop the replica; the outcomes of waiting proposals are unknown."""
         self.applier.cancel_waiters()
-        await self.replica.close()
+        await self.lifecycle.stop()
 
     async def transfer_leadership(self) -> None:
         """Transfer leadership to another member if this replica leads.
--- a/src/quetzalpass/consensus/identity.py
+++ b/src/quetzalpass/consensus/identity.py
@@ -7,39 +7,59 @@
 from quetzalpass import ids
 from quetzalpass.results import codes, failures
 from quetzalpass.storage import disk as disks
-from quetzalpass.storage import frames, recovery
+from quetzalpass.storage import frames, health, recovery
 
 REPLICA_ID_NAME = "replica-id"
 REPLICA_ID_BITS = 128
 
 
 async def open_replica_id(
-    disk: disks.Disk, rng: random.Random
+    disk: disks.Disk, rng: random.Random, disk_health: health.DiskHealth
 ) -> result.Result[ids.ReplicaId, failures.Failure]:
     """Return the replica id of a disk, creating it on first use.
 
     Returns
     -------
     returns.result.Result
-        The id; ``STORAGE_DAMAGED`` if a disk that holds a log has lost its id.
+        The id; ``STORAGE_DAMAGED`` if a disk that holds a log has lost its id;
+        ``STORAGE_FAILED`` if the disk can't read or store it now.
     """
-    unfinished = REPLICA_ID_NAME + ".new"
     try:
-        if REPLICA_ID_NAME in disk.names():
-            content = frames.decode_frame(disk.read(REPLICA_ID_NAME), 0)
-            if content is not None:
-                return result.Success(ids.ReplicaId(content.decode()))
+        with disk_health.watch(health.Operation.OPEN):
+            return await read_or_create(disk, rng)
+    except OSError:
+        return result.Failure(disk_health.failure())
+
+
+async def read_or_create(
+    disk: disks.Disk, rng: random.Random
+) -> result.Result[ids.ReplicaId, failures.Failure]:
+    """Return the durable replica id of a disk; see :func:`open_replica_id`.
+
+    Before there is a log, an id that is found is stored again, as the sync of its
+    folder may have failed.
+    """
+    names = disk.names()
+    holds_log = any(name.startswith(recovery.SEGMENT_PREFIX) for name in names)
+    if REPLICA_ID_NAME in names:
+        content = frames.decode_frame(disk.read(REPLICA_ID_NAME), 0)
+        if content is None:
             return replica_id_failure("is damaged at offset 0")
-        if any(name.startswith(recovery.SEGMENT_PREFIX) for name in disk.names()):
-            return replica_id_failure("is missing, but there is a log")
-        replica_id = ids.ReplicaId(f"{rng.getrandbits(REPLICA_ID_BITS):032x}")
-        await disk.write(unfinished, frames.encode_frame(replica_id.encode(), 0))
-        disk.rename(unfinished, REPLICA_ID_NAME)
-        await disk.sync_folder()
-    except OSError as error:
-        message = f"The replica id can't be read or stored: {error}."
-        return result.Failure(failures.Failure(codes.Code.STORAGE_FAILED, message))
-    return result.Success(replica_id)
+    elif holds_log:
+        return replica_id_failure("is missing, but there is a log")
+    else:
+        content = f"{rng.getrandbits(REPLICA_ID_BITS):032x}".encode()
+    if not holds_log:
+        await store(disk, content)
+    return result.Success(ids.ReplicaId(content.decode()))
+
+
+async def store(disk: disks.Disk, content: bytes) -> None:
+    """Store a replica id durably."""
+    unfinished = REPLICA_ID_NAME + ".new"
+    await disk.write(unfinished, frames.encode_frame(content, 0))
+    disk.rename(unfinished, REPLICA_ID_NAME)
+    await disk.sync_folder()
 
 
 def replica_id_failure(reason: str) -> result.Result[ids.ReplicaId, failures.Failure]:
--- a/src/quetzalpass/consensus/replica.py
+++ b/src/quetzalpass/consensus/replica.py
@@ -223,16 +223,22 @@
         LOG.error("consensus: This replica of group {} stopped.", self.settings.group)
 
     async def persist(self) -> bool:
-        """Wait until all queued records are durable; False if the disk failed."""
-        committed = await self.log.commit()
+        """Wait until all queued records are durable.
+
+        Returns
+        -------
+        bool
+            False if the replica was stopped or has started anew before.
+        """
+        log = self.log
+        committed = await log.commit()
         if isinstance(committed, result.Failure):
-            self.fail(committed.failure())
             return False
-        return self.is_running
+        return self.is_running and self.log is log
 
     async def open(self) -> result.Result[None, failures.Failure]:
         """Read the disk and become a follower."""
-        opened_id = await identity.open_replica_id(self.disk, self.rng)
+        opened_id = await identity.open_replica_id(self.disk, self.rng, self.health)
         if isinstance(opened_id, result.Failure):
             return opened_id
         opened = await self.log.open()
@@ -248,6 +254,17 @@
         self.reset_election_timer()
         return result.Success(None)
 
+    def forget(self) -> None:
+        """Drop all state in memory but the state machine's, as a crash does."""
+        self.log = logs.ReplicatedLog(self.disk, self.health)
+        self.sessions = sessions.Sessions()
+        self.replica_id = entries.NO_REPLICA
+        self.role = Role.STOPPED
+        self.leader = None
+        self.commit_index = ids.LogIndex(0)
+        self.applied_index = ids.LogIndex(0)
+        self.join_requests.clear()
+
     def restore(self, snapshot: logs.GroupSnapshot) -> None:
         """Replace the applied state by that of a snapshot."""
         self.machine.restore(snapshot.machine)
--- a/tests/fakes/disks.py
+++ b/tests/fakes/disks.py
@@ -20,6 +20,7 @@
         self.is_crashed = False
         self.fails_sync = False
         self.fails_write = False
+        self.fails_read = False
         self.is_full = False
         # Bytes that all files may have together; a write takes what still fits.
         self.capacity_bytes = None
@@ -90,6 +91,8 @@
         return sorted(self.files)
 
     def read(self, name):
+        if self.faults.fails_read:
+            raise OSError(errno.EIO, "Input/output error")
         return self.files[name].current
 
     def size(self, name):
