A soak of control nodes as processes whose disks are full, refuse, fail syncs, hang, are slow or lose power

Operators change and read all the time, callers ask the gateways; checked are rule CONFIG, the calm after the last fault, own ends, log lines and the shown condition.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,6 +6,7 @@
     crashing,
     crashing_parts,
     cut_off,
+    disks,
     limits,
     odd_values,
     soak,
@@ -21,6 +22,7 @@
 ASKING_SECONDS = 8
 STOPS_SECONDS = 1
 ODD_VALUES_SECONDS = 4
+DISKS_SECONDS = 8
 # No seed has failed yet. Add each one that does, with its cause.
 SEEDS = (1,)
 
@@ -67,3 +69,8 @@
 
     async def test_odd_values_of_others_are_left_out(self, tmp_path):
         await odd_values.run_seed(2, ODD_VALUES_SECONDS, tmp_path)
+
+    @pytest.mark.parametrize("seed", [1])
+    async def test_control_nodes_outlive_failing_disks(self, tmp_path, seed):
+        done = await disks.run_seed(seed, DISKS_SECONDS, tmp_path)
+        assert done.faults
