A replica whose task failed starts anew from its disk within the process

Cause: an unexpected exception in one task failed the replica until an operator restarted the VM. Waiting proposals end with an unknown outcome.

--- a/src/quetzalpass/consensus/applying.py
+++ b/src/quetzalpass/consensus/applying.py
@@ -262,6 +262,9 @@
         """Drop all state in memory; the outcomes of waiting proposals are unknown."""
         self.cancel_waiters()
         self.unsaved_bytes = 0
+        # Tasks that were cancelled before they ran have not reset these.
+        self.is_compacting = False
+        self.is_tidying = False
 
     def cancel_waiters(self) -> None:
         """Cancel all waiting proposals; their outcomes are unknown."""
--- a/src/quetzalpass/consensus/group.py
+++ b/src/quetzalpass/consensus/group.py
@@ -87,7 +87,11 @@
         self.elections = elections.Elections(self.replica)
         self.joiner = joining.Joiner(self.replica)
         self.lifecycle = lifecycle.Lifecycle(
-            self.replica, self.applier, self.follower, self.run_tasks
+            self.replica,
+            self.applier,
+            self.follower,
+            self.run_tasks,
+            lambda: disk.folder(f"group-{group_id}"),
         )
 
     async def start(self) -> result.Result[None, failures.Failure]:
--- a/src/quetzalpass/consensus/replica.py
+++ b/src/quetzalpass/consensus/replica.py
@@ -14,7 +14,7 @@
 from quetzalpass.consensus import entries, identity, machine, sessions
 from quetzalpass.consensus import log as logs
 from quetzalpass.consensus import timing as timings
-from quetzalpass.results import codes, failures
+from quetzalpass.results import failures
 from quetzalpass.storage import disk as disks
 from quetzalpass.storage import health
 from quetzalpass.wire import transport as transports
@@ -118,6 +118,11 @@
             self.waiters.discard(waiter)
 
 
+def no_restart(error: BaseException) -> None:
+    """Log the exception of a task whose replica nothing starts anew."""
+    LOG.error("consensus: A task failed: {!r}.", error)
+
+
 class BaseLeadership(abc.ABC):
     """Interface of ``leading.Leadership``, for the replica that it belongs to."""
 
@@ -141,6 +146,11 @@
         The replicated state machine.
     rng : random.Random
         Generates the replica id and the election timeouts.
+
+    Attributes
+    ----------
+    on_failure : callable
+        Called with the exception of a task that failed.
     """
 
     def __init__(
@@ -173,6 +183,7 @@
         self.seen_replicas: dict[ids.VmId, ids.ReplicaId] = {}
         self.join_requests: dict[ids.VmId, JoinRequest] = {}
         self.tasks: set[asyncio.Task] = set()
+        self.on_failure: collections_abc.Callable[[BaseException], None] = no_restart
 
     @property
     def term(self) -> ids.Term:
@@ -196,20 +207,17 @@
     def spawn(
         self, work: collections_abc.Coroutine[None, None, None]
     ) -> asyncio.Task[None]:
-        """Start a task; if it fails, the replica stops for good."""
+        """Start a task; if it fails, the replica starts anew from its disk."""
         task = asyncio.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.on_task_done)
         return task
 
     def on_task_done(self, task: asyncio.Task[None]) -> None:
-        """Remove a task that has ended; stop the replica if it raised an exception."""
+        """Remove a task that has ended; report an exception that it raised."""
         self.tasks.discard(task)
-        if task.cancelled() or task.exception() is None:
-            return
-        LOG.error("consensus: A task failed: {!r}.", task.exception())
-        message = f"A task of group {self.settings.group} failed; restart the VM."
-        self.fail(failures.Failure(codes.Code.INTERNAL, message))
+        if not task.cancelled() and task.exception() is not None:
+            self.on_failure(task.exception())
 
     def fail(self, failure: failures.Failure) -> None:
         """Stop acknowledging messages for good."""
--- a/src/quetzalpass/storage/disk.py
+++ b/src/quetzalpass/storage/disk.py
@@ -170,12 +170,11 @@
 
     def folder(self, name: str) -> Disk:
         """Return a subfolder, created if it is missing."""
-        if name not in self.folders:
-            path = self.path / name
-            path.mkdir(exist_ok=True)
+        path = self.path / name
+        if name not in self.folders or not path.is_dir():
+            path.mkdir(parents=True, exist_ok=True)
             sync_path(self.path)
-            self.folders[name] = FolderDisk(path)
-        return self.folders[name]
+        return self.folders.setdefault(name, FolderDisk(path))
 
     def close(self) -> None:
         """Close all open files, which releases the lock if it is held."""
--- a/src/quetzalpass/storage/health.py
+++ b/src/quetzalpass/storage/health.py
@@ -35,6 +35,7 @@
 class Operation(enum.Enum):
     """What the disk was asked to do."""
 
+    START = "start from the log"
     OPEN = "open the log"
     WRITE = "write to the log"
     SNAPSHOT = "store a snapshot"
@@ -43,6 +44,10 @@
     MARK = "record what is synced"
 
 
+# Without these the log can't be written.
+LOG_OPERATIONS = (Operation.START, Operation.OPEN, Operation.WRITE)
+
+
 class Trouble(msgspec.Struct):
     """An operation that the disk refuses or doesn't finish.
 
@@ -92,7 +97,7 @@
     @property
     def is_failing(self) -> bool:
         """Return whether the log can't be written at present."""
-        return Operation.WRITE in self.troubles or Operation.OPEN in self.troubles
+        return any(operation in self.troubles for operation in LOG_OPERATIONS)
 
     @property
     def condition(self) -> Condition:
@@ -103,7 +108,7 @@
     @property
     def trouble(self) -> Trouble | None:
         """Return the trouble of the log, or else the oldest of the others."""
-        for operation in (Operation.OPEN, Operation.WRITE):
+        for operation in LOG_OPERATIONS:
             if operation in self.troubles:
                 return self.troubles[operation]
         return min(self.troubles.values(), key=lambda each: each.since, default=None)
@@ -117,7 +122,7 @@
         """Return for how long the log could not be written; 0 if it can."""
         begun = [
             self.troubles[operation].since
-            for operation in (Operation.OPEN, Operation.WRITE)
+            for operation in LOG_OPERATIONS
             if operation in self.troubles
         ]
         return loop_time() - min(begun) if begun else 0.0
