A data folder that can't be opened at a start is opened later, by the groups in it

Cause: an OSError of the data folder or its lock file (a full disk at the first start) ended the process. Now only a lock of another process does. Disk.make creates and locks the folder, and Lifecycle calls it at each attempt, also after an operator emptied the folder.

--- a/src/quetzalpass/consensus/group.py
+++ b/src/quetzalpass/consensus/group.py
@@ -87,11 +87,7 @@
         self.elections = elections.Elections(self.replica)
         self.joiner = joining.Joiner(self.replica)
         self.lifecycle = lifecycle.Lifecycle(
-            self.replica,
-            self.applier,
-            self.follower,
-            self.run_tasks,
-            lambda: disk.folder(f"group-{group_id}"),
+            self.replica, self.applier, self.follower, self.run_tasks
         )
 
     async def start(self) -> result.Result[None, failures.Failure]:
--- a/src/quetzalpass/consensus/lifecycle.py
+++ b/src/quetzalpass/consensus/lifecycle.py
@@ -47,8 +47,6 @@
         Receives its entries.
     run_tasks : callable
         Starts the tasks of a replica that is open.
-    make_folder : callable
-        Makes the replica's folder if it is missing; raises ``OSError`` if it can't.
 
     Attributes
     ----------
@@ -68,13 +66,11 @@
         applier: applying.Applier,
         follower: following.Follower,
         run_tasks: abc.Callable[[], None],
-        make_folder: abc.Callable[[], object],
     ) -> None:
         self.replica = replica
         self.applier = applier
         self.follower = follower
         self.run_tasks = run_tasks
-        self.make_folder = make_folder
         self.initial_state = b""
         self.task: asyncio.Task[None] | None = None
         self.is_stopped = False
@@ -192,7 +188,7 @@
         replica.disk.close()
         try:
             with replica.health.watch(health.Operation.OPEN):
-                self.make_folder()
+                replica.disk.make()
         except OSError:
             return result.Failure(replica.health.failure())
         return await replica.open()
--- a/src/quetzalpass/storage/disk.py
+++ b/src/quetzalpass/storage/disk.py
@@ -2,10 +2,12 @@
 
 import abc
 import asyncio
+import contextlib
 import fcntl
 import os
 import pathlib
 
+import logbook
 from returns import result
 
 from quetzalpass.results import codes, failures
@@ -14,6 +16,8 @@
 # Created and removed to change a folder, see ``sync_folder``.
 TOUCHED_NAME = "touched"
 
+LOG = logbook.Logger("storage")
+
 
 class SyncError(OSError):
     """A sync failed.
@@ -81,7 +85,11 @@
 
     @abc.abstractmethod
     def folder(self, name: str) -> "Disk":
-        """Return a subfolder, created if it is missing."""
+        """Return a subfolder, created if it is missing and can be created now."""
+
+    @abc.abstractmethod
+    def make(self) -> None:
+        """Create the folder durably if it is missing."""
 
     @abc.abstractmethod
     def close(self) -> None:
@@ -94,7 +102,9 @@
     Parameters
     ----------
     path : pathlib.Path
-        The folder, which must exist.
+        The folder; ``make`` creates it if it is missing.
+    parent : FolderDisk or None
+        The folder that holds it, if it is a subfolder.
 
     Attributes
     ----------
@@ -102,10 +112,17 @@
         Syncs of the folder that have failed.
     repeated_folder_syncs : int
         How many of them a later sync has made up for.
+    is_made : bool
+        Whether the folder's name is durable.
+    is_name_unsynced : bool
+        Whether the sync of its name was tried and failed.
     """
 
-    def __init__(self, path: pathlib.Path) -> None:
+    def __init__(self, path: pathlib.Path, parent: "FolderDisk | None" = None) -> None:
         self.path = path
+        self.parent = parent
+        self.is_made = False
+        self.is_name_unsynced = False
         self.descriptors: dict[str, int] = {}
         self.folders: dict[str, FolderDisk] = {}
         self.failed_folder_syncs = 0
@@ -169,12 +186,30 @@
         self.repeated_folder_syncs = max(self.repeated_folder_syncs, failed)
 
     def folder(self, name: str) -> Disk:
-        """Return a subfolder, created if it is missing."""
-        path = self.path / name
-        if name not in self.folders or not path.is_dir():
-            path.mkdir(parents=True, exist_ok=True)
-            sync_path(self.path)
-        return self.folders.setdefault(name, FolderDisk(path))
+        """Return a subfolder, created if it is missing and can be created now."""
+        found = self.folders.setdefault(name, FolderDisk(self.path / name, self))
+        with contextlib.suppress(OSError):
+            found.make()
+        return found
+
+    def make(self) -> None:
+        """Create the folder durably if it is missing."""
+        if self.parent is not None:
+            self.parent.make()
+        if self.is_made and self.path.is_dir():
+            return
+        self.path.mkdir(parents=True, exist_ok=True)
+        if self.parent is not None:
+            self.sync_name(self.parent.path)
+        self.is_made = True
+
+    def sync_name(self, parent_path: pathlib.Path) -> None:
+        """Make the folder's name durable."""
+        if self.is_name_unsynced:
+            change_folder(parent_path / TOUCHED_NAME)
+        self.is_name_unsynced = True
+        sync_path(parent_path)
+        self.is_name_unsynced = False
 
     def close(self) -> None:
         """Close all open files, which releases the lock if it is held."""
@@ -198,7 +233,22 @@
             os.close(descriptor)
 
 
-def open_folder(path: pathlib.Path) -> result.Result[FolderDisk, failures.Failure]:
+class DataFolder(FolderDisk):
+    """A data folder, which ``make`` also locks for this process."""
+
+    def make(self) -> None:
+        """Create the folder if it is missing, and lock it unless it is locked here."""
+        super().make()
+        if LOCK_NAME in self.descriptors:
+            return
+        try:
+            fcntl.flock(self.get_descriptor(LOCK_NAME), fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            self.close_descriptor(LOCK_NAME)
+            raise
+
+
+def open_folder(path: pathlib.Path) -> result.Result[DataFolder, failures.Failure]:
     """Open a data folder and lock it for this process.
 
     Parameters
@@ -209,23 +259,18 @@
     Returns
     -------
     returns.result.Result
-        The folder, or ``STORAGE_FAILED`` if another process has locked it or it can't
-        be created.
+        The folder, or ``STORAGE_FAILED`` if another process has locked it. If its disk
+        refuses for another reason, ``make`` has to be called again before it is used.
     """
-    disk = FolderDisk(path)
+    disk = DataFolder(path)
     try:
-        path.mkdir(parents=True, exist_ok=True)
-        fcntl.flock(disk.get_descriptor(LOCK_NAME), fcntl.LOCK_EX | fcntl.LOCK_NB)
+        disk.make()
     except BlockingIOError:
-        disk.close()
         message = f"Another process uses {path}; stop it or use another folder."
-        return result.Failure(
-            failures.Failure(codes.Code.STORAGE_FAILED, message),
-        )
-    except OSError as error:
-        disk.close()
-        message = f"The folder {path} can't be opened: {error}."
         return result.Failure(failures.Failure(codes.Code.STORAGE_FAILED, message))
+    except OSError as error:
+        text = "storage: The folder {} can't be opened ({}); trying again."
+        LOG.error(text, path, error)
     return result.Success(disk)
 
 
--- a/tests/fakes/disks.py
+++ b/tests/fakes/disks.py
@@ -178,6 +178,9 @@
             self.folders[name] = FakeDisk(self.faults)
         return self.folders[name]
 
+    def make(self):
+        pass
+
     def close(self):
         pass
 
