--- a/src/quetzalpass/consensus/lifecycle.py
+++ b/src/quetzalpass/consensus/lifecycle.py
@@ -18,6 +18,8 @@
 from quetzalpass.results import codes, failures
 from quetzalpass.storage import health
 
+# A start that takes longer goes on in the background, as the disk may hang.
+START_TIMEOUT_S = 5.0
 # Pauses between two attempts to open a disk that refuses.
 MIN_OPEN_RETRY_S = 0.1
 MAX_OPEN_RETRY_S = 1.0
@@ -88,7 +90,16 @@
             ``STORAGE_DAMAGED`` if the log or the snapshot is damaged.
         """
         self.initial_state = self.replica.machine.snapshot()
-        opened = await self.open()
+        opening = asyncio.create_task(self.open())
+        try:
+            await asyncio.wait([opening], timeout=START_TIMEOUT_S)
+        except asyncio.CancelledError:
+            opening.cancel()
+            raise
+        if not opening.done():
+            self.task = asyncio.create_task(self.finish_opening(opening))
+            return result.Success(None)
+        opened = opening.result()
         if isinstance(opened, result.Success):
             return opened
         if opened.failure().code is codes.Code.STORAGE_DAMAGED:
@@ -97,6 +108,16 @@
         self.task = asyncio.create_task(self.open_until_possible())
         return result.Success(None)
 
+    async def finish_opening(self, opening: asyncio.Task[Opened]) -> None:
+        """Wait for an attempt that takes long; make others if it fails."""
+        try:
+            opened = await opening
+        except Exception as error:
+            self.record_failure(error)
+            opened = None
+        if not isinstance(opened, result.Success):
+            await self.open_until_possible()
+
     def on_failure(self, error: BaseException) -> None:
         """Start the replica anew after one of its tasks has failed."""
         self.record_failure(error)
--- a/tests/consensus/test_starts_on_refusing_disks.py
+++ b/tests/consensus/test_starts_on_refusing_disks.py
@@ -36,6 +36,26 @@
         await cluster.until_all_hold([b"after"])
         await cluster.stop()
 
+    async def test_a_hanging_disk_does_not_hold_up_the_process(self):
+        cluster = clusters.Cluster()
+        for vm in cluster.vms:
+            cluster.disks[vm].faults.is_hanging = True
+        async with asyncio.timeout(20.0):
+            await cluster.start_all()
+        await asyncio.sleep(10.0)
+        accept_all(cluster, "is_hanging")
+        await cluster.propose(b"after", attempts=50)
+        await cluster.until_all_hold([b"after"])
+        await cluster.stop()
+
+    async def test_a_replica_stops_while_its_disk_hangs_at_the_start(self):
+        cluster = clusters.Cluster()
+        vm = cluster.vms[0]
+        cluster.disks[vm].faults.is_hanging = True
+        async with asyncio.timeout(10.0):
+            await cluster.start(vm, is_first_start=True)
+            await cluster.stop()
+
     async def test_a_replica_stops_at_once_while_its_disk_refuses(self):
         cluster = await start_refusing(clusters.Cluster().vms, "is_full")
         before = asyncio.get_running_loop().time()
