The leader answers reads of the newest revision without an entry in its log

read_newest proposed a BarrierCommand through the log, so with all disks full no control node answered a read.

StateMachine.query answers a command that changes nothing, after read_barrier has confirmed the leader by a majority. The message is the same: a leader of the version before appends it.

--- a/src/quetzalpass/consensus/group.py
+++ b/src/quetzalpass/consensus/group.py
@@ -165,6 +165,8 @@
     ) -> applying.Outcome:
         """Commit and apply a command, once for each operation id.
 
+        A command that the state machine answers as a query is not appended.
+
         Parameters
         ----------
         session : str
@@ -183,6 +185,8 @@
             the same operation id. ``STORAGE_FAILED`` if too few disks accept writes;
             the command was not applied by this call.
         """
+        if self.replica.machine.query(command) is not None:
+            return await self.query(command)
         failure = self.check_proposal(command)
         if failure is not None:
             return result.Failure(failure)
@@ -206,6 +210,14 @@
         )
         return result.Failure(failures.Failure(codes.Code.NO_QUORUM, message))
 
+    async def query(self, command: bytes) -> applying.Outcome:
+        """Answer a command that changes nothing, for which no disk is needed.
+
+        The answer covers all that was committed before the call.
+        """
+        confirmed = await self.read_barrier()
+        return confirmed.map(lambda _: self.replica.machine.query(command))
+
     def check_proposal(self, command: bytes) -> failures.Failure | None:
         """Return why a command can't be proposed here, or None if it can."""
         if self.replica.failure is not None:
--- a/src/quetzalpass/consensus/machine.py
+++ b/src/quetzalpass/consensus/machine.py
@@ -24,6 +24,14 @@
             The proposed command.
         """
 
+    def query(self, command: bytes) -> bytes | None:
+        """Return the outcome of a command that changes nothing, from the present state.
+
+        The leader answers such commands without an entry in the log. None for all
+        other commands.
+        """
+        return None
+
     @abc.abstractmethod
     def snapshot(self) -> bytes:
         """Return the encoded state."""
--- a/src/quetzalpass/control/declared_state.py
+++ b/src/quetzalpass/control/declared_state.py
@@ -107,7 +107,10 @@
 
 
 class BarrierCommand(msgspec.Struct, frozen=True, tag="barrier"):
-    """Changes nothing; its outcome is the newest revision when it is applied."""
+    """Changes nothing; its outcome is the newest revision when it is applied.
+
+    The leader answers it without an entry. One of an earlier version appends it.
+    """
 
 
 class PublishVerdict(enum.Enum):
@@ -140,6 +143,7 @@
 
 
 Command = ApplyCommand | PublishCommand | BarrierCommand
+BARRIER = msgspec.msgpack.encode(BarrierCommand())
 
 
 class AcceptedDeclaration(msgspec.Struct, frozen=True):
@@ -205,6 +209,12 @@
             return msgspec.msgpack.encode(self.current.revision)
         return msgspec.msgpack.encode(self.apply_change(decoded))
 
+    def query(self, command: bytes) -> bytes | None:
+        """Return the newest revision if the command is a ``BarrierCommand``."""
+        if command != BARRIER:
+            return None
+        return msgspec.msgpack.encode(self.current.revision)
+
     def apply_change(self, command: ApplyCommand) -> ApplyOutcome:
         """Replace the declaration if its base revision is still the newest."""
         accepted = command.base_revision == self.current.revision
--- a/tests/consensus/test_groups_with_failing_disks.py
+++ b/tests/consensus/test_groups_with_failing_disks.py
@@ -9,6 +9,7 @@
 from fakes import clusters
 from quetzalpass.consensus import entries, log, messages, peers, voter_disks
 from quetzalpass.consensus import replica as replicas
+from quetzalpass.control import declared_state
 from quetzalpass.results import codes
 
 FAULTS = ["is_full", "fails_sync", "is_hanging"]
@@ -419,3 +420,81 @@
         current = cluster.groups[leader].leadership
         assert current is None or current.voter_disks.rejection() is None
         await cluster.stop()
+
+
+BARRIER = msgspec.msgpack.encode(declared_state.BarrierCommand())
+
+
+async def publish(cluster, revision):
+    command = declared_state.PublishCommand(
+        revision, declared_state.EMPTY_DATA, b"document", ""
+    )
+    data = msgspec.msgpack.encode(command)
+    await cluster.propose(data, operation=f"publish {revision}")
+
+
+async def read(cluster, vm, operation="read"):
+    outcome = await cluster.groups[vm].propose("client", operation, BARRIER)
+    return outcome.map(lambda data: msgspec.msgpack.decode(data, type=int))
+
+
+@pytest.mark.looptime
+class TestReads:
+    async def start(self):
+        cluster = clusters.Cluster(machine=declared_state.DeclaredState)
+        await cluster.start_all()
+        await publish(cluster, 3)
+        return cluster, await cluster.leader()
+
+    @pytest.mark.parametrize("fault", FAULTS)
+    async def test_need_no_disk(self, fault):
+        cluster, leader = await self.start()
+        last_index = cluster.groups[leader].replica.log.last_index
+        set_fault(cluster, cluster.vms, fault)
+        for number in range(20):
+            begun = now()
+            assert (await read(cluster, leader, f"{number}")).unwrap() == 3
+            assert now() - begun < 0.3
+            await asyncio.sleep(0.2)
+        assert cluster.groups[leader].replica.log.last_index == last_index
+        await cluster.stop()
+
+    async def test_a_former_leader_answers_none(self):
+        for seed in range(4):
+            cluster, leader = await self.start()
+            cluster.network.isolate(leader, inbound=seed % 2 == 0)
+            early = asyncio.create_task(read(cluster, leader))
+            await cluster.leader(excluded=[leader])
+            late = asyncio.create_task(read(cluster, leader, "late"))
+            await publish(cluster, 4)
+            await asyncio.sleep(6.0)
+            assert isinstance(late.result(), result.Failure)
+            assert isinstance(early.result(), result.Failure)
+            cluster.network.heal()
+            assert (await read(cluster, await cluster.leader(), "new")).unwrap() == 4
+            await cluster.stop()
+
+    async def test_see_all_that_was_acknowledged_before(self):
+        for seed in range(6):
+            cluster = clusters.Cluster(seed=seed, machine=declared_state.DeclaredState)
+            await cluster.start_all()
+            for revision in range(1, 12):
+                await publish(cluster, revision)
+                if revision % 4 == 0:
+                    await cluster.groups[await cluster.leader()].transfer_leadership()
+                for number, vm in enumerate(cluster.vms):
+                    found = await read(cluster, vm, f"{revision}-{number}")
+                    if isinstance(found, result.Success):
+                        assert found.unwrap() == revision
+            await cluster.stop()
+
+    async def test_a_leader_of_the_version_before_still_appends_them(self):
+        machine = declared_state.DeclaredState()
+        publish_command = declared_state.PublishCommand(
+            7, declared_state.EMPTY_DATA, b"document", ""
+        )
+        machine.apply(1, msgspec.msgpack.encode(publish_command))
+        # That leader replicates the command, and each replica here applies it.
+        assert machine.apply(2, BARRIER) == machine.query(BARRIER)
+        assert msgspec.msgpack.decode(machine.query(BARRIER), type=int) == 7
+        assert machine.query(msgspec.msgpack.encode(publish_command)) is None
