All tasks of the roles go on after a failure of what they await

What callers would see: reports of requests that crash servers reach the other gateways late (with the next summary only); generations stay on a server that leaves until the next one starts there and are cut when it stops; statsd gets no metrics any more.

Cause: Daemon.start spawned its two loops, and DrainMover and LedgerGroup their tasks, without anything that starts them again; the watches of engines and the probes of lost services caught errors but not the cancellation of something that they await.

Why it works: background.run_to_end runs a coroutine until it returns, and starts it again after any other end but the cancellation of its own task; keep_running is built on it. Consensus and storage tasks are left to their own tests.

--- a/src/quetzalpass/background.py
+++ b/src/quetzalpass/background.py
@@ -49,11 +49,16 @@
     return FailureLog.total
 
 
-async def keep_running(name: str, work: Callable[[], Awaitable[None]]) -> None:
-    """Run a coroutine forever; log an exception and restart after a delay.
+async def run_to_end(
+    name: str,
+    work: Callable[[], Awaitable[None]],
+    delay_s: float = RESTART_DELAY_S,
+    failure_log: FailureLog | None = None,
+) -> None:
+    """Run a coroutine until it returns; log an exception and restart after a delay.
 
-    Only the cancellation of this task ends it. If something that the coroutine awaits
-    was cancelled, that is a failure like any other.
+    Only the cancellation of this task ends it early. If something that the coroutine
+    awaits was cancelled, that is a failure like any other.
 
     Parameters
     ----------
@@ -61,15 +66,27 @@
         Name for log lines.
     work : callable
         Makes the coroutine for each run.
+    delay_s : float
+        Pause after a failure, in seconds.
+    failure_log : FailureLog or None
+        Bounds the log lines; a new one if it isn't given.
     """
-    failure_log = FailureLog()
+    failure_log = failure_log or FailureLog()
     while True:
         try:
-            await work()
+            return await work()
         except (Exception, asyncio.CancelledError) as error:
             if is_cancelled():
                 raise
             failure_log.record(f"{name} failed and will be restarted", error)
+        await asyncio.sleep(delay_s)
+
+
+async def keep_running(name: str, work: Callable[[], Awaitable[None]]) -> None:
+    """Run a coroutine forever, also after it returns; see :func:`run_to_end`."""
+    failure_log = FailureLog()
+    while True:
+        await run_to_end(name, work, failure_log=failure_log)
         await asyncio.sleep(RESTART_DELAY_S)
 
 
--- a/src/quetzalpass/daemon/process.py
+++ b/src/quetzalpass/daemon/process.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import random
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import logbook
 import msgspec
 from aiohttp import web
 
-from quetzalpass import ids
+from quetzalpass import background, ids
 from quetzalpass.callers import app as callers_app
 from quetzalpass.callers import connections, handing_over
 from quetzalpass.consensus import timing
@@ -106,12 +107,16 @@
         self.propagation.start()
         self.fleet.start()
         self.summary_sender.start()
-        self.gateway.spawn(self.send_new_suspect_reports())
+        self.start_task("suspect reports", self.send_new_suspect_reports)
         self.metrics_sender = sender.make_sender(self.settings.statsd)
         flushing = flusher.Flusher(self.gateway.recorder, self.metrics_sender)
-        self.gateway.spawn(flushing.run())
+        self.start_task("metrics", flushing.run)
         LOG.info("daemon: {} has started.", self.settings.id)
 
+    def start_task(self, name: str, work: Callable[[], Awaitable[None]]) -> None:
+        """Start a task that runs until the gateway closes."""
+        self.gateway.spawn(background.keep_running(name, work))
+
     async def open_groups(self) -> None:
         """Connect to the replicated groups, here or on the replicas' VMs."""
         if schema.Role.REPLICA in self.settings.roles:
--- a/src/quetzalpass/lifecycle/drains.py
+++ b/src/quetzalpass/lifecycle/drains.py
@@ -12,7 +12,7 @@
 
 import logbook
 
-from quetzalpass import ids
+from quetzalpass import background, ids
 from quetzalpass.routing import lengths
 
 if TYPE_CHECKING:
@@ -63,7 +63,9 @@
         """Add a generation that starts on a server."""
         self.watched.setdefault(server_id, set()).add(generation)
         if self.task is None or self.task.done():
-            self.task = asyncio.create_task(self.run())
+            self.task = asyncio.create_task(
+                background.run_to_end("moving generations", self.run)
+            )
 
     def unwatch(
         self, server_id: ids.ServerId, generation: "generations.Generation"
--- a/src/quetzalpass/lifecycle/ledger_group.py
+++ b/src/quetzalpass/lifecycle/ledger_group.py
@@ -84,7 +84,9 @@
         """Start a background task unless the one of that name is still running."""
         task = self.tasks.get(name)
         if task is None or task.done():
-            self.tasks[name] = asyncio.create_task(make_coroutine())
+            self.tasks[name] = asyncio.create_task(
+                background.run_to_end(f"ledger: {name}", make_coroutine)
+            )
 
     async def submit(self, command: messages.Command) -> ClaimResult:
         """Commit a command with the next batch."""
--- a/src/quetzalpass/lifecycle/reach_checks.py
+++ b/src/quetzalpass/lifecycle/reach_checks.py
@@ -7,6 +7,7 @@
 
 import abc
 import asyncio
+import functools
 import random
 from collections.abc import Callable, Sequence
 from typing import Any
@@ -193,7 +194,10 @@
         now_s = asyncio.get_running_loop().time()
         if not self.reach.record_no_answer(service, since_s, now_s):
             return
-        self.tasks.spawn(self.recheck_until_back(service))
+        recheck = functools.partial(self.recheck_until_back, service)
+        self.tasks.spawn(
+            background.run_to_end(f"probing {service}", recheck, RECHECK_S)
+        )
         self.log_change(service, False, len(servers))
         for observer in self.loss_observers:
             observer(service)
@@ -202,19 +206,11 @@
 
     async def recheck_until_back(self, service: ids.ServiceName) -> None:
         """Probe some servers of a lost service at intervals until one answers."""
-        failure_log = background.FailureLog()
         while self.reach.is_lost(service):
             await asyncio.sleep(RECHECK_S)
-            try:
-                await self.recheck(service)
-            except Exception as error:
-                failure_log.record(f"A probe of {service} failed", error)
-
-    async def recheck(self, service: ids.ServiceName) -> None:
-        """Probe some servers of a lost service once."""
-        servers = self.servers_to_probe(service)[:FIRST_PROBES]
-        if not servers or await self.any_answers(servers):
-            self.on_answer(service)
+            servers = self.servers_to_probe(service)[:FIRST_PROBES]
+            if not servers or await self.any_answers(servers):
+                self.on_answer(service)
 
     def servers_to_probe(self, service: ids.ServiceName) -> list[Any]:
         """Return some servers of a service, in random order."""
--- a/src/quetzalpass/membership/leaving_server_monitor.py
+++ b/src/quetzalpass/membership/leaving_server_monitor.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import functools
 from collections.abc import Callable
 
 import logbook
@@ -59,17 +60,17 @@
                     self.tasks.pop(place).cancel()
             for place, server in wanted.items():
                 if place not in self.tasks:
-                    self.tasks[place] = asyncio.create_task(self.monitor(server))
+                    self.tasks[place] = self.start_watching(server)
             await asyncio.sleep(SERVER_CHECK_INTERVAL_S)
 
-    async def monitor(self, server: discovery.DiscoveredServer) -> None:
-        """Watch one engine until it has announced that it is leaving."""
-        while True:
-            try:
-                return await self.watch(server)
-            except Exception as error:
-                self.failure_log.record(f"Watching {server.id} failed", error)
-            await asyncio.sleep(RETRY_S)
+    def start_watching(self, server: discovery.DiscoveredServer) -> asyncio.Task[None]:
+        """Start the task that watches one engine; it goes on after a failure."""
+        watch = functools.partial(self.watch, server)
+        return asyncio.create_task(
+            background.run_to_end(
+                f"watching {server.id}", watch, RETRY_S, self.failure_log
+            )
+        )
 
     async def watch(self, server: discovery.DiscoveredServer) -> None:
         """Query one engine repeatedly until it is leaving, and announce that."""
--- a/tests/lifecycle/test_drains.py
+++ b/tests/lifecycle/test_drains.py
@@ -169,3 +169,29 @@
         assert (await task).is_complete(prompt) and (await call_task).code == "0"
         await drain
         assert gateway.requests == 0
+
+
+class FailingGateway:
+    """Raises ``error`` while there is one; else notes which servers are looked at."""
+
+    def __init__(self):
+        self.error = RuntimeError("can't start new thread")
+        self.checked = []
+
+    def is_leaving(self, server_id):
+        if self.error is not None:
+            raise self.error
+        self.checked.append(server_id)
+        return False
+
+
+class TestFailedChecks:
+    async def test_servers_are_checked_again_after_a_check_has_failed(self):
+        gateway = FailingGateway()
+        scheduler = drains.DrainMover(gateway)
+        scheduler.watch(ids.ServerId("e-1"), object())
+        await asyncio.sleep(3)
+        gateway.error = None
+        await asyncio.sleep(3)
+        scheduler.task.cancel()
+        assert "e-1" in gateway.checked
