--- a/tests/adapter/test_instances.py
+++ b/tests/adapter/test_instances.py
@@ -1,15 +1,18 @@
+import asyncio
 import json
 import sys
 
 import logbook
 import pytest
 
+from fakes import descriptors
 from fleet_adapter import instances
 from platform_standin import standin
 from quetzalpass import log_limits, odd_values
 from quetzalpass.backends import discovery
 from quetzalpass.results import codes
 
+BACK_S = 3.0
 # The decoder raises RecursionError for values that are nested so deeply.
 DEPTHS = (1_200, 100_000)
 DEEP = b"[" * 1_200 + b"]" * 1_200
@@ -135,6 +138,29 @@
         servers = await list_servers(platform)
         assert [each.id for each in servers] == ["i-None", "i-p-2"]
 
+    async def test_the_list_is_read_again_after_it_failed(self, platform):
+        async def refuse(request, writer):
+            writer.write(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+
+        async def hang(request, writer):
+            await asyncio.sleep(1.0)
+
+        answer = platform.list.respond
+        source = instances.InstanceList(platform.list.address)
+        for failing in (refuse, hang):
+            platform.list.respond = failing
+            assert await source.read(0.3) is None
+            platform.list.respond = answer
+            assert await source.read(BACK_S) is not None
+        await source.close()
+
+    async def test_the_list_is_read_again_once_there_are_descriptors(self, platform):
+        source = instances.InstanceList(platform.list.address)
+        with descriptors.used_up():
+            assert await source.read(0.3) is None
+        assert await source.read(BACK_S) is not None
+        await source.close()
+
     async def test_error_status_is_a_failure(self, platform):
         async def respond(request, writer):
             writer.write(b"HTTP/1.1 429 No\r\nContent-Length: 0\r\n\r\n")
--- a/tests/wire/test_http.py
+++ b/tests/wire/test_http.py
@@ -8,12 +8,16 @@
 from aiohttp import web
 from returns import result
 
+from fakes import descriptors
 from quetzalpass import ids
 from quetzalpass.results import codes
 from quetzalpass.wire import handlers, messages, server, transport
 
 PEER = ids.VmId("peer")
 
+# asyncio accepts nothing for a second after a listener has run out of descriptors.
+BACK_S = 3.0
+
 
 class EchoReply(messages.Reply, frozen=True):
     data: bytes
@@ -136,6 +140,13 @@
         assert failure.code is codes.Code.UNREACHABLE
         await client.close()
 
+    async def test_a_peer_is_reached_again_once_there_are_descriptors(self):
+        async with running_server() as (client, port):
+            with descriptors.used_up():
+                failure = (await client.call(PEER, EchoRequest(b"1"))).failure()
+                assert failure.code is codes.Code.UNREACHABLE
+            (await client.call(PEER, EchoRequest(b"2"), BACK_S)).unwrap()
+
 
 class TestStopListening:
     async def test_connection_that_is_not_accepted_yet_is_served(self):
--- a/tests/wire/test_listening.py
+++ b/tests/wire/test_listening.py
@@ -1,15 +1,13 @@
 """Listeners whose address is taken, or that run out of descriptors, for a time."""
 
 import asyncio
-import contextlib
 import math
-import os
-import resource
 import socket
 
 import pytest
 from aiohttp import web
 
+from fakes import descriptors
 from quetzalpass.bench import local_ports
 from quetzalpass.daemon import listeners
 from quetzalpass.settings import schema
@@ -92,40 +90,16 @@
         await runner.cleanup()
 
 
-@pytest.fixture
-def used_descriptors():
-    """Return a function that uses up all descriptors, and returns them."""
-    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
-    used = []
-
-    def use_up():
-        highest = max(int(each) for each in os.listdir("/proc/self/fd"))
-        resource.setrlimit(resource.RLIMIT_NOFILE, (highest + 1, limits[1]))
-        with contextlib.suppress(OSError):
-            while True:
-                used.append(os.dup(0))
-        return used
-
-    yield use_up
-    resource.setrlimit(resource.RLIMIT_NOFILE, limits)
-    for each in used:
-        os.close(each)
-
-
 class TestDescriptors:
-    async def test_a_listener_accepts_again_once_there_are_descriptors(
-        self, used_descriptors
-    ):
+    async def test_a_listener_accepts_again_once_there_are_descriptors(self):
         opened = listeners.HttpListener(new_runner(), schema.Listener("127.0.0.1", 0))
         await opened.start()
         caller = socket.socket()
         caller.setblocking(False)
-        used = used_descriptors()
-        caller.connect_ex(("127.0.0.1", opened.port()))
-        await asyncio.sleep(0.5)
-        assert not opened.runner.server.connections
-        while used:
-            os.close(used.pop())
+        with descriptors.used_up():
+            caller.connect_ex(("127.0.0.1", opened.port()))
+            await asyncio.sleep(0.5)
+            assert not opened.runner.server.connections
         async with asyncio.timeout(BACK_S):
             assert b"fine" in await fetch(opened.port())
         assert len(opened.runner.server.connections) >= 1
