A server that accepts connections again counts as reachable again

What callers would see: a declared server is left out of routing although it runs, as long as its load report can't be read on the pooled connection.

Cause: ServerProbe.probe, which takes a server for alive if a new connection opens, reset the count of failures but not the health that they had set.

Evidence: tests/membership/test_server_monitor.py: '...accepts_connections_again_is_ alive[new]' failed before (health stayed 'unreachable'), '[pooled]' passed; both pass now.

Why it works: the proof that kept a server alive now also brings it back; one that loads its model stays 'loading'.

--- a/src/quetzalpass/membership/server_monitor.py
+++ b/src/quetzalpass/membership/server_monitor.py
@@ -62,6 +62,8 @@
         # connection is refused too.
         if await self.backend.check_health(PROBE_TIMEOUT_S):
             self.failures_in_a_row = 0
+            if self.health is opinions.ObservedHealth.UNREACHABLE:
+                self.health = opinions.ObservedHealth.ALIVE
             return
         self.failures_in_a_row += 1
         if self.failures_in_a_row >= FAILURES_UNTIL_UNREACHABLE:
--- a/tests/membership/test_server_monitor.py
+++ b/tests/membership/test_server_monitor.py
@@ -72,3 +72,17 @@
         engine = FakeEngine()
         engine.models = ()
         assert set(await self.observe(engine, 10)) == {opinions.ObservedHealth.LOADING}
+
+    @pytest.mark.parametrize("pooled_link", [True, False], ids=["pooled", "new"])
+    async def test_a_server_that_accepts_connections_again_is_alive(self, pooled_link):
+        engine = FakeEngine()
+        engine.pooled_link = engine.new_link = False
+
+        def come_back():
+            engine.pooled_link = pooled_link
+            engine.new_link = True
+
+        asyncio.get_running_loop().call_later(5, come_back)
+        seen = await self.observe(engine, 10)
+        assert opinions.ObservedHealth.UNREACHABLE in seen
+        assert seen[-1] is opinions.ObservedHealth.ALIVE
