Tests of readers, peers, certificates and metrics that come back

Places with a way back that no test showed: the registry's reader after failed and raising reads, a peer gateway that was avoided, certificates whose files were missing, and flushes after errors of the sender. All pass on the code as it is.

--- a/tests/daemon/test_handover_receiver.py
+++ b/tests/daemon/test_handover_receiver.py
@@ -262,3 +262,12 @@
             choice.begin(choice.choose(ids.ServiceName("ledger"), (), 0.0))
         assert max(choice.handed.values()) <= 40
         assert min(choice.handed.values()) >= 15
+
+    def test_a_gateway_that_has_failed_is_chosen_again_after_a_moment(self):
+        choice = peer_choice.PeerChoice(ids.DataCentreId("a"), random.Random(0))
+        peer = peer_gateways.PeerGateway(ids.VmId("a-1"), ids.DataCentreId("a"))
+        choice.peers = (peer,)
+        service = ids.ServiceName("ledger")
+        choice.avoid(peer.vm, 10.0)
+        assert choice.choose(service, (), 10.0) is None
+        assert choice.choose(service, (), 10.0 + peer_choice.AVOID_S) == peer.vm
--- a/tests/daemon/test_listeners.py
+++ b/tests/daemon/test_listeners.py
@@ -87,6 +87,19 @@
         assert b"end" in await reader.read()
         writer.close()
 
+    async def test_files_that_are_missing_for_a_time_are_loaded_afterwards(
+        self, opened
+    ):
+        for name in ("key.pem", "cert.pem"):
+            (self.folder / name).unlink()
+        assert not opened.reloader.reload_if_changed()
+        second = make_certificate(self.folder, "second")
+        assert opened.reloader.reload_if_changed()
+        reader, writer = await self.connect(opened, second)
+        self.may_finish.set()
+        assert b"end" in await reader.read()
+        writer.close()
+
     async def test_unchanged_files_are_not_loaded(self, opened):
         assert not opened.reloader.reload_if_changed()
 
--- a/tests/membership/test_fleet_registry.py
+++ b/tests/membership/test_fleet_registry.py
@@ -4,7 +4,7 @@
 from returns import result
 
 from fakes import relay_servers
-from quetzalpass import ids
+from quetzalpass import background, ids
 from quetzalpass.backends import discovery
 from quetzalpass.membership import (
     fleet_messages,
@@ -34,6 +34,10 @@
     async def close(self): ...
 
 
+async def list_without_memory(timeout_s):
+    raise MemoryError
+
+
 def make_registry(active=True):
     source = FakeSource()
     source.servers = (relay_servers.discovered("e-a"), relay_servers.discovered("e-b"))
@@ -121,6 +125,24 @@
         assert len(registry.servers) == 2
         task.cancel()
 
+    @pytest.mark.parametrize("raises", [False, True], ids=["failed", "raised"])
+    async def test_the_list_is_read_again_after_reads_have_failed(
+        self, monkeypatch, raises
+    ):
+        source, registry = make_registry()
+        task = background.start("board", registry.run)
+        await asyncio.sleep(1.0)
+        source.is_down = True
+        if raises:
+            monkeypatch.setattr(source, "list_servers", list_without_memory)
+        await asyncio.sleep(10.0)
+        monkeypatch.undo()
+        source.is_down = False
+        source.servers = source.servers[:1]
+        await asyncio.sleep(fleet_registry.MAX_READ_BACKOFF_S + 1.0)
+        assert len(registry.servers) == 1
+        task.cancel()
+
 
 @pytest.mark.looptime
 class TestLeavingServerMonitor:
--- a/tests/metrics/test_metrics.py
+++ b/tests/metrics/test_metrics.py
@@ -6,6 +6,7 @@
 import pytest
 from hypothesis import given, settings, strategies
 
+from quetzalpass import background
 from quetzalpass.declarations import schema
 from quetzalpass.metrics import buckets, flusher, labels, recorder, sender, series
 from quetzalpass.results import codes
@@ -36,6 +37,19 @@
         pass
 
 
+class FailingSender(RecordingSender):
+    """Raises each of its errors once."""
+
+    def __init__(self, errors):
+        super().__init__()
+        self.errors = errors
+
+    def send(self, flushed_series, results, preemptions):
+        if self.errors:
+            raise self.errors.pop(0)
+        super().send(flushed_series, results, preemptions)
+
+
 class TestDurationBuckets:
     @settings(derandomize=True, max_examples=300)
     @given(strategies.floats(0.0, buckets.MAX_DURATION_S))
@@ -127,6 +141,19 @@
         assert first[2] == (series.ResultCount(codes.Code.OK, 1),)
         assert second[1:] == ((), (), 0)
 
+    async def test_flushes_go_on_after_the_sender_has_failed(self):
+        metrics_recorder = recorder.Recorder()
+        metrics_recorder.use_declaration(make_declaration(1))
+        target = FailingSender([OSError("no descriptors"), RuntimeError("no thread")])
+        flushing = flusher.Flusher(metrics_recorder, target)
+        task = background.start("metrics", flushing.run)
+        for _ in range(3):
+            metrics_recorder.count_result("o0", "drafts", codes.Code.OK)
+            await asyncio.sleep(flusher.FLUSH_INTERVAL_S + 2)
+        task.cancel()
+        assert not target.errors
+        assert target.sent
+
     async def test_undeclared_series_are_dropped_when_idle(self):
         metrics_recorder = recorder.Recorder()
         metrics_recorder.use_declaration(make_declaration(1))
