--- a/src/quetzalpass/consensus/following.py
+++ b/src/quetzalpass/consensus/following.py
@@ -15,6 +15,8 @@
 # Wait before the reply to a chunk of a snapshot that can't be stored now, as the leader
 # sends the next one at once. It is shorter than the timeout of its call.
 INSTALL_RETRY_DELAY_S = 0.3
+# Share of the heartbeat interval for which a reply waits for the disk.
+SYNC_WAIT_RATIO = 0.5
 
 LOG = logbook.Logger("consensus")
 
@@ -74,7 +76,12 @@
     async def handle_append(
         self, request: messages.AppendRequest
     ) -> messages.AppendReply:
-        """Append entries, or accept a heartbeat; reply once they are synced."""
+        """Append entries, or accept a heartbeat.
+
+        The reply waits for the disk only for a bounded time. After that it confirms the
+        leader and the entries that are synced, so that a disk that refuses or hangs
+        costs the leader neither its lease nor its majority.
+        """
         replica = self.replica
         if not self.accept_leader(request):
             return messages.AppendReply(
@@ -87,16 +94,54 @@
         mismatch = self.find_mismatch(request)
         if mismatch is not None:
             return self.reject(mismatch)
-        self.append_missing(request)
-        if not await replica.persist() or replica.term != request.term:
+        match = self.append_missing(request)
+        is_running = await self.wait_until_synced(match)
+        if not is_running or replica.term != request.term:
             return self.reject(replica.log.last_index + 1)
         replica.reset_election_timer()
-        match = ids.LogIndex(request.previous_index + len(request.entries))
         replica.advance_commit(min(request.commit_index, match))
         return messages.AppendReply(
-            replica.term, replica.replica_id, True, match, ids.LogIndex(match + 1)
+            replica.term,
+            replica.replica_id,
+            True,
+            self.synced_match(match),
+            ids.LogIndex(match + 1),
+            self.disk_condition(),
         )
 
+    def disk_condition(self) -> str:
+        """Return what is wrong with the disk if the log can't be written now."""
+        health = self.replica.health
+        return health.condition.value if health.is_failing else ""
+
+    def synced_match(self, match: ids.LogIndex) -> ids.LogIndex:
+        """Return up to where the log matches the leader's for good, also in a restart.
+
+        Until the term is synced only committed entries count: after a restart the
+        replica might accept others in their place from the leader of an older term.
+        """
+        replica = self.replica
+        synced = min(match, replica.log.durable_index)
+        if replica.log.is_term_durable:
+            return synced
+        return min(synced, replica.commit_index)
+
+    async def wait_until_synced(self, match: ids.LogIndex) -> bool:
+        """Wait for the disk for a bounded time; return whether the replica runs.
+
+        A leader sends again at once while a reply leaves something to sync, so the
+        whole time is waited even if the disk is known to fail.
+        """
+        replica = self.replica
+        if self.synced_match(match) == match:
+            return replica.is_running
+        wait_s = replica.settings.timing.heartbeat_interval_s * SYNC_WAIT_RATIO
+        try:
+            async with asyncio.timeout(wait_s):
+                return await replica.persist()
+        except TimeoutError:
+            return replica.is_running
+
     def reject(self, next_index: int) -> messages.AppendReply:
         """Return the reply to entries that don't match this log."""
         replica = self.replica
@@ -106,6 +151,7 @@
             False,
             ids.LogIndex(0),
             ids.LogIndex(next_index),
+            self.disk_condition(),
         )
 
     def find_mismatch(self, request: messages.AppendRequest) -> int | None:
@@ -124,15 +170,22 @@
         first = own_log.first_index_of_term_at(previous)
         return max(first, self.replica.commit_index + 1)
 
-    def append_missing(self, request: messages.AppendRequest) -> None:
-        """Append the entries that the log doesn't have yet."""
+    def append_missing(self, request: messages.AppendRequest) -> ids.LogIndex:
+        """Append the entries that the log doesn't have yet; return the last index held.
+
+        Those for which there is no room while the disk fails are left to the leader.
+        """
         own_log = self.replica.log
+        match = request.previous_index
         for entry in request.entries:
-            if entry.index <= self.replica.commit_index:
-                # A delayed or repeated message: what is committed here is the same.
-                continue
-            if own_log.term_at(entry.index) != entry.term:
+            # What is committed here is the same: the message is delayed or repeated.
+            is_committed = entry.index <= self.replica.commit_index
+            if not is_committed and own_log.term_at(entry.index) != entry.term:
+                if not own_log.may_queue:
+                    break
                 own_log.append(entry)
+            match = entry.index
+        return match
 
     async def handle_snapshot(
         self, request: messages.SnapshotRequest
--- a/src/quetzalpass/consensus/leading.py
+++ b/src/quetzalpass/consensus/leading.py
@@ -5,7 +5,7 @@
 import logbook
 
 from quetzalpass import ids
-from quetzalpass.consensus import entries, messages, peers
+from quetzalpass.consensus import entries, messages, peers, voter_disks
 from quetzalpass.consensus import replica as replicas
 
 TRANSFER_POLL_INTERVAL_S = 0.01
@@ -28,19 +28,24 @@
         self.began_at = replica.now()
         self.peers: dict[ids.ReplicaId, peers.Peer] = {}
         self.peer_tasks: dict[ids.ReplicaId, asyncio.Task] = {}
-        self.synced_index = replica.log.last_index
         self.first_index = ids.LogIndex(replica.log.last_index + 1)
         self.sequence = 0
         self.acknowledged = replicas.Signal()
         self.appended = replicas.Signal()
         self.background_tasks: list[asyncio.Task] = []
         self.has_given_up_lease = False
+        self.voter_disks = voter_disks.VoterDisks(self)
 
     @property
     def is_current(self) -> bool:
         """Return whether the replica still leads in this term."""
         return self.replica.leadership is self
 
+    @property
+    def synced_index(self) -> ids.LogIndex:
+        """Return the last index up to which the leader's own entries are synced."""
+        return self.replica.log.durable_index
+
     @property
     def is_established(self) -> bool:
         """Return whether an entry of this term is committed.
@@ -60,6 +65,7 @@
         self.background_tasks = [
             replica.spawn(self.sync_own_entries()),
             replica.spawn(self.check_quorum()),
+            replica.spawn(self.voter_disks.run()),
         ]
 
     def stop(self) -> None:
@@ -112,13 +118,11 @@
     async def sync_own_entries(self) -> None:
         """Sync the leader's own entries; they count for a majority only then."""
         while self.is_current:
-            last = self.replica.log.last_index
-            if last == self.synced_index:
+            if self.synced_index == self.replica.log.last_index:
                 await self.appended.wait()
                 continue
             if not await self.replica.persist():
                 return
-            self.synced_index = last
             self.update_commit_index()
 
     def update_commit_index(self) -> None:
@@ -186,13 +190,21 @@
                 LOG.warning("consensus: Lost the majority in term {}.", self.term)
                 self.replica.step_down(self.term)
 
-    async def transfer_leadership(self) -> None:
-        """Give up the lease for good and let the most up-to-date voter be elected."""
+    async def transfer_leadership(self, successor: peers.Peer | None = None) -> None:
+        """Give up the lease for good and let a voter be elected.
+
+        Without a successor that is the most up-to-date one, if possible one whose disk
+        isn't known to fail.
+        """
         self.has_given_up_lease = True
         voters = [peer for peer in self.peers.values() if peer.member.is_voter]
         if not voters:
             return
-        successor = max(voters, key=lambda peer: peer.match_index)
+        if successor is None:
+            successor = max(
+                voters,
+                key=lambda peer: (peer.disk_failing_since is None, peer.match_index),
+            )
         request = messages.HandOverRequest(
             self.replica.settings.group, self.term, successor.member.replica
         )
