--- a/src/quetzalpass/consensus/group.py
+++ b/src/quetzalpass/consensus/group.py
@@ -82,6 +82,7 @@
         self.group_id = group_id
         self.replica = replicas.Replica(settings, folder, transport, state_machine, rng)
         self.applier = applying.Applier(self.replica, snapshot_every)
+        self.replica.log.segments.make_room = self.applier.make_room
         self.follower = following.Follower(self.replica, self.applier)
         self.elections = elections.Elections(self.replica)
         self.joiner = joining.Joiner(self.replica)
@@ -99,6 +100,7 @@
             self.replica.fail(opened.failure())
             return opened
         self.replica.spawn(self.applier.run())
+        self.applier.start_tidying()
         self.replica.spawn(self.elections.run())
         self.replica.spawn(self.joiner.run())
         if self.replica.settings.rules.is_open:
@@ -180,7 +182,8 @@
             The state machine's outcome; for a resend, the first one. ``NOT_LEADER``
             names the leader, and the command was not applied by this call.
             ``NO_QUORUM`` means that the outcome is unknown: resend the command with
-            the same operation id. ``STORAGE_FAILED`` if the disk here has failed.
+            the same operation id. ``STORAGE_FAILED`` if too few disks accept writes;
+            the command was not applied by this call.
         """
         failure = self.check_proposal(command)
         if failure is not None:
@@ -188,6 +191,9 @@
         first_outcome = self.replica.sessions.find(session, operation)
         if first_outcome is not None:
             return result.Success(first_outcome)
+        failure = self.leadership.voter_disks.rejection()
+        if failure is not None:
+            return result.Failure(failure)
         kind = entries.EntryKind.COMMAND
         entry = self.leadership.append(kind, session, operation, command)
         future = self.applier.add_waiter(entry)
--- a/src/quetzalpass/consensus/peers.py
+++ b/src/quetzalpass/consensus/peers.py
@@ -26,6 +26,13 @@
         The leadership that it belongs to.
     member : entries.Member
         The other member.
+
+    Attributes
+    ----------
+    disk_condition : str
+        What its last reply said is wrong with its disk; empty if nothing.
+    disk_failing_since : float or None
+        Loop time since which its replies say that its disk fails.
     """
 
     def __init__(
@@ -38,6 +45,8 @@
         self.match_index = 0
         self.acknowledged_at = 0.0
         self.acknowledged_sequence = 0
+        self.disk_condition = ""
+        self.disk_failing_since: float | None = None
         self.has_work = asyncio.Event()
         self.snapshot_index = 0
         self.snapshot_offset = 0
@@ -56,7 +65,7 @@
             is_progress = await self.send()
             if not self.leadership.is_current:
                 return
-            if is_progress and self.is_behind():
+            if is_progress and (self.is_behind() or self.has_unsynced_entries()):
                 continue
             await self.wait_for_work(can_wake=is_progress)
 
@@ -80,6 +89,13 @@
         """Return whether there are more entries to send."""
         return self.next_index <= self.replica.log.last_index
 
+    def has_unsynced_entries(self) -> bool:
+        """Return whether the peer holds entries that it has not confirmed as synced.
+
+        It confirms them in the reply to the next message, which waits for its disk.
+        """
+        return self.match_index < self.next_index - 1
+
     async def send(self) -> bool:
         """Send one message; return whether the peer replied as a follower."""
         sequence = self.leadership.sequence
@@ -118,14 +134,24 @@
         reply = await self.call(request)
         if not isinstance(reply, messages.AppendReply):
             return False
+        self.record_disk(reply.disk_condition)
         if reply.is_matching:
             self.match_index = max(self.match_index, reply.match_index)
-            self.next_index = self.match_index + 1
+            held_end = min(reply.next_index, replica.log.last_index + 1)
+            self.next_index = max(self.match_index + 1, held_end)
             self.leadership.update_commit_index()
         else:
             self.next_index = max(1, min(reply.next_index, previous))
         return True
 
+    def record_disk(self, condition: str) -> None:
+        """Record what a reply says of the peer's disk."""
+        self.disk_condition = condition
+        if not condition:
+            self.disk_failing_since = None
+        elif self.disk_failing_since is None:
+            self.disk_failing_since = self.replica.now()
+
     async def send_snapshot_chunk(self) -> bool:
         """Send the next chunk of what was the newest snapshot at the first chunk."""
         replica = self.replica
