--- a/tests/consensus/test_groups_with_failing_disks.py
+++ b/tests/consensus/test_groups_with_failing_disks.py
@@ -9,6 +9,8 @@
 from fakes import clusters
 from quetzalpass.consensus import entries, log, messages, peers, voter_disks
 from quetzalpass.consensus import replica as replicas
+from quetzalpass.control import declared_state
+from quetzalpass.results import codes
 
 FAULTS = ["is_full", "fails_sync", "is_hanging"]
 
@@ -366,3 +368,133 @@
         set_fault(cluster, [vm], "is_full", False)
         await cluster.until_all_hold(items)
         await cluster.stop()
+
+
+@pytest.mark.looptime
+class TestProposals:
+    @pytest.mark.parametrize("sound_count", [0, 1])
+    @pytest.mark.parametrize("leader_fails", [False, True])
+    async def test_are_rejected_while_no_majority_has_a_working_disk(
+        self, sound_count, leader_fails
+    ):
+        count = 3 if sound_count == 0 or leader_fails else 5
+        cluster, leader, others = await start_cluster(count)
+        failing = others[sound_count:]
+        if leader_fails or sound_count == 0:
+            failing = [leader, *failing]
+        set_fault(cluster, failing, "is_full")
+        waiting = propose_later(cluster, leader, b"meanwhile")
+        await asyncio.sleep(2.0)
+        begun = now()
+        failure = (await propose_later(cluster, leader, b"rejected")).failure()
+        assert now() == begun
+        assert failure.code is codes.Code.STORAGE_FAILED
+        assert failure.retry_after_ms == 1_000
+        named = {vm for vm in cluster.vms if f"{vm} (no_room)" in failure.message}
+        assert named == set(failing)
+        set_fault(cluster, failing, "is_full", False)
+        (await waiting).unwrap()
+        await cluster.until(
+            lambda: cluster.groups[leader].leadership.voter_disks.rejection() is None,
+            timeout_s=1.0,
+        )
+        await cluster.propose(b"after")
+        await cluster.until_all_hold([b"before", b"meanwhile", b"after"])
+        await cluster.stop()
+
+    async def test_are_accepted_while_a_majority_has_working_disks(self):
+        cluster, leader, others = await start_cluster()
+        set_fault(cluster, others[:1], "is_full")
+        for number in range(30):
+            (await propose_later(cluster, leader, b"%d" % number)).unwrap()
+            await asyncio.sleep(0.1)
+        await cluster.stop()
+
+    async def test_a_lost_voter_is_not_taken_for_a_failing_disk(self):
+        cluster, leader, others = await start_cluster()
+        set_fault(cluster, others, "is_full")
+        propose_later(cluster, leader, b"meanwhile")
+        await asyncio.sleep(0.9)
+        await cluster.crash(others[0])
+        await asyncio.sleep(0.65)
+        current = cluster.groups[leader].leadership
+        assert current is None or current.voter_disks.rejection() is None
+        await cluster.stop()
+
+
+BARRIER = msgspec.msgpack.encode(declared_state.BarrierCommand())
+
+
+async def publish(cluster, revision):
+    command = declared_state.PublishCommand(
+        revision, declared_state.EMPTY_DATA, b"document", ""
+    )
+    data = msgspec.msgpack.encode(command)
+    await cluster.propose(data, operation=f"publish {revision}")
+
+
+async def read(cluster, vm, operation="read"):
+    outcome = await cluster.groups[vm].propose("client", operation, BARRIER)
+    return outcome.map(lambda data: msgspec.msgpack.decode(data, type=int))
+
+
+@pytest.mark.looptime
+class TestReads:
+    async def start(self):
+        cluster = clusters.Cluster(machine=declared_state.DeclaredState)
+        await cluster.start_all()
+        await publish(cluster, 3)
+        return cluster, await cluster.leader()
+
+    @pytest.mark.parametrize("fault", FAULTS)
+    async def test_need_no_disk(self, fault):
+        cluster, leader = await self.start()
+        last_index = cluster.groups[leader].replica.log.last_index
+        set_fault(cluster, cluster.vms, fault)
+        for number in range(20):
+            begun = now()
+            assert (await read(cluster, leader, f"{number}")).unwrap() == 3
+            assert now() - begun < 0.3
+            await asyncio.sleep(0.2)
+        assert cluster.groups[leader].replica.log.last_index == last_index
+        await cluster.stop()
+
+    async def test_a_former_leader_answers_none(self):
+        for seed in range(4):
+            cluster, leader = await self.start()
+            cluster.network.isolate(leader, inbound=seed % 2 == 0)
+            early = asyncio.create_task(read(cluster, leader))
+            await cluster.leader(excluded=[leader])
+            late = asyncio.create_task(read(cluster, leader, "late"))
+            await publish(cluster, 4)
+            await asyncio.sleep(6.0)
+            assert isinstance(late.result(), result.Failure)
+            assert isinstance(early.result(), result.Failure)
+            cluster.network.heal()
+            assert (await read(cluster, await cluster.leader(), "new")).unwrap() == 4
+            await cluster.stop()
+
+    async def test_see_all_that_was_acknowledged_before(self):
+        for seed in range(6):
+            cluster = clusters.Cluster(seed=seed, machine=declared_state.DeclaredState)
+            await cluster.start_all()
+            for revision in range(1, 12):
+                await publish(cluster, revision)
+                if revision % 4 == 0:
+                    await cluster.groups[await cluster.leader()].transfer_leadership()
+                for number, vm in enumerate(cluster.vms):
+                    found = await read(cluster, vm, f"{revision}-{number}")
+                    if isinstance(found, result.Success):
+                        assert found.unwrap() == revision
+            await cluster.stop()
+
+    async def test_a_leader_of_the_version_before_still_appends_them(self):
+        machine = declared_state.DeclaredState()
+        publish_command = declared_state.PublishCommand(
+            7, declared_state.EMPTY_DATA, b"document", ""
+        )
+        machine.apply(1, msgspec.msgpack.encode(publish_command))
+        # That leader replicates the command, and each replica here applies it.
+        assert machine.apply(2, BARRIER) == machine.query(BARRIER)
+        assert msgspec.msgpack.decode(machine.query(BARRIER), type=int) == 7
+        assert machine.query(msgspec.msgpack.encode(publish_command)) is None
