--- a/tests/consensus/test_groups_with_failing_disks.py
+++ b/tests/consensus/test_groups_with_failing_disks.py
@@ -7,7 +7,7 @@
 from returns import result
 
 from fakes import clusters
-from quetzalpass.consensus import entries, log, messages, peers, voter_disks
+from quetzalpass.consensus import entries, log, messages, peers, timing, voter_disks
 from quetzalpass.consensus import replica as replicas
 from quetzalpass.control import declared_state
 from quetzalpass.results import codes
@@ -416,7 +416,7 @@
         propose_later(cluster, leader, b"meanwhile")
         await asyncio.sleep(0.9)
         await cluster.crash(others[0])
-        await asyncio.sleep(0.65)
+        await asyncio.sleep(timing.ELECTION_TIMEOUT_S)
         current = cluster.groups[leader].leadership
         assert current is None or current.voter_disks.rejection() is None
         await cluster.stop()
