--- a/src/quetzalpass/consensus/applying.py
+++ b/src/quetzalpass/consensus/applying.py
@@ -231,6 +231,8 @@
             return
         self.may_make_room_at = replica.now() + MAKE_ROOM_INTERVAL_S
         await self.store_snapshot(in_reserve=True)
+        # What an earlier snapshot covers may still be there, as at a start.
+        await replica.log.segments.drop_through(replica.log.snapshot_index)
         self.start_tidying()
 
     def may_use_reserve(self, index: int) -> bool:
--- a/src/quetzalpass/consensus/replica.py
+++ b/src/quetzalpass/consensus/replica.py
@@ -305,7 +305,9 @@
         return elapsed_s < self.settings.timing.election_timeout_s
 
     def step_down(self, term: ids.Term) -> None:
-        """Become a follower, in the given term if it is newer."""
+        """Become a follower, in the given term if it is newer, unless stopped."""
+        if not self.is_running:
+            return
         assert term >= self.term, "terms never decrease"
         if term > self.term:
             self.log.set_hard_state(term)
--- a/tests/consensus/test_room.py
+++ b/tests/consensus/test_room.py
@@ -141,3 +141,26 @@
             cluster.disks[vm].faults.is_full = False
         await proposal
         await cluster.stop()
+
+
+@pytest.mark.looptime
+class TestStartsOnFullDisks:
+    async def test_segments_that_the_snapshot_covers_are_dropped(self):
+        cluster = await start_cluster(capacity_bytes=None)
+        await propose_many(cluster, 0, 20)
+        group = cluster.groups[cluster.vms[0]]
+        await cluster.until(lambda: group.replica.applied_index >= 21)
+        segments = group.replica.log.segments
+        assert len(segments.segments) > 2
+        # The snapshot is stored, but the segments that it covers can't be removed.
+        drop_through = segments.drop_through
+        segments.drop_through = self.drop_nothing
+        assert await group.applier.store_snapshot()
+        segments.drop_through = drop_through
+        group.applier.may_make_room_at = 0.0
+        await group.applier.make_room()
+        assert len(segments.segments) == 1
+        await cluster.stop()
+
+    async def drop_nothing(self, index):
+        return
