--- a/tests/consensus/test_stateful.py
+++ b/tests/consensus/test_stateful.py
@@ -16,6 +16,8 @@
 class ConsensusMachine(stateful.RuleBasedStateMachine):
     """Checks three replicas against the positions of all acknowledged commands."""
 
+    snapshot_every = 9
+
     def __init__(self):
         super().__init__()
         self.loop = looptime.new_event_loop()
@@ -30,7 +32,7 @@
 
     @stateful.initialize(seed=strategies.integers(min_value=0, max_value=99))
     def begin(self, seed):
-        self.cluster = clusters.Cluster(3, seed, snapshot_every=9)
+        self.cluster = clusters.Cluster(3, seed, snapshot_every=self.snapshot_every)
         self.vms = self.cluster.vms
         self.run(self.cluster.start_all())
         self.run(self.cluster.leader())
@@ -142,6 +144,18 @@
             asyncio.set_event_loop(None)
             self.loop.close()
 
+    def all_take_part(self):
+        """Return whether a leader knows that all hold its log on disks that work."""
+        for vm in self.cluster.leaders():
+            current = self.cluster.groups[vm].leadership
+            last_index = current.replica.log.last_index
+            matches = [peer.match_index for peer in current.peers.values()]
+            is_held = [*matches, current.synced_index] == [last_index] * 3
+            groups = self.cluster.groups.values()
+            if is_held and not any(each.health.is_failing for each in groups):
+                return True
+        return False
+
     async def finish(self):
         self.cluster.network.heal()
         self.cluster.network.jitter_s = 0.0
@@ -149,6 +163,7 @@
         await self.cluster.propose(b"end", attempts=50)
         items = self.cluster.items(await self.cluster.leader())
         await self.cluster.until_all_hold(items)
+        await self.cluster.until(self.all_take_part)
         for task in self.pending:
             task.cancel()
         outcomes = await asyncio.gather(*self.pending, return_exceptions=True)
