Reports of the event loop are logged within a bound, so that it isn't held up by them

What callers would see: a gateway or control node that has no descriptors left for a moment stops answering also on its open connections, and a leader may lose its lease.

Cause: asyncio (3.11) reports each of up to 1,024 attempts to accept (the backlog) as an error, once a second and listener, and the default handler writes a traceback for each to standard error.

What was an unseen line of standard error (a task's failure that nobody read) is now in the log too.

Why it works: the handler counts each report, and formats only those that the limit lets through. Ruled out: the pause after a failed accept itself, which is asyncio's.

--- a/src/quetzalpass/background.py
+++ b/src/quetzalpass/background.py
@@ -49,6 +49,22 @@
     return FailureLog.total
 
 
+def log_loop_errors(loop: asyncio.AbstractEventLoop) -> None:
+    """Log within a bound what the event loop reports, such as failed callbacks.
+
+    Without descriptors it reports each of a thousand attempts to accept a connection;
+    formatting all of them would take up most of its time.
+    """
+    failure_log = FailureLog()
+
+    def on_error(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        message = context["message"]
+        error = context.get("exception") or RuntimeError(message)
+        failure_log.record(f"The event loop reports: {message}", error)
+
+    loop.set_exception_handler(on_error)
+
+
 async def run_to_end(
     name: str,
     work: Callable[[], Awaitable[None]],
--- a/src/quetzalpass/daemon/main.py
+++ b/src/quetzalpass/daemon/main.py
@@ -9,7 +9,7 @@
 import defopt
 from returns import result
 
-from quetzalpass import logs
+from quetzalpass import background, logs
 from quetzalpass.daemon import collector, process
 from quetzalpass.results import failures
 from quetzalpass.settings import loader, schema
@@ -48,6 +48,7 @@
     """Run the daemon until a signal arrives, then drain and stop it."""
     daemon = process.Daemon(settings, random.Random())
     loop = asyncio.get_running_loop()
+    background.log_loop_errors(loop)
     drain_requested = asyncio.Event()
     stop_requested = asyncio.Event()
 
--- a/tests/wire/test_listening.py
+++ b/tests/wire/test_listening.py
@@ -4,10 +4,12 @@
 import math
 import socket
 
+import logbook
 import pytest
 from aiohttp import web
 
 from fakes import descriptors
+from quetzalpass import background
 from quetzalpass.bench import local_ports
 from quetzalpass.daemon import listeners
 from quetzalpass.settings import schema
@@ -105,3 +107,21 @@
         assert len(opened.runner.server.connections) >= 1
         caller.close()
         await opened.close(0.0)
+
+    async def test_lines_are_bounded_while_there_are_no_descriptors(self, capfd):
+        background.log_loop_errors(asyncio.get_running_loop())
+        caller = socket.socket()
+        caller.setblocking(False)
+        with logbook.TestHandler() as handler:
+            opened = listeners.HttpListener(
+                new_runner(), schema.Listener("127.0.0.1", 0)
+            )
+            await opened.start()
+            with descriptors.used_up():
+                caller.connect_ex(("127.0.0.1", opened.port()))
+                await asyncio.sleep(0.5)
+            caller.close()
+            await opened.close(0.0)
+        reports = [each for each in handler.records if "accept" in each.message]
+        assert 1 <= len(reports) <= background.LINES_PER_MINUTE
+        assert "accept" not in capfd.readouterr().err
