--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -70,8 +70,8 @@
     async def test_odd_values_of_others_are_left_out(self, tmp_path):
         await odd_values.run_seed(2, ODD_VALUES_SECONDS, tmp_path)
 
-    # Seed 1: a snapshot that the disk refused ended the replica. Seed 2: a full disk kept
-    # no room for the snapshot that frees some. Seed 3: processes ended at a start.
+    # Seed 1: a snapshot that the disk refused ended the replica. Seed 2: a full disk
+    # kept no room for the snapshot that frees some. Seed 3: processes ended at a start.
     @pytest.mark.parametrize("seed", [1, 2, 3])
     async def test_control_nodes_outlive_failing_disks(self, tmp_path, seed):
         done = await disks.run_seed(seed, DISKS_SECONDS, tmp_path)
