--- a/tests/daemon/test_endless_tasks.py
+++ b/tests/daemon/test_endless_tasks.py
@@ -22,7 +22,11 @@
 RESTARTED = {"keep_running", "run_to_end"}
 # The connections of the HTTP server, and the replicas of the groups, which
 # tests/consensus covers.
-OTHER_OWNERS = ("RequestHandler.start", "quetzalpass/consensus/", "quetzalpass/storage/")
+OTHER_OWNERS = (
+    "RequestHandler.start",
+    "quetzalpass/consensus/",
+    "quetzalpass/storage/",
+)
 
 
 def has_other_owner(task):
