--- a/tests/consensus/test_stateful_disks.py
+++ b/tests/consensus/test_stateful_disks.py
@@ -13,8 +13,6 @@
 class FailingDisksMachine(test_stateful.ConsensusMachine):
     """Checks three replicas whose disks fail for a time, beside all other faults."""
 
-    snapshot_every = 4096
-
     @stateful.rule(vms=VM_SETS, fault=strategies.sampled_from(FAULTS))
     def fail_disks(self, vms, fault):
         for number in vms:
@@ -71,13 +69,6 @@
         if outcome.value_or(None) is not None:
             assert len(running.replica.machine.items) >= expected
 
-    async def start_missing(self):
-        """Start what was lost; a start needs a disk that works."""
-        for vm in self.vms:
-            if vm not in self.cluster.groups:
-                self.mend(vm)
-        await super().start_missing()
-
     async def finish(self):
         for vm in self.vms:
             self.mend(vm)
