--- a/src/quetzalpass/consensus/following.py
+++ b/src/quetzalpass/consensus/following.py
@@ -57,6 +57,8 @@
         self.replica = replica
         self.applier = applier
         self.incoming: IncomingSnapshot | None = None
+        self.installing: asyncio.Task[None] | None = None
+        self.is_installed = False
 
     def accept_leader(
         self, request: messages.AppendRequest | messages.SnapshotRequest
@@ -135,12 +137,13 @@
         replica = self.replica
         if self.synced_match(match) == match:
             return replica.is_running
+        log = replica.log
         wait_s = replica.settings.timing.heartbeat_interval_s * SYNC_WAIT_RATIO
         try:
             async with asyncio.timeout(wait_s):
                 return await replica.persist()
         except TimeoutError:
-            return replica.is_running
+            return replica.is_running and replica.log is log
 
     def reject(self, next_index: int) -> messages.AppendReply:
         """Return the reply to entries that don't match this log."""
@@ -205,13 +208,32 @@
             LOG.warning("consensus: Rejected a snapshot with a wrong checksum.")
             self.incoming = None
             return self.acknowledge_chunk(0, is_installed=False)
-        is_installed = await self.install(incoming)
-        if is_installed:
-            self.applier.start_tidying()
-        else:
-            await asyncio.sleep(INSTALL_RETRY_DELAY_S)
+        is_installed = await self.install_within_bound(incoming)
         return self.acknowledge_chunk(len(incoming.data), is_installed=is_installed)
 
+    async def install_within_bound(self, incoming: IncomingSnapshot) -> bool:
+        """Install a snapshot; return whether that was done soon.
+
+        A task of the replica does it, so that it goes on if the leader no longer waits
+        for the reply. The whole time is waited if the disk refuses the snapshot.
+        """
+        loop = asyncio.get_running_loop()
+        replies_at = loop.time() + INSTALL_RETRY_DELAY_S
+        if self.installing is None or self.installing.done():
+            self.is_installed = False
+            self.installing = self.replica.spawn(self.run_installation(incoming))
+        await asyncio.wait([self.installing], timeout=INSTALL_RETRY_DELAY_S)
+        if not self.is_installed:
+            await asyncio.sleep(max(0.0, replies_at - loop.time()))
+        is_covered = incoming.index <= self.replica.applied_index
+        return self.is_installed and is_covered
+
+    async def run_installation(self, incoming: IncomingSnapshot) -> None:
+        """Install a snapshot, and drop the segments that it covers."""
+        self.is_installed = await self.install(incoming)
+        if self.is_installed:
+            self.applier.start_tidying()
+
     def acknowledge_chunk(
         self, next_offset: int, *, is_installed: bool
     ) -> messages.SnapshotReply:
--- a/src/quetzalpass/storage/disk.py
+++ b/src/quetzalpass/storage/disk.py
@@ -5,6 +5,8 @@
 import fcntl
 import os
 import pathlib
+import threading
+from collections import abc as abc_collections
 
 import logbook
 import msgspec
@@ -135,10 +137,8 @@
 
     Attributes
     ----------
-    failed_folder_syncs : int
-        Syncs of the folder that have failed.
-    repeated_folder_syncs : int
-        How many of them a later sync has made up for.
+    is_folder_sync_missing : bool
+        Whether names may have stayed unsynced, so that a bare sync proves nothing.
     is_made : bool
         Whether the folder's name is durable.
     is_name_unsynced : bool
@@ -148,12 +148,14 @@
     def __init__(self, path: pathlib.Path, parent: "FolderDisk | None" = None) -> None:
         self.path = path
         self.parent = parent
+        self.making = threading.Lock()
         self.is_made = False
         self.is_name_unsynced = False
         self.descriptors: dict[str, int] = {}
         self.folders: dict[str, FolderDisk] = {}
-        self.failed_folder_syncs = 0
-        self.repeated_folder_syncs = 0
+        # What an earlier process failed to sync isn't known.
+        self.is_folder_sync_missing = True
+        self.folder_sync_lock = asyncio.Lock()
 
     def names(self) -> list[str]:
         """Return the names of the folder's files, sorted."""
@@ -169,21 +171,22 @@
 
     async def overwrite(self, name: str, offset: int, data: bytes) -> None:
         """Write data at an offset in bytes; the file is created if it is missing."""
-        await asyncio.to_thread(write_all, self.get_descriptor(name), offset, data)
+        descriptor = os.dup(self.get_descriptor(name))
+        await asyncio.to_thread(use, [descriptor], write_all, descriptor, offset, data)
 
     async def overwrite_and_sync(
         self, name: str, offset: int, data: bytes, mark: Mark
     ) -> None:
         """Write data at an offset in bytes, sync the file, then write the mark."""
-        descriptor = self.get_descriptor(name)
-        mark_descriptor = self.get_descriptor(mark.name)
+        mark_descriptor = os.dup(self.get_descriptor(mark.name))
+        descriptor = os.dup(self.get_descriptor(name))
 
         def write_in_order() -> None:
             write_all(descriptor, offset, data)
             sync_content(descriptor)
             write_mark(mark_descriptor, mark.content)
 
-        await asyncio.to_thread(write_in_order)
+        await asyncio.to_thread(use, [descriptor, mark_descriptor], write_in_order)
 
     def truncate(self, name: str, size: int) -> None:
         """Truncate a file to a size in bytes."""
@@ -207,19 +210,20 @@
 
     async def sync(self, name: str) -> None:
         """Make a file's content durable."""
-        await asyncio.to_thread(sync_content, self.get_descriptor(name))
+        descriptor = os.dup(self.get_descriptor(name))
+        await asyncio.to_thread(use, [descriptor], sync_content, descriptor)
 
     async def sync_folder(self) -> None:
-        """Make the names of created, renamed and removed files durable."""
-        failed = self.failed_folder_syncs
-        try:
-            if failed > self.repeated_folder_syncs:
+        """Make the names of created, renamed and removed files durable.
+
+        One call waits for the other, so that none misses that the other has failed.
+        """
+        async with self.folder_sync_lock:
+            if self.is_folder_sync_missing:
                 await asyncio.to_thread(change_folder, self.path / TOUCHED_NAME)
+            self.is_folder_sync_missing = True
             await asyncio.to_thread(sync_path, self.path)
-        except OSError:
-            self.failed_folder_syncs += 1
-            raise
-        self.repeated_folder_syncs = max(self.repeated_folder_syncs, failed)
+            self.is_folder_sync_missing = False
 
     def folder(self, name: str) -> Disk:
         """Return a subfolder, which ``make`` creates."""
@@ -275,7 +279,12 @@
 
     def make_in_thread(self) -> None:
         """Create the folder if it is missing, and lock it unless it is locked here."""
-        super().make_in_thread()
+        with self.making:
+            super().make_in_thread()
+            self.lock()
+
+    def lock(self) -> None:
+        """Lock the folder for this process, unless it is already."""
         if LOCK_NAME in self.descriptors:
             return
         try:
@@ -311,6 +320,19 @@
     return result.Success(disk)
 
 
+def use(descriptors: list[int], work: abc_collections.Callable, *args: object) -> None:
+    """Do some work with descriptors, then close them.
+
+    A thread has descriptors of its own: a file that is closed meanwhile, as its caller
+    no longer waits, would otherwise leave it with the number of another file.
+    """
+    try:
+        work(*args)
+    finally:
+        for descriptor in descriptors:
+            os.close(descriptor)
+
+
 def write_all(descriptor: int, offset: int, data: bytes) -> None:
     """Write all the data at an offset in bytes, also after partial writes."""
     os.lseek(descriptor, offset, os.SEEK_SET)
--- a/src/quetzalpass/storage/snapshots.py
+++ b/src/quetzalpass/storage/snapshots.py
@@ -1,5 +1,6 @@
 """Snapshot files, written atomically: temporary file, sync, rename, folder sync."""
 
+import asyncio
 from collections import abc
 
 import logbook
@@ -45,6 +46,7 @@
     def __init__(self, disk: disks.Disk, disk_health: health.DiskHealth) -> None:
         self.disk = disk
         self.health = disk_health
+        self.saving: asyncio.Task | None = None
 
     async def open(self) -> result.Result[Snapshot | None, failures.Failure]:
         """Return the newest snapshot and remove the files of unfinished writes.
@@ -58,7 +60,11 @@
         try:
             with self.health.watch(health.Operation.OPEN):
                 self.remove_unfinished()
-                return read_newest(self.disk)
+                newest = read_newest(self.disk)
+                if newest.value_or(None) is not None:
+                    # The sync of its name may have failed before this start.
+                    await self.disk.sync_folder()
+                return newest
         except OSError:
             return result.Failure(self.health.failure())
 
@@ -67,6 +73,9 @@
     ) -> result.Result[None, failures.Failure]:
         """Store a snapshot durably, then remove the older ones.
 
+        A call that is cancelled leaves a thread that still writes; the next one waits
+        until it has ended.
+
         Parameters
         ----------
         snapshot : Snapshot
@@ -80,6 +89,15 @@
             ``STORAGE_FAILED`` if the disk refuses it; the older snapshot is then kept,
             and a later call writes everything anew.
         """
+        if self.saving is not None:
+            await asyncio.wait([self.saving])
+        self.saving = asyncio.create_task(self.write_durably(snapshot, in_place_of))
+        return await asyncio.shield(self.saving)
+
+    async def write_durably(
+        self, snapshot: Snapshot, in_place_of: str | None
+    ) -> result.Result[None, failures.Failure]:
+        """Store a snapshot; see ``save``."""
         name = f"{SNAPSHOT_PREFIX}{snapshot.index:020d}"
         unfinished = name + UNFINISHED_SUFFIX
         try:
