--- a/src/quetzalpass/consensus/applying.py
+++ b/src/quetzalpass/consensus/applying.py
@@ -25,6 +25,9 @@
 # Shortest time between two attempts to make room on a full disk.
 MAKE_ROOM_INTERVAL_S = 1.0
 
+# What is tried again until the disk permits it.
+TIDIED = frozenset({health.Operation.REMOVE, health.Operation.RESERVE})
+
 LOG = logbook.Logger("consensus")
 
 Outcome = result.Result[bytes, failures.Failure]
@@ -142,6 +145,11 @@
         """
         is_busy = self.is_compacting or self.lock.locked()
         if self.is_snapshot_due() and not is_busy:
+            self.start_compacting()
+
+    def start_compacting(self) -> None:
+        """Start the task that stores a snapshot, if none runs."""
+        if not self.is_compacting:
             self.is_compacting = True
             self.replica.spawn(self.compact())
 
@@ -183,7 +191,8 @@
         Returns
         -------
         bool
-            False if the disk refuses it; the older snapshot and the entries are kept.
+            False if the disk refuses it; the older snapshot and the entries are kept,
+            and a task tries it again.
         """
         replica = self.replica
         async with self.lock:
@@ -194,6 +203,7 @@
             saved = await replica.log.compact(snapshot, in_reserve=in_reserve)
         if isinstance(saved, result.Failure):
             self.unsaved_bytes += unsaved_bytes
+            self.start_compacting()
             return False
         LOG.info("consensus: Stored a snapshot up to index {}.", snapshot.index)
         return True
@@ -212,7 +222,7 @@
                 async with self.lock:
                     await own_log.segments.drop_through(own_log.snapshot_index)
                     await own_log.reserve.keep(len(own_log.snapshot_data))
-                if health.Operation.RESERVE not in own_log.health.troubles:
+                if not TIDIED & own_log.health.troubles.keys():
                     return
                 await asyncio.sleep(RESERVE_RETRY_S)
         finally:
@@ -232,7 +242,9 @@
         self.may_make_room_at = replica.now() + MAKE_ROOM_INTERVAL_S
         await self.store_snapshot(in_reserve=True)
         # What an earlier snapshot covers may still be there, as at a start.
-        await replica.log.segments.drop_through(replica.log.snapshot_index)
+        if not self.lock.locked():
+            async with self.lock:
+                await replica.log.segments.drop_through(replica.log.snapshot_index)
         self.start_tidying()
 
     def may_use_reserve(self, index: int) -> bool:
--- a/src/quetzalpass/storage/segments.py
+++ b/src/quetzalpass/storage/segments.py
@@ -66,6 +66,7 @@
         self.is_closed = False
         self.closing = asyncio.Event()
         self.has_unsynced_removal = False
+        self.removal_lock = asyncio.Lock()
         self.flush_task: asyncio.Task | None = None
 
     async def open(
@@ -269,16 +270,21 @@
         """
         try:
             with self.health.watch(health.Operation.REMOVE):
-                if self.has_unsynced_removal:
-                    await self.sync_removal()
-                while len(self.segments) > 1 and self.segments[0].max_key <= key:
-                    self.disk.remove(self.segments[0].name)
-                    self.segments.pop(0)
-                    self.has_unsynced_removal = True
-                    await self.sync_removal()
+                async with self.removal_lock:
+                    await self.remove_through(key)
         except OSError:
             return
 
+    async def remove_through(self, key: int) -> None:
+        """Remove segments; see ``drop_through``."""
+        if self.has_unsynced_removal:
+            await self.sync_removal()
+        while len(self.segments) > 1 and self.segments[0].max_key <= key:
+            self.disk.remove(self.segments[0].name)
+            self.segments.pop(0)
+            self.has_unsynced_removal = True
+            await self.sync_removal()
+
     async def sync_removal(self) -> None:
         """Make the removal of a segment durable."""
         await self.disk.sync_folder()
