A replica that starts anew while a write is refused votes again once there is room

Found by the review: DiskHealth outlives the log; the trouble of a write that nobody repeats was held for good, so the replica neither voted nor stood: no leader 60 s after there was room, with one voter and with three.

--- a/src/quetzalpass/consensus/replica.py
+++ b/src/quetzalpass/consensus/replica.py
@@ -265,6 +265,7 @@
     def forget(self) -> None:
         """Drop all state in memory but the state machine's, as a crash does."""
         self.log = logs.ReplicatedLog(self.disk, self.health)
+        self.health.forget_write()
         self.sessions = sessions.Sessions()
         self.replica_id = entries.NO_REPLICA
         self.role = Role.STOPPED
--- a/src/quetzalpass/storage/health.py
+++ b/src/quetzalpass/storage/health.py
@@ -183,6 +183,10 @@
             text += f" ({suppressed} other changes were not logged)"
         LOG.log(level, "storage: The disk of {} {}.", self.name, text)
 
+    def forget_write(self) -> None:
+        """Drop the trouble of a write that nothing repeats, as its log was dropped."""
+        self.troubles.pop(Operation.WRITE, None)
+
     def failure(self) -> failures.Failure:
         """Return the failure for callers that can't wait for the disk."""
         trouble = self.trouble
