--- a/src/quetzalpass/storage/segments.py
+++ b/src/quetzalpass/storage/segments.py
@@ -186,9 +186,24 @@
     async def recover_room(self) -> None:
         """Let the owner of the log drop what it can, if the disk is full."""
         is_full = self.health.condition is health.Condition.NO_ROOM
-        if is_full and self.make_room is not None and not self.is_closed:
+        if not is_full or self.is_closed:
+            return
+        self.drop_partial_frame()
+        if self.make_room is not None:
             await self.make_room()
 
+    def drop_partial_frame(self) -> None:
+        """Give back the room of a frame of which only a part fitted on the disk.
+
+        It would be missing for the snapshot that lets segments be dropped.
+        """
+        last = self.segments[-1]
+        try:
+            if self.disk.size(last.name) > last.size:
+                self.disk.truncate(last.name, last.size)
+        except OSError as error:
+            LOG.warning("storage: Can't truncate {} ({}).", last.name, error)
+
     async def wait_to_retry(self, delay_s: float) -> None:
         """Wait before the next attempt, at most until the log is closed."""
         try:
