--- a/src/quetzalpass/storage/health.py
+++ b/src/quetzalpass/storage/health.py
@@ -140,6 +140,9 @@
         except OSError as error:
             self.record_failure(operation, classify(error), str(error))
             raise
+        except asyncio.CancelledError:
+            self.forget_hang(operation)
+            raise
         else:
             self.record_success(operation)
         finally:
@@ -183,6 +186,12 @@
             text += f" ({suppressed} other changes were not logged)"
         LOG.log(level, "storage: The disk of {} {}.", self.name, text)
 
+    def forget_hang(self, operation: Operation) -> None:
+        """Drop the trouble of an operation whose end nobody waits for any more."""
+        trouble = self.troubles.get(operation)
+        if trouble is not None and trouble.condition is Condition.HANGING:
+            del self.troubles[operation]
+
     def forget_write(self) -> None:
         """Drop the trouble of a write that nothing repeats, as its log was dropped."""
         self.troubles.pop(Operation.WRITE, None)
--- a/tests/storage/test_refusals.py
+++ b/tests/storage/test_refusals.py
@@ -258,6 +258,21 @@
         assert len(rounds) == 1
         assert (await read_keys(disk))[-1] == 13
 
+    async def test_a_partly_written_frame_leaves_room_for_a_snapshot(self):
+        disk, log = await new_filled_log(12)
+        used = sum(disk.size(name) for name in disk.names())
+        disk.faults.capacity_bytes = used + 300
+
+        async def make_room():
+            await disk.write("snapshot", b"x" * 100)
+            await log.drop_through(9)
+
+        log.make_room = make_room
+        log.append(13, b"y" * 400)
+        async with asyncio.timeout(REFUSED_S):
+            (await log.commit()).unwrap()
+        assert (await read_keys(disk))[-1] == 13
+
     async def test_the_reserve_makes_room_and_comes_back(self):
         disk = disks.FakeDisk()
         kept = reserve.Reserve(disk, health.DiskHealth("test"))
@@ -300,6 +315,20 @@
         assert log.health.log_failing_for_s() == 0.0
         assert log.health.recovery_count >= 1
 
+    async def test_an_operation_that_was_given_up_hangs_no_more(self):
+        disk_health = health.DiskHealth("test")
+
+        async def hang():
+            with disk_health.watch(health.Operation.RESERVE):
+                await asyncio.sleep(60.0)
+
+        hanging = asyncio.create_task(hang())
+        await asyncio.sleep(REFUSED_S)
+        assert disk_health.condition is health.Condition.HANGING
+        hanging.cancel()
+        await asyncio.gather(hanging, return_exceptions=True)
+        assert disk_health.condition is health.Condition.OK
+
     async def test_lines_about_a_disk_that_fails_again_and_again_are_bounded(self):
         disk, log = await new_filled_log()
         for key in range(3, 60):
