review: case 6 gives the successor sync_s before the SIGTERM

The other machine loses its disk 2 s after the old one has ended, over 6 s after the start of the successor.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -10,9 +10,8 @@
 
 import lab  # noqa: E402
 
-SUCCESSOR_LEAD_S = 2.0
 SYNC_S = 4.0
-LOSS_AFTER_S = SYNC_S + 0.3
+LOSS_AFTER_END_S = 2.0
 DARK_S = 1.0
 READ_BACK_S = 30.0
 
@@ -33,14 +32,15 @@
     if is_trouble:
         begun_s = time.monotonic()
         await successor.start()
-        await asyncio.sleep(SUCCESSOR_LEAD_S)
+        await asyncio.sleep(SYNC_S)
         record.write("SIGTERM to control-2, which is removed for good")
         await case.controls[1].stop(signal.SIGTERM, 8.0)
+        ended_s = time.monotonic()
         record.write("control-2 has ended")
         nodes = [case.controls[0], case.controls[2], successor]
         if await case.put(lab.desired_state(9), nodes, 1.2, "version 9"):
             acknowledged = 9
-        await asyncio.sleep(max(0.0, begun_s + LOSS_AFTER_S - time.monotonic()))
+        await asyncio.sleep(max(0.0, ended_s + LOSS_AFTER_END_S - time.monotonic()))
         since_s = time.monotonic() - begun_s
         record.write(f"kill control-3, {since_s:.2f} s after the start of control-4")
         await case.controls[2].stop(signal.SIGKILL)
@@ -48,7 +48,7 @@
         await asyncio.sleep(DARK_S)
         await case.controls[2].start()
     else:
-        await asyncio.sleep(LOSS_AFTER_S + DARK_S)
+        await asyncio.sleep(SYNC_S + LOSS_AFTER_END_S + DARK_S)
     return await read_back(case, nodes, acknowledged)
 
 
