review: case 9, a crashing part of a long prompt is never found

Prompts of 19 parts share 18 of them; the 18th crashes each replica that begins to answer. Only the first 16 shared parts are remembered, so the part is never refused: replicas crash as fast as they come back, and most sound requests that share the other parts don't begin.

--- a/review/engines.py
+++ b/review/engines.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import json
+import os
 import pathlib
 import sys
 import time
@@ -27,6 +28,12 @@
     return b"".join(event(number) for number in range(1, events + 1))
 
 
+def part_ids(request):
+    """Return the ids of the parts of a prompt, the request's own one included."""
+    entries = (request.header("X-Prompt-Prefix") or "").split(",")
+    return [each.partition(":")[0].strip() for each in entries]
+
+
 class Replica:
     """One start of a replica."""
 
@@ -121,6 +128,10 @@
         unframed = self.is_unframed(events)
         self.answers += 1
         self.unframed += unframed
+        if self.options.get("crashing_part") in part_ids(request):
+            await asyncio.sleep(self.options.get("interval_s", 0.02))
+            self.write(f"crashes as it begins to answer {request_id}")
+            os._exit(1)
         lines = ["Content-Type: text/event-stream"]
         lines.append("Connection: close" if unframed else "Transfer-Encoding: chunked")
         if events > 10:
