--- a/review/engines.py
+++ b/review/engines.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import signal
 import sys
 import time
 
@@ -45,6 +46,8 @@
         self.answers = 0
         self.unframed = 0
         self.runs = collections.Counter()
+        self.writers = set()
+        self.is_leaving = False
 
     def write(self, text):
         since_s = time.monotonic() - self.options["begun_s"]
@@ -54,11 +57,27 @@
     async def run(self):
         host, _, port = self.options["address"].rpartition(":")
         server = await asyncio.start_server(self.serve, host, int(port))
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.stop)
+        loop.add_signal_handler(signal.SIGUSR1, self.leave)
         self.write(f"start, born {self.born}")
         async with server:
             await server.serve_forever()
 
+    def leave(self):
+        """Say in all answers from now on that this replica leaves."""
+        self.is_leaving = True
+
+    def stop(self):
+        """End as a process that is told to: close the channels, then exit."""
+        self.write(f"stops, with {len(self.writers)} channels")
+        for writer in list(self.writers):
+            writer.close()
+        delay_s = self.options.get("exit_after_s", 0.0)
+        asyncio.get_running_loop().call_later(delay_s, os._exit, 0)
+
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 request = await lab.read_head(reader)
@@ -68,6 +87,7 @@
         except (EOFError, OSError, ValueError):
             return
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def respond(self, request, writer):
@@ -94,9 +114,11 @@
 
     def head(self, request_id, lines, status=200):
         """Return the head of an answer that counts as run."""
+        leaving = ["Server-Leaving: 1"] if self.is_leaving else []
         return "\r\n".join(
             [
                 f"HTTP/1.1 {status} Whatever",
+                *leaving,
                 f"X-Request-Id: {request_id}",
                 f"X-Response-Signature: sig.{self.name}.{request_id}",
                 *lines,
@@ -143,6 +165,8 @@
             data = event(number)
             writer.write(data if unframed else b"%x\r\n%s\r\n" % (len(data), data))
             await writer.drain()
+            if writer.is_closing():
+                return False
         if not unframed:
             writer.write(b"0\r\n\r\n")
         await writer.drain()
@@ -154,7 +178,7 @@
         """Answer a status check, a report, cache events, or an order to move."""
         status, answer = 200, {"born": self.born}
         if path.startswith("/v1/report"):
-            answer |= {"stage": "unified", "state": "ready", "busy": False, "seq": 0}
+            answer |= {"stage": "unified", "state": "draining" if self.is_leaving else "ready", "busy": False, "seq": 0}
             answer |= {"models": [{"name": "m", "version": 1, "adapters": []}]}
             answer |= {"queued": 0, "running": 0, "kv_used": 0, "kv_total": 34304}
             answer |= {"handles": 0, "pinned": 0, "held": 0, "next": 0, "runs": []}
