--- a/review/9/case.py
+++ b/review/9/case.py
@@ -13,7 +13,7 @@
 import replicas2  # noqa: E402
 
 MODEL_REPLICAS = 5
-BACK_AFTER_S = 4.0
+BACK_AFTER_S = 5.0
 CALM_S = 8.0
 TROUBLE_S = 30.0
 SOUND_INTERVAL_S = 0.2
