review: sounder stand-ins, checked ports, the record named by each case

The replica of cases 7, 9 and 10 answers orders to move as one without room elsewhere, refuses what goes on from memory, and says in its status check that it leaves. Ports are checked to be free.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -69,4 +69,4 @@
 
 
 if __name__ == "__main__":
-    lab.run_case(play, __file__, controls=4)
+    lab.run_case(play, pathlib.Path(__file__).with_name("record.txt"), controls=4)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -174,4 +174,4 @@
 
 
 if __name__ == "__main__":
-    lab.run_case(play, __file__, gateways=3)
+    lab.run_case(play, pathlib.Path(__file__).with_name("record.txt"), gateways=3)
--- a/review/engines.py
+++ b/review/engines.py
@@ -47,6 +47,8 @@
         self.unframed = 0
         self.runs = collections.Counter()
         self.writers = set()
+        self.running = set()
+        self.stopped = set()
         self.is_leaving = False
 
     def write(self, text):
@@ -103,6 +105,9 @@
         if request_id is None:
             self.refuse(writer, request_id, 400)
             return True
+        if request.header("Kv-From") is not None:
+            self.refuse(writer, request_id, 503)
+            return True
         self.runs[request_id] += 1
         if self.options["service"] == "model":
             return await self.send_stream(request, request_id, writer)
@@ -160,8 +165,21 @@
             how = "unframed" if unframed else "chunked"
             self.write(f"runs {request_id}, {events} events, {how}")
         writer.write(self.head(request_id, lines))
+        self.running.add(request_id)
+        try:
+            is_whole = await self.send_events(request_id, events, unframed, writer)
+        finally:
+            self.running.discard(request_id)
+        if events > 10 and is_whole:
+            self.write(f"{request_id} ends after event {events}")
+        return is_whole and not unframed
+
+    async def send_events(self, request_id, events, unframed, writer):
+        """Send the events of a stream and its end, unless the run is stopped."""
         for number in range(1, events + 1):
             await asyncio.sleep(self.options.get("interval_s", 0.02))
+            if request_id in self.stopped:
+                return False
             data = event(number)
             writer.write(data if unframed else b"%x\r\n%s\r\n" % (len(data), data))
             await writer.drain()
@@ -170,15 +188,27 @@
         if not unframed:
             writer.write(b"0\r\n\r\n")
         await writer.drain()
-        if events > 10:
-            self.write(f"{request_id} ends after event {events}")
-        return not unframed
+        return True
+
+    def respond_to_move(self, order):
+        """Answer an order to move a run: there is never room elsewhere.
+
+        The last order of a run stops it first, and its memory is kept.
+        """
+        if order["id"] not in self.running:
+            return 404, {}
+        if not order.get("last"):
+            return 503, {}
+        self.stopped.add(order["id"])
+        self.write(f"{order['id']} is stopped by an order")
+        return 503, {"handle": f"h-{order['id']}", "made": 0}
 
     async def respond_to_query(self, request, method, path, writer):
         """Answer a status check, a report, cache events, or an order to move."""
         status, answer = 200, {"born": self.born}
         if path.startswith("/v1/report"):
-            answer |= {"stage": "unified", "state": "draining" if self.is_leaving else "ready", "busy": False, "seq": 0}
+            state = "draining" if self.is_leaving else "ready"
+            answer |= {"stage": "unified", "state": state, "busy": False, "seq": 0}
             answer |= {"models": [{"name": "m", "version": 1, "adapters": []}]}
             answer |= {"queued": 0, "running": 0, "kv_used": 0, "kv_total": 34304}
             answer |= {"handles": 0, "pinned": 0, "held": 0, "next": 0, "runs": []}
@@ -186,7 +216,12 @@
             await asyncio.sleep(float(request.header("Wait-Ms") or 0) / 1000)
             answer |= {"epoch": 1, "next": 1, "lost": 0, "events": []}
         elif path.startswith("/v1/kv-move"):
-            status = 404
+            status, moved = self.respond_to_move(json.loads(request.body))
+            answer |= moved
+        elif path.startswith("/v1/hold-take") or (
+            path == "/health" and self.is_leaving
+        ):
+            status = 503
         lines = [f"HTTP/1.1 {status} Whatever", f"X-Instance-Id: {self.name}"]
         body = json.dumps(answer).encode()
         lines += ["Content-Type: application/json", f"Content-Length: {len(body)}"]
--- a/review/lab.py
+++ b/review/lab.py
@@ -19,6 +19,7 @@
 CHECKOUT = pathlib.Path(__file__).resolve().parents[1]
 FIRST_NETWORK, LAST_NETWORK = 40, 95
 CLAIM_PORT = 9107
+METRICS_PORT = 9109
 STOP_TIMEOUT_S = 10.0
 # Longer than a node takes for its final answer to a read.
 READ_TIMEOUT_S = 7.0
@@ -395,15 +396,15 @@
 class Lab:
     """Addresses, ports, a temporary folder and all processes of one case."""
 
-    def __init__(self, case_folder, controls=3, gateways=0, list_lag_s=0.8):
+    def __init__(self, record_path, controls=3, gateways=0, list_lag_s=0.8):
         if not (CHECKOUT / "target" / "deps" / "aiohttp").is_dir():
             raise CouldNotRun("the build line of deploy/system.toml has not been run")
         self.python = shutil.which("python3") or sys.executable
-        self.record = Record(case_folder / "record.txt")
+        self.record = Record(record_path)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="quetzalpass-review-"))
         self.net, self.claim = claim_network()
         names = ("front", "ready", "control", "inner", "list", "replica")
-        base = random.randrange(12_000, 30_000, 20)
+        base = free_ports(2 * len(names), f"127.{self.net}.98.1")
         self.ports = {name: base + 2 * index for index, name in enumerate(names)}
         self.list = PlatformList(f"127.{self.net}.9.1:{self.ports['list']}", list_lag_s)
         zones = ("flx-a", "flx-b", "flx-c")
@@ -495,13 +496,26 @@
     raise CouldNotRun("all loopback networks are in use")
 
 
-def run_case(play, case_file, **options):
-    """Play a case and exit with its result."""
-    case_folder = pathlib.Path(case_file).resolve().parent
+def free_ports(count, host):
+    """Return the first of some consecutive ports that nobody listens on."""
+    for base in random.sample(range(12_000, 30_000, 20), 100):
+        try:
+            # The nodes' metrics have a port of their own, which the deploy file names.
+            for port in (METRICS_PORT, *range(base, base + count)):
+                with socket.socket() as probe:
+                    probe.bind((host, port))
+        except OSError:
+            continue
+        return base
+    raise CouldNotRun("no free ports")
+
+
+def run_case(play, record_path, **options):
+    """Play a case, write its record, and exit with its result."""
     is_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def play_to_end():
-        lab = Lab(case_folder, **options)
+        lab = Lab(record_path, **options)
         try:
             async with asyncio.timeout(115):
                 return await play(lab, is_trouble)
