A voter that stops hands its vote on to a learner before it ends

Cause: the machine that ended kept its vote until it had been silent for 3 s, however long its successor had been there. Two of three votes were then on disks that were gone. A new leader also counted the silence of the former one from its election, so a killed leader kept its vote for longer than sync_s.

Ruled out: a successor that lags (it held all entries within a second), the join of the emptied disk (it needs a leader first).

Why it works: the vote moves in two committed changes while the old machine still votes, so no moment has two votes on lost disks. A silent voter's vote moves after 1 s to a learner that holds everything, and a former leader's silence counts from its last message.

Old builds don't know the request and keep their votes as before.

--- a/src/quetzalpass/consensus/following.py
+++ b/src/quetzalpass/consensus/following.py
@@ -109,6 +109,7 @@
             self.synced_match(match),
             ids.LogIndex(match + 1),
             self.disk_condition(),
+            replica.settings.data_centre,
         )
 
     def disk_condition(self) -> str:
@@ -155,6 +156,7 @@
             ids.LogIndex(0),
             ids.LogIndex(next_index),
             self.disk_condition(),
+            replica.settings.data_centre,
         )
 
     def find_mismatch(self, request: messages.AppendRequest) -> int | None:
--- a/src/quetzalpass/consensus/group.py
+++ b/src/quetzalpass/consensus/group.py
@@ -18,6 +18,7 @@
     machine,
     messages,
     upkeep,
+    vote_release,
 )
 from quetzalpass.consensus import replica as replicas
 from quetzalpass.consensus import timing as timings
@@ -59,6 +60,8 @@
         small.
     rules : replicas.MembershipRules
         Rules for membership changes.
+    data_centre : ids.DataCentreId
+        Data centre of this VM; empty if unknown.
     """
 
     def __init__(
@@ -73,11 +76,17 @@
         timing: timings.Timing | None = None,
         snapshot_every: int = applying.SNAPSHOT_EVERY_ENTRIES,
         rules: replicas.MembershipRules = STATIC_MEMBERS,
+        data_centre: ids.DataCentreId = ids.UNKNOWN_DATA_CENTRE,
     ) -> None:
         is_initial = vm in initial_members
         assert is_initial or not rules.may_form, "initial_members includes this VM"
         settings = replicas.Settings(
-            group_id, vm, initial_members, timing or timings.Timing(), rules
+            group_id,
+            vm,
+            initial_members,
+            timing or timings.Timing(),
+            rules,
+            data_centre,
         )
         folder = disk.folder(f"group-{group_id}")
         self.group_id = group_id
@@ -86,6 +95,7 @@
         self.follower = following.Follower(self.replica, self.applier)
         self.elections = elections.Elections(self.replica)
         self.joiner = joining.Joiner(self.replica)
+        self.vote_release = vote_release.VoteRelease(self.replica)
         self.lifecycle = lifecycle.Lifecycle(
             self.replica, self.applier, self.follower, self.run_tasks
         )
@@ -128,6 +138,15 @@
         if self.leadership is not None:
             await self.leadership.transfer_leadership()
 
+    async def release_vote(self) -> bool:
+        """Let a learner of an open group take over this replica's vote.
+
+        Called before a planned stop, after leadership was transferred: if the VM is
+        removed for good, its vote would count until the others miss it. Returns whether
+        the vote no longer counts, after a bounded time.
+        """
+        return await self.vote_release.run()
+
     @property
     def term(self) -> ids.Term:
         """Return the highest term seen, which with an index makes a fencing number."""
@@ -349,6 +368,12 @@
         """Handle a peer's request for this replica's status."""
         return await self.joiner.handle_status(request)
 
+    async def handle_vote_release(
+        self, request: messages.VoteReleaseRequest
+    ) -> messages.VoteReleaseReply:
+        """Handle the request of a voter that is about to stop."""
+        return self.vote_release.handle(request)
+
 
 def membership_conflict(reason: str) -> failures.Failure:
     """Return the failure of a membership change that can't start."""
--- a/src/quetzalpass/consensus/leading.py
+++ b/src/quetzalpass/consensus/leading.py
@@ -1,14 +1,17 @@
 """The leader's side of replication: commits, lease and membership changes."""
 
 import asyncio
+import math
 
 import logbook
 
 from quetzalpass import ids
-from quetzalpass.consensus import entries, messages, peers, voter_disks
+from quetzalpass.consensus import entries, messages, peers, voter_disks, votes
 from quetzalpass.consensus import replica as replicas
 
 TRANSFER_POLL_INTERVAL_S = 0.01
+# A replica that will stop repeats its request several times a second.
+RELEASE_REQUEST_LIFETIME_S = 1.0
 
 LOG = logbook.Logger("consensus")
 
@@ -20,6 +23,15 @@
     ----------
     replica : replicas.Replica
         The replica that has won the election.
+
+    Attributes
+    ----------
+    release_requests : dict of ids.ReplicaId to float
+        Loop time at which a replica last asked to lose its vote, as it will stop.
+    former_leader : ids.VmId or None
+        Leader before this one, if it was heard since this replica led last.
+    former_leader_heard_at : float
+        Loop time at which this replica last heard it.
     """
 
     def __init__(self, replica: replicas.Replica) -> None:
@@ -35,6 +47,10 @@
         self.background_tasks: list[asyncio.Task] = []
         self.has_given_up_lease = False
         self.voter_disks = voter_disks.VoterDisks(self)
+        self.release_requests: dict[ids.ReplicaId, float] = {}
+        self.former_leader = replica.last_leader
+        self.former_leader_heard_at = replica.leader_contact_at
+        replica.last_leader = None
 
     @property
     def is_current(self) -> bool:
@@ -102,9 +118,11 @@
                 self.peer_tasks.pop(replica_id).cancel()
                 del self.peers[replica_id]
         for member in configuration.members:
+            if member.replica in self.peers:
+                self.peers[member.replica].member = member
+                continue
             is_self = member.replica == self.replica.replica_id
-            is_known = member.replica in self.peers
-            if is_self or is_known or member.replica == entries.NO_REPLICA:
+            if is_self or member.replica == entries.NO_REPLICA:
                 continue
             peer = peers.Peer(self, member)
             self.peers[member.replica] = peer
@@ -259,39 +277,70 @@
         return self.append(entries.EntryKind.CONFIGURATION, data=data)
 
     def promote_if_caught_up(self, peer: "peers.Peer") -> None:
-        """Make a learner a voter once it holds all committed entries."""
-        if peer.member.is_voter or not self.can_change_members():
-            return
-        if peer.match_index < self.replica.commit_index:
+        """Make a learner a voter once it holds all committed entries.
+
+        In an open group, ``upkeep.Maintenance`` chooses who votes.
+        """
+        if self.replica.settings.rules.is_open:
             return
-        if not self.needs_voter():
+        if peer.member.is_voter or not self.can_change_members():
             return
-        member = entries.Member(peer.member.vm, peer.member.replica, True)
-        peer.member = member
-        LOG.info("consensus: {} becomes a voter.", member.vm)
-        self.change_members(self.replica.log.configuration.with_member(member))
+        if peer.match_index >= self.replica.commit_index:
+            self.set_voter(peer.member.vm, is_voter=True)
+
+    def set_voter(self, vm: ids.VmId, *, is_voter: bool) -> None:
+        """Give the member at an address a vote, or take it away."""
+        configuration = self.replica.log.configuration
+        former = configuration.member_at(vm)
+        assert former is not None, "only members get or lose votes"
+        member = entries.Member(vm, former.replica, is_voter)
+        LOG.info("consensus: {} becomes a {}.", vm, "voter" if is_voter else "learner")
+        self.change_members(configuration.with_member(member))
+
+    def member_states(self) -> list[votes.MemberState]:
+        """Return what this leader knows of all members."""
+        members = self.replica.log.configuration.members
+        return [self.member_state(each) for each in members]
+
+    def member_state(self, member: entries.Member) -> votes.MemberState:
+        """Return what this leader knows of one member."""
+        if member.replica == self.replica.replica_id:
+            data_centre = self.replica.settings.data_centre
+            return votes.MemberState(
+                member.vm, member.is_voter, data_centre, is_leader=True
+            )
+        silent_s = self.replica.now() - self.last_heard_at(member)
+        asked_at = self.release_requests.get(member.replica, -math.inf)
+        peer = self.peers.get(member.replica)
+        return votes.MemberState(
+            member.vm,
+            member.is_voter,
+            peer.data_centre if peer else ids.UNKNOWN_DATA_CENTRE,
+            silent_s,
+            is_stopping=self.replica.now() - asked_at < RELEASE_REQUEST_LIFETIME_S,
+            may_get_vote=peer is not None and self.may_get_vote(peer),
+        )
 
-    def needs_voter(self) -> bool:
-        """Return whether a learner should become a voter.
+    def may_get_vote(self, peer: peers.Peer) -> bool:
+        """Return whether a peer replies and holds all that is committed."""
+        is_caught_up = peer.match_index >= self.replica.commit_index
+        return is_caught_up and self.voter_disks.is_usable(peer)
 
-        In an open group only if there are too few voters or one is unreachable.
+    def last_heard_at(self, member: entries.Member) -> float:
+        """Return the loop time at which a member was last known to run.
+
+        Of a member that has never replied, that is when this leadership began. The
+        leader before it was last heard as a leader, but gets time for a first reply.
         """
-        rules = self.replica.settings.rules
-        voters = self.replica.log.configuration.voters
-        if not rules.is_open or len(voters) < rules.wanted_voters:
-            return True
-        is_at_limit = len(voters) > rules.wanted_voters
-        return not is_at_limit and any(self.is_unreachable(member) for member in voters)
-
-    def is_unreachable(self, member: entries.Member) -> bool:
-        """Return whether a member has not replied for ``gone_after_s``."""
-        if member.replica == self.replica.replica_id:
-            return False
-        heard_at = self.began_at
-        if member.replica in self.peers:
-            heard_at = max(heard_at, self.peers[member.replica].acknowledged_at)
-        gone_after_s = self.replica.settings.rules.gone_after_s
-        return self.replica.now() - heard_at > gone_after_s
+        peer = self.peers.get(member.replica)
+        if peer is not None and peer.acknowledged_at > 0.0:
+            return peer.acknowledged_at
+        if member.vm != self.former_leader:
+            return self.began_at
+        lost_after_s = self.replica.settings.rules.lost_after_s
+        first_reply_s = self.replica.settings.timing.election_timeout_s
+        earliest_at = self.began_at - lost_after_s + first_reply_s
+        return max(self.former_leader_heard_at, earliest_at)
 
     def replace_replica(self, vm: ids.VmId, replica_id: ids.ReplicaId) -> None:
         """Replace the former replica of a VM, whose disk was lost, by its new one.
--- a/src/quetzalpass/consensus/messages.py
+++ b/src/quetzalpass/consensus/messages.py
@@ -102,6 +102,9 @@
     disk_condition : str
         What is wrong with the disk of a replica whose log can't be written now, as a
         value of ``health.Condition``. Empty if it can, or in an earlier version.
+    data_centre : ids.DataCentreId
+        Data centre of the replica that replies; empty if unknown, or in an earlier
+        version.
     """
 
     term: ids.Term
@@ -110,6 +113,7 @@
     match_index: ids.LogIndex
     next_index: ids.LogIndex
     disk_condition: str = ""
+    data_centre: ids.DataCentreId = ids.UNKNOWN_DATA_CENTRE
 
 
 class AppendRequest(messages.Request, frozen=True):
@@ -210,6 +214,40 @@
     data: bytes
 
 
+class VoteReleaseReply(messages.Reply, frozen=True):
+    """Reply to a replica that is about to stop.
+
+    Attributes
+    ----------
+    is_released : bool
+        Whether a committed configuration no longer counts its vote.
+    """
+
+    is_released: bool
+
+
+class VoteReleaseRequest(messages.Request, frozen=True):
+    """Requests that the leader move a vote to a learner before the voter stops.
+
+    Sent repeatedly until the vote is released; the leader forgets a request soon, as
+    the replica may be back.
+
+    Attributes
+    ----------
+    group : ids.GroupId
+        The group.
+    vm : ids.VmId
+        Address of the replica that is about to stop.
+    replica : ids.ReplicaId
+        The replica.
+    """
+
+    reply_type = VoteReleaseReply
+    group: ids.GroupId
+    vm: ids.VmId
+    replica: ids.ReplicaId
+
+
 class StatusReply(messages.Reply, frozen=True):
     """Status of a replica.
 
--- a/src/quetzalpass/consensus/peers.py
+++ b/src/quetzalpass/consensus/peers.py
@@ -33,6 +33,8 @@
         What its last reply said is wrong with its disk; empty if nothing.
     disk_failing_since : float or None
         Loop time since which its replies say that its disk fails.
+    data_centre : ids.DataCentreId
+        Its data centre, as its replies name it; empty if unknown.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         self.acknowledged_sequence = 0
         self.disk_condition = ""
         self.disk_failing_since: float | None = None
+        self.data_centre = ids.UNKNOWN_DATA_CENTRE
         self.has_work = asyncio.Event()
         self.snapshot_index = 0
         self.snapshot_offset = 0
@@ -135,6 +138,7 @@
         if not isinstance(reply, messages.AppendReply):
             return False
         self.record_disk(reply.disk_condition)
+        self.data_centre = reply.data_centre
         if reply.is_matching:
             self.match_index = max(self.match_index, reply.match_index)
             held_end = min(reply.next_index, replica.log.last_index + 1)
--- a/src/quetzalpass/consensus/registry.py
+++ b/src/quetzalpass/consensus/registry.py
@@ -33,6 +33,10 @@
             messages.SnapshotRequest, self.make_handler(groups.Group.handle_snapshot)
         )
         table.add(messages.StatusRequest, self.make_handler(groups.Group.handle_status))
+        table.add(
+            messages.VoteReleaseRequest,
+            self.make_handler(groups.Group.handle_vote_release),
+        )
 
     def add(self, group: groups.Group) -> groups.Group:
         """Make a group reachable and return it."""
--- a/src/quetzalpass/consensus/replica.py
+++ b/src/quetzalpass/consensus/replica.py
@@ -19,6 +19,7 @@
 from quetzalpass.storage import health
 from quetzalpass.wire import transport as transports
 
+LOST_AFTER_S = 1.0
 GONE_AFTER_S = 3.0
 
 LOG = logbook.Logger("consensus")
@@ -46,13 +47,17 @@
         Whether this VM may take part in forming the group at its first start.
     wanted_voters : int
         Number of voters that the leader of an open group maintains.
+    lost_after_s : float
+        Time without contact after which a voter's vote goes to a learner.
     gone_after_s : float
-        Time without contact after which a voter may be replaced by a learner.
+        Time without contact after which a learner is removed, and after which a replica
+        asks whether it still is a member.
     """
 
     is_open: bool = False
     may_form: bool = True
     wanted_voters: int = 0
+    lost_after_s: float = LOST_AFTER_S
     gone_after_s: float = GONE_AFTER_S
 
 
@@ -86,6 +91,8 @@
         Timeouts and intervals.
     rules : MembershipRules
         Rules for membership changes.
+    data_centre : ids.DataCentreId
+        Data centre of this VM; empty if unknown.
     """
 
     group: ids.GroupId
@@ -93,6 +100,7 @@
     initial_members: list[ids.VmId]
     timing: timings.Timing
     rules: MembershipRules = MembershipRules()
+    data_centre: ids.DataCentreId = ids.UNKNOWN_DATA_CENTRE
 
 
 class Signal:
@@ -149,6 +157,10 @@
 
     Attributes
     ----------
+    leader_contact_at : float
+        Loop time of the last message from a leader, or of the start.
+    last_leader : ids.VmId or None
+        VM that sent this message.
     on_failure : callable
         Called with the exception of a task that failed.
     """
@@ -179,6 +191,7 @@
         self.applied_changed = Signal()
         self.commit_changed = Signal()
         self.leader_contact_at = 0.0
+        self.last_leader: ids.VmId | None = None
         self.election_due_at = 0.0
         self.seen_replicas: dict[ids.VmId, ids.ReplicaId] = {}
         self.join_requests: dict[ids.VmId, JoinRequest] = {}
@@ -295,6 +308,7 @@
         if self.leader != vm:
             LOG.info("consensus: Following {} in term {}.", vm, self.term)
         self.leader = vm
+        self.last_leader = vm
         self.leader_contact_at = self.now()
         self.reset_election_timer()
 
--- a/src/quetzalpass/daemon/control_role.py
+++ b/src/quetzalpass/daemon/control_role.py
@@ -73,6 +73,8 @@
         group.
     wanted_voters : int
         Number of voters that the leader maintains.
+    data_centre : DataCentreId
+        Data centre of this node; empty if unknown.
     """
 
     vm: ids.VmId
@@ -80,6 +82,7 @@
     data_folder: str
     may_form: bool
     wanted_voters: int
+    data_centre: ids.DataCentreId = ids.UNKNOWN_DATA_CENTRE
 
 
 class ControlRole:
@@ -184,6 +187,7 @@
             self.rng,
             TIMING,
             rules=rules,
+            data_centre=settings.data_centre,
         )
 
     async def listen(self) -> None:
@@ -202,7 +206,7 @@
         await self.listener.start()
 
     async def stop(self) -> None:
-        """Transfer leadership, answer what was read, and close everything.
+        """Hand on leadership and vote, answer what was read, and close everything.
 
         The operator's listener must be closed already.
         """
@@ -211,6 +215,7 @@
         self.leaving_monitor.stop()
         await self.group.transfer_leadership()
         LOG.info("daemon: The leader is {}.", self.group.leader())
+        await self.group.release_vote()
         if self.listener is not None:
             await self.listener.stop_accepting()
             self.holder.end_waits()
--- a/src/quetzalpass/ids.py
+++ b/src/quetzalpass/ids.py
@@ -6,6 +6,7 @@
 
 VmId = NewType("VmId", str)
 DataCentreId = NewType("DataCentreId", str)
+UNKNOWN_DATA_CENTRE = DataCentreId("")
 RegionId = NewType("RegionId", str)
 OrganisationId = NewType("OrganisationId", str)
 ModelName = NewType("ModelName", str)
--- a/tests/consensus/test_open_groups.py
+++ b/tests/consensus/test_open_groups.py
@@ -297,3 +297,137 @@
             timeout_s=JOIN_S,
         )
         await cluster.stop()
+
+
+async def start_cluster_with_learners(*names, seed=0, data_centres=None):
+    """Start three voters, and learners that hold all their entries."""
+    cluster = clusters.Cluster(3, seed, open_voters=3)
+    cluster.data_centres = data_centres or {}
+    await cluster.start_all()
+    await cluster.leader()
+    await cluster.propose(b"one")
+    for name in names:
+        new_vm = await start_new_vm(cluster, name)
+        await cluster.until(lambda vm=new_vm: cluster.items(vm) == [b"one"])
+    await asyncio.sleep(SETTLE_S)
+    return cluster
+
+
+async def lose_disk(cluster, vm):
+    """Lose a disk; its VM is back at once, and an operator's change succeeds."""
+    await cluster.wipe(vm)
+    assert await cluster.propose(b"two", attempts=30) == b"2:two"
+
+
+@pytest.mark.looptime
+class TestLossesAfterReplacements:
+    """A VM of the group is removed for good, and soon another one loses its disk."""
+
+    @pytest.mark.parametrize("is_leader", [False, True])
+    @pytest.mark.parametrize("seed", range(5))
+    async def test_a_disk_is_lost_right_after_a_planned_replacement(
+        self, seed, is_leader
+    ):
+        cluster = await start_cluster_with_learners("vm-9", seed=seed)
+        leader = await cluster.leader()
+        voters = [vm for vm in cluster.vms if (vm == leader) is is_leader]
+        removed = voters[seed % len(voters)]
+        await cluster.stop_as_planned(removed)
+        kept = [vm for vm in cluster.vms if vm != removed]
+        await lose_disk(cluster, kept[seed % 2])
+        await cluster.stop()
+
+    @pytest.mark.parametrize("is_leader", [False, True])
+    @pytest.mark.parametrize("seed", range(5))
+    async def test_a_disk_is_lost_two_seconds_after_a_kill(self, seed, is_leader):
+        cluster = await start_cluster_with_learners("vm-9", seed=seed)
+        leader = await cluster.leader()
+        voters = [vm for vm in cluster.vms if (vm == leader) is is_leader]
+        removed = voters[seed % len(voters)]
+        await cluster.crash(removed)
+        # A leader has to be missed first, and then another one elected.
+        await asyncio.sleep(2.0 if not is_leader else 3.0)
+        kept = [vm for vm in cluster.vms if vm != removed]
+        await lose_disk(cluster, kept[seed % 2])
+        await cluster.stop()
+
+    @pytest.mark.parametrize("is_leader", [False, True])
+    @pytest.mark.parametrize("seed", range(5))
+    async def test_a_disk_is_lost_once_a_late_successor_had_four_seconds(
+        self, seed, is_leader
+    ):
+        cluster = await start_cluster(seed)
+        await cluster.propose(b"one")
+        leader = await cluster.leader()
+        voters = [vm for vm in cluster.vms if (vm == leader) is is_leader]
+        removed = voters[seed % len(voters)]
+        await cluster.crash(removed)
+        await start_new_vm(cluster, "vm-9")
+        await asyncio.sleep(4.0)
+        kept = [vm for vm in cluster.vms if vm != removed]
+        await lose_disk(cluster, kept[seed % 2])
+        await cluster.stop()
+
+    async def test_all_vms_are_replaced_one_after_the_other(self):
+        cluster = await start_cluster_with_learners("vm-7")
+        for number, vm in enumerate(list(cluster.vms)):
+            await cluster.stop_as_planned(vm)
+            cluster.seeds = sorted(cluster.groups)
+            new_vm = await start_new_vm(cluster, f"new-{number}")
+            await cluster.until(lambda vm=new_vm: cluster.items(vm) == [b"one"])
+        assert await cluster.propose(b"two") == b"2:two"
+        await cluster.stop()
+
+    async def test_two_replacements_at_once_leave_a_majority(self):
+        cluster = await start_cluster_with_learners("vm-8", "vm-9")
+        leader = await cluster.leader()
+        removed = [vm for vm in cluster.vms if vm != leader]
+        await asyncio.gather(*(cluster.stop_as_planned(vm) for vm in removed))
+        assert cluster.voters(await cluster.leader()) == [leader, "vm-8", "vm-9"]
+        await lose_disk(cluster, "vm-8")
+        await cluster.stop()
+
+    async def test_a_successor_that_is_cut_off_gets_no_vote(self):
+        cluster = await start_cluster_with_learners("vm-9")
+        leader = await cluster.leader()
+        stopped = next(vm for vm in cluster.vms if vm != leader)
+        cluster.network.isolate("vm-9")
+        await asyncio.sleep(1.0)
+        await cluster.stop_as_planned(stopped)
+        assert cluster.voters(await cluster.leader()) == cluster.vms
+        assert await cluster.propose(b"two") == b"2:two"
+        await cluster.stop()
+
+    async def test_a_stop_without_a_successor_takes_no_time(self):
+        cluster = await start_cluster()
+        loop = asyncio.get_running_loop()
+        vm = next(vm for vm in cluster.vms if vm not in cluster.leaders())
+        started_s = loop.time()
+        assert not await cluster.groups[vm].release_vote()
+        assert loop.time() == started_s
+        await cluster.stop()
+
+    async def test_a_voter_beside_a_leader_of_an_earlier_version_stops_in_time(self):
+        cluster = await start_cluster_with_learners("vm-9")
+        leader = await cluster.leader()
+        del cluster.network.tables[leader].handlers["VoteReleaseRequest"]
+        vm = next(vm for vm in cluster.vms if vm != leader)
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        assert not await cluster.groups[vm].release_vote()
+        assert loop.time() - started_s < 2.0
+        await cluster.stop()
+
+    async def test_a_voter_that_stopped_and_is_back_takes_part_again(self):
+        cluster = await start_cluster_with_learners("vm-9")
+        leader = await cluster.leader()
+        vm = next(vm for vm in cluster.vms if vm != leader)
+        await cluster.stop_as_planned(vm)
+        (await cluster.start(vm)).unwrap()
+        await cluster.until(lambda: cluster.items(vm) == [b"one"])
+        await cluster.crash("vm-9")
+        await cluster.until(
+            lambda: vm in cluster.voters(next(iter(cluster.leaders()), vm)),
+            timeout_s=3.0,
+        )
+        await cluster.stop()
--- a/tests/daemon/test_control_role.py
+++ b/tests/daemon/test_control_role.py
@@ -59,7 +59,8 @@
         path = self.folder / (folder or vm.replace(":", "-"))
         path.mkdir(exist_ok=True)
         settings = control_role.ControlSettings(vm, self.seeds, str(path), may_form, 3)
-        rng = random.Random(vm)
+        # Another folder is another disk, whose id must differ.
+        rng = random.Random(str(path))
         node = control_role.ControlRole(
             settings, FixedServerSource(), self.fleet.connect, KEY, rng
         )
@@ -95,6 +96,16 @@
     async def stop(self, vm):
         await self.nodes.pop(vm).stop()
 
+    async def kill(self, vm):
+        """End a node without the steps of a planned stop."""
+        node = self.nodes.pop(vm)
+        for task in node.tasks:
+            task.cancel()
+        await node.group.stop()
+        await node.listener.close(0.0)
+        await node.channel.close()
+        node.disk.close()
+
     async def until(self, condition, timeout_s=20.0):
         async with asyncio.timeout(timeout_s):
             while not condition():
@@ -330,3 +341,27 @@
         assert asyncio.get_running_loop().time() - started_s < MAX_STOP_S
         assert cluster.leader() is not None
         await channel.close()
+
+
+class TestReplacement:
+    """On the real clock, as what is due a second later counts here."""
+
+    @pytest.mark.parametrize("is_leader", [False, True])
+    async def test_a_disk_is_lost_after_a_node_was_replaced_as_planned(
+        self, cluster, is_leader
+    ):
+        # A node that ended with its vote left one of three votes for the state.
+        await cluster.start_all()
+        await publish(cluster.leader(), 5)
+        successor = await cluster.start(cluster.vms[3])
+        await cluster.until(lambda: successor.declared.current.revision == 5)
+        leader = cluster.leader()
+        replaced = next(
+            each for each in cluster.seeds if (each == leader.settings.vm) is is_leader
+        )
+        await cluster.stop(replaced)
+        emptied = next(each for each in cluster.seeds if each in cluster.nodes)
+        await cluster.kill(emptied)
+        await cluster.start(emptied, folder="emptied")
+        await cluster.until(lambda: cluster.leader() is not None)
+        assert (await successor.read_newest()).unwrap().document == b"5 reads"
--- a/tests/fakes/clusters.py
+++ b/tests/fakes/clusters.py
@@ -48,6 +48,7 @@
         self.disks = {vm: disks.FakeDisk() for vm in self.vms}
         self.groups = {}
         self.start_count = 0
+        self.data_centres = {}
         # VMs that run the version before joiners followed the leader.
         self.former_vms = set()
 
@@ -76,6 +77,7 @@
             random.Random(f"{self.seed}-{self.start_count}"),
             snapshot_every=self.snapshot_every,
             rules=rules,
+            data_centre=self.data_centres.get(vm, ids.UNKNOWN_DATA_CENTRE),
         )
         if vm in self.former_vms:
             former = former_joining.FormerJoiner(self.groups[vm].replica)
@@ -97,6 +99,12 @@
         rng = random.Random(f"{self.seed}-crash-{self.start_count}")
         self.disks[vm] = self.disks[vm].after_crash(rng)
 
+    async def stop_as_planned(self, vm):
+        """Stop a replica as a control node does at a SIGTERM."""
+        await self.groups[vm].transfer_leadership()
+        await self.groups[vm].release_vote()
+        await self.crash(vm)
+
     async def restart(self, vm):
         await self.crash(vm)
         (await self.start(vm)).unwrap()
