Votes are spread over the data centres, and come back to a machine that is back

Cause: a voter that was silent lost its vote for good to whichever learner replied first, and the group didn't know data centres.

Why it works: replies to entries name the data centre; a learner is promoted where one data centre has two votes more than the learner's, and the crowded one loses a vote. Each move lowers the largest count, so moves end.

--- a/src/quetzalpass/consensus/votes.py
+++ b/src/quetzalpass/consensus/votes.py
@@ -5,7 +5,7 @@
 
 - as many voters as wanted, all of them running;
 - no vote of a replica that is about to stop, if a learner can take it over;
-- votes spread over the data centres where a learner has to be chosen.
+- votes spread over the data centres, so that the loss of one costs few of them.
 
 Only one voter may differ between two configurations, so a vote moves in two changes. A
 voter that has become silent loses its vote before a learner gets one: an additional
@@ -37,6 +37,7 @@
     TOO_MANY_VOTERS = "too_many_voters"
     SILENT = "silent"
     STOPPING = "stopping"
+    SPREAD = "spread"
 
 
 class MemberState(msgspec.Struct, frozen=True):
@@ -172,7 +173,27 @@
     if len(staying) < len(voters):
         best = best_candidate(candidates, staying)
         return Change(ChangeKind.PROMOTE, best.vm, Reason.STOPPING)
-    return None
+    return improve_spread(voters, candidates)
+
+
+def improve_spread(
+    voters: Sequence[MemberState], candidates: Sequence[MemberState]
+) -> Change | None:
+    """Return the promotion that lets a crowded data centre lose a vote, or ``None``.
+
+    Data centres that no reply has named yet are waited for.
+    """
+    if not all(each.data_centre for each in voters):
+        return None
+    known = [each for each in candidates if each.data_centre]
+    if not known:
+        return None
+    best = best_candidate(known, voters)
+    counts = count_by_data_centre(voters)
+    crowded = most_crowded(voters)
+    if counts[best.data_centre] + 1 >= counts[crowded.data_centre]:
+        return None
+    return Change(ChangeKind.PROMOTE, best.vm, Reason.SPREAD)
 
 
 def drop_surplus_voter(voters: Sequence[MemberState], limits: Limits) -> Change:
--- a/tests/consensus/test_open_groups.py
+++ b/tests/consensus/test_open_groups.py
@@ -431,3 +431,62 @@
             timeout_s=3.0,
         )
         await cluster.stop()
+
+
+DATA_CENTRES = {
+    ids.VmId(vm): ids.DataCentreId(data_centre)
+    for vm, data_centre in {
+        "vm-1": "flx-a",
+        "vm-2": "flx-b",
+        "vm-3": "flx-c",
+        "vm-8": "flx-a",
+        "vm-9": "flx-c",
+    }.items()
+}
+
+
+def voting_data_centres(cluster):
+    leaders = cluster.leaders()
+    voters = cluster.voters(leaders[0]) if leaders else []
+    return sorted(DATA_CENTRES[vm] for vm in voters)
+
+
+@pytest.mark.looptime
+class TestVotesInDataCentres:
+    """No data centre keeps a majority of the votes while VMs run in all three."""
+
+    @pytest.mark.parametrize("frozen", ["vm-1", "vm-2", "vm-3"])
+    async def test_a_vm_that_was_frozen_gets_back_its_vote(self, frozen):
+        cluster = await start_cluster_with_learners("vm-8", data_centres=DATA_CENTRES)
+        cluster.network.isolate(frozen)
+        await asyncio.sleep(4.0)
+        cluster.network.heal()
+        await cluster.until(
+            lambda: voting_data_centres(cluster) == ["flx-a", "flx-b", "flx-c"],
+            timeout_s=4.0,
+        )
+        await cluster.stop()
+
+    async def test_a_data_centre_is_lost_after_a_freeze_in_another(self):
+        cluster = await start_cluster_with_learners("vm-8", data_centres=DATA_CENTRES)
+        cluster.network.isolate("vm-3")
+        await asyncio.sleep(4.0)
+        cluster.network.heal()
+        await start_new_vm(cluster, "vm-9")
+        await asyncio.sleep(4.0)
+        for vm in ("vm-1", "vm-8"):
+            cluster.network.isolate(vm)
+        cluster.network.cut_links -= {("vm-1", "vm-8"), ("vm-8", "vm-1")}
+        await asyncio.sleep(3.0)
+        leader = await cluster.leader(excluded=("vm-1", "vm-8"))
+        assert await cluster.propose(b"two", vm=leader) == b"2:two"
+        await cluster.stop()
+
+    async def test_the_vote_goes_to_a_learner_of_the_same_data_centre(self):
+        cluster = await start_cluster_with_learners(
+            "vm-8", "vm-9", data_centres=DATA_CENTRES
+        )
+        await cluster.crash("vm-3")
+        await asyncio.sleep(3.0)
+        assert cluster.voters(await cluster.leader()) == ["vm-1", "vm-2", "vm-9"]
+        await cluster.stop()
--- a/tests/consensus/test_votes.py
+++ b/tests/consensus/test_votes.py
@@ -111,6 +111,16 @@
         members += [learner("a2", "a"), learner("c2", "c")]
         assert changes_until_settled(members) == ["demote c1", "promote c2"]
 
+    def test_a_voter_that_is_back_gets_its_vote_from_a_crowded_data_centre(self):
+        members = [leader("a1", "a"), member("a2", "a"), member("b1", "b")]
+        members.append(learner("c1", "c"))
+        assert changes_until_settled(members) == ["promote c1", "demote a2"]
+
+    def test_a_leader_keeps_its_vote_in_a_crowded_data_centre(self):
+        members = [leader("a2", "a"), member("a1", "a"), member("b1", "b")]
+        members.append(learner("c1", "c"))
+        assert changes_until_settled(members) == ["promote c1", "demote a1"]
+
     def test_votes_stay_where_a_move_gains_nothing(self):
         members = [leader("a1", "a"), member("a2", "a"), member("b1", "b")]
         members.append(learner("b2", "b"))
@@ -190,11 +200,19 @@
         ]
 
     def check(self, machines, leader_name, stopping):
-        """Check that the voters that run are a majority."""
+        """Check that the voters that run are a majority, and how they are spread."""
         voters = [each for each in machines.values() if each.part == VOTER]
         running = [each for each in voters if each.condition == UP]
         assert len(running) > len(voters) / 2, machines
         assert machines[leader_name] in running, machines
+        if stopping is not None or not self.is_calm(machines, leader_name, None):
+            return
+        up = [each for each in machines.values() if each.condition == UP]
+        if len({each.data_centre for each in up}) == len(set(CENTRES.values())):
+            most = max(
+                collections.Counter(each.data_centre for each in voters).values()
+            )
+            assert most < len(voters) / 2, machines
 
     def is_calm(self, machines, leader_name, stopping):
         """Return whether all machines run and no vote has to move."""
@@ -297,7 +315,7 @@
         ],
         ids="-".join,
     )
-    def test_a_majority_runs(self, events):
+    def test_a_majority_runs_and_no_data_centre_has_it(self, events):
         model = Model()
         model.explore(tuple(sorted(events)))
         assert len(model.seen) > 30
