A part of a prompt that crashes servers is found at any place

Cause: only the first 16 parts of a prompt were remembered after a crash, so the guilty one was never suspected. The same class: only 16 requests of a crash, 100 reports, 4,096 parts that ran; messages had no limit by parts.

New tests in TestLongPrompts fail before for places 16 and beyond and pass now.

Why it works: no limit depends on a place or an order that a caller chooses. What is remembered and sent is limited by the number of parts in all; beyond it, parts of several crashes are kept first, and of the others each crash keeps another sample.

Test changed: test_memory_is_bounded_against_ever_new_parts used the removed constant; it now checks the total of all mentions, which also bounds the sets of each crash that it did not count before.

--- a/src/quetzalpass/membership/part_reports.py
+++ b/src/quetzalpass/membership/part_reports.py
@@ -27,17 +27,20 @@
     change : PartChange
         What has changed.
     parts : tuple of PromptPartId
-        The parts; a request is concerned if its prompt has all of them.
+        The parts, or some of them; a request is concerned if its prompt has all.
     crashes : tuple of str
         Crashes that count against them.
     request : RequestId or None
         Request that led to the change.
+    part_count : int
+        Number of all parts.
     """
 
     change: PartChange
     parts: tuple[ids.PromptPartId, ...]
     crashes: tuple[str, ...] = ()
     request: ids.RequestId | None = None
+    part_count: int = 0
 
 
 class PossibleCause(msgspec.Struct, frozen=True):
--- a/src/quetzalpass/membership/part_suspects.py
+++ b/src/quetzalpass/membership/part_suspects.py
@@ -22,6 +22,7 @@
 from quetzalpass import event_log, ids
 from quetzalpass.membership import (
     doubtful_clearances,
+    part_bounds,
     part_evidence,
     part_reports,
     refused_parts,
@@ -38,6 +39,8 @@
 # A trial that has not been sent within this time is replaced by another one.
 TRIAL_LIFETIME_S = 10.0
 MAX_REFUSALS = 256
+# Well below the delay of a message that is allowed for.
+REPORT_REUSE_S = 0.25
 HASH_RANGE = 2**64
 MS_PER_S = 1000
 
@@ -59,12 +62,18 @@
         Crashes, and parts that ran without one.
     refused : dict of frozenset of PromptPartId to refused_parts.RefusedParts
         Refused sets of parts.
+    last_reports : part_reports.PartReports or None
+        The newest reports, unless something was found here since.
+    reported_s : float
+        Loop time at which they were made.
     """
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.evidence = part_evidence.PartEvidence()
         self.refused: dict[Parts, refused_parts.RefusedParts] = {}
+        self.last_reports: part_reports.PartReports | None = None
+        self.reported_s = -math.inf
 
     def now_s(self) -> float:
         """Return the event loop's time, in seconds."""
@@ -78,13 +87,7 @@
         causes: Iterable[part_reports.PossibleCause],
     ) -> None:
         """Record a crash under requests that may have caused it."""
-        known_causes = tuple(
-            part_reports.PossibleCause(
-                each.fingerprint, each.parts[: part_evidence.MAX_PARTS]
-            )
-            for each in causes
-            if each.parts
-        )
+        known_causes = tuple(each for each in causes if each.parts)
         self.add_crash(
             part_reports.CrashReport(crash_id, server, server_start, 0.0, known_causes)
         )
@@ -108,7 +111,16 @@
         crashes of the others.
         """
         self.revise(parts)
-        for part in sorted(parts, key=lambda each: (-self.count_crashes(each), each)):
+        suspected = [each for each in parts if self.may_be_refused(each)]
+        requests = self.evidence.requests_with(suspected)
+        evaluated: set[tuple[part_evidence.CauseKey, ...]] = set()
+        for part in sorted(
+            suspected, key=lambda each: (-self.count_crashes(each), each)
+        ):
+            # Parts that were always in the same requests have the same verdict.
+            if requests[part] in evaluated:
+                continue
+            evaluated.add(requests[part])
             crashes = self.find_crashes(part)
             if not is_repeated(part, crashes):
                 continue
@@ -116,17 +128,22 @@
             inseparable = self.find_inseparable(part, crashes, beside)
             if self.has_lead(beside, inseparable, crashes):
                 self.refuse(inseparable, crashes)
-        for part in parts:
-            self.refuse_if_wrongly_cleared(part)
+        rivals = doubtful_clearances.Rivals(self.evidence)
+        for part in suspected:
+            self.refuse_if_wrongly_cleared(part, rivals)
         self.review()
 
-    def refuse_if_wrongly_cleared(self, part: ids.PromptPartId) -> None:
+    def may_be_refused(self, part: ids.PromptPartId) -> bool:
+        """Return whether a part has as many reports of crashes as a refusal needs."""
+        return len(self.evidence.crashes_by_part.get(part, ())) >= MIN_CRASHES
+
+    def refuse_if_wrongly_cleared(
+        self, part: ids.PromptPartId, rivals: doubtful_clearances.Rivals
+    ) -> None:
         """Refuse a part although it has run, if enough crashes speak against it."""
         crashes = [
             each
-            for each in doubtful_clearances.find_unexplained_crashes(
-                self.evidence, part
-            )
+            for each in doubtful_clearances.find_unexplained_crashes(part, rivals)
             if not self.is_explained_without(each, part)
         ]
         if is_repeated(part, crashes):
@@ -258,6 +275,8 @@
         now_s = self.now_s()
         for part in parts:
             self.set_cleared(part, now_s)
+            if part in self.evidence.crashes_by_part:
+                self.last_reports = None
 
     def set_cleared(self, part: ids.PromptPartId, at_s: float) -> None:
         """Record when a part has run, and take it out of the refusals."""
@@ -344,10 +363,23 @@
         return refused.crashed_s + refused.delay_s() * (1 + digest / HASH_RANGE)
 
     def reports(self) -> part_reports.PartReports:
-        """Return all that other processes need to know."""
+        """Return all that other processes need to know.
+
+        What a peer has reported, and the ages, may be a little older: a control node
+        answers many gateways several times a second.
+        """
+        is_recent = self.now_s() - self.reported_s < REPORT_REUSE_S
+        if self.last_reports is None or not is_recent:
+            self.last_reports = self.make_reports()
+            self.reported_s = self.now_s()
+        return self.last_reports
+
+    def make_reports(self) -> part_reports.PartReports:
+        """Return what other processes need to know now."""
         self.evidence.expire()
         now_s = self.now_s()
         named = set(self.evidence.crashes_by_part).union(*self.refused)
+        budget = part_bounds.MessageBudget()
         refusals = tuple(
             part_reports.PartRefusal(
                 tuple(sorted(parts)),
@@ -355,7 +387,8 @@
                 refused.trials,
                 refused.outweighs_runs,
             )
-            for parts, refused in self.refused.items()
+            for parts, refused in reversed(self.refused.items())
+            if budget.take(len(parts))
         )
         return part_reports.PartReports(
             self.evidence.crash_reports(),
@@ -413,9 +446,15 @@
         crashes: set[str],
         request: ids.RequestId | None = None,
     ) -> None:
-        """Log a change of what is known about parts."""
+        """Log a change of what is known about parts, and report it from now on."""
+        self.last_reports = None
+        names = sorted(parts)
         event = part_reports.PartEvent(
-            change, tuple(sorted(parts)), tuple(sorted(crashes)), request
+            change,
+            tuple(names[: part_bounds.MAX_LOGGED_PARTS]),
+            tuple(sorted(crashes)),
+            request,
+            len(names),
         )
         event_log.record(event, event_log.Level.NOTICE)
 
--- a/tests/membership/test_part_suspects.py
+++ b/tests/membership/test_part_suspects.py
@@ -1,9 +1,11 @@
 import asyncio
 
+import msgspec
 import pytest
 
 from quetzalpass import ids
 from quetzalpass.membership import (
+    part_bounds,
     part_evidence,
     part_reports,
     part_suspects,
@@ -391,8 +393,8 @@
         assert len(evidence.cleared_s) <= part_evidence.MAX_CLEARED_PARTS
         assert len(process.suspects.refused) <= part_suspects.MAX_REFUSALS
         assert len(evidence.withdrawn) <= part_evidence.MAX_WITHDRAWN
-        most_parts = part_evidence.MAX_CRASHES * part_evidence.MAX_PARTS
-        assert len(evidence.crashes_by_part) <= most_parts
+        assert evidence.mentions <= part_bounds.MAX_REMEMBERED_PARTS
+        assert len(evidence.crashes_by_part) <= evidence.mentions
 
     async def test_old_crashes_are_forgotten(self):
         process = Process()
@@ -412,3 +414,103 @@
         assert len(reports.refusals) == 1
         process.crash("first rare")
         assert len(process.suspects.reports().crashes) == 1
+
+
+def long_prompt(count, *guilty, place=0, name="shared"):
+    """Return a prompt of many parts, with others at a place among them."""
+    names = [f"{name}-{number}" for number in range(count)]
+    return " ".join([*names[:place], *guilty, *names[place:]])
+
+
+class TestLongPrompts:
+    """Callers choose how many parts a prompt has and which of them crashes servers."""
+
+    @pytest.mark.parametrize("place", [0, 15, 16, 17, 500, 1_000])
+    async def test_a_guilty_part_is_found_at_any_place(self, place):
+        process = Process()
+        for _ in range(3):
+            process.run(long_prompt(1_000))
+            process.crash(long_prompt(1_000, "guilty", place=place))
+        assert process.refuses(long_prompt(1_000, "guilty", place=place))
+        assert process.refuses("other guilty")
+        assert not process.refuses(long_prompt(1_000))
+
+    async def test_a_guilty_part_is_found_among_parts_that_never_ran(self):
+        process = Process()
+        for number in range(3):
+            process.crash(long_prompt(1_000, "guilty", place=900, name=f"{number}"))
+        assert process.refuses("other guilty")
+        assert not process.refuses(long_prompt(1_000, name="0"))
+
+    async def test_a_guilty_part_is_found_in_the_last_of_many_requests(self):
+        process = Process()
+        for number in range(5):
+            others = [f"sound-{number}-{each}" for each in range(40)]
+            process.crash(*others, "guilty")
+        assert process.refuses("other guilty")
+        assert not process.refuses("sound-0-1")
+
+    async def test_gateways_find_a_guilty_part_of_long_prompts_together(self):
+        processes = [Process(f"gw-{number}") for number in range(3)]
+        for number, each in enumerate(processes):
+            prompt = long_prompt(1_000, "guilty", place=700, name=f"{number}")
+            each.crash(prompt)
+        exchange(*processes)
+        assert all(each.refuses("other guilty") for each in processes)
+
+    async def test_a_guilty_part_is_found_with_more_parts_than_are_remembered(self):
+        process = Process()
+        for number in range(40):
+            prompts = [
+                long_prompt(1_000, name=f"{number}-{each}") for each in range(12)
+            ]
+            process.crash(*prompts, long_prompt(1_000, "guilty", name=f"{number}-x"))
+            if process.refuses("other guilty"):
+                break
+        assert number < 30
+        assert process.suspects.evidence.mentions <= part_bounds.MAX_REMEMBERED_PARTS
+
+    async def test_parts_of_several_crashes_outlive_those_of_one(self):
+        process = Process()
+        process.crash("guilty")
+        process.crash("guilty")
+        for number in range(30):
+            process.crash(long_prompt(4_000, name=f"{number}"))
+        process.crash("guilty")
+        process.crash("guilty")
+        assert process.refuses("other guilty")
+
+    async def test_a_part_that_ran_counts_although_many_others_have_run_since(self):
+        process = Process()
+        for number in range(3):
+            process.run("first subject")
+            process.run(long_prompt(5_000, name=f"{number}"))
+            process.crash("first guilty")
+        assert process.refuses("other guilty")
+        assert not process.refuses("first subject")
+
+    async def test_messages_stay_within_their_bound(self):
+        process = Process()
+        for number in range(30):
+            prompts = [long_prompt(1_000, name=f"{number}-{each}") for each in range(4)]
+            process.crash(*prompts)
+        process.crash(long_prompt(900, "newest"))
+        reports = process.suspects.reports()
+        count = sum(
+            len(cause.parts) for crash in reports.crashes for cause in crash.causes
+        )
+        assert count <= part_bounds.MAX_REPORTED_PARTS
+        assert len(msgspec.json.encode(reports)) < 200_000
+        other = Process("gw-2")
+        other.merge(process)
+        assert "newest" in other.suspects.evidence.crashes_by_part
+
+    async def test_no_index_is_left_of_crashes_that_are_forgotten(self):
+        process = Process()
+        for number in range(60):
+            process.crash(long_prompt(3_000, "guilty", name=f"{number}"))
+        evidence = process.suspects.evidence
+        for crash_id in list(evidence.crashes):
+            evidence.remove_crash(crash_id)
+        assert evidence.crashes_by_part == {}
+        assert evidence.mentions == 0
--- a/tests/soak/crashing_parts.py
+++ b/tests/soak/crashing_parts.py
@@ -1,11 +1,13 @@
 """Soak test of requests that share a part of their prompt, which crashes replicas.
 
 Several gateways and three control nodes run as processes. No two of the crashing
-requests are alike. Sound requests share their caller and the first part of the prompt.
+requests are alike. Sound requests share their caller and all other parts of the prompt;
+there are up to a thousand of these, and the part that crashes replicas stands anywhere.
 Run manually with ``make soak-crashing-parts SEED=1 COUNT=10 SECONDS=20``.
 """
 
 import asyncio
+import random
 
 from soak import backends, crashing, soak
 
@@ -20,7 +22,8 @@
 CALM_S = 5.0
 CRASHING_INTERVAL_S = 0.5
 SOUND_INTERVAL_S = 0.2
-FIRST_PART = "f1257000"
+# Numbers of the parts that all prompts share. A head of 16 KiB holds a thousand.
+SHARED_COUNTS = (1, 17, 200, 1_000)
 SUBJECTS = ("50b1ec01", "50b1ec02", "50b1ec03", "50b1ec04", "50b1ec05")
 
 
@@ -49,6 +52,11 @@
         self.before_crash = self.rng.choice(list(backends.BeforeCrash))
         self.fleet.record.before_crash = self.before_crash
         self.sound = []
+        prompt_rng = random.Random(f"{seed} prompt")
+        self.shared = tuple(
+            f"f125{number:04x}" for number in range(prompt_rng.choice(SHARED_COUNTS))
+        )
+        self.place = prompt_rng.randint(0, len(self.shared))
 
     async def start(self):
         await super().start()
@@ -64,9 +72,13 @@
     def prompt(self, parts):
         """Return the header for a prompt; its last part is the request's own."""
         own = f"{self.rng.getrandbits(32):08x}"
-        entries = ",".join(f"{each}:300" for each in (*parts, own))
+        entries = ",".join(f"{each}:3" for each in (*parts, own))
         return f"X-Prompt-Prefix: {entries}"
 
+    def with_shared(self, part):
+        """Return a part among the shared ones, at its place."""
+        return (*self.shared[: self.place], part, *self.shared[self.place :])
+
     async def send_prompt(self, parts):
         gateway = self.rng.choice(self.cluster.gateways)
         request_id = self.new_request_id()
@@ -79,7 +91,7 @@
 
     async def send_crashing(self, stop):
         while not stop.is_set():
-            self.spawn(self.send_prompt((FIRST_PART, backends.CRASHING_PART)))
+            self.spawn(self.send_prompt(self.with_shared(backends.CRASHING_PART)))
             await asyncio.sleep(CRASHING_INTERVAL_S)
 
     async def send_sound(self, stop):
@@ -89,7 +101,7 @@
 
     async def send_one_sound(self):
         sent_s = self.now_s()
-        parts = (FIRST_PART, self.rng.choice(SUBJECTS))
+        parts = self.with_shared(self.rng.choice(SUBJECTS))
         status = await self.send_prompt(parts)
         self.sound.append(SoundRequest(sent_s, status == soak.STATUS_OK))
 
@@ -130,7 +142,8 @@
     def summary(self):
         how = "silent" if self.is_silent else "closing"
         return (
-            f"{how}, {self.before_crash.value}; {len(self.crash_times_s)} crashes, "
+            f"{how}, {self.before_crash.value}, {len(self.shared)} shared parts, the "
+            f"other at {self.place}; {len(self.crash_times_s)} crashes, "
             f"{len(self.arrivals)} sends, {self.late_sends()} late; sound served "
             f"{self.sound_before():.2f}, then {self.sound_after():.2f}"
         )
