The bodies that a process holds are limited together

Cause: each answer was limited to 8 MiB, all of them together were not. The same class: bodies of callers that are still sending, events that arrive in part, events that wait beside a slow caller, pages of the platform's list.

Ruled out by the users' table: heads, trailers, chunk extensions.

Why it works: 16 MiB for all answers and 16 MiB for all callers' bodies. If more is held, the largest that still arrives is given up at once, which is the likeliest to be without end; small ones never are. What is held is released with its owner, so no path can forget it. Large answers are written as fast as they are read. A server that sent without end is ejected, longer each time.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 ENVIRONMENT = $(VENV_STAMP)
 endif
 
-.PHONY: demo test check format fuzz soak soak-crashing soak-crashing-parts soak-limits soak-cut-off soak-brittle soak-asking soak-stops soak-odd-values soak-disks latency failover
+.PHONY: demo test check format fuzz soak soak-crashing soak-crashing-parts soak-limits soak-cut-off soak-brittle soak-asking soak-stops soak-odd-values soak-disks soak-endless latency failover
 
 $(VENV_STAMP): requirements.lock pyproject.toml
 	python3.11 -m venv .venv
@@ -78,6 +78,10 @@
 	cd tests && PYTHONPATH=.:../src:../platform $(abspath $(PYTHON)) \
 		-m soak.disks $(SEED) $(COUNT) $(SECONDS)
 
+soak-endless: $(ENVIRONMENT)
+	cd tests && PYTHONPATH=.:../src:../platform $(abspath $(PYTHON)) \
+		-m soak.endless $(SEED) $(COUNT) $(SECONDS)
+
 latency: $(ENVIRONMENT)
 	cd tests && PYTHONPATH=.:../src:../platform $(abspath $(PYTHON)) \
 		-m soak.latency $(SEED) $(SECONDS)
--- a/src/quetzalpass/backends/base.py
+++ b/src/quetzalpass/backends/base.py
@@ -32,8 +32,9 @@
 class FailureKind(enum.Enum):
     """Why an attempt or a stream failed.
 
-    ``REPLACED`` means that another server responded at the server's address, and
-    ``RATE_LIMITED`` that the server's limit allowed no request.
+    ``REPLACED`` means that another server responded at the server's address,
+    ``RATE_LIMITED`` that the server's limit allowed no request, and ``NO_ROOM`` that
+    the response was given up as this process holds too much of others.
     """
 
     UNREACHABLE = "unreachable"
@@ -44,6 +45,7 @@
     SILENT = "silent"
     CROSSED = "crossed"
     TOO_LARGE = "too_large"
+    NO_ROOM = "no_room"
     MALFORMED = "malformed"
     UNKNOWN_GENERATION = "unknown_generation"
     REJECTED = "rejected"
--- a/src/quetzalpass/backends/engine_http.py
+++ b/src/quetzalpass/backends/engine_http.py
@@ -11,6 +11,7 @@
     base,
     engine_messages,
     engine_stream,
+    held_bytes,
     http_client,
 )
 from quetzalpass.settings import schema
@@ -278,6 +279,8 @@
         kind = base.FailureKind.MALFORMED
     if isinstance(error, http_client.BodyTooLargeError):
         kind = base.FailureKind.TOO_LARGE
+    if isinstance(error, held_bytes.NoRoomError):
+        kind = base.FailureKind.NO_ROOM
     return base.AttemptFailure(base.AttemptEnd.MAY_HAVE_RUN, kind, f"{error!r}")
 
 
--- /dev/null
+++ b/src/quetzalpass/backends/held_bytes.py
@@ -0,0 +1,166 @@
+"""Limit on the memory of all bodies that a process holds at once.
+
+Each body has a limit of its own, but servers or callers may send bytes without end for
+many requests at the same time. While too much is held, the largest body that is still
+arriving is given up, as that is the likeliest to be without end.
+"""
+
+import weakref
+from collections.abc import Callable, Iterator
+
+# A gateway has some 75 MiB of memory for all of its requests.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+MAX_REQUEST_BYTES = 16 * 1024 * 1024
+# A body of this size is never given up for the room that it takes.
+SMALL_RESPONSE_BYTES = 65_536
+SMALL_REQUEST_BYTES = 4_096
+# Written at once; the rest of a body waits until its reader has taken that.
+SLICE_BYTES = 65_536
+
+
+class NoRoomError(ValueError):
+    """Raised if a body is given up, as all bodies together are too large."""
+
+
+class Holding:
+    """What one body takes of the limit, until it is released or no longer referenced.
+
+    Parameters
+    ----------
+    budget : HeldBytes
+        The limit.
+    close : callable
+        Ends the arrival of the body if it is given up.
+
+    Attributes
+    ----------
+    size : int
+        Bytes that are held.
+    parts : list of bytes
+        The parts that have arrived.
+    is_given_up : bool
+        Whether the body made room for others.
+    """
+
+    def __init__(self, budget: "HeldBytes", close: Callable[[], None]) -> None:
+        self.budget = budget
+        self.close = close
+        self.size = 0
+        self.parts: list[bytes] = []
+        self.is_given_up = False
+
+    def __del__(self) -> None:
+        """Release what is held, however the request has ended."""
+        self.release()
+
+    def add(self, part: bytes) -> None:
+        """Hold another part.
+
+        Raises
+        ------
+        NoRoomError
+            If there is no room for it, or if this body was given up before.
+        """
+        self.resize(self.size + len(part))
+        self.parts.append(part)
+
+    def resize(self, size: int) -> None:
+        """Hold a number of bytes instead of those before; see ``add``."""
+        if not self.is_given_up:
+            self.budget.total += size - self.size
+            self.size = size
+            self.budget.make_room()
+        if self.is_given_up:
+            raise NoRoomError("given up, as all bodies together are too large")
+
+    def complete(self) -> "HeldBody":
+        """Return the whole body, which is not given up any more."""
+        self.budget.arriving.discard(self)
+        # It may refer back to what refers to this body.
+        self.close = do_nothing
+        body = b"".join(self.parts)
+        self.parts.clear()
+        return HeldBody(body, self)
+
+    def give_up(self) -> None:
+        """Free the memory at once, and end the arrival."""
+        self.is_given_up = True
+        self.release()
+        self.close()
+
+    def release(self) -> None:
+        """Hold nothing any more."""
+        self.budget.arriving.discard(self)
+        self.parts.clear()
+        self.budget.total -= self.size
+        self.size = 0
+
+
+class HeldBody:
+    """A whole body, which counts against the limit while its holding is referenced.
+
+    Parameters
+    ----------
+    data : bytes
+        The body.
+    holding : Holding
+        What it takes of the limit.
+    """
+
+    def __init__(self, data: bytes, holding: Holding) -> None:
+        self.data = data
+        self.holding = holding
+
+
+class HeldBytes:
+    """The limit, and the bodies that count against it.
+
+    Parameters
+    ----------
+    limit_bytes : int
+        Most bytes of all bodies together.
+    small_bytes : int
+        Size up to which a body is never given up.
+
+    Attributes
+    ----------
+    total : int
+        Bytes of all bodies.
+    arriving : WeakSet of Holding
+        Bodies that are still arriving.
+    """
+
+    def __init__(self, limit_bytes: int, small_bytes: int) -> None:
+        self.limit_bytes = limit_bytes
+        self.small_bytes = small_bytes
+        self.total = 0
+        self.arriving: weakref.WeakSet[Holding] = weakref.WeakSet()
+
+    def open(self, close: Callable[[], None]) -> Holding:
+        """Start to hold a body that arrives; see ``Holding``."""
+        holding = Holding(self, close)
+        self.arriving.add(holding)
+        return holding
+
+    def make_room(self) -> None:
+        """Give up the largest bodies that arrive until the others fit."""
+        while self.total > self.limit_bytes:
+            largest = max(self.arriving, key=lambda each: each.size, default=None)
+            if largest is None or largest.size <= self.small_bytes:
+                return
+            largest.give_up()
+
+
+def do_nothing() -> None:
+    """Do nothing: a whole body does not arrive any more."""
+
+
+def slices(body: bytes) -> Iterator[bytes]:
+    """Yield the parts of a body that are written one after the other."""
+    for start in range(0, len(body), SLICE_BYTES):
+        yield body[start : start + SLICE_BYTES]
+
+
+# One limit a process, as it has one memory.
+RESPONSES = HeldBytes(MAX_RESPONSE_BYTES, SMALL_RESPONSE_BYTES)
+REQUESTS = HeldBytes(MAX_REQUEST_BYTES, SMALL_REQUEST_BYTES)
--- a/src/quetzalpass/backends/http_client.py
+++ b/src/quetzalpass/backends/http_client.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 
-from quetzalpass.backends import connections
+from quetzalpass.backends import connections, held_bytes
 from quetzalpass.settings import schema
 
 TIME_LEFT_HEADER = "Quetzalpass-Timeout-Ms"
@@ -24,22 +24,37 @@
 
 
 async def read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Read a whole response body that isn't kept for long; see ``read_held_body``."""
+    return (await read_held_body(response)).data
+
+
+async def read_held_body(response: aiohttp.ClientResponse) -> held_bytes.HeldBody:
     """Read a whole response body.
 
+    It counts against the limit of all responses while the result is referenced.
+
     Raises
     ------
     BodyTooLargeError
         If it is larger than ``MAX_BODY_BYTES``.
+    held_bytes.NoRoomError
+        If all bodies together are too large, and this was the largest that arrived.
     """
-    parts: list[bytes] = []
-    size = 0
-    async for part in response.content.iter_any():
-        size += len(part)
-        if size > MAX_BODY_BYTES:
-            response.close()
-            raise BodyTooLargeError(f"the body is larger than {MAX_BODY_BYTES} bytes")
-        parts.append(part)
-    return b"".join(parts)
+    holding = held_bytes.RESPONSES.open(response.close)
+    try:
+        async for part in response.content.iter_any():
+            if holding.size + len(part) > MAX_BODY_BYTES:
+                response.close()
+                text = f"the body is larger than {MAX_BODY_BYTES} bytes"
+                raise BodyTooLargeError(text)
+            holding.add(part)
+    except aiohttp.ClientError as error:
+        if holding.is_given_up:
+            raise held_bytes.NoRoomError("given up while it arrived") from error
+        raise
+    if holding.is_given_up:
+        raise held_bytes.NoRoomError("given up while it arrived")
+    return holding.complete()
 
 
 def open_session(limits: schema.Limits, reuse: bool) -> aiohttp.ClientSession:
--- a/src/quetzalpass/backends/relays.py
+++ b/src/quetzalpass/backends/relays.py
@@ -11,7 +11,7 @@
 from returns import result
 
 from quetzalpass import ids
-from quetzalpass.backends import base
+from quetzalpass.backends import base, held_bytes
 
 
 class Header(msgspec.Struct, frozen=True):
@@ -131,9 +131,17 @@
     ----------
     head : ResponseHead
         Status and headers.
+    holding : held_bytes.Holding or None
+        What its body takes of the limit of all responses while this is referenced.
     """
 
     head: ResponseHead
+    holding: held_bytes.Holding | None = None
+
+    def keep(self, body: held_bytes.HeldBody) -> bytes:
+        """Keep the holding of the whole body, and return the body."""
+        self.holding = body.holding
+        return body.data
 
     @abc.abstractmethod
     async def read_body(self) -> result.Result[bytes, base.AttemptFailure]:
--- a/src/quetzalpass/callers/app.py
+++ b/src/quetzalpass/callers/app.py
@@ -8,7 +8,9 @@
 from aiohttp import web
 
 from quetzalpass import ids
+from quetzalpass.backends import held_bytes
 from quetzalpass.callers import (
+    arriving_bodies,
     completions,
     encoding,
     errors,
@@ -281,7 +283,9 @@
             async with self.gateway.interruptions.interruptible() as interruption:
                 body = await self.read_body(request)
                 is_received = True
-                return await self.respond(request, request_id, body, config, handler)
+                return await self.respond(
+                    request, request_id, body.data, config, handler
+                )
         except TimeoutError:
             if not interruption.expired():
                 raise
@@ -368,13 +372,13 @@
             caller.organisation.id, caller.priority_class.name, code
         )
 
-    async def read_body(self, request: web.Request) -> bytes:
+    async def read_body(self, request: web.Request) -> held_bytes.HeldBody:
         """Return the complete request body.
 
         Raises
         ------
         failures.FailureError
-            If the body is too large, incomplete or late.
+            If the body is too large, incomplete or late, or if there is no room for it.
         """
         limits = self.gateway.limits
         try:
@@ -383,7 +387,9 @@
                     raise web.HTTPRequestEntityTooLarge(
                         limits.body_bytes, request.content_length or 0
                     )
-                return await request.read()
+                return await arriving_bodies.read_body(request, limits.body_bytes)
+        except held_bytes.NoRoomError:
+            raise failures.FailureError(arriving_bodies.no_room_failure()) from None
         except web.HTTPRequestEntityTooLarge:
             raise failures.FailureError(
                 failures.Failure(
--- a/src/quetzalpass/daemon/handover_receiver.py
+++ b/src/quetzalpass/daemon/handover_receiver.py
@@ -10,7 +10,7 @@
 from returns import result
 
 from quetzalpass import decoding, event_log
-from quetzalpass.backends import relays
+from quetzalpass.backends import held_bytes, relays
 from quetzalpass.lifecycle import relay_events
 from quetzalpass.relay import (
     handover_channel,
@@ -44,7 +44,10 @@
 
     async def send_whole(self, head: relays.ResponseHead, body: bytes) -> None:
         """Send a complete response."""
-        await self.begin(head, body)
+        first, *rest = held_bytes.slices(body) if body else [body]
+        await self.begin(head, first)
+        for part in rest:
+            await self.write(part)
         await self.finish()
 
     async def begin(self, head: relays.ResponseHead, body: bytes = b"") -> None:
--- a/src/quetzalpass/relay/event_pacing.py
+++ b/src/quetzalpass/relay/event_pacing.py
@@ -13,6 +13,9 @@
 
 # Too short for callers to notice, and about two events of a busy engine.
 SMOOTHING_DELAY_S = 0.075
+# A server that sends more in that time, or a caller that reads less, holds up the next
+# events until all of these are written.
+MAX_WAITING_BYTES = 262_144
 
 
 class ScheduledWrite(msgspec.Struct, frozen=True):
@@ -34,12 +37,15 @@
     ----------
     delay_s : float
         Delay that applies to new events, in seconds.
+    waiting_bytes : int
+        Bytes that wait to be written.
     """
 
     def __init__(self, response: relay_requests.CallerResponse) -> None:
         self.response = response
         self.delay_s = 0.0
         self.waiting: collections.deque[ScheduledWrite] = collections.deque()
+        self.waiting_bytes = 0
         self.writer: asyncio.Task[None] | None = None
         self.last_write_s: float | None = None
         self.longest_pause_s = 0.0
@@ -58,8 +64,12 @@
             return
         now_s = asyncio.get_running_loop().time()
         self.waiting.append(ScheduledWrite(data, now_s + self.delay_s))
+        self.waiting_bytes += len(data)
         if self.writer is None:
             self.writer = asyncio.create_task(self.write_waiting())
+        if self.waiting_bytes > MAX_WAITING_BYTES:
+            await asyncio.wait([self.writer])
+            self.raise_failure()
 
     async def write_waiting(self) -> None:
         """Write the delayed bytes when they are due."""
@@ -68,7 +78,9 @@
             wait_s = self.waiting[0].due_s - loop.time()
             if wait_s > 0:
                 await asyncio.sleep(wait_s)
-            await self.write(self.waiting.popleft().data)
+            data = self.waiting.popleft().data
+            await self.write(data)
+            self.waiting_bytes -= len(data)
 
     async def write(self, data: bytes) -> None:
         """Write bytes now and update the longest pause between writes."""
--- a/src/quetzalpass/relay/handover_channel.py
+++ b/src/quetzalpass/relay/handover_channel.py
@@ -57,7 +57,8 @@
     async def read_body(self) -> result.Result[bytes, base.AttemptFailure]:
         """Read the whole body; see the base class."""
         try:
-            return result.Success(await http_client.read_body(self.response))
+            held_body = await http_client.read_held_body(self.response)
+            return result.Success(self.keep(held_body))
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return result.Failure(engine_http.attempt_failure_from(error))
 
--- a/src/quetzalpass/relay/relay_gateway.py
+++ b/src/quetzalpass/relay/relay_gateway.py
@@ -383,6 +383,8 @@
         is_leaving = self.is_leaving(server.id)
         if not is_leaving:
             self.reach_checks.on_failure(server, failure)
+        if failure.kind is base.FailureKind.TOO_LARGE:
+            self.reservations.health.record_endless(server.id, failure.message)
         if not is_leaving and failure.end not in crash_checks.NOT_STARTED:
             self.reservations.health.record_failure(server.id, failure.message)
         self.crash_checks.start_check(routed, server, failure)
--- a/src/quetzalpass/relay/relayed_calls.py
+++ b/src/quetzalpass/relay/relayed_calls.py
@@ -6,7 +6,7 @@
 from returns import result
 
 from quetzalpass import event_log, ids
-from quetzalpass.backends import base, relays
+from quetzalpass.backends import base, held_bytes, relays
 from quetzalpass.declarations import relays as declared
 from quetzalpass.lifecycle import attempts
 from quetzalpass.relay import (
@@ -26,10 +26,21 @@
 
 
 class WholeResponse(msgspec.Struct, frozen=True):
-    """A response that has been received completely."""
+    """A response that has been received completely.
+
+    Attributes
+    ----------
+    head : relays.ResponseHead
+        Status and headers.
+    body : bytes
+        The body.
+    holding : held_bytes.Holding or None
+        What the body takes of the limit of all responses while this is referenced.
+    """
 
     head: relays.ResponseHead
     body: bytes
+    holding: held_bytes.Holding | None = None
 
 
 class CallState(msgspec.Struct):
@@ -251,7 +262,8 @@
         return body
     if not await gateway.is_complete(routed, reservation.server, response.head):
         return result.Failure(crash_checks.ENDED_WITH_CONNECTION)
-    return result.Success(WholeResponse(response.head, body.unwrap()))
+    whole = WholeResponse(response.head, body.unwrap(), response.holding)
+    return result.Success(whole)
 
 
 def attempt_timeout_s(routed: relay_requests.RoutedRequest, state: CallState) -> float:
--- a/src/quetzalpass/relay/relayed_streams.py
+++ b/src/quetzalpass/relay/relayed_streams.py
@@ -323,7 +323,7 @@
         if self.gateway.is_leaving(segment.reservation.server.id):
             self.start_move()
         while True:
-            received = await segment.next_batch(has_begun=self.events > 0)
+            received = await self.next_batch(segment)
             received = received.bind(self.check_reported_events)
             if isinstance(received, result.Failure):
                 segment.broken.set()
@@ -339,6 +339,24 @@
                 await self.relay_rest(segment, batch.rest)
                 return SegmentEnd.COMPLETE
 
+    async def next_batch(
+        self, segment: stream_segments.StreamSegment
+    ) -> result.Result[stream_segments.EventBatch, base.AttemptFailure]:
+        """Wait for the next events of a segment.
+
+        Raises
+        ------
+        StreamFailedError
+            If an event is too large.
+        """
+        try:
+            return await segment.next_batch(has_begun=self.events > 0)
+        except stream_failures.StreamFailedError as error:
+            server_id = segment.reservation.server.id
+            health = self.gateway.reservations.health
+            health.record_endless(server_id, error.failure.message)
+            raise
+
     async def is_complete(self, segment: stream_segments.StreamSegment) -> bool:
         """Return whether a stream that has ended is complete; log it if not."""
         server = segment.reservation.server
--- a/src/quetzalpass/relay/server_health.py
+++ b/src/quetzalpass/relay/server_health.py
@@ -14,6 +14,8 @@
 
 # Short, because other requests to the server may still succeed.
 EJECTION_S = 3.0
+# Each time that a server sends without end, up to this, until it completes a request.
+MAX_ENDLESS_EJECTION_S = 60.0
 # Time for which a data centre is used last after one of its servers was unreachable.
 CUT_OFF_S = 1.5
 
@@ -30,6 +32,8 @@
 
     Attributes
     ----------
+    endless_counts : dict of ServerId to int
+        How often a server sent without end since it last completed a request.
     find_servers_to_avoid : callable
         Returns the servers to which a request, given its fingerprint, is not sent while
         others are available.
@@ -44,6 +48,7 @@
         self.find_servers_to_avoid = avoid_none
         self.health: dict[ids.ServerId, ejection.Health] = {}
         self.ejected_until_s: dict[ids.ServerId, float] = {}
+        self.endless_counts: dict[ids.ServerId, int] = {}
         self.cut_off_until_s: dict[ids.DataCentreId, float] = {}
 
     def is_ejected(self, server_id: ids.ServerId, now_s: float) -> bool:
@@ -67,6 +72,7 @@
             self.cut_off_until_s.pop(data_centre, None)
         if server_id in self.health:
             self.health[server_id].record_success()
+        self.endless_counts.pop(server_id, None)
 
     def record_unreachable(
         self, server: discovery.DiscoveredServer, reason: str
@@ -87,10 +93,26 @@
         if health.record_failure():
             self.eject(server_id, reason)
 
-    def eject(self, server_id: ids.ServerId, reason: str) -> None:
+    def record_endless(self, server_id: ids.ServerId, reason: str) -> None:
+        """Eject a server that sent more than any response has, longer each time.
+
+        Each request there would be lost, and takes memory until it is given up. Further
+        requests that were there at the same time don't count.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if self.is_ejected(server_id, now_s):
+            return
+        count = self.endless_counts.get(server_id, 0)
+        self.endless_counts[server_id] = count + 1
+        duration_s = min(MAX_ENDLESS_EJECTION_S, EJECTION_S * 2**count)
+        self.eject(server_id, reason, duration_s)
+
+    def eject(
+        self, server_id: ids.ServerId, reason: str, duration_s: float = EJECTION_S
+    ) -> None:
         """Exclude a server from new work for a short time."""
         now_s = asyncio.get_running_loop().time()
-        self.ejected_until_s[server_id] = now_s + EJECTION_S
+        self.ejected_until_s[server_id] = now_s + duration_s
         self.health.pop(server_id, None)
         LOG.warning("routing: No new work for {}: {}.", server_id, reason)
 
--- a/src/quetzalpass/relay/stream_segments.py
+++ b/src/quetzalpass/relay/stream_segments.py
@@ -6,7 +6,7 @@
 import msgspec
 from returns import result
 
-from quetzalpass.backends import base, event_splitter, relays
+from quetzalpass.backends import base, event_splitter, held_bytes, relays
 from quetzalpass.membership import in_flight_requests
 from quetzalpass.relay import server_reservation, stream_failures
 
@@ -53,6 +53,8 @@
     ----------
     splitter : event_splitter.EventSplitter
         Splits the body into events.
+    holding : held_bytes.Holding
+        What an event that has arrived in part takes of the limit of all responses.
     event_count : int
         Whole events that have been received.
     read_ahead : EventBatch or None
@@ -75,6 +77,7 @@
         self.server_response = server_response
         self.in_flight_request = in_flight_request
         self.splitter = event_splitter.EventSplitter()
+        self.holding = held_bytes.RESPONSES.open(server_response.close)
         self.event_count = 0
         self.read_ahead: EventBatch | None = None
         self.broken = asyncio.Event()
@@ -139,6 +142,11 @@
         self.event_count += len(events)
         if len(self.splitter.rest) > stream_failures.MAX_EVENT_BYTES:
             raise stream_failures.event_too_large()
+        try:
+            self.holding.resize(len(self.splitter.rest))
+        except held_bytes.NoRoomError:
+            self.splitter = event_splitter.EventSplitter()
+            raise stream_failures.event_too_large() from None
         return result.Success(EventBatch(events))
 
     def end(self) -> result.Result[EventBatch, base.AttemptFailure]:
--- a/tests/adapter/test_instances.py
+++ b/tests/adapter/test_instances.py
@@ -138,6 +138,27 @@
         servers = await list_servers(platform)
         assert [each.id for each in servers] == ["i-None", "i-p-2"]
 
+    async def test_pages_that_are_too_large_together_are_given_up(
+        self, platform, monkeypatch
+    ):
+        """Each page has a limit, but a list may name ever more pages."""
+        monkeypatch.setattr(instances, "MAX_LIST_BYTES", 100_000)
+        sent = []
+
+        async def respond(request, writer):
+            sent.append(request)
+            page = {"instances": ["x" * 30_000], "next": f"p-{len(sent)}"}
+            body = json.dumps(page).encode()
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+            writer.write(head.encode() + body)
+
+        platform.list.respond = respond
+        source = instances.InstanceList(platform.list.address)
+        listed = await source.list_servers(5.0)
+        assert listed.failure().code is codes.Code.UNREACHABLE
+        assert len(sent) == 4
+        await source.close()
+
     async def test_the_list_is_read_again_after_it_failed(self, platform):
         async def refuse(request, writer):
             writer.write(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
--- a/tests/relay/test_event_pacing.py
+++ b/tests/relay/test_event_pacing.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 
 import pytest
 
@@ -79,3 +80,28 @@
         pacer.close()
         await asyncio.sleep(1.0)
         assert response.data == b""
+
+    async def test_a_slow_caller_holds_up_a_server_that_sends_without_end(self):
+        response = SlowCallerResponse()
+        pacer = event_pacing.EventPacer(response)
+        pacer.delay_s = event_pacing.SMOOTHING_DELAY_S
+        block = b"x" * 65_536
+        count = 0
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(10.0):
+                while True:
+                    await pacer.put(block)
+                    count += 1
+                    assert pacer.waiting_bytes <= event_pacing.MAX_WAITING_BYTES + len(
+                        block
+                    )
+        assert count < 30
+        pacer.close()
+
+
+class SlowCallerResponse(gateway_harness.FakeCallerResponse):
+    """A response whose caller reads a block in a second."""
+
+    async def write(self, data):
+        await asyncio.sleep(1.0)
+        await super().write(data)
--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -113,6 +113,8 @@
         Whether it says in each answer that it leaves.
     api_body : bytes or None
         Body of all answers to queries in place of a sound one.
+    endless : endless.EndlessReplica or None
+        What it sends without end in place of each answer.
     service_time_s, event_interval_s : float
         Duration of a call, and of each event of a stream.
     """
@@ -130,6 +132,7 @@
         self.rest_s = None
         self.says_leaving = False
         self.api_body = None
+        self.endless = None
         self.service_time_s = SERVICE_TIME_S
         self.event_interval_s = EVENT_INTERVAL_S
         self.state = "ready"
@@ -212,6 +215,8 @@
             self.refuse(request, writer)
             return
         self.record.runs[request.header("X-Request-Id")] += 1
+        if self.endless is not None:
+            await self.endless.answer(request, writer)
         if crashes_replicas(request):
             await self.send_before_crash(request, writer)
             self.record.on_crashing_request(self, request.header("X-Request-Id"))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,6 +7,7 @@
     crashing_parts,
     cut_off,
     disks,
+    endless,
     limits,
     odd_values,
     soak,
@@ -23,6 +24,7 @@
 STOPS_SECONDS = 1
 ODD_VALUES_SECONDS = 4
 DISKS_SECONDS = 8
+ENDLESS_SECONDS = 8
 # No seed has failed yet. Add each one that does, with its cause.
 SEEDS = (1,)
 
@@ -76,3 +78,10 @@
     async def test_control_nodes_outlive_failing_disks(self, tmp_path, seed):
         done = await disks.run_seed(seed, DISKS_SECONDS, tmp_path)
         assert done.faults
+
+    # Seed 1: all responses together had no limit. Seed 3: nor had events in part.
+    @pytest.mark.parametrize("seed", [1, 3])
+    async def test_memory_is_bounded_while_replicas_send_without_end(
+        self, tmp_path, seed
+    ):
+        await endless.run_seed(seed, ENDLESS_SECONDS, tmp_path)
