A body whose request has ended is never given up later

The new test of HeldBytes fails without stop_arriving. Large answers that are written in slices get a test of their framing.

--- a/src/quetzalpass/backends/held_bytes.py
+++ b/src/quetzalpass/backends/held_bytes.py
@@ -74,14 +74,28 @@
             raise NoRoomError("given up, as all bodies together are too large")
 
     def complete(self) -> "HeldBody":
-        """Return the whole body, which is not given up any more."""
-        self.budget.arriving.discard(self)
-        # It may refer back to what refers to this body.
-        self.close = do_nothing
+        """Return the whole body, which is not given up any more.
+
+        Raises
+        ------
+        NoRoomError
+            If it was given up before.
+        """
+        if self.is_given_up:
+            raise NoRoomError("given up while it arrived")
         body = b"".join(self.parts)
         self.parts.clear()
+        self.stop_arriving()
         return HeldBody(body, self)
 
+    def stop_arriving(self) -> None:
+        """Never give this body up from now on; without a whole one, hold nothing."""
+        self.budget.arriving.discard(self)
+        # It may refer back to what refers to this body.
+        self.close = do_nothing
+        if self.parts:
+            self.release()
+
     def give_up(self) -> None:
         """Free the memory at once, and end the arrival."""
         self.is_given_up = True
--- a/src/quetzalpass/backends/http_client.py
+++ b/src/quetzalpass/backends/http_client.py
@@ -48,13 +48,13 @@
                 text = f"the body is larger than {MAX_BODY_BYTES} bytes"
                 raise BodyTooLargeError(text)
             holding.add(part)
+        return holding.complete()
     except aiohttp.ClientError as error:
         if holding.is_given_up:
             raise held_bytes.NoRoomError("given up while it arrived") from error
         raise
-    if holding.is_given_up:
-        raise held_bytes.NoRoomError("given up while it arrived")
-    return holding.complete()
+    finally:
+        holding.stop_arriving()
 
 
 def open_session(limits: schema.Limits, reuse: bool) -> aiohttp.ClientSession:
--- a/src/quetzalpass/callers/arriving_bodies.py
+++ b/src/quetzalpass/callers/arriving_bodies.py
@@ -23,20 +23,22 @@
         If all bodies together are too large, and this was the largest that arrived.
     """
     loop = asyncio.get_running_loop()
+    timer = asyncio.timeout(None)
+    holding = held_bytes.REQUESTS.open(lambda: timer.reschedule(loop.time()))
     try:
-        async with asyncio.timeout(None) as timer:
-            holding = held_bytes.REQUESTS.open(lambda: timer.reschedule(loop.time()))
+        async with timer:
             async for part in request.content.iter_any():
                 size = holding.size + len(part)
                 if size > max_bytes:
                     raise web.HTTPRequestEntityTooLarge(max_bytes, size)
                 holding.add(part)
-            if not holding.is_given_up:
-                return holding.complete()
-    except TimeoutError:
-        if not holding.is_given_up:
-            raise
-    raise held_bytes.NoRoomError("given up while it arrived")
+            return holding.complete()
+    except TimeoutError as error:
+        if holding.is_given_up:
+            raise held_bytes.NoRoomError("given up while it arrived") from error
+        raise
+    finally:
+        holding.stop_arriving()
 
 
 def no_room_failure() -> failures.Failure:
--- a/tests/adapter/test_many_endless_bodies.py
+++ b/tests/adapter/test_many_endless_bodies.py
@@ -8,6 +8,7 @@
 import pytest
 
 from platform_standin import standin
+from quetzalpass.backends import held_bytes
 
 BLOCK = b"x" * 65_536
 MIB = 1024 * 1024
@@ -16,6 +17,7 @@
 CALLS = 40
 CALLERS = 60
 CALLER_BODY_BYTES = 4 * MIB - 1
+LARGE_BODY = bytes(range(256)) * 8_192
 
 
 @contextlib.contextmanager
@@ -39,6 +41,9 @@
         if "sound" in request.first_line:
             writer.write(standin.response_bytes(request))
             return
+        if "large" in request.first_line:
+            writer.write(standin.response_bytes(request, body=LARGE_BODY))
+            return
         head = standin.response_bytes(request, body=b"").partition(b"\r\n\r\n")[0]
         lines = [
             line
@@ -87,6 +92,21 @@
         assert (sound.status, sound.body) == (200, b"bytes")
 
 
+class TestLargeResponses:
+    async def test_a_large_response_is_passed_on_whole(self, gateway, replica):
+        response = await call(gateway, "/once/large", "large-1")
+        assert response.status == 200
+        assert response.header("Content-Length") == str(len(LARGE_BODY))
+        assert response.body == LARGE_BODY
+
+    async def test_responses_that_were_passed_on_take_no_room(self, gateway, replica):
+        for number in range(12):
+            response = await call(gateway, "/once/large", f"large-{number}")
+            assert response.body == LARGE_BODY
+        gc.collect()
+        assert held_bytes.RESPONSES.total == 0
+
+
 class TestCallersBodies:
     async def test_many_large_bodies_at_once_are_refused_beyond_a_limit(
         self, gateway, replica
--- a/tests/backends/test_held_bytes.py
+++ b/tests/backends/test_held_bytes.py
@@ -71,6 +71,15 @@
         del held
         assert budget.total == 0
 
+    def test_one_that_stopped_to_arrive_is_not_given_up_later(self, budget):
+        """Its request has ended; to give it up then raised in another request."""
+        failed, other = Body(budget), Body(budget)
+        failed.add(900)
+        failed.holding.stop_arriving()
+        assert budget.total == 0
+        other.add(900)
+        assert not failed.is_closed
+
     def test_a_size_may_shrink(self, budget):
         body = Body(budget)
         body.holding.resize(500)
