--- a/tests/daemon/test_planned_stops.py
+++ b/tests/daemon/test_planned_stops.py
@@ -40,7 +40,9 @@
         app = web.Application()
         app.router.add_get("/health", self.handle_health)
         app.router.add_route("*", "/{work_s}", self.handle_call)
-        self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        self.runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=0.1, max_headers=4_096
+        )
         await self.runner.setup()
         await web.TCPSite(self.runner, HOST, 0).start()
         self.url = f"http://{HOST}:{self.runner.addresses[0][1]}"
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -76,6 +76,7 @@
             "bootstrap": bootstrap,
             "fault_tolerance": {"machines": len(self.cluster.control_ips) // 2},
             "bounds": {"grace_s": self.cluster.grace_s},
+            "limits": self.cluster.machine_limits,
             "cloud": {"addr": self.cluster.list_address},
             "data_dir": str(self.folder / "data"),
         }
@@ -141,11 +142,14 @@
     ----------
     grace_s : float
         Time between SIGTERM and SIGKILL, as the nodes' settings have it.
+    machine_limits : dict of str to int
+        Memory and descriptors of each machine, as the nodes' settings have them.
     """
 
     def __init__(self, folder, net, ports, list_address, gateways=2, controls=3):
         self.folder = folder
         self.grace_s = 4.0
+        self.machine_limits = {"memory_mb": 150, "max_fds": 4100}
         self.ports = ports
         self.list_address = list_address
         self.control_ips = [
