--- a/src/quetzalpass/daemon/process.py
+++ b/src/quetzalpass/daemon/process.py
@@ -215,8 +215,7 @@
         """Open the callers' listener."""
         runner = connections.CallersRunner(
             self.callers.application(),
-            self.settings.limits,
-            self.gateway.new_request_id,
+            connections.CallerRules(self.settings.limits, self.gateway.new_request_id),
             **self.runner_options(),
         )
         self.callers_listener = await self.open_listener(runner, self.settings.callers)
--- /dev/null
+++ b/src/quetzalpass/inbound/__init__.py
@@ -0,0 +1,1 @@
+"""Connections that others open: limits on what each and all of them may hold."""
--- a/src/quetzalpass/settings/schema.py
+++ b/src/quetzalpass/settings/schema.py
@@ -94,6 +94,8 @@
         Largest accepted header field of a request.
     line_bytes : int
         Largest accepted request line.
+    head_bytes : int
+        Largest accepted request line and header fields together.
     event_bytes : int
         Largest accepted event of a stream from a backend server.
     streams : int
@@ -127,6 +129,7 @@
     body_bytes: int = 2_000_000
     header_bytes: int = 16_384
     line_bytes: int = 8_190
+    head_bytes: int = 65_536
     event_bytes: int = 65_536
     streams: int = 4_000
     body_timeout_s: float = 30.0
--- a/tests/callers/conftest.py
+++ b/tests/callers/conftest.py
@@ -60,12 +60,10 @@
             for each in cluster.gateways:
                 runner = connections.CallersRunner(
                     app.CallersInterface(each.gateway).application(),
-                    limits,
-                    each.gateway.new_request_id,
+                    connections.CallerRules(limits, each.gateway.new_request_id, 2.0),
                     handler_cancellation=True,
                     access_log=None,
                     shutdown_timeout=1.0,
-                    keepalive_timeout=2.0,
                     max_line_size=limits.line_bytes,
                     max_field_size=limits.header_bytes,
                 )
