Heads of many short lines are served, and all heads together have a limit

Cause: the HTTP library accepts 128 header lines unless told otherwise, whatever the operator declares, and answers in the version of its stand-in for an unreadable request. One line of 4 bytes takes four objects, so that the bytes of a head say little of its memory; nothing counted heads, whole or not, of all connections.

Above the limit the largest that still arrives is answered 503 with Retry-After, which is true: none of it was passed on. A head of up to 30 lines is never given up, so a crowd can't have ordinary requests refused that way.

--- a/src/quetzalpass/backends/held_bytes.py
+++ b/src/quetzalpass/backends/held_bytes.py
@@ -31,6 +31,8 @@
         The limit.
     close : callable
         Ends the arrival of the body if it is given up.
+    small_bytes : int
+        Size up to which it is never given up.
 
     Attributes
     ----------
@@ -42,9 +44,12 @@
         Whether the body made room for others.
     """
 
-    def __init__(self, budget: "HeldBytes", close: Callable[[], None]) -> None:
+    def __init__(
+        self, budget: "HeldBytes", close: Callable[[], None], small_bytes: int
+    ) -> None:
         self.budget = budget
         self.close = close
+        self.small_bytes = small_bytes
         self.size = 0
         self.parts: list[bytes] = []
         self.is_given_up = False
@@ -73,6 +78,18 @@
         if self.is_given_up:
             raise NoRoomError("given up, as all bodies together are too large")
 
+    def split(self, size: int) -> "Holding":
+        """Return a part of this as a holding of its own, which is never given up."""
+        part = Holding(self.budget, do_nothing, self.small_bytes)
+        part.size = size
+        self.size -= size
+        return part
+
+    def end(self) -> None:
+        """Hold nothing any more, and don't refer to the owner any more."""
+        self.release()
+        self.close = do_nothing
+
     def complete(self) -> "HeldBody":
         """Return the whole body, which is not given up any more.
 
@@ -150,19 +167,23 @@
         self.total = 0
         self.arriving: weakref.WeakSet[Holding] = weakref.WeakSet()
 
-    def open(self, close: Callable[[], None]) -> Holding:
-        """Start to hold a body that arrives; see ``Holding``."""
-        holding = Holding(self, close)
+    def open(
+        self, close: Callable[[], None], small_bytes: int | None = None
+    ) -> Holding:
+        """Start to hold what arrives; see ``Holding``."""
+        if small_bytes is None:
+            small_bytes = self.small_bytes
+        holding = Holding(self, close, small_bytes)
         self.arriving.add(holding)
         return holding
 
     def make_room(self) -> None:
         """Give up the largest bodies that arrive until the others fit."""
         while self.total > self.limit_bytes:
-            largest = max(self.arriving, key=lambda each: each.size, default=None)
-            if largest is None or largest.size <= self.small_bytes:
+            large = [each for each in self.arriving if each.size > each.small_bytes]
+            if not large:
                 return
-            largest.give_up()
+            max(large, key=lambda each: each.size).give_up()
 
 
 def do_nothing() -> None:
--- a/src/quetzalpass/inbound/connections.py
+++ b/src/quetzalpass/inbound/connections.py
@@ -13,6 +13,7 @@
 from aiohttp import http, http_exceptions, streams, web, web_protocol
 
 from quetzalpass import log_limits
+from quetzalpass.backends import held_bytes
 from quetzalpass.inbound import rules
 from quetzalpass.results import codes, failures
 
@@ -26,6 +27,14 @@
 BODY_BUFFER_BYTES = 16_384
 # Bytes that wait to be sent before a handler has to wait for its caller.
 SEND_BUFFER_BYTES = 16_384
+# The library's own limits on a head are never the ones that count.
+PARSER_LINES = 1_000_000
+# Memory of one header line, parsed and on its way to a server, and of a request without
+# any. The allocator needs about twice the bytes of so many small objects.
+LINE_COST_BYTES = 1_000
+REQUEST_COST_BYTES = 2_000
+# What one connection's heads may cost without ever being given up for the room.
+SMALL_HEADS_BYTES = 32_768
 HEAD_END = b"\r\n\r\n"
 CHUNKS_END = b"0\r\n\r\n"
 STATUS_BAD_REQUEST = 400
@@ -79,8 +88,12 @@
         Bytes that wait until the parser may go on.
     last_bytes : bytes
         The last bytes of an incomplete head, which may be part of its end.
+    waiting : held_bytes.Holding
+        Memory of the incomplete head and of the requests that wait for their turn.
     body_error : BaseException or None
         Why the newest body has failed.
+    running : held_bytes.Holding or None
+        Memory of the head of the request that runs.
     """
 
     def __init__(
@@ -92,6 +105,7 @@
         self.rules = listener_rules
         self.timeouts = listener_rules.timeouts()
         options.setdefault("read_bufsize", BODY_BUFFER_BYTES)
+        options.setdefault("max_headers", PARSER_LINES)
         options["keepalive_timeout"] = self.timeouts.idle_s
         super().__init__(server, **options)
         self.latest_payload: streams.StreamReader | None = None
@@ -102,6 +116,8 @@
         self.body_bytes = 0
         self.unparsed = b""
         self.last_bytes = b""
+        self.waiting = held_bytes.REQUESTS.open(self.give_up, SMALL_HEADS_BYTES)
+        self.running: held_bytes.Holding | None = None
         self.body_error: BaseException | None = None
         self.head_timer: asyncio.TimerHandle | None = None
 
@@ -125,6 +141,8 @@
             handling.add_done_callback(lambda _: self.forget_body_error())
         self.stop_head_timer()
         self._messages.clear()
+        self.waiting.end()
+        self.release_running()
         self.latest_payload = None
 
     @property
@@ -265,6 +283,15 @@
             return
         if self.has_partial_head:
             self.start_head_timer()
+        try:
+            self.waiting.resize(self.waiting_cost())
+        except held_bytes.NoRoomError:
+            return
+
+    def waiting_cost(self) -> int:
+        """Return the memory of the incomplete head and of the requests in the queue."""
+        partial = self.framing_bytes + self.framing_lines * LINE_COST_BYTES
+        return partial + sum(head_cost(message) for message, _ in self._messages)
 
     def eof_received(self) -> bool:
         """Fail a body that ended early; otherwise treat the client as disconnected.
@@ -302,6 +329,15 @@
         message = "the request is not valid HTTP/1.1"
         return failures.Failure(codes.Code.BAD_REQUEST, message)
 
+    def give_up(self) -> None:
+        """Refuse what waits or arrives, as all of it together takes too much room."""
+        log_bounded("Refused requests, as all together are too large.")
+        if self._messages:
+            # No handler reads their bodies yet.
+            self._messages.clear()
+            self.latest_payload = None
+        self.refuse(rules.no_room_failure())
+
     def refuse(self, failure: failures.Failure) -> None:
         """Respond with a failure to what arrives, then close the connection.
 
@@ -317,6 +353,7 @@
         if self.is_receiving_body:
             self.fail_body(BodyRefusedError(failure))
             return
+        self.waiting.release()
         refusal = web_protocol._ErrInfo(STATUS_BAD_REQUEST, RefusedError(failure), "")
         self._messages.append((refusal, streams.EMPTY_PAYLOAD))
         self._request_count += 1
@@ -347,13 +384,27 @@
         response.force_close()
         return response
 
+    # Requests that run.
+
+    def start_request(self, message: Any) -> None:
+        """Count a request's head as that of the one that runs."""
+        self.release_running()
+        self.running = self.waiting.split(min(head_cost(message), self.waiting.size))
+
     async def finish_response(self, request: Any, resp: Any, start_time: Any) -> Any:
         """Send a response, and release its request; see the base class."""
         try:
             return await super().finish_response(request, resp, start_time)
         finally:
+            self.release_running()
             self.forget_body_error()
 
+    def release_running(self) -> None:
+        """Release the memory of the head of the request that ran."""
+        if self.running is not None:
+            self.running.release()
+            self.running = None
+
     def forget_body_error(self) -> None:
         """Free the frames of a body's error, and through them the connection.
 
@@ -383,6 +434,15 @@
     return bool(messages) and isinstance(messages[-1][0], web_protocol._ErrInfo)
 
 
+def head_cost(message: Any) -> int:
+    """Return the memory of a parsed head."""
+    if isinstance(message, web_protocol._ErrInfo):
+        return 0
+    lines = message.raw_headers
+    size = len(message.path) + sum(len(name) + len(value) for name, value in lines)
+    return REQUEST_COST_BYTES + size + len(lines) * LINE_COST_BYTES
+
+
 def log_bounded(line: str) -> None:
     """Log a line that clients can cause, with the number of those left out."""
     if LOG_LIMITER.allows():
@@ -424,6 +484,8 @@
         """Make the request that a connection runs next."""
         if message is web_protocol.ERROR:
             message = UNREADABLE_REQUEST
+        else:
+            protocol.start_request(message)
         return self.make_request(message, payload, protocol, *others)
 
 
--- a/tests/inbound/test_connections.py
+++ b/tests/inbound/test_connections.py
@@ -8,6 +8,7 @@
 import pytest
 from aiohttp import web
 
+from quetzalpass.backends import held_bytes
 from quetzalpass.inbound import connections, rules
 
 HOST = "127.0.0.1"
@@ -66,6 +67,45 @@
 
 
 class TestHeads:
+    async def test_an_incomplete_head_counts_until_its_connection_ends(
+        self, start_listener
+    ):
+        listener = await start_listener()
+        before = held_bytes.REQUESTS.total
+        _, writer = await listener.open(MANY_LINES)
+        lines = MANY_LINES.count(b"\n")
+        expected = len(MANY_LINES) + lines * connections.LINE_COST_BYTES
+        assert held_bytes.REQUESTS.total - before == expected
+        writer.close()
+        await asyncio.sleep(0.05)
+        assert held_bytes.REQUESTS.total == before
+
+    async def test_a_running_request_counts_until_its_response(self, start_listener):
+        listener = await start_listener()
+        before = held_bytes.REQUESTS.total
+        listener.may_respond.clear()
+        reader, writer = await listener.open(MANY_LINES + b"\r\n")
+        held = held_bytes.REQUESTS.total - before
+        assert held > 3_000 * connections.LINE_COST_BYTES
+        listener.may_respond.set()
+        assert (await reader.read(15)).startswith(b"HTTP/1.1 200")
+        await asyncio.sleep(0.05)
+        assert held_bytes.REQUESTS.total == before
+        writer.close()
+
+    async def test_the_largest_head_makes_room(self, start_listener, monkeypatch):
+        monkeypatch.setattr(held_bytes.REQUESTS, "limit_bytes", 3_000_000)
+        listener = await start_listener()
+        first, first_writer = await listener.open(MANY_LINES + b"b:\r\n")
+        _, second_writer = await listener.open(MANY_LINES)
+        response = await first.read()
+        assert response.startswith(b"HTTP/1.1 503")
+        assert b"Retry-After: 1" in response
+        third, third_writer = await listener.open(REQUEST)
+        assert (await third.read(15)).startswith(b"HTTP/1.1 200")
+        for each in (first_writer, second_writer, third_writer):
+            each.close()
+
     async def test_a_late_head_ends_its_connection(self, start_listener):
         listener = await start_listener(ShortRules(100))
         reader, writer = await listener.open(REQUEST)
@@ -172,3 +212,28 @@
             await writer.drain()
             if size < 1_000:
                 await asyncio.sleep(0)
+
+    async def test_a_head_right_behind_a_request_counts(self, start_listener):
+        """It came in the same read as the end of the request before it."""
+        listener = await start_listener()
+        listener.may_respond.clear()
+        before = held_bytes.REQUESTS.total
+        _, writer = await listener.open(REQUEST + MANY_LINES)
+        held = held_bytes.REQUESTS.total - before
+        assert held > 3_000 * connections.LINE_COST_BYTES
+        listener.may_respond.set()
+        writer.close()
+
+    @pytest.mark.parametrize("split", range(len(REQUEST) - 6, len(REQUEST) + 3))
+    async def test_an_end_in_two_parts_is_found(self, start_listener, split):
+        listener = await start_listener()
+        listener.may_respond.clear()
+        before = held_bytes.REQUESTS.total
+        data = REQUEST + MANY_LINES
+        _, writer = await listener.open(data[:split])
+        writer.write(data[split:])
+        await asyncio.sleep(0.05)
+        held = held_bytes.REQUESTS.total - before
+        assert held > 3_000 * connections.LINE_COST_BYTES
+        listener.may_respond.set()
+        writer.close()
