Connections are bounded by the machine, and those without a request make room first

Callers saw: a gateway that has no descriptors left takes no new connection from anybody.

Cause: the limit was 10,000 connections, above the 4,100 descriptors of the platform's machines, which the process did not read from its settings; and above it the newest connection was closed, so that a crowd which only holds connections keeps all others out.

Now the number follows from the memory and the descriptors of the settings file (`inbound/capacity.py`), and a new connection above it takes the place of the oldest that never sent a whole head, or else of the one that is idle the longest; one with a request stays.

--- a/src/quetzalpass/daemon/control_role.py
+++ b/src/quetzalpass/daemon/control_role.py
@@ -23,6 +23,7 @@
 from quetzalpass.control import declared_state
 from quetzalpass.daemon import activation, groups, listeners, peers, replica_role
 from quetzalpass.declarations import schema
+from quetzalpass.inbound import capacity
 from quetzalpass.membership import (
     configuration,
     fleet_messages,
@@ -75,6 +76,8 @@
         Number of voters that the leader maintains.
     data_centre : DataCentreId
         Data centre of this node; empty if unknown.
+    machine : capacity.MachineCapacity
+        What its machine has.
     """
 
     vm: ids.VmId
@@ -83,6 +86,7 @@
     may_form: bool
     wanted_voters: int
     data_centre: ids.DataCentreId = ids.UNKNOWN_DATA_CENTRE
+    machine: capacity.MachineCapacity = capacity.MachineCapacity()
 
 
 class ControlRole:
--- a/src/quetzalpass/daemon/gateway_role.py
+++ b/src/quetzalpass/daemon/gateway_role.py
@@ -13,6 +13,7 @@
 from quetzalpass.backends import discovery
 from quetzalpass.daemon import handover_receiver
 from quetzalpass.declarations import relays
+from quetzalpass.inbound import capacity
 from quetzalpass.membership import (
     configuration,
     control_links,
@@ -35,6 +36,8 @@
 # For the responses to interrupted requests, and to those that are refused at the end.
 INTERRUPTED_RESPONSE_TIMEOUT_S = 0.1
 STOP_TIMEOUT_S = 0.1
+# Share of the listener in the connections that the machine can hold.
+CALLER_CONNECTIONS_SHARE = 0.6
 
 
 class GatewaySettings(msgspec.Struct, frozen=True):
@@ -52,6 +55,8 @@
         Rules of the retry budget of a service.
     drain_s : float
         Maximum time that draining may take.
+    machine : capacity.MachineCapacity
+        What its machine has.
     """
 
     vm: ids.VmId
@@ -59,6 +64,11 @@
     seeds: tuple[ids.VmId, ...]
     budget: shared_budget.BudgetRules
     drain_s: float
+    machine: capacity.MachineCapacity = capacity.MachineCapacity()
+
+    def caller_connections(self) -> int:
+        """Return how many connections of callers may be open."""
+        return self.machine.max_connections(CALLER_CONNECTIONS_SHARE)
 
 
 class GatewayRole:
--- a/src/quetzalpass/inbound/connections.py
+++ b/src/quetzalpass/inbound/connections.py
@@ -14,7 +14,7 @@
 
 from quetzalpass import log_limits
 from quetzalpass.backends import held_bytes
-from quetzalpass.inbound import rules
+from quetzalpass.inbound import listener_connections, rules
 from quetzalpass.results import codes, failures
 
 LOG = logbook.Logger("inbound")
@@ -68,6 +68,8 @@
         Server of the listener.
     listener_rules : rules.ListenerRules
         Limits of the listener. Timeouts are those in force when the connection opens.
+    open_connections : listener_connections.ListenerConnections
+        All connections of the listener.
 
     Attributes
     ----------
@@ -100,10 +102,12 @@
         self,
         server: web.Server,
         listener_rules: rules.ListenerRules,
+        open_connections: listener_connections.ListenerConnections,
         **options: Any,
     ) -> None:
         self.rules = listener_rules
         self.timeouts = listener_rules.timeouts()
+        self.open_connections = open_connections
         options.setdefault("read_bufsize", BODY_BUFFER_BYTES)
         options.setdefault("max_headers", PARSER_LINES)
         options["keepalive_timeout"] = self.timeouts.idle_s
@@ -130,6 +134,7 @@
         transport.set_write_buffer_limits(high=SEND_BUFFER_BYTES)
         super().connection_made(transport)
         self.start_head_timer()
+        self.open_connections.add(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Free what waited, without waiting for the garbage collector."""
@@ -139,6 +144,7 @@
             self.body_error = payload.exception()
         if handling is not None:
             handling.add_done_callback(lambda _: self.forget_body_error())
+        self.open_connections.remove(self)
         self.stop_head_timer()
         self._messages.clear()
         self.waiting.end()
@@ -273,6 +279,7 @@
         self.is_chunked = message.chunked
         length = message.headers.get("Content-Length", "0")
         self.body_bytes = int(length) if length.isdecimal() else 0
+        self.open_connections.note_busy(self)
 
     def check_limits(self) -> None:
         """Refuse what arrives if it is too large by itself, or together with all."""
@@ -398,6 +405,8 @@
         finally:
             self.release_running()
             self.forget_body_error()
+            if not self._messages:
+                self.open_connections.note_idle(self)
 
     def release_running(self) -> None:
         """Release the memory of the head of the request that ran."""
@@ -471,10 +480,15 @@
         self.rules = listener_rules
         self.make_request: RequestFactory = self.request_factory
         self.request_factory = self.start_request
+        self.open_connections = listener_connections.ListenerConnections(
+            listener_rules.max_connections
+        )
 
     def __call__(self) -> web_protocol.RequestHandler:
         """Return the protocol handler of a new connection."""
-        return self.make_connection(self, self.rules, loop=self._loop, **self._kwargs)
+        return self.make_connection(
+            self, self.rules, self.open_connections, loop=self._loop, **self._kwargs
+        )
 
     make_connection = GuardedConnection
 
