Connections with many tiny parts are read in turn, with pauses

Cause: a chunk costs as much processor time whether it holds one byte or kilobytes; one turn of the event loop parsed up to 43,000 of them, and each of the crowd's connections had such a turn before an ordinary caller had the next.

Text in bodies with a length isn't counted. A single request of that shape is served as before (20,000 chunks of one byte: tests/adapter/test_odd_requests.py).

--- a/src/quetzalpass/inbound/connections.py
+++ b/src/quetzalpass/inbound/connections.py
@@ -14,7 +14,7 @@
 
 from quetzalpass import log_limits
 from quetzalpass.backends import held_bytes
-from quetzalpass.inbound import listener_connections, rules
+from quetzalpass.inbound import listener_connections, pacing, rules
 from quetzalpass.results import codes, failures
 
 LOG = logbook.Logger("inbound")
@@ -90,6 +90,8 @@
         Bytes that wait until the parser may go on.
     last_bytes : bytes
         The last bytes of an incomplete head, which may be part of its end.
+    is_paced : bool
+        Whether reading waits for its turn among connections with many tiny parts.
     waiting : held_bytes.Holding
         Memory of the incomplete head and of the requests that wait for their turn.
     body_error : BaseException or None
@@ -120,6 +122,7 @@
         self.body_bytes = 0
         self.unparsed = b""
         self.last_bytes = b""
+        self.is_paced = False
         self.waiting = held_bytes.REQUESTS.open(self.give_up, SMALL_HEADS_BYTES)
         self.running: held_bytes.Holding | None = None
         self.body_error: BaseException | None = None
@@ -216,6 +219,8 @@
         They are parsed in pieces that end where a head or body may end, so that it is
         known how much belongs to an incomplete head.
         """
+        is_costly = self.is_chunked or not self.is_receiving_body
+        lines = data.count(b"\n")
         rest, self.unparsed = self.unparsed + data, b""
         is_first = True
         while is_first or (rest and self.may_parse):
@@ -226,6 +231,8 @@
         if self.is_refused or self.transport is None:
             return
         self.unparsed = rest
+        if is_costly:
+            self.pace(lines)
 
     @property
     def may_parse(self) -> bool:
@@ -300,6 +307,23 @@
         partial = self.framing_bytes + self.framing_lines * LINE_COST_BYTES
         return partial + sum(head_cost(message) for message, _ in self._messages)
 
+    def pace(self, lines: int) -> None:
+        """Read on later if the bytes consisted of many tiny parts."""
+        if lines > pacing.FREE_PIECES:
+            self.is_paced = True
+            self._pause_transport_reading()
+            pacing.pacer_of(self._loop).enter(lines, self.resume_paced)
+
+    def resume_paced(self) -> None:
+        """Read on, unless the library has paused the connection as well."""
+        self.is_paced = False
+        if not self._reading_paused and not self._buffer_paused:
+            super()._resume_transport_reading()
+
+    def _resume_transport_reading(self) -> None:
+        if not self.is_paced:
+            super()._resume_transport_reading()
+
     def eof_received(self) -> bool:
         """Fail a body that ended early; otherwise treat the client as disconnected.
 
