Bodies that stop short of their end are given up first, and little waits in the kernel

Cause: a body was waited for as long as its caller kept the connection; above the limit of all bodies the largest was given up, so that many bodies of 60,000 bytes, each one byte short, had a larger one refused. What has arrived and isn't read counts on the platform's machines, and the kernel kept what it liked for each connection.

Now a body ends with the time limit that its request names (60 s without one), or once nothing of it came for the declared idle time: 504, and the connection closes. What has not grown for 1 s is given up before what grows. Listening sockets hand 32 KiB to each connection for what isn't read.

--- a/src/quetzalpass/backends/held_bytes.py
+++ b/src/quetzalpass/backends/held_bytes.py
@@ -1,10 +1,12 @@
 """Limit on the memory of all bodies that a process holds at once.
 
 Each body has a limit of its own, but servers or callers may send bytes without end for
-many requests at the same time. While too much is held, the largest body that is still
-arriving is given up, as that is the likeliest to be without end.
+many requests at the same time. While too much is held, something that is still arriving
+is given up: the largest of what has not grown for a while, as its sender may never send
+the rest, or else the largest, as that is the likeliest to be without end.
 """
 
+import asyncio
 import weakref
 from collections.abc import Callable, Iterator
 
@@ -18,6 +20,10 @@
 SLICE_BYTES = 65_536
 
 
+# What has not grown for this time is given up first.
+STALLED_S = 1.0
+
+
 class NoRoomError(ValueError):
     """Raised if a body is given up, as all bodies together are too large."""
 
@@ -42,6 +48,8 @@
         The parts that have arrived.
     is_given_up : bool
         Whether the body made room for others.
+    grown_s : float
+        Loop time at which it grew last.
     """
 
     def __init__(
@@ -53,6 +61,7 @@
         self.size = 0
         self.parts: list[bytes] = []
         self.is_given_up = False
+        self.grown_s = loop_time_s()
 
     def __del__(self) -> None:
         """Release what is held, however the request has ended."""
@@ -72,6 +81,8 @@
     def resize(self, size: int) -> None:
         """Hold a number of bytes instead of those before; see ``add``."""
         if not self.is_given_up:
+            if size > self.size:
+                self.grown_s = loop_time_s()
             self.budget.total += size - self.size
             self.size = size
             self.budget.make_room()
@@ -178,12 +189,22 @@
         return holding
 
     def make_room(self) -> None:
-        """Give up the largest bodies that arrive until the others fit."""
+        """Give up what has stalled, or is the largest, until the rest fits."""
+        now_s = loop_time_s()
         while self.total > self.limit_bytes:
             large = [each for each in self.arriving if each.size > each.small_bytes]
             if not large:
                 return
-            max(large, key=lambda each: each.size).give_up()
+            stalled = [each for each in large if now_s - each.grown_s >= STALLED_S]
+            max(stalled or large, key=lambda each: each.size).give_up()
+
+
+def loop_time_s() -> float:
+    """Return the time of the running event loop; 0 if none runs."""
+    try:
+        return asyncio.get_running_loop().time()
+    except RuntimeError:
+        return 0.0
 
 
 def do_nothing() -> None:
--- a/src/quetzalpass/callers/app.py
+++ b/src/quetzalpass/callers/app.py
@@ -10,7 +10,6 @@
 from quetzalpass import ids
 from quetzalpass.backends import held_bytes
 from quetzalpass.callers import (
-    arriving_bodies,
     completions,
     encoding,
     errors,
@@ -18,6 +17,7 @@
     headers,
     services,
 )
+from quetzalpass.inbound import bodies, rules
 from quetzalpass.lifecycle import gateway as gateways
 from quetzalpass.membership import configuration
 from quetzalpass.results import codes, failures
@@ -387,9 +387,9 @@
                     raise web.HTTPRequestEntityTooLarge(
                         limits.body_bytes, request.content_length or 0
                     )
-                return await arriving_bodies.read_body(request, limits.body_bytes)
+                return await bodies.read_body(request, limits.body_bytes)
         except held_bytes.NoRoomError:
-            raise failures.FailureError(arriving_bodies.no_room_failure()) from None
+            raise failures.FailureError(rules.no_room_failure()) from None
         except web.HTTPRequestEntityTooLarge:
             raise failures.FailureError(
                 failures.Failure(
--- a/src/quetzalpass/wire/server.py
+++ b/src/quetzalpass/wire/server.py
@@ -25,6 +25,7 @@
 # The process before may still hold the port. It is short, as a stop waits for it too.
 BIND_TIMEOUT_S = 3.0
 BIND_RETRY_S = 0.1
+RECEIVE_BUFFER_BYTES = 32_768
 PASSING_ERRORS = frozenset(
     {
         errno.EADDRINUSE,
@@ -69,7 +70,8 @@
     while True:
         site = make_site()
         try:
-            return await site.start()
+            await site.start()
+            return limit_receive_buffers(site)
         except OSError as error:
             await site.stop()
             is_late = loop.time() + BIND_RETRY_S >= deadline_s
@@ -79,6 +81,15 @@
         await asyncio.sleep(BIND_RETRY_S)
 
 
+def limit_receive_buffers(site: web.TCPSite) -> None:
+    """Limit what the kernel keeps for each connection until this process reads it.
+
+    The connections inherit the limit of the socket that accepts them.
+    """
+    for listening in site._server.sockets:
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
+
 async def stop_listening(runner: web.BaseRunner) -> None:
     """Accept the connections that have reached this VM, and no others from now on.
 
--- a/tests/adapter/test_odd_requests.py
+++ b/tests/adapter/test_odd_requests.py
@@ -120,6 +120,37 @@
         assert replica.requests[0].body == b"one"
 
 
+class TestLateBodies:
+    """A body that stops short of its end was waited for as long as its caller liked."""
+
+    HEADERS = ("Content-Length: 10",)
+
+    async def test_it_is_answered_by_the_time_limit(self, gateway, replica):
+        data = standin.request_bytes("/once/1", self.HEADERS) + b"half"
+        response = await standin.exchange(gateway.port, data)
+        assert response.status == 504
+        assert replica.requests == []
+
+    async def test_it_is_answered_once_it_has_stalled(self, gateway, replica):
+        limits = {**standin.STATE["limits"], "idle_timeout_ms": 100}
+        gateway.adopt(standin.state(version=8, limits=limits), 8)
+        data = standin.request_bytes("/once/1", self.HEADERS) + b"half"
+        data = data.replace(b"X-Deadline-Ms: 1500", b"X-Deadline-Ms: 30000")
+        response = await standin.exchange(gateway.port, data)
+        assert response.status == 504
+        assert response.header("Connection") == "close"
+        assert replica.requests == []
+
+    async def test_a_slow_body_is_served(self, gateway, replica):
+        data = standin.request_bytes("/once/1", self.HEADERS)
+        reader, writer = await asyncio.open_connection(standin.HOST, gateway.port)
+        for part in (data, b"01234", b"56789"):
+            writer.write(part)
+            await asyncio.sleep(0.1)
+        assert (await standin.read_message(reader)).status == 200
+        writer.close()
+
+
 class TestRefusals:
     """A refused head gets one response of the newest version, then the end."""
 
--- a/tests/backends/test_held_bytes.py
+++ b/tests/backends/test_held_bytes.py
@@ -1,3 +1,5 @@
+import asyncio
+
 import pytest
 
 from quetzalpass.backends import held_bytes
@@ -43,6 +45,16 @@
             large.add(900)
         assert (large.is_closed, small.is_closed) == (True, False)
 
+    @pytest.mark.looptime
+    async def test_one_that_has_stalled_is_given_up_before_a_larger_one(self, budget):
+        """A crowd of small bodies without their ends had larger ones refused."""
+        stalled, growing = Body(budget), Body(budget)
+        stalled.add(400)
+        await asyncio.sleep(held_bytes.STALLED_S)
+        growing.add(601)
+        assert (stalled.is_closed, growing.is_closed) == (True, False)
+        assert budget.total == 601
+
     def test_a_whole_body_is_not_given_up(self, budget):
         whole, other = Body(budget), Body(budget)
         whole.add(900)
