All listeners share the limits on connections, and declarations have one together

Operators and other processes saw: a control node or gateway above its memory while a crowd presses the listener of operators, peers, metrics or readiness (not tried by the users). The operator's interface of the platform asks for no key.

Cause: only the callers' listeners had limits at all. Declarations may be 64 MB each, and any number of them arrived at a time.

--- a/src/quetzalpass/backends/held_bytes.py
+++ b/src/quetzalpass/backends/held_bytes.py
@@ -13,9 +13,12 @@
 # A gateway has some 75 MiB of memory for all of its requests.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 MAX_REQUEST_BYTES = 16 * 1024 * 1024
+# One of the largest that an operator may send, or many of the usual size.
+MAX_DECLARATION_BYTES = 64_000_000
 # A body of this size is never given up for the room that it takes.
 SMALL_RESPONSE_BYTES = 65_536
 SMALL_REQUEST_BYTES = 4_096
+SMALL_DECLARATION_BYTES = 65_536
 # Written at once; the rest of a body waits until its reader has taken that.
 SLICE_BYTES = 65_536
 
@@ -220,3 +223,4 @@
 # One limit a process, as it has one memory.
 RESPONSES = HeldBytes(MAX_RESPONSE_BYTES, SMALL_RESPONSE_BYTES)
 REQUESTS = HeldBytes(MAX_REQUEST_BYTES, SMALL_REQUEST_BYTES)
+DECLARATIONS = HeldBytes(MAX_DECLARATION_BYTES, SMALL_DECLARATION_BYTES)
--- a/src/quetzalpass/daemon/control_role.py
+++ b/src/quetzalpass/daemon/control_role.py
@@ -10,7 +10,6 @@
 
 import logbook
 import msgspec
-from aiohttp import web
 from returns import result
 
 from quetzalpass import background, ids
@@ -23,7 +22,7 @@
 from quetzalpass.control import declared_state
 from quetzalpass.daemon import activation, groups, listeners, peers, replica_role
 from quetzalpass.declarations import schema
-from quetzalpass.inbound import capacity
+from quetzalpass.inbound import capacity, connections, rules
 from quetzalpass.membership import (
     configuration,
     fleet_messages,
@@ -46,6 +45,9 @@
 # Time for responses to other daemons at a stop, and for handlers that still run then.
 PEER_RESPONSE_TIMEOUT_S = 1.0
 STOP_TIMEOUT_S = 0.1
+# Shares of the listeners in the connections that the machine can hold.
+PEER_CONNECTIONS_SHARE = 0.6
+OPERATOR_CONNECTIONS_SHARE = 0.3
 # Requests wait for the next leader, also after all control nodes were killed at once.
 # Control nodes are few and close to each other, so that short timeouts suffice to
 # detect the loss of a leader. A vote needs several syncs, and disks may be slow.
@@ -88,6 +90,10 @@
     data_centre: ids.DataCentreId = ids.UNKNOWN_DATA_CENTRE
     machine: capacity.MachineCapacity = capacity.MachineCapacity()
 
+    def operator_connections(self) -> int:
+        """Return how many connections of operators may be open."""
+        return self.machine.max_connections(OPERATOR_CONNECTIONS_SHARE)
+
 
 class ControlRole:
     """One control node.
@@ -198,8 +204,11 @@
         """Open the listener for other daemons."""
         app = server.new_application()
         server.PeerServer(self.table, self.cluster_key).add_routes(app)
-        runner = web.AppRunner(
+        runner = connections.GuardedRunner(
             app,
+            rules.FixedRules(
+                self.settings.machine.max_connections(PEER_CONNECTIONS_SHARE)
+            ),
             access_log=None,
             handler_cancellation=True,
             shutdown_timeout=STOP_TIMEOUT_S,
--- a/src/quetzalpass/daemon/gateway_role.py
+++ b/src/quetzalpass/daemon/gateway_role.py
@@ -6,14 +6,13 @@
 
 import logbook
 import msgspec
-from aiohttp import web
 
 from quetzalpass import ids
 from quetzalpass.allocation import client, permits, rooms
 from quetzalpass.backends import discovery
 from quetzalpass.daemon import handover_receiver
 from quetzalpass.declarations import relays
-from quetzalpass.inbound import capacity
+from quetzalpass.inbound import capacity, connections, rules
 from quetzalpass.membership import (
     configuration,
     control_links,
@@ -36,8 +35,9 @@
 # For the responses to interrupted requests, and to those that are refused at the end.
 INTERRUPTED_RESPONSE_TIMEOUT_S = 0.1
 STOP_TIMEOUT_S = 0.1
-# Share of the listener in the connections that the machine can hold.
+# Shares of the listeners in the connections that the machine can hold.
 CALLER_CONNECTIONS_SHARE = 0.6
+PEER_CONNECTIONS_SHARE = 0.3
 
 
 class GatewaySettings(msgspec.Struct, frozen=True):
@@ -137,7 +137,7 @@
             handover_channel.HttpHandoverChannel(cluster_key),
         )
         self.receiver = handover_receiver.HandoverReceiver(self.gateway, cluster_key)
-        self.runner: web.AppRunner | None = None
+        self.runner: connections.GuardedRunner | None = None
         self.removal_observers: list[Callable[[], None]] = []
         self.links = control_links.ControlLinks(
             settings.vm,
@@ -162,8 +162,10 @@
 
     async def listen(self) -> None:
         """Open the listener for the requests that other gateways hand over."""
-        self.runner = web.AppRunner(
+        peer_connections = self.settings.machine.max_connections(PEER_CONNECTIONS_SHARE)
+        self.runner = connections.GuardedRunner(
             self.receiver.application(),
+            rules.FixedRules(peer_connections),
             access_log=None,
             handler_cancellation=True,
             shutdown_timeout=STOP_TIMEOUT_S,
--- a/src/quetzalpass/daemon/process.py
+++ b/src/quetzalpass/daemon/process.py
@@ -23,6 +23,8 @@
     replica_role,
 )
 from quetzalpass.declarations import schema as declared
+from quetzalpass.inbound import connections as guarded
+from quetzalpass.inbound import rules
 from quetzalpass.lifecycle import gateway as gateways
 from quetzalpass.lifecycle import ledger_client
 from quetzalpass.membership import (
@@ -44,6 +46,8 @@
 
 # For handlers that still run after the time for responses.
 STOP_TIMEOUT_S = 0.1
+# Of each listener for other daemons or operators.
+INNER_CONNECTIONS = 2_048
 
 
 class Daemon:
@@ -209,7 +213,10 @@
 
     async def listen(self, app: web.Application, listener: schema.Listener) -> None:
         """Open one listener for peers or operators."""
-        await self.open_listener(web.AppRunner(app, **self.runner_options()), listener)
+        runner = guarded.GuardedRunner(
+            app, rules.FixedRules(INNER_CONNECTIONS), **self.runner_options()
+        )
+        await self.open_listener(runner, listener)
 
     async def listen_to_callers(self) -> None:
         """Open the callers' listener."""
--- a/src/quetzalpass/metrics/listener.py
+++ b/src/quetzalpass/metrics/listener.py
@@ -6,10 +6,12 @@
 from aiohttp import web
 
 from quetzalpass import background
+from quetzalpass.inbound import connections, rules
 from quetzalpass.metrics import exposition
 from quetzalpass.wire import server
 
 STOP_TIMEOUT_S = 0.5
+MAX_CONNECTIONS = 16
 
 
 class MetricsListener:
@@ -27,8 +29,11 @@
         self.address = address
         app = web.Application()
         metrics.add_route(app)
-        self.runner = web.AppRunner(
-            app, access_log=None, shutdown_timeout=STOP_TIMEOUT_S
+        self.runner = connections.GuardedRunner(
+            app,
+            rules.FixedRules(MAX_CONNECTIONS),
+            access_log=None,
+            shutdown_timeout=STOP_TIMEOUT_S,
         )
         self.tasks = background.BackgroundTasks()
         self.opening: asyncio.Task[None] | None = None
