A status that HTTP doesn't have is no answer of a server

Callers saw: `HTTP/1.1 600` and `HTTP/1.1 999` with a replica's signature, where a server in trouble had sent such a status (MIXED; other operators saw 000).

Cause: the HTTP library takes three digits as a status, and only those below 200 were checked, by the platform's adapter alone.

The hand-over between gateways passed on any number.

Now the connection to a server fails a response whose status is none of 100 to 599 as no response at all, for every adapter, report and order; the caller gets 502, as the request may have run. A handed-over head must name a final status.

--- a/src/quetzalpass/backends/connections.py
+++ b/src/quetzalpass/backends/connections.py
@@ -12,13 +12,16 @@
 
 import aiohttp
 import logbook
-from aiohttp import client_proto, helpers, streams
+from aiohttp import client_proto, helpers, http_exceptions, streams
 
 LOG = logbook.Logger("backends")
 
 # The parser limits each line, but not the number of interim responses before the head.
 MAX_HEAD_BYTES = 1024 * 1024
 FIRST_FINAL_STATUS = 200
+# HTTP defines no classes of statuses beyond 1xx to 5xx.
+STATUSES = range(100, 600)
+FINAL_STATUSES = range(FIRST_FINAL_STATUS, 600)
 
 
 class EngineConnection(client_proto.ResponseHandler):
@@ -81,11 +84,24 @@
         if not self.is_head_due:
             self.reject_surplus(f"a response with status {message.code}")
             return
+        if message.code not in STATUSES:
+            self.reject_status(message.code)
+            return
         if message.code >= FIRST_FINAL_STATUS:
             self.head_bytes = 0
             self.is_head_due = False
         super().feed_data(data, size)
 
+    def reject_status(self, status: int) -> None:
+        """Fail a response whose status HTTP doesn't have, as no response at all.
+
+        A caller would get it as an answer, though nothing says what it means.
+        """
+        error = http_exceptions.BadStatusLine(f"status {status} does not exist")
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
     def reject_surplus(self, received: str) -> None:
         """Close the connection, as something has arrived that belongs to no request.
 
--- a/src/quetzalpass/relay/handover_messages.py
+++ b/src/quetzalpass/relay/handover_messages.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from quetzalpass import decoding, ids, ranges
-from quetzalpass.backends import relays
+from quetzalpass.backends import connections, relays
 from quetzalpass.relay import relay_requests
 from quetzalpass.wire import messages
 
@@ -155,6 +155,8 @@
         If it can't be decoded.
     """
     head = decoding.decode_json(data, HandoverHead)
+    if head.status not in connections.FINAL_STATUSES:
+        raise decoding.DecodingError(f"status {head.status} ends no request")
     headers = tuple(
         relays.Header(original_text(each.name), original_text(each.value))
         for each in head.headers
