A leaving server that ends after its connections has cut its unframed stream

Cause: such a stream counts as complete if the server still runs after its end. Beside load, the stand-in of the tests accepted that connection and ended without closing it, which no process can; the second connection, which shows the end, was only tried after a reset.

Now a second connection is tried in any case, and 0.25 s later if the server is known to leave, or isn't listed any more. A server that ends later still than that isn't noticed.

--- a/src/quetzalpass/backends/http_client.py
+++ b/src/quetzalpass/backends/http_client.py
@@ -17,6 +17,8 @@
 # A process that ends closes its connections and its listening socket one after the
 # other, in any order. A connection that it did not accept any more is reset by then.
 PROCESS_EXIT_S = 0.01
+# One that leaves may end later after its connections.
+LEAVING_EXIT_S = 0.25
 
 
 class BodyTooLargeError(ValueError):
@@ -115,28 +117,30 @@
     return True
 
 
-async def still_runs(host: str, port: int, timeout_s: float) -> bool:
+async def still_runs(
+    host: str, port: int, timeout_s: float, exit_s: float = PROCESS_EXIT_S
+) -> bool:
     """Return whether a server runs that has just closed a connection.
 
-    A new connection opens and stays open. A server with too many connections resets it,
-    but opens another one a moment later, which one that ends does not.
+    Its process may end up to ``exit_s`` after its connections.
+
+    A new connection opens, and another one a moment later, also if a server with too
+    many connections resets the first. One that ends does not open the other.
     """
     try:
         async with asyncio.timeout(timeout_s):
             reader, writer = await asyncio.open_connection(host, port)
     except (OSError, TimeoutError):
         return False
-    closes_s = asyncio.get_running_loop().time() + PROCESS_EXIT_S
+    closes_s = asyncio.get_running_loop().time() + exit_s
     try:
         async with asyncio.timeout_at(closes_s):
             await reader.read(1)
-    except TimeoutError:
-        return True
-    except OSError:
+    except (OSError, TimeoutError):
         pass
     finally:
         writer.close()
-    await asyncio.sleep(closes_s - asyncio.get_running_loop().time())
+    await asyncio.sleep(max(0.0, closes_s - asyncio.get_running_loop().time()))
     return await accepts_connection(host, port, timeout_s)
 
 
--- a/src/quetzalpass/backends/relays.py
+++ b/src/quetzalpass/backends/relays.py
@@ -251,11 +251,11 @@
         between may accept it although the path to the server is lost.
         """
 
-    async def still_runs(self, timeout_s: float) -> bool:
+    async def still_runs(self, timeout_s: float, is_leaving: bool = False) -> bool:
         """Return whether the server runs, although it has just closed a connection.
 
         A server that ends may accept connections for a moment after it has closed
-        others, which ``check_health`` need not notice.
+        others, which ``check_health`` need not notice. One that leaves may end later.
         """
         return await self.check_health(timeout_s)
 
--- a/src/quetzalpass/relay/crash_checks.py
+++ b/src/quetzalpass/relay/crash_checks.py
@@ -270,7 +270,9 @@
     ) -> crash_events.CrashCheckOutcome:
         """Find out whether a server that closed a connection runs; log the outcome."""
         excuse = self.outcome_without_probe(server, ENDED_WITH_CONNECTION)
-        outcome = await self.probes.probe_after_end(server)
+        known = self.view.servers.get(server.id)
+        is_leaving = known is None or known.is_leaving
+        outcome = await self.probes.probe_after_end(server, is_leaving)
         if outcome is not crash_events.CrashCheckOutcome.RESPONDS:
             outcome = excuse or outcome
         elif self.is_replaced(server):
--- a/src/quetzalpass/relay/server_probes.py
+++ b/src/quetzalpass/relay/server_probes.py
@@ -77,7 +77,7 @@
         return await asyncio.shield(task)
 
     async def probe_after_end(
-        self, server: discovery.DiscoveredServer
+        self, server: discovery.DiscoveredServer, is_leaving: bool
     ) -> crash_events.CrashCheckOutcome:
         """Return whether a server has crashed that has just closed a connection.
 
@@ -89,7 +89,7 @@
         task = self.running_after_end.get(server.id)
         if task is None:
             relay_server = self.get_relay_server(server)
-            responds = relay_server.still_runs(HEALTH_TIMEOUT_S)
+            responds = relay_server.still_runs(HEALTH_TIMEOUT_S, is_leaving)
             task = self.start_probe(self.running_after_end, server, responds)
         return await asyncio.shield(task)
 
--- a/tests/adapter/test_stopped_replicas.py
+++ b/tests/adapter/test_stopped_replicas.py
@@ -10,6 +10,8 @@
 EVENT_COUNT = 12
 # The process has closed this connection, but still has its listening socket.
 EXIT_S = 0.004
+# One that leaves may take longer, as its last requests end one after the other.
+LATE_EXIT_S = 0.03
 ANSWER_HEAD = [
     "HTTP/1.1 200 OK",
     "X-Response-Signature: sig.s",
@@ -79,7 +81,7 @@
     return await standin.exchange(gateway.port, standin.request_bytes("/once/1"))
 
 
-@pytest.mark.parametrize("exit_s", [0.0, EXIT_S])
+@pytest.mark.parametrize("exit_s", [0.0, EXIT_S, LATE_EXIT_S])
 class TestStoppedReplicas:
     async def test_unframed_stream_is_broken_off(
         self, gateway, platform, replica, exit_s
