An engine that crashed behind a cut and is back is asked when it started

Cause: a stream that ends with its connection counts as complete if its server accepts a connection and the list shows no newer start there. The list is up to a second old, and the server was back half a second before the cut healed.

Now the engine's report, which says when it was `born`, is read before such a stream is declared complete.

--- a/src/quetzalpass/backends/relays.py
+++ b/src/quetzalpass/backends/relays.py
@@ -259,6 +259,16 @@
         """
         return await self.check_health(timeout_s)
 
+    async def started_ms(self, timeout_s: float) -> int | None:
+        """Return when the process at the server's address was started.
+
+        Returns
+        -------
+        int or None
+            Unix time in milliseconds; ``None`` if the server does not say.
+        """
+        return None
+
     @abc.abstractmethod
     async def drop_copy(self, copy_id: str, timeout_s: float) -> None:
         """Delete a copy that will not be used."""
--- a/src/quetzalpass/relay/crash_checks.py
+++ b/src/quetzalpass/relay/crash_checks.py
@@ -275,7 +275,7 @@
         outcome = await self.probes.probe_after_end(server, is_leaving)
         if outcome is not crash_events.CrashCheckOutcome.RESPONDS:
             outcome = excuse or outcome
-        elif self.is_replaced(server):
+        elif self.is_replaced(server) or await self.has_started_again(server):
             outcome = crash_events.CrashCheckOutcome.RESTARTED
         cause = "the response ended with its connection"
         self.record_outcome(server, outcome, cause, routed)
@@ -291,6 +291,16 @@
         newest_ms = self.lost.newest_starts().get(server.address, 0)
         return newest_ms > server.started_ms
 
+    async def has_started_again(self, server: discovery.DiscoveredServer) -> bool:
+        """Return whether a server says that it has started anew.
+
+        One that crashed behind a cut may be back before the list shows it.
+        """
+        if server.started_ms is None:
+            return False
+        started_ms = await self.probes.started_ms(server)
+        return started_ms is not None and started_ms > server.started_ms
+
     def apply_outcome(
         self,
         routed: relay_requests.RoutedRequest,
--- a/src/quetzalpass/relay/server_probes.py
+++ b/src/quetzalpass/relay/server_probes.py
@@ -93,6 +93,10 @@
             task = self.start_probe(self.running_after_end, server, responds)
         return await asyncio.shield(task)
 
+    async def started_ms(self, server: discovery.DiscoveredServer) -> int | None:
+        """Return when the process that runs in a server's place was started."""
+        return await self.get_relay_server(server).started_ms(HEALTH_TIMEOUT_S)
+
     def start_probe(
         self,
         running: dict[ids.ServerId, asyncio.Task[crash_events.CrashCheckOutcome]],
--- a/tests/adapter/test_stopped_replicas.py
+++ b/tests/adapter/test_stopped_replicas.py
@@ -119,3 +119,46 @@
         received = await receive_call(gateway, platform, replica)
         assert received.status == 200
         assert received.body == replica.body
+
+
+class RestartedReplica(LeavingReplica):
+    """Ends its stream by a crash, and is back before the list shows it."""
+
+    def __init__(self, born_ms):
+        super().__init__()
+        self.stops = False
+        self.born_ms = born_ms
+
+    async def respond_unframed(self, request, writer):
+        if "/v1/report" in request.first_line:
+            body = b'{"state":"ready","born":%d}' % self.born_ms
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+            writer.write(head.encode() + body)
+            return
+        await super().respond_unframed(request, writer)
+
+
+class TestRestartedReplicas:
+    LISTED_MS = 1_700_000_000_000
+
+    @pytest.mark.parametrize("later_ms", [0, 3_000])
+    async def test_a_stream_cut_by_a_crash_is_broken_off(
+        self, gateway, platform, later_ms
+    ):
+        """The replica of review/7 was back behind a cut, and passed for the old one."""
+        replica = RestartedReplica(self.LISTED_MS + later_ms)
+        await replica.start()
+        platform.add(
+            replica, "i-1", "model", stage="unified", slots=24, born=self.LISTED_MS
+        )
+        await gateway.until_listed(1)
+        reader, writer = await asyncio.open_connection(standin.HOST, gateway.port)
+        writer.write(standin.request_bytes("/drafts/1", streams.GENERATION_HEADERS))
+        async with asyncio.timeout(5):
+            received = await streams.read_response(reader)
+        writer.close()
+        replica.stop()
+        for each in replica.writers:
+            each.transport.abort()
+        assert received.is_whole(replica.body) is (later_ms == 0)
+        assert received.is_broken_off_after(replica.body) is (later_ms > 0)
