--- a/src/quetzalpass/daemon/operators.py
+++ b/src/quetzalpass/daemon/operators.py
@@ -8,20 +8,17 @@
 from returns import result
 
 from quetzalpass import decoding, ids
-from quetzalpass.backends import held_bytes
 from quetzalpass.control import declared_state, messages
 from quetzalpass.daemon import groups, keys
 from quetzalpass.declarations import checks, schema
 from quetzalpass.documents import problems
-from quetzalpass.inbound import bodies, rules
+from quetzalpass.inbound import bodies
 from quetzalpass.results import codes, failures
 
 if TYPE_CHECKING:
     from quetzalpass.daemon import process
 
 MAX_BODY_BYTES = 64_000_000
-# Longest time without a part of a body.
-BODY_IDLE_S = 5.0
 STATUS_TIMEOUT_S = 2.0
 MAX_LISTED_PROBLEMS = 20
 
@@ -52,14 +49,9 @@
     async def handle_apply(self, request: web.Request) -> web.Response:
         """Replace the declaration, completely or not at all."""
         try:
-            held_body = await bodies.read_body(
-                request,
-                MAX_BODY_BYTES,
-                budget=held_bytes.DECLARATIONS,
-                idle_s=BODY_IDLE_S,
-            )
-        except (held_bytes.NoRoomError, bodies.BodyLateError):
-            return error_response(rules.no_room_failure())
+            held_body = await bodies.read_declaration(request, MAX_BODY_BYTES)
+        except failures.FailureError as error:
+            return error_response(error.failure)
         try:
             change = decoding.decode_json(held_body.data, messages.ApplyRequest)
         except decoding.DecodingError as error:
--- a/src/quetzalpass/inbound/bodies.py
+++ b/src/quetzalpass/inbound/bodies.py
@@ -5,6 +5,11 @@
 from aiohttp import web
 
 from quetzalpass.backends import held_bytes
+from quetzalpass.inbound import rules
+from quetzalpass.results import failures
+
+# Longest time without a part of an operator's declaration.
+DECLARATION_IDLE_S = 5.0
 
 
 class BodyLateError(TimeoutError):
@@ -68,6 +73,27 @@
         holding.stop_arriving()
 
 
+async def read_declaration(
+    request: web.BaseRequest, max_bytes: int
+) -> held_bytes.HeldBody:
+    """Return the body of an operator's request.
+
+    Raises
+    ------
+    failures.FailureError
+        If there is no room for it beside others, or if it is late.
+    """
+    try:
+        return await read_body(
+            request,
+            max_bytes,
+            budget=held_bytes.DECLARATIONS,
+            idle_s=DECLARATION_IDLE_S,
+        )
+    except (held_bytes.NoRoomError, BodyLateError) as error:
+        raise failures.FailureError(rules.no_room_failure()) from error
+
+
 def next_deadline_s(idle_s: float | None, deadline_s: float | None) -> float | None:
     """Return the loop time by which the next part of a body must arrive."""
     if idle_s is None:
