--- a/review/rig3/lab.py
+++ b/review/rig3/lab.py
@@ -52,6 +52,7 @@
         (self.folder / "data").mkdir(parents=True)
         self.process = None
         self.starts = 0
+        self.is_bound = False
 
     def settings(self, is_first):
         """Return the settings file's content."""
@@ -99,10 +100,13 @@
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         environment["PYTHONDONTWRITEBYTECODE"] = "1"
         environment["QUETZALPASS_NODE_FILE"] = str(path)
+        program = ["platform/run.py", self.role]
+        if self.is_bound:
+            # Its connections come from its own address, so that a proxy can cut it off.
+            program = ["tests/soak/run_bound.py", self.ip, self.role, str(ROOT)]
         self.process = await asyncio.create_subprocess_exec(
             "python3",
-            "platform/run.py",
-            self.role,
+            *program,
             cwd=ROOT,
             env=environment,
             stdout=log,
@@ -208,6 +212,15 @@
         for line in pathlib.Path(path).read_text().splitlines():
             self.record.write(f"run: {line}")
 
+    async def set_engine(self, address, **values):
+        """Set what an engine does from now on."""
+        body = json.dumps(values).encode()
+        headers = [("Host", address), ("Content-Length", len(body))]
+        data = http1.encode("POST /standin/set HTTP/1.1", headers, body)
+        if not isinstance(await http1.call(address, data, 2.0), http1.Message):
+            raise CannotRunError(f"the engine at {address} does not respond")
+        self.record.write(f"engine at {address}: {values}")
+
     # Start and end.
 
     async def start(self, state):
@@ -368,6 +381,58 @@
     }
 
 
+def engine_service(name):
+    """Return a service of model engines, as on the users' pages."""
+    engine = {
+        "slots": 24,
+        "kv_capacity_tokens": 34304,
+        "kv_token_bytes": 35136,
+        "link_mbps": 5100.0,
+        "migrations": True,
+        "backups": True,
+        "stride": 4,
+        "most": 12,
+        "pin_ms": 4000.0,
+        "hold_ms": 2000.0,
+        "handle_s": 5.0,
+        "models": [{"name": "m"}],
+    }
+    return {**plain_service(name), "engine": engine}
+
+
+def engine_entry(name, service, address, **more):
+    """Return an entry of an engine."""
+    models = [{"name": "m", "version": 1, "adapters": []}]
+    options = {"slots": 24, "stage": "unified", "models": models, **more}
+    return entry(name, service, address, **options)
+
+
+def streaming_route(name, prefix, service):
+    """Return the route of long generations."""
+    return route(
+        name,
+        prefix,
+        service,
+        "streaming",
+        timeout_ms=39_000,
+        goal_ms=1800,
+        priority=0,
+        sticky=True,
+        resumable=False,
+        gap_target_ms=180,
+    )
+
+
+def generation_bytes(target, request_id, prompt_tokens, output_tokens):
+    """Return the bytes of a consumer's request for a generation."""
+    more = [
+        ("X-Model", "m"),
+        ("X-Token-Usage", f"{prompt_tokens},{output_tokens}"),
+        ("X-Prompt-Prefix", f"5c1e07a2:79,{request_id.encode().hex()}:{prompt_tokens - 79}"),
+    ]
+    return request_bytes(target, request_id, more=more, deadline_ms=39_000)
+
+
 def plain_service(name):
     """Return a service without engines."""
     return {
