--- a/review/rig3/lab.py
+++ b/review/rig3/lab.py
@@ -448,7 +448,7 @@
     """Run a case, a coroutine function that returns whether the rule was broken."""
     folder = pathlib.Path(sys.argv[0]).resolve().parent
     try:
-        is_broken = asyncio.run(asyncio.wait_for(case(folder), 110.0))
+        is_broken = asyncio.run(asyncio.wait_for(case(folder), 115.0))
     except (CannotRunError, TimeoutError, OSError) as error:
         print(f"could not run: {error!r}")
         sys.exit(2)
