--- a/review/13/case.py
+++ b/review/13/case.py
@@ -84,9 +84,9 @@
     )
 
 
-async def case(folder):
+async def case(record):
     """Return whether two engines worked on one request for too long."""
-    rig = lab.Lab(folder, gateways=1)
+    rig = lab.Lab(record, gateways=1)
     gateway = rig.gateways[0]
     work = str(rig.folder / "work")
     addresses = {f"i-{n}": rig.server_address(n) for n in range(1, ENGINES + 1)}
--- a/review/rig3/lab.py
+++ b/review/rig3/lab.py
@@ -30,8 +30,8 @@
 class Record:
     """Writes what was sent, answered and run, with the time since the start."""
 
-    def __init__(self, folder):
-        self.file = (pathlib.Path(folder) / "record.txt").open("w")
+    def __init__(self, path):
+        self.file = pathlib.Path(path).open("w")
         self.started_s = time.monotonic()
 
     def write(self, text):
@@ -139,8 +139,8 @@
         The platform's list of replicas.
     """
 
-    def __init__(self, folder, gateways=2, controls=3, zones=("flx-a", "flx-b", "flx-c")):
-        self.record = Record(folder)
+    def __init__(self, record, gateways=2, controls=3, zones=("flx-a", "flx-b", "flx-c")):
+        self.record = Record(record)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="rig3-"))
         self.net = self.choose_network()
         self.zones = zones
@@ -445,10 +445,13 @@
 
 
 def run(case):
-    """Run a case, a coroutine function that returns whether the rule was broken."""
-    folder = pathlib.Path(sys.argv[0]).resolve().parent
+    """Run a case, a coroutine function that returns whether the rule was broken.
+
+    It gets the path of its record, which is the first argument.
+    """
+    record = pathlib.Path(sys.argv[0]).resolve().parent / sys.argv[1]
     try:
-        is_broken = asyncio.run(asyncio.wait_for(case(folder), 115.0))
+        is_broken = asyncio.run(asyncio.wait_for(case(record), 115.0))
     except (CannotRunError, TimeoutError, OSError) as error:
         print(f"could not run: {error!r}")
         sys.exit(2)
