--- a/review/rig3/lab.py
+++ b/review/rig3/lab.py
@@ -19,6 +19,7 @@
 KEY = "key-1"
 PORTS = {"front": 18740, "ready": 18749, "control": 18748, "inner": 17200}
 LIST_PORT = 18742
+REPLICA_PORT = 8048
 METRICS_PORT = 9109
 IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
 
@@ -170,17 +171,24 @@
         """Return the first two numbers of loopback addresses that are free."""
         for _ in range(50):
             net = f"127.{random.randint(20, 250)}"
-            self.claim = socket.socket()
+            self.claims = []
             try:
-                self.claim.bind((f"{net}.9.9", LIST_PORT))
+                for port in (*PORTS.values(), LIST_PORT, REPLICA_PORT, METRICS_PORT):
+                    self.claims.append(socket.socket())
+                    self.claims[-1].bind((f"{net}.9.9", port))
                 return net
             except OSError:
-                self.claim.close()
-        raise CannotRunError("no loopback network is free")
+                self.end_claims()
+        raise CannotRunError("no loopback network has all ports free")
+
+    def end_claims(self):
+        """Give the network back."""
+        for each in self.claims:
+            each.close()
 
     def server_address(self, number):
         """Return an address for a replica."""
-        return f"{self.net}.5.{number}:8048"
+        return f"{self.net}.5.{number}:{REPLICA_PORT}"
 
     # The platform's list.
 
@@ -277,7 +285,7 @@
                 await process.wait()
         if self.list_server is not None:
             self.list_server.close()
-        self.claim.close()
+        self.end_claims()
         if os.environ.get("RIG_KEEP"):
             print(self.folder)
         else:
