--- a/src/quetzalpass/relay/crash_checks.py
+++ b/src/quetzalpass/relay/crash_checks.py
@@ -182,6 +182,10 @@
             LOG.info("relay: {} responds again and has not crashed.", server.id)
             self.suspects.withdraw(server.start_key)
 
+    def has_crashed(self, server: discovery.DiscoveredServer) -> bool:
+        """Return whether this start of a server is known to have crashed."""
+        return self.probes.has_crashed(server)
+
     def start_check(
         self,
         routed: relay_requests.RoutedRequest,
--- a/src/quetzalpass/relay/generation_moves.py
+++ b/src/quetzalpass/relay/generation_moves.py
@@ -7,6 +7,8 @@
 """
 
 import asyncio
+import enum
+import functools
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -32,6 +34,18 @@
 NOT_STARTED = frozenset({base.AttemptEnd.NOT_SENT, base.AttemptEnd.REFUSED})
 
 
+class FirstBatch(enum.Enum):
+    """What the first bytes of a segment on the next server show.
+
+    ``ENDED`` means that the server has ended its response without an event, and
+    ``LOST`` that the response broke off, so that the run may go on.
+    """
+
+    USABLE = "usable"
+    ENDED = "ended"
+    LOST = "lost"
+
+
 class MemoryCopy(msgspec.Struct, frozen=True):
     """Location of a copy of a generation's memory.
 
@@ -131,17 +145,23 @@
             return await self.resume_at_source(opened.failure())
         if isinstance(opened, result.Failure):
             self.segment.reservation.set_backup(None)
-            return await self.resume_at_source(opened.failure())
+            if opened.failure().end in NOT_STARTED:
+                return await self.resume_at_source(opened.failure())
+            return await self.resume_beside_lost_run(copy.server)
         next_segment = opened.unwrap()
         overlap_s = MAX_OVERLAP_S
         if self.segment.stop is None:
             overlap_s -= stream.now_s() - started_s
         try:
-            is_usable = await read_first_batch(next_segment, overlap_s)
+            first_batch = await read_first_batch(next_segment, overlap_s)
         except BaseException:
-            stream.end_segment(next_segment)
+            self.end_unused(next_segment, copy)
             raise
-        if not is_usable:
+        if first_batch is FirstBatch.LOST:
+            self.segment.reservation.set_backup(None)
+            self.end_unused(next_segment, copy)
+            return await self.resume_beside_lost_run(copy.server)
+        if first_batch is FirstBatch.ENDED:
             # The next server might send nothing either, after the run had been stopped.
             self.segment.may_move = False
             stream.end_segment(next_segment)
@@ -166,17 +186,95 @@
                 run_stops.RunStop(stream, self.segment, copy.server)
             return await asyncio.shield(opening)
         except asyncio.CancelledError:
-            opening.add_done_callback(self.end_opened)
+            opening.add_done_callback(functools.partial(self.end_opened, copy))
             opening.cancel()
             raise
 
-    def end_opened(self, opening: asyncio.Task) -> None:
+    def end_opened(self, copy: MemoryCopy, opening: asyncio.Task) -> None:
         """End a segment that was opened although nobody waits for it any more."""
         if opening.cancelled() or opening.exception() is not None:
             return
         opened = opening.result()
         if isinstance(opened, result.Success):
-            self.stream.end_segment(opened.unwrap())
+            self.end_unused(opened.unwrap(), copy)
+
+    def end_unused(
+        self, next_segment: stream_segments.StreamSegment, copy: MemoryCopy
+    ) -> None:
+        """End a segment on another server from which the generation doesn't go on."""
+        self.stream.end_lost_run(next_segment.reservation, copy)
+        self.stream.end_segment(next_segment)
+
+    async def resume_beside_lost_run(self, other: discovery.DiscoveredServer) -> bool:
+        """Resume on a third server, as another one may have begun and was left.
+
+        The run must end soon after the other server may have begun, so its memory is
+        copied only once it has stopped.
+
+        Parameters
+        ----------
+        other : discovery.DiscoveredServer
+            Server that was left; it is ordered to stop.
+
+        Returns
+        -------
+        bool
+            Whether the generation has resumed, or has ended.
+        """
+        crash_checks = self.stream.gateway.crash_checks
+        await crash_checks.wait_for_check(other.id)
+        if self.segment.stop is None:
+            if crash_checks.has_crashed(other):
+                return False
+            if not await self.stream.endings.has_run(other):
+                return False
+            if not await self.stop_for_third_server(other):
+                return False
+        stop = self.segment.stop
+        await asyncio.wait({stop.task})
+        if stop.copy is None:
+            self.segment.may_move = stop.state is run_stops.StopState.REFUSED
+            return stop.state is run_stops.StopState.NO_RUN
+        self.stream.reported_events = max(
+            self.stream.reported_events, stop.copy.event_count
+        )
+        if not stop.copy.is_at_destination:
+            return await self.resume_at_source(None)
+        source = self.segment.reservation.server
+        copy = MemoryCopy(stop.successor, source, stop.copy.copy_id)
+        self.stream.unused_copy = copy
+        reservation = self.stream.gateway.reservations.reserve_on(
+            stop.successor, self.stream.need
+        )
+        return await self.open_copy(reservation, copy, is_admitted=False)
+
+    async def stop_for_third_server(self, other: discovery.DiscoveredServer) -> bool:
+        """Order the run to stop and to copy its memory to an engine with capacity.
+
+        Without such an engine, the memory goes to the server that was left.
+
+        Returns
+        -------
+        bool
+            Whether the order was sent.
+        """
+        stream = self.stream
+        if not run_stops.can_stop(stream) or self.is_refused():
+            return False
+        if not stream.try_withdraw_resume():
+            return False
+        source = self.segment.reservation.server
+        target = await stream.gateway.reservations.reserve_move_target(
+            stream.routed, stream.need, source
+        )
+        successor = other
+        if target is not None:
+            successor = target.server
+            target.release()
+        detail = f"resumes on {successor.id}, {other.id} may have begun"
+        self.log_decision("stop", source, detail)
+        run_stops.RunStop(stream, self.segment, successor)
+        return True
 
     async def resume_from_move(self, copy: MemoryCopy) -> bool:
         """Stop the run, and resume from the copy of its memory.
@@ -243,11 +341,15 @@
         return self.stream.unused_copy
 
     async def open_copy(
-        self, reservation: server_reservation.Reservation, copy: MemoryCopy
+        self,
+        reservation: server_reservation.Reservation,
+        copy: MemoryCopy,
+        *,
+        is_admitted: bool = True,
     ) -> bool:
         """Resume from the copy of a stopped run, or at the first server."""
         stream = self.stream
-        opened = await stream.open_segment(reservation, copy, is_admitted=True)
+        opened = await stream.open_segment(reservation, copy, is_admitted=is_admitted)
         if isinstance(opened, result.Failure):
             return await self.resume_at_source(opened.failure())
         stream.unused_copy = None
@@ -260,6 +362,9 @@
             return False
         self.stream.next_segment = next_segment
         self.segment.server_response.close()
+        run_stops.confirm_end(
+            self.stream, self.segment, next_segment.reservation.server
+        )
         return True
 
     async def resume_at_source(self, failure: base.AttemptFailure | None) -> bool:
@@ -359,7 +464,7 @@
 
 async def read_first_batch(
     segment: stream_segments.StreamSegment, wait_s: float
-) -> bool:
+) -> FirstBatch:
     """Wait for a segment's first bytes, while the previous server still sends events.
 
     The wait is bounded, because a generation must not run on two servers for long.
@@ -373,17 +478,19 @@
 
     Returns
     -------
-    bool
+    FirstBatch
         Whether the stream can continue from this segment.
     """
     if segment.server_response.head.status != STATUS_OK:
-        return False
+        return FirstBatch.ENDED
     try:
         async with asyncio.timeout(wait_s):
             received = await segment.next_batch(has_begun=True)
     except TimeoutError:
-        return True
-    if isinstance(received, result.Failure) or received.unwrap().is_last:
-        return False
+        return FirstBatch.USABLE
+    if isinstance(received, result.Failure):
+        return FirstBatch.ENDED if segment.has_ended else FirstBatch.LOST
+    if received.unwrap().is_last:
+        return FirstBatch.ENDED
     segment.read_ahead = received.unwrap()
-    return True
+    return FirstBatch.USABLE
--- a/src/quetzalpass/relay/relayed_streams.py
+++ b/src/quetzalpass/relay/relayed_streams.py
@@ -21,6 +21,7 @@
     relay_gateway,
     relay_requests,
     response_statuses,
+    run_endings,
     server_reservation,
     stream_failures,
     stream_resumes,
@@ -68,6 +69,8 @@
         Bytes that the last server sent after its last whole event.
     reported_events : int
         Events that the generation had produced when its memory was last copied.
+    endings : run_endings.RunEndings
+        Runs that were left and may still go on.
     """
 
     def __init__(
@@ -94,6 +97,7 @@
         self.may_have_run = False
         self.bytes_after_events = 0
         self.reported_events = 0
+        self.endings = run_endings.RunEndings(self)
 
     @property
     def request_id(self) -> ids.RequestId:
@@ -196,6 +200,14 @@
             denied = await self.find_rate_limit(reservation)
             if denied is not None:
                 return result.Failure(denied)
+        if not await self.settle_earlier_runs(reservation):
+            return result.Failure(
+                base.AttemptFailure(
+                    base.AttemptEnd.NOT_SENT,
+                    base.FailureKind.SILENT,
+                    "an earlier run may still go on at the server",
+                )
+            )
         try:
             self.raise_if_refused()
         except stream_failures.StreamFailedError:
@@ -222,6 +234,7 @@
             )
         except BaseException:
             self.gateway.crash_checks.on_request_left(self.routed, server)
+            self.end_lost_run(reservation, copy)
             reservation.release()
             raise
         if isinstance(sent, result.Success):
@@ -235,10 +248,53 @@
         failure = sent.failure()
         is_not_run = failure.end in (base.AttemptEnd.NOT_SENT, base.AttemptEnd.REFUSED)
         self.may_have_run = had_run or not is_not_run
+        if not is_not_run:
+            self.end_lost_run(reservation, copy)
         reservation.release()
         self.on_broken(server, failure)
         return sent
 
+    async def settle_earlier_runs(
+        self, reservation: server_reservation.Reservation
+    ) -> bool:
+        """Wait for a short time until the runs that were left have ended.
+
+        Returns
+        -------
+        bool
+            Whether the request may be sent to the reserved server. Otherwise the
+            reservation is released.
+        """
+        is_settled = False
+        try:
+            is_settled = await self.endings.settle(reservation.server)
+        finally:
+            if not is_settled:
+                reservation.release()
+        return is_settled
+
+    def end_lost_run(
+        self,
+        reservation: server_reservation.Reservation,
+        copy: generation_moves.MemoryCopy | None,
+    ) -> None:
+        """Stop the run of a request whose response was lost or is not awaited.
+
+        A generation that has not begun on any server before does not go on elsewhere,
+        so the close of the connection is enough.
+        """
+        if copy is None:
+            return
+        # Any other server does: what an order copies there is deleted.
+        others = [reservation.backup, copy.holder]
+        if self.segment is not None:
+            others.append(self.segment.reservation.server)
+        server = reservation.server
+        for other in others:
+            if other is not None and other.id != server.id:
+                self.endings.start(server, other)
+                return
+
     async def find_rate_limit(
         self, reservation: server_reservation.Reservation
     ) -> base.AttemptFailure | None:
--- a/src/quetzalpass/relay/run_stops.py
+++ b/src/quetzalpass/relay/run_stops.py
@@ -160,6 +160,10 @@
             return True
         return self.state in MAY_HAVE_STOPPED
 
+    def is_confirmed(self) -> bool:
+        """Return whether a response has shown that the run has ended."""
+        return self.state in (StopState.STOPPED, StopState.NO_RUN)
+
     def discard_copy(self) -> None:
         """Delete the copy, now or when the response names it."""
         self.is_copy_unused = True
@@ -190,6 +194,7 @@
     segment.server_response.close()
     if segment.stop is not None:
         segment.stop.discard_copy()
+        confirm_end(stream, segment, successor)
     elif can_stop(stream):
         stream.gateway.spawn(stop_after_close(stream, segment, successor))
 
@@ -202,6 +207,31 @@
     """Stop the run of a segment unless the close of its connection has ended it."""
     await asyncio.sleep(CLOSE_GRACE_S)
     RunStop(stream, segment, successor).discard_copy()
+    confirm_end(stream, segment, successor)
+
+
+def confirm_end(
+    stream: "relayed_streams.RelayedStream",
+    segment: "stream_segments.StreamSegment",
+    successor: discovery.DiscoveredServer,
+) -> None:
+    """Repeat the order to stop a run that was left, unless a response confirms it."""
+    if segment.stop is None or segment.stop.is_confirmed():
+        return
+    stream.gateway.spawn(repeat_unconfirmed(stream, segment, successor))
+
+
+async def repeat_unconfirmed(
+    stream: "relayed_streams.RelayedStream",
+    segment: "stream_segments.StreamSegment",
+    successor: discovery.DiscoveredServer,
+) -> None:
+    """Order a run to stop until a response shows that it has ended."""
+    stop = segment.stop
+    await stop.wait_for_response()
+    server = segment.reservation.server
+    if not stop.is_confirmed() and server.id != successor.id:
+        stream.endings.start(server, successor)
 
 
 async def stop_before_resume(
@@ -222,6 +252,7 @@
         await stop.wait_for_response()
     if stop is None:
         return copy
+    confirm_end(stream, segment, copy.server)
     if copy.holder.id != segment.reservation.server.id:
         stop.discard_copy()
         return copy
--- a/src/quetzalpass/relay/stream_segments.py
+++ b/src/quetzalpass/relay/stream_segments.py
@@ -59,6 +59,8 @@
         Whole events that have been received.
     read_ahead : EventBatch or None
         Events that were read before this became the current segment.
+    has_ended : bool
+        Whether the body of the response has ended, complete or not.
     broken : asyncio.Event
         Set once its stream has ended without being complete.
     may_move : bool
@@ -80,6 +82,7 @@
         self.holding = held_bytes.RESPONSES.open(server_response.close)
         self.event_count = 0
         self.read_ahead: EventBatch | None = None
+        self.has_ended = False
         self.broken = asyncio.Event()
         self.may_move = True
         self.stop: run_stops.RunStop | None = None
@@ -156,6 +159,7 @@
         crashes closes its connections, which ends a body without a length, and it may
         end a chunked body inside an event.
         """
+        self.has_ended = True
         body_end = self.server_response.head.body_end
         if self.splitter.is_inside_event():
             rest_bytes = len(self.splitter.rest)
