wire: a listener accepts at most 16 connections in a turn of the event loop

What callers saw: nothing yet.

Cause: asyncio accepts up to the backlog (1,024) of connections in one turn, and those above the limit of the listener are closed some turns later. A short pause fills the queue.

Why it works: sites are opened with 16 accepts a turn, then their sockets listen again with the queue of 1,024 that they had, so no connection is dropped that was not before.

--- a/src/quetzalpass/daemon/listeners.py
+++ b/src/quetzalpass/daemon/listeners.py
@@ -13,7 +13,6 @@
 
 LOG = logbook.Logger("daemon")
 
-BACKLOG = 1024
 CERTIFICATE_CHECK_S = 5.0
 
 
@@ -154,12 +153,8 @@
             context = self.reloader.context
             self.reload_task = background.start("certificates", self.reloader.run)
         await server.open_site(
-            lambda: web.TCPSite(
-                self.runner,
-                self.listener.host,
-                self.listener.port,
-                ssl_context=context,
-                backlog=BACKLOG,
+            lambda: server.make_site(
+                self.runner, self.listener.host, self.listener.port, context
             )
         )
         self.bound_port = self.runner.addresses[0][1]
--- a/src/quetzalpass/wire/server.py
+++ b/src/quetzalpass/wire/server.py
@@ -4,6 +4,7 @@
 import errno
 import hmac
 import socket
+import ssl
 from collections.abc import Callable
 
 import logbook
@@ -26,6 +27,10 @@
 BIND_TIMEOUT_S = 3.0
 BIND_RETRY_S = 0.1
 RECEIVE_BUFFER_BYTES = 32_768
+# Connections that a listener accepts before it closes those above its limit.
+ACCEPTS_PER_TURN = 16
+# Connections that the kernel queues until they are accepted.
+QUEUED_CONNECTIONS = 1024
 PASSING_ERRORS = frozenset(
     {
         errno.EADDRINUSE,
@@ -44,17 +49,33 @@
     """Set up a runner and start listening at ``host:port``; see :func:`open_site`."""
     await runner.setup()
     host, _, port = address.rpartition(":")
-    await open_site(lambda: web.TCPSite(runner, host, int(port)), timeout_s)
+    await open_site(lambda: make_site(runner, host, int(port)), timeout_s)
+
+
+def make_site(
+    runner: web.BaseRunner,
+    host: str,
+    port: int,
+    ssl_context: ssl.SSLContext | None = None,
+) -> web.TCPSite:
+    """Return a site that accepts a few connections in each turn of the event loop.
+
+    asyncio accepts as many connections in one turn as the site's backlog. Those above
+    the limit of a listener are closed only in a later turn.
+    """
+    return web.TCPSite(
+        runner, host, port, ssl_context=ssl_context, backlog=ACCEPTS_PER_TURN
+    )
 
 
 async def open_site(
-    make_site: Callable[[], web.TCPSite], timeout_s: float = BIND_TIMEOUT_S
+    make: Callable[[], web.TCPSite], timeout_s: float = BIND_TIMEOUT_S
 ) -> None:
     """Start listening, as soon as the address is free and there are descriptors.
 
     Parameters
     ----------
-    make_site : callable
+    make : callable
         Makes the site for each attempt.
     timeout_s : float
         Maximum wait for the address, in seconds.
@@ -68,9 +89,10 @@
     deadline_s = loop.time() + timeout_s
     failure_log = background.FailureLog()
     while True:
-        site = make_site()
+        site = make()
         try:
             await site.start()
+            queue_connections(site)
             return limit_receive_buffers(site)
         except OSError as error:
             await site.stop()
@@ -81,6 +103,13 @@
         await asyncio.sleep(BIND_RETRY_S)
 
 
+def queue_connections(site: web.TCPSite) -> None:
+    """Let the kernel queue more connections than are accepted in one turn."""
+    for listening in site._server.sockets:
+        with listening.dup() as same_socket:
+            same_socket.listen(QUEUED_CONNECTIONS)
+
+
 def limit_receive_buffers(site: web.TCPSite) -> None:
     """Limit what the kernel keeps for each connection until this process reads it.
 
--- a/tests/wire/test_listening.py
+++ b/tests/wire/test_listening.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import pathlib
 import socket
 
 import logbook
@@ -125,3 +126,49 @@
         reports = [each for each in handler.records if "accept" in each.message]
         assert 1 <= len(reports) <= background.LINES_PER_MINUTE
         assert "accept" not in capfd.readouterr().err
+
+
+def open_sockets():
+    return len(list(pathlib.Path("/proc/self/fd").iterdir()))
+
+
+class TestAcceptedConnections:
+    """A crowd that a pause has queued is accepted a few connections at a time.
+
+    A control node that stood still for 0.1 s accepted all of a queue in one turn and
+    closed those above its limit only later: 512 descriptors of 400.
+    """
+
+    CROWD = 300
+
+    async def start(self, is_daemon):
+        (port,) = local_ports.free_ports(1)
+        runner = new_runner()
+        if is_daemon:
+            opened = listeners.HttpListener(runner, schema.Listener("127.0.0.1", port))
+            await opened.start()
+        else:
+            await server.listen(runner, f"127.0.0.1:{port}")
+        return port, runner
+
+    def press(self, port):
+        """Open connections without a turn of the event loop."""
+        return [
+            socket.create_connection(("127.0.0.1", port), timeout=1.0)
+            for _ in range(self.CROWD)
+        ]
+
+    @pytest.mark.parametrize("is_daemon", [False, True])
+    async def test_no_turn_accepts_a_whole_queue(self, is_daemon):
+        port, runner = await self.start(is_daemon)
+        crowd = self.press(port)
+        growth = []
+        count = open_sockets()
+        while len(runner.server.connections) < self.CROWD:
+            await asyncio.sleep(0)
+            growth.append(open_sockets() - count)
+            count += growth[-1]
+        assert max(growth) <= server.ACCEPTS_PER_TURN
+        for each in crowd:
+            each.close()
+        await server.close(runner, 0.0, 0.0)
