--- a/src/quetzalpass/declarations/relay_checks.py
+++ b/src/quetzalpass/declarations/relay_checks.py
@@ -13,7 +13,8 @@
         route = entry.value
         yield from check_path(entry, route)
         yield from check_shares(document, entry, route)
-        host_and_prefix = (route.host, route.path_prefix)
+        # Requests are routed without regard to the case of their host.
+        host_and_prefix = (route.host.lower(), route.path_prefix)
         if host_and_prefix in seen:
             other = seen[host_and_prefix].value.name
             message = f"'{other}' already has the same host and path prefix"
--- a/tests/declarations/test_relay_checks.py
+++ b/tests/declarations/test_relay_checks.py
@@ -39,6 +39,16 @@
             "same host and path prefix" in text for text in error_texts(declaration)
         )
 
+    def test_two_routes_whose_hosts_differ_in_case_only_are_rejected(self):
+        """The second one would silently replace the first (review/15)."""
+        declaration = relay_builders.declaration(
+            relay_builders.route(name="a", host="desk.example"),
+            relay_builders.route(name="b", host="DESK.example"),
+        )
+        assert any(
+            "same host and path prefix" in text for text in error_texts(declaration)
+        )
+
     def test_a_key_of_two_organisations_is_rejected(self):
         digest = "b" * 64
         declaration = schema.Declaration(
