--- a/src/quetzalpass/relay/crash_checks.py
+++ b/src/quetzalpass/relay/crash_checks.py
@@ -16,7 +16,13 @@
 from quetzalpass import event_log, ids
 from quetzalpass.backends import base, discovery
 from quetzalpass.metrics import exposition
-from quetzalpass.relay import crash_events, lost_requests, relay_requests, server_probes
+from quetzalpass.relay import (
+    crash_events,
+    loop_pauses,
+    lost_requests,
+    relay_requests,
+    server_probes,
+)
 
 LOG = logbook.Logger("relay")
 
@@ -77,6 +83,8 @@
         Called with the service of a server that is silent.
     tasks : background.BackgroundTasks
         Running checks.
+    pauses : loop_pauses.LoopPauses
+        When this process last stood still.
     """
 
     def __init__(
@@ -92,6 +100,7 @@
         self.metrics = metrics
         self.probed_s: dict[ids.ServerId, float] = {}
         self.pending: set[PendingCheck] = set()
+        self.pauses = loop_pauses.LoopPauses()
         self.sent_to: dict[ids.ServerId, discovery.DiscoveredServer] = {}
         self.lost = lost_requests.LostRequests(self.view)
         self.silence_observers: list[Callable[[ids.ServiceName], None]] = []
@@ -279,8 +288,10 @@
         outcome = await self.probes.probe_after_end(server, is_leaving)
         if outcome is not crash_events.CrashCheckOutcome.RESPONDS:
             outcome = excuse or outcome
-        elif self.is_replaced(server) or await self.has_started_again(server):
+        elif self.is_replaced(server):
             outcome = crash_events.CrashCheckOutcome.RESTARTED
+        else:
+            outcome = await self.outcome_of_start(routed, server)
         cause = "the response ended with its connection"
         self.record_outcome(server, outcome, cause, routed)
         return outcome
@@ -295,15 +306,28 @@
         newest_ms = self.lost.newest_starts().get(server.address, 0)
         return newest_ms > server.started_ms
 
-    async def has_started_again(self, server: discovery.DiscoveredServer) -> bool:
-        """Return whether a server says that it has started anew.
+    async def outcome_of_start(
+        self,
+        routed: relay_requests.RoutedRequest,
+        server: discovery.DiscoveredServer,
+    ) -> crash_events.CrashCheckOutcome:
+        """Find out whether the server that accepts connections is still the same start.
 
-        One that crashed behind a cut may be back before the list shows it.
+        One that crashed behind a cut may be back before the list shows it. If this
+        process stood still, it may be back before the close of its connection was read
+        here. Plain services don't say when they were started.
         """
-        if server.started_ms is None:
-            return False
-        started_ms = await self.probes.started_ms(server)
-        return started_ms is not None and started_ms > server.started_ms
+        started_ms = None
+        if server.started_ms is not None:
+            started_ms = await self.probes.started_ms(server)
+        if started_ms is not None and started_ms > server.started_ms:
+            return crash_events.CrashCheckOutcome.RESTARTED
+        arrived_s = routed.request.arrived_s
+        if started_ms is None and self.pauses.has_paused_since(
+            arrived_s, SILENCE_POLL_S
+        ):
+            return crash_events.CrashCheckOutcome.UNPROVEN
+        return crash_events.CrashCheckOutcome.RESPONDS
 
     def apply_outcome(
         self,
@@ -437,6 +461,7 @@
         """Check servers that send nothing while requests are in flight, forever."""
         while True:
             await asyncio.sleep(SILENCE_POLL_S)
+            self.pauses.tick(SILENCE_POLL_S)
             for server_id in self.servers_to_check():
                 self.tasks.spawn(
                     self.check_silent_server(self.view.servers[server_id].server)
--- a/src/quetzalpass/relay/crash_events.py
+++ b/src/quetzalpass/relay/crash_events.py
@@ -6,7 +6,11 @@
 
 
 class CrashCheckOutcome(enum.Enum):
-    """Why a request that broke off counts as a crash of its server, or does not."""
+    """Why a request that broke off counts as a crash of its server, or does not.
+
+    ``UNPROVEN`` means that this process stood still while the response arrived, so that
+    a server that accepts connections may have been started anew meanwhile.
+    """
 
     CRASHED = "crashed"
     UNLISTED = "unlisted"
@@ -17,6 +21,7 @@
     CUT_OFF = "cut_off"
     RESTARTED = "restarted"
     REPLACED = "replaced"
+    UNPROVEN = "unproven"
 
 
 class CrashCheckEvent(event_log.Event, frozen=True, tag="crash_check"):
