--- a/src/quetzalpass/membership/quarantine.py
+++ b/src/quetzalpass/membership/quarantine.py
@@ -244,9 +244,14 @@
         del self.records[fingerprint]
 
     def get_or_create_record(self, fingerprint: str) -> suspect_records.SuspectRecord:
-        """Return the record of a request, which is created if there is none."""
-        self.expire()
+        """Return the record of a request, which is created if there is none.
+
+        Reports have thousands of records, so this doesn't go over all of them.
+        """
         found = self.records.get(fingerprint)
+        if found is not None and self.is_expired(found):
+            self.remove_record(fingerprint)
+            found = None
         if found is None:
             if len(self.records) >= MAX_RECORDS:
                 self.remove_record(next(iter(self.records)))
@@ -267,15 +272,18 @@
 
     def expire(self) -> None:
         """Remove expired records."""
-        now_s = asyncio.get_running_loop().time()
         expired = [
             fingerprint
             for fingerprint, record in self.records.items()
-            if record.expires_s <= now_s
+            if self.is_expired(record)
         ]
         for fingerprint in expired:
             self.remove_record(fingerprint)
 
+    def is_expired(self, record: suspect_records.SuspectRecord) -> bool:
+        """Return whether what is known about a request is too old."""
+        return record.expires_s <= asyncio.get_running_loop().time()
+
     def crash_count_of(self, fingerprint: str) -> int:
         """Return the number of crashes that are attributed to a request."""
         record = self.records.get(fingerprint)
@@ -457,6 +465,7 @@
         """Merge reports of a peer; their order and duplicates don't matter."""
         if self.parts.merge(message.parts):
             self.changed.set()
+        self.expire()
         for report in message.verdicts:
             record = self.get_or_create_record(report.fingerprint)
             crashes = {each.id: each for each in report.deaths}
