--- a/src/quetzalpass/relay/run_endings.py
+++ b/src/quetzalpass/relay/run_endings.py
@@ -155,7 +155,12 @@
             return
 
     async def wait_since_start(self) -> None:
-        """Wait until the run has ended, for a short time after the first order."""
+        """Wait until the run has ended, for a short time after the first order.
+
+        A server that has crashed is not waited for.
+        """
+        if self.stream.gateway.crash_checks.has_crashed(self.server):
+            return
         await self.wait(self.started_s + MAX_SETTLE_S - self.stream.now_s())
 
     def log_end(self) -> None:
