tests: a restarted gateway of a group has no list of servers before its first reply

The harness was wrong: it gave a new gateway the list at once. A process gets the list with the first reply, after the suspects in it (control_links.apply_reply), and a gateway without a list waits.

--- a/tests/relay/gateway_group.py
+++ b/tests/relay/gateway_group.py
@@ -39,8 +39,13 @@
         return harness
 
     def restart_gateway(self, number):
-        """Replace a gateway by a new process at the same address."""
+        """Replace a gateway by a new process at the same address.
+
+        Like a process, it has no list of servers before the first reply of the
+        registry, which brings the suspects too.
+        """
         self.gateways[number] = self.new_gateway(number)
+        self.gateways[number].view.read_at_s = None
         self.versions[number] = 0
 
     async def __aenter__(self):
