--- a/src/quetzalpass/backends/held_bytes.py
+++ b/src/quetzalpass/backends/held_bytes.py
@@ -191,6 +191,20 @@
         self.arriving.add(holding)
         return holding
 
+    def reserve(self, size: int) -> Holding:
+        """Hold room for something before it arrives; nothing else is given up for it.
+
+        Raises
+        ------
+        NoRoomError
+            If there is no room for it.
+        """
+        if self.total + size > self.limit_bytes:
+            raise NoRoomError(f"no room for {size} bytes beside {self.total}")
+        holding = Holding(self, do_nothing, self.small_bytes)
+        holding.resize(size)
+        return holding
+
     def make_room(self) -> None:
         """Give up what has stalled, or is the largest, until the rest fits."""
         now_s = loop_time_s()
--- a/src/quetzalpass/daemon/handover_receiver.py
+++ b/src/quetzalpass/daemon/handover_receiver.py
@@ -6,6 +6,7 @@
 
 import asyncio
 
+import logbook
 from aiohttp import web
 from returns import result
 
@@ -21,10 +22,19 @@
     relaying,
 )
 from quetzalpass.results import codes, failures
-from quetzalpass.wire import messages, server
+from quetzalpass.wire import messages, offers, server
+
+LOG = logbook.Logger("relay")
 
 # Requests of other gateways that are served at the same time.
 MAX_HANDED_REQUESTS = 256
+# A request takes the bytes that arrive, and what is decoded from them.
+COPIES_IN_MEMORY = 2
+# Room for a request whose sender, of an earlier version, doesn't name its size.
+UNKNOWN_SIZE_BYTES = 65_536
+HOLDING: web.RequestKey[held_bytes.Holding] = web.RequestKey(
+    "holding", held_bytes.Holding
+)
 
 
 class PeerResponse(relay_requests.CallerResponse):
@@ -116,6 +126,11 @@
             return refuse(codes.Code.UNKNOWN_KEY, "The cluster key is wrong.")
         if not self.accepts():
             return refuse(codes.Code.NOT_READY, "this gateway takes no requests now")
+        try:
+            request[HOLDING] = held_bytes.REQUESTS.reserve(memory_bytes(request))
+        except held_bytes.NoRoomError as error:
+            LOG.info("relay: Took no request of another gateway: {}.", error)
+            return refuse(codes.Code.QUEUE_FULL, "this gateway has no room for it")
         await server.send_continue(request)
         return None
 
@@ -123,8 +138,17 @@
         """Serve a request whose offer was accepted."""
         if not self.guard.is_peer(request):
             return refuse(codes.Code.UNKNOWN_KEY, "The cluster key is wrong.")
+        try:
+            return await self.handle_held(request)
+        finally:
+            if HOLDING in request:
+                request[HOLDING].release()
+
+    async def handle_held(self, request: web.Request) -> web.StreamResponse:
+        """Serve a request for which there is room."""
+        # The request object would keep the bytes until the response has ended.
         decoded = messages.decode(
-            await request.read(), handover_messages.HandoverRequest
+            await request.content.read(), handover_messages.HandoverRequest
         )
         if isinstance(decoded, result.Failure):
             return failed(decoded.failure())
@@ -198,6 +222,14 @@
         )
 
 
+def memory_bytes(request: web.Request) -> int:
+    """Return the memory that an offered request will take."""
+    size = request.headers.get(offers.SIZE_HEADER, "")
+    if not (size.isascii() and size.isdecimal()):
+        return COPIES_IN_MEMORY * UNKNOWN_SIZE_BYTES
+    return COPIES_IN_MEMORY * int(size)
+
+
 def unreached(
     message: handover_messages.HandoverRequest, execution: codes.Execution
 ) -> failures.Failure:
--- a/src/quetzalpass/wire/offers.py
+++ b/src/quetzalpass/wire/offers.py
@@ -23,6 +23,8 @@
 KEEP_ALIVE_PROBES = 2
 USER_TIMEOUT_MS = 3_000
 MAX_HEAD_LINE_BYTES = 65_536
+# Size of the request in bytes, by which the receiver decides whether it has room.
+SIZE_HEADER = "Quetzalpass-Offer-Bytes"
 
 
 class OfferError(Exception):
@@ -126,7 +128,11 @@
         return await self.get_session().request(
             method,
             yarl.URL(url, encoded=True),
-            headers={**headers, transport.CLUSTER_KEY_HEADER: self.cluster_key},
+            headers={
+                **headers,
+                transport.CLUSTER_KEY_HEADER: self.cluster_key,
+                SIZE_HEADER: str(len(offer.data)),
+            },
             data=offer.body(),
             expect100=True,
             allow_redirects=False,
--- a/tests/daemon/test_handover_receiver.py
+++ b/tests/daemon/test_handover_receiver.py
@@ -11,7 +11,7 @@
 
 from fakes import relay_servers
 from quetzalpass import ids
-from quetzalpass.backends import base, relays
+from quetzalpass.backends import base, held_bytes, relays
 from quetzalpass.daemon import handover_receiver
 from quetzalpass.relay import handover_channel, handover_messages
 from quetzalpass.routing import peer_choice, peer_gateways
@@ -271,3 +271,56 @@
         choice.avoid(peer.vm, 10.0)
         assert choice.choose(service, (), 10.0) is None
         assert choice.choose(service, (), 10.0 + peer_choice.AVOID_S) == peer.vm
+
+
+class TestRoom:
+    """Requests of other gateways count against the limit of all bodies (review/12).
+
+    A gateway that took the requests of three others that were cut off grew above its
+    machine's memory and was killed, with its own callers' requests.
+    """
+
+    BODY_BYTES = 1_000_000
+
+    async def serve_many(self, sender, count):
+        body = bytes(self.BODY_BYTES)
+        return await asyncio.gather(
+            *(sender.serve("/reads/1", body=body) for _ in range(count))
+        )
+
+    async def test_bodies_together_stay_within_the_limit(
+        self, sender, receiver, monkeypatch
+    ):
+        limit_bytes = 6 * self.BODY_BYTES
+        held = held_bytes.HeldBytes(limit_bytes, held_bytes.SMALL_REQUEST_BYTES)
+        monkeypatch.setattr(held_bytes, "REQUESTS", held)
+        server = receiver.harness.server("l-1")
+        server.delay_s = 0.3
+        taken = []
+        monkeypatch.setattr(
+            receiver.receiver,
+            "serve",
+            count_calls(receiver.receiver.serve, taken),
+        )
+        responses = await self.serve_many(sender, 12)
+        assert max(taken) * self.BODY_BYTES <= limit_bytes
+        assert {each.status for each in responses} == {200, 503}
+        assert held.total == 0
+        # The sender avoids a peer for a short time that had no room.
+        await asyncio.sleep(peer_choice.AVOID_S + 0.1)
+        assert [each.status for each in await self.serve_many(sender, 1)] == [200]
+
+
+def count_calls(serve, counts):
+    """Record how many calls run at the same time."""
+    running = []
+
+    async def serve_counted(message, request):
+        running.append(message)
+        counts.append(len(running))
+        try:
+            return await serve(message, request)
+        finally:
+            running.pop()
+
+    return serve_counted
