--- a/src/quetzalpass/consensus/votes.py
+++ b/src/quetzalpass/consensus/votes.py
@@ -85,7 +85,8 @@
     lost_after_s : float
         Time without a reply after which a voter's vote goes to a learner.
     gone_after_s : float
-        Time without a reply after which a learner is removed.
+        Time without a reply after which a learner is removed, and a vote may go to a
+        data centre that then has more votes than any had before.
     """
 
     wanted_voters: int
@@ -165,7 +166,9 @@
     voters: Sequence[MemberState], candidates: Sequence[MemberState], limits: Limits
 ) -> Change | None:
     """Return the first of the two changes that move a vote, or ``None``."""
-    lost = [each for each in voters if is_lost(each, limits)]
+    lost = [
+        each for each in voters if may_be_replaced(each, voters, candidates, limits)
+    ]
     if lost:
         worst = max(lost, key=lambda each: each.silent_s)
         return Change(ChangeKind.DEMOTE, worst.vm, Reason.SILENT)
@@ -176,6 +179,33 @@
     return improve_spread(voters, candidates)
 
 
+def may_be_replaced(
+    voter: MemberState,
+    voters: Sequence[MemberState],
+    candidates: Sequence[MemberState],
+    limits: Limits,
+) -> bool:
+    """Return whether a silent voter's vote may go to the best learner now.
+
+    A machine that only stands still for a moment must not leave two of three votes in
+    one data centre, which may be cut off just then. So a vote that would crowd a data
+    centre moves later.
+    """
+    if not is_lost(voter, limits):
+        return False
+    others = [each for each in voters if each is not voter]
+    moved = [*others, best_candidate(candidates, others)]
+    if largest_share(moved) <= largest_share(voters):
+        return True
+    return voter.silent_s > limits.gone_after_s
+
+
+def largest_share(voters: Sequence[MemberState]) -> int:
+    """Return the most votes of one data centre; unknown ones count for themselves."""
+    counts = count_by_data_centre(each for each in voters if each.data_centre)
+    return max(counts.values(), default=1)
+
+
 def improve_spread(
     voters: Sequence[MemberState], candidates: Sequence[MemberState]
 ) -> Change | None:
--- a/tests/consensus/test_open_groups.py
+++ b/tests/consensus/test_open_groups.py
@@ -482,6 +482,22 @@
         assert await cluster.propose(b"two", vm=leader) == b"2:two"
         await cluster.stop()
 
+    @pytest.mark.parametrize("paused", ["vm-2", "vm-3"])
+    async def test_a_data_centre_is_lost_while_a_vm_of_another_pauses(self, paused):
+        """A machine without processor time for 1.6 s lost its vote (review/8)."""
+        cluster = await start_cluster_with_learners(
+            "vm-8", "vm-9", data_centres=DATA_CENTRES
+        )
+        cluster.network.isolate(paused)
+        await asyncio.sleep(1.6)
+        cluster.network.heal()
+        for vm in ("vm-1", "vm-8"):
+            cluster.network.isolate(vm)
+        cluster.network.cut_links -= {("vm-1", "vm-8"), ("vm-8", "vm-1")}
+        leader = await cluster.leader(excluded=("vm-1", "vm-8"))
+        assert await cluster.propose(b"two", vm=leader) == b"2:two"
+        await cluster.stop()
+
     async def test_the_vote_goes_to_a_learner_of_the_same_data_centre(self):
         cluster = await start_cluster_with_learners(
             "vm-8", "vm-9", data_centres=DATA_CENTRES
--- a/tests/consensus/test_votes.py
+++ b/tests/consensus/test_votes.py
@@ -121,6 +121,39 @@
         members.append(learner("c1", "c"))
         assert changes_until_settled(members) == ["promote c1", "demote a1"]
 
+    @pytest.mark.parametrize("silent_s", [1.1, 1.6, 2.9])
+    def test_a_short_silence_moves_no_second_vote_into_a_data_centre(self, silent_s):
+        """It could be cut off just then, with two of three votes (review/8)."""
+        members = [
+            leader("a", "flx-a"),
+            silent("b", "flx-b", silent_s=silent_s),
+            member("c", "flx-c"),
+            learner("a2", "flx-a"),
+            learner("c2", "flx-c"),
+        ]
+        assert votes.next_change(members, LIMITS) is None
+
+    def test_a_long_silence_moves_a_second_vote_into_a_data_centre(self):
+        members = [
+            leader("a", "flx-a"),
+            silent("b", "flx-b", silent_s=3.1),
+            member("c", "flx-c"),
+            learner("a2", "flx-a"),
+        ]
+        change = votes.next_change(members, LIMITS)
+        assert (change.kind, change.vm) == (votes.ChangeKind.DEMOTE, "b")
+
+    @pytest.mark.parametrize("data_centre", ["flx-b", "flx-d", ""])
+    def test_a_short_silence_moves_a_vote_that_crowds_nothing(self, data_centre):
+        members = [
+            leader("a", "flx-a"),
+            silent("b", "flx-b", silent_s=1.1),
+            member("c", "flx-c"),
+            learner("b2", data_centre),
+        ]
+        change = votes.next_change(members, LIMITS)
+        assert (change.kind, change.vm) == (votes.ChangeKind.DEMOTE, "b")
+
     def test_votes_stay_where_a_move_gains_nothing(self):
         members = [leader("a1", "a"), member("a2", "a"), member("b1", "b")]
         members.append(learner("b2", "b"))
